Begin with the schema, the core and the checks

Ruled out: a schema inside each subsystem, since log records, peer messages and settings would drift apart. Conclusion: subsystems can grow side by side in folders of their own.

--- /dev/null
+++ b/naming/selector.h
@@ -0,0 +1,58 @@
+// Selectors: where work may run, written in any naming scheme.
+//
+// Grammar: term ("and" term)*, with terms
+//   key = value | key != value | key in (a, b) | key not in (a, b) | exists key | not exists key
+// A key is a label key, or one of `instance`, `rack`, `data_centre`; it may be
+// qualified by a scheme as `scheme:key`. Values may be quoted. Values of
+// `instance` are instance names and may be qualified too. The empty selector
+// allows everything.
+#pragma once
+
+#include "core/ids.h"
+#include "core/result.h"
+#include "naming/name_table.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace teasel {
+
+enum class SelectorOperator : uint8_t {
+    Equal = 0,
+    NotEqual = 1,
+    In = 2,
+    NotIn = 3,
+    Exists = 4,
+    NotExists = 5,
+};
+
+// One term as written.
+struct SelectorTerm {
+    std::string key;
+    SelectorOperator op = SelectorOperator::Equal;
+    std::vector<std::string> values;
+};
+
+// One term with its names resolved to ids.
+struct CompiledTerm {
+    SubjectId key = 0;
+    SelectorOperator op = SelectorOperator::Equal;
+    std::vector<uint64_t> values; // hashes of the values; subject ids where the key is `instance`
+};
+
+// A selector ready for evaluation. Renaming does not change what it means.
+struct CompiledSelector {
+    std::string text; // as written
+    std::vector<CompiledTerm> terms;
+};
+
+// Reads a selector. Fails with BadRequest, the position and what was expected.
+Result<std::vector<SelectorTerm>> parseSelector(std::string_view text);
+
+// Reads and resolves a selector. Keys not known to the table are interned, in
+// the first scheme unless qualified, so that work may wait for instances that
+// have not announced themselves yet. Fails as parseSelector and NameTable::resolve do.
+Result<CompiledSelector> compileSelector(std::string_view text, NameTable&);
+
+} // namespace teasel
--- /dev/null
+++ b/tests/core_test.cpp
@@ -0,0 +1,53 @@
+#include "core/clock.h"
+#include "core/error_kind.h"
+#include "core/invariant.h"
+#include "core/result.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+#include <string>
+
+namespace teasel {
+
+TEST_CASE("every error kind has a name of its own, an HTTP status and advice")
+{
+    std::set<std::string_view> names;
+    for (const auto& it : errorAnswers()) {
+        CHECK(names.insert(it.name).second);
+        if (it.kind == ErrorKind::None)
+            continue;
+        CHECK(it.httpStatus >= 400);
+        CHECK_FALSE(it.advice.empty());
+    }
+    CHECK(errorKindFromNumber(10'000) == ErrorKind::Internal);
+}
+
+TEST_CASE("a failed result gives its error and a good one its value")
+{
+    const auto bad = valueOrError([]() -> Result<int> { return fail(ErrorKind::NotFound, "no such team"); });
+    REQUIRE(std::holds_alternative<Error>(bad));
+    CHECK(std::get<Error>(bad).kind == ErrorKind::NotFound);
+    const auto good = valueOrError([]() -> Result<int> { return 7; });
+    CHECK(std::get<0>(good) == 7);
+}
+
+TEST_CASE("a broken invariant reaches the handler with its name")
+{
+    std::string seen;
+    auto former = setInvariantHandler([&](std::string_view name, std::string_view) { seen = name; });
+    checkInvariant(false, "capacity", [] { return std::string("1 of 0"); });
+    setInvariantHandler(std::move(former));
+    CHECK(seen == "capacity");
+}
+
+TEST_CASE("milliseconds left are never negative")
+{
+    ManualClock clock;
+    const auto start = clock.now();
+    clock.advance(Milliseconds(5));
+    CHECK(millisecondsLeft(start, clock.now()) == 0);
+    CHECK(millisecondsLeft(clock.now() + Milliseconds(7), clock.now()) == 7);
+}
+
+} // namespace teasel
