Carry messages between processes, elect data centres' leaders, stand in for executors and callers

Cause: the whole path needs peer links, HTTP on both sides and a leader per data centre before any plane can be wired. Ruled out: one HTTP/2 stream per message (a stream's set-up costs more than the message); the fleet state electing every leader (a data centre that is cut off would lose its leader). Before: no network code (ls net: empty).

--- /dev/null
+++ b/net/address.h
@@ -0,0 +1,30 @@
+// Addresses as written in settings and announcements.
+#pragma once
+
+#include "core/result.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <netinet/in.h>
+
+namespace teasel {
+
+// A numeric IPv4 or IPv6 address with a port.
+class SocketAddress {
+public:
+    // Reads `host:port` or `[host]:port`. Fails with BadRequest for anything but numeric addresses.
+    static Result<SocketAddress> parse(std::string_view text);
+
+    const sockaddr* raw() const { return reinterpret_cast<const sockaddr*>(&m_storage); }
+    socklen_t size() const { return m_size; }
+    int family() const { return m_storage.ss_family; }
+    uint16_t port() const;
+
+private:
+    sockaddr_storage m_storage = {};
+    socklen_t m_size = 0;
+};
+
+} // namespace teasel
--- /dev/null
+++ b/net/http_client.cpp
@@ -0,0 +1,297 @@
+#include "net/http_client.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cctype>
+#include <string_view>
+#include <utility>
+
+#include <curl/curl.h>
+
+namespace teasel {
+
+namespace {
+
+    constexpr int pollMs = 50;
+    constexpr size_t keptHandles = 256;
+
+    // One call in flight.
+    struct Transfer {
+        uint64_t id = 0;
+        HttpCall call;
+        HttpClient::Done done;
+        HttpOutcome outcome;
+        CURL* easy = nullptr;
+        curl_slist* headers = nullptr;
+        size_t maxAnswerBytes = 0;
+        bool lengthKnown = false;
+        bool chunked = false;
+    };
+
+    std::string_view trim(std::string_view text)
+    {
+        while (!text.empty() && std::isspace(static_cast<unsigned char>(text.front())) != 0)
+            text.remove_prefix(1);
+        while (!text.empty() && std::isspace(static_cast<unsigned char>(text.back())) != 0)
+            text.remove_suffix(1);
+        return text;
+    }
+
+    bool sameName(std::string_view a, std::string_view b)
+    {
+        return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+            [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
+    }
+
+    size_t onBody(char* data, size_t size, size_t n, void* user)
+    {
+        auto& it = *static_cast<Transfer*>(user);
+        const auto bytes = size * n;
+        if (it.outcome.body.size() + bytes > it.maxAnswerBytes)
+            return 0; // ends the transfer with CURLE_WRITE_ERROR
+        it.outcome.body.append(data, bytes);
+        return bytes;
+    }
+
+    size_t onHeader(char* data, size_t size, size_t n, void* user)
+    {
+        auto& it = *static_cast<Transfer*>(user);
+        const std::string_view line(data, size * n);
+        const auto colon = line.find(':');
+        if (colon != std::string_view::npos) {
+            const auto name = line.substr(0, colon);
+            const auto value = trim(line.substr(colon + 1));
+            if (sameName(name, "content-type"))
+                it.outcome.contentType = value;
+            else if (sameName(name, "teasel-attempt"))
+                it.outcome.attempt = value;
+            else if (sameName(name, "content-length"))
+                it.lengthKnown = true;
+            else if (sameName(name, "transfer-encoding"))
+                it.chunked = true;
+        }
+        return size * n;
+    }
+
+    CallEnd endOf(CURLcode code, const Transfer& it)
+    {
+        curl_off_t connectTime = 0;
+        switch (code) {
+        case CURLE_OK:
+            return it.lengthKnown || it.chunked ? CallEnd::Answered : CallEnd::CutShort;
+        case CURLE_COULDNT_RESOLVE_HOST:
+        case CURLE_COULDNT_CONNECT:
+        case CURLE_URL_MALFORMAT:
+            return CallEnd::ConnectFailed;
+        case CURLE_PARTIAL_FILE:
+        case CURLE_WRITE_ERROR:
+            return CallEnd::CutShort;
+        case CURLE_OPERATION_TIMEDOUT:
+            // Zero means that the connection was never made, so nothing was sent.
+            curl_easy_getinfo(it.easy, CURLINFO_CONNECT_TIME_T, &connectTime);
+            return connectTime == 0 ? CallEnd::ConnectFailed : CallEnd::Overdue;
+        default:
+            return CallEnd::FailedAfterSending;
+        }
+    }
+
+} // namespace
+
+// One thread with a multi handle and the connections it keeps.
+class HttpClient::Worker {
+public:
+    explicit Worker(const HttpClientOptions& options)
+        : m_options(options)
+        , m_multi(curl_multi_init())
+    {
+        curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, 1'024L);
+        curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS, 0L);
+        m_thread = std::thread([this] { run(); });
+    }
+
+    ~Worker() { stop(); }
+    Worker(const Worker&) = delete;
+    Worker& operator=(const Worker&) = delete;
+
+    void stop()
+    {
+        if (!m_thread.joinable())
+            return;
+        {
+            const std::lock_guard lock(m_mutex);
+            m_stopping = true;
+        }
+        curl_multi_wakeup(m_multi);
+        m_thread.join();
+        for (auto* it : m_idle)
+            curl_easy_cleanup(it);
+        curl_multi_cleanup(m_multi);
+    }
+
+    void start(std::unique_ptr<Transfer> transfer)
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_starting.push_back(std::move(transfer));
+        }
+        curl_multi_wakeup(m_multi);
+    }
+
+    void abort(uint64_t id)
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_aborting.push_back(id);
+        }
+        curl_multi_wakeup(m_multi);
+    }
+
+private:
+    void run()
+    {
+        while (takeOrders()) {
+            int running = 0;
+            curl_multi_perform(m_multi, &running);
+            collectEnds();
+            curl_multi_poll(m_multi, nullptr, 0, pollMs, nullptr);
+        }
+        while (!m_active.empty())
+            finish(m_active.begin()->first, CallEnd::Aborted);
+    }
+
+    bool takeOrders()
+    {
+        std::vector<std::unique_ptr<Transfer>> starting;
+        std::vector<uint64_t> aborting;
+        bool stopping = false;
+        {
+            const std::lock_guard lock(m_mutex);
+            starting.swap(m_starting);
+            aborting.swap(m_aborting);
+            stopping = m_stopping;
+        }
+        for (auto& it : starting)
+            begin(std::move(it));
+        for (const auto id : aborting)
+            finish(id, CallEnd::Aborted);
+        return !stopping;
+    }
+
+    void begin(std::unique_ptr<Transfer> transfer)
+    {
+        auto* easy = curl_easy_init();
+        if (!m_idle.empty()) {
+            curl_easy_cleanup(std::exchange(easy, m_idle.back()));
+            m_idle.pop_back();
+            curl_easy_reset(easy);
+        }
+        auto& it = *transfer;
+        it.easy = easy;
+        it.maxAnswerBytes = m_options.maxAnswerBytes;
+        for (const auto& [name, value] : it.call.headers)
+            it.headers = curl_slist_append(it.headers, fmt::format("{}: {}", name, value).c_str());
+        it.headers = curl_slist_append(it.headers, "Expect:");
+        curl_easy_setopt(easy, CURLOPT_URL, it.call.url.c_str());
+        curl_easy_setopt(easy, CURLOPT_HTTPHEADER, it.headers);
+        curl_easy_setopt(easy, CURLOPT_POST, 1L);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, it.call.body->data());
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(it.call.body->size()));
+        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(std::max<int64_t>(1, it.call.timeout.count())));
+        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(it.call.connectTimeout.count()));
+        curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+        curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &onBody);
+        curl_easy_setopt(easy, CURLOPT_WRITEDATA, &it);
+        curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onHeader);
+        curl_easy_setopt(easy, CURLOPT_HEADERDATA, &it);
+        if (it.call.neverTwice) {
+            // libcurl repeats a request by itself when a kept connection turns out to be dead.
+            curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+            curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+        }
+        curl_easy_setopt(easy, CURLOPT_PRIVATE, &it);
+        curl_multi_add_handle(m_multi, easy);
+        m_active.emplace(it.id, std::move(transfer));
+    }
+
+    void collectEnds()
+    {
+        int left = 0;
+        while (auto* message = curl_multi_info_read(m_multi, &left)) {
+            if (message->msg != CURLMSG_DONE)
+                continue;
+            Transfer* it = nullptr;
+            curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &it);
+            finish(it->id, endOf(message->data.result, *it));
+        }
+    }
+
+    void finish(uint64_t id, CallEnd end)
+    {
+        const auto found = m_active.find(id);
+        if (found == m_active.end())
+            return;
+        const auto transfer = std::move(found->second);
+        m_active.erase(found);
+        auto& it = *transfer;
+        long status = 0;
+        curl_off_t took = 0;
+        curl_easy_getinfo(it.easy, CURLINFO_RESPONSE_CODE, &status);
+        curl_easy_getinfo(it.easy, CURLINFO_TOTAL_TIME_T, &took);
+        curl_multi_remove_handle(m_multi, it.easy);
+        curl_slist_free_all(it.headers);
+        if (m_idle.size() < keptHandles)
+            m_idle.push_back(it.easy);
+        else
+            curl_easy_cleanup(it.easy);
+        it.outcome.end = end;
+        it.outcome.status = static_cast<unsigned>(status);
+        it.outcome.took = Duration(took);
+        it.done(std::move(it.outcome));
+    }
+
+    HttpClientOptions m_options;
+    CURLM* m_multi;
+    std::thread m_thread;
+    absl::flat_hash_map<uint64_t, std::unique_ptr<Transfer>> m_active;
+    std::vector<CURL*> m_idle;
+
+    std::mutex m_mutex;
+    std::vector<std::unique_ptr<Transfer>> m_starting; // guarded by m_mutex
+    std::vector<uint64_t> m_aborting; // guarded by m_mutex
+    bool m_stopping = false; // guarded by m_mutex
+};
+
+HttpClient::HttpClient(HttpClientOptions options)
+    : m_options(options)
+{
+    static const auto initialised = curl_global_init(CURL_GLOBAL_ALL);
+    static_cast<void>(initialised);
+    for (unsigned n = 0; n < m_options.threads; ++n)
+        m_workers.push_back(std::make_unique<Worker>(m_options));
+}
+
+HttpClient::~HttpClient() { stop(); }
+
+uint64_t HttpClient::start(HttpCall call, Done done)
+{
+    auto transfer = std::make_unique<Transfer>();
+    transfer->id = m_nextId++;
+    transfer->call = std::move(call);
+    transfer->done = std::move(done);
+    const auto id = transfer->id;
+    m_workers[id % m_workers.size()]->start(std::move(transfer));
+    return id;
+}
+
+void HttpClient::abort(uint64_t id) { m_workers[id % m_workers.size()]->abort(id); }
+
+void HttpClient::stop()
+{
+    for (auto& it : m_workers)
+        it->stop();
+}
+
+} // namespace teasel
--- /dev/null
+++ b/net/http_server.cpp
@@ -0,0 +1,240 @@
+#include "net/http_server.h"
+
+#include "net/address.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cctype>
+#include <cerrno>
+#include <cstring>
+
+#include <microhttpd.h>
+#include <poll.h>
+#include <unistd.h>
+
+namespace teasel {
+
+namespace {
+
+    constexpr std::chrono::milliseconds callerCheckEvery { 100 };
+
+    std::string lowerCase(std::string_view text)
+    {
+        std::string out(text);
+        std::transform(
+            out.begin(), out.end(), out.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+        return out;
+    }
+
+    std::string_view findHeader(const HttpHeaders& headers, std::string_view name)
+    {
+        for (const auto& [key, value] : headers) {
+            if (key == name)
+                return value;
+        }
+        return {};
+    }
+
+    MHD_Result collect(void* into, MHD_ValueKind, const char* key, const char* value)
+    {
+        static_cast<HttpHeaders*>(into)->emplace_back(lowerCase(key), value == nullptr ? "" : value);
+        return MHD_YES;
+    }
+
+    constexpr std::string_view tooLargeBody
+        = R"({"kind":"too_large","run":"did_not_run","message":"the body is larger than this instance takes","advice":"send a smaller body","retry_after_ms":0})";
+
+} // namespace
+
+// One request from its first line to its answer. Lives until libmicrohttpd completes it.
+struct HttpServer::Exchange {
+    HttpRequest request;
+    MHD_Connection* connection = nullptr;
+    int fd = -1;
+    bool tooLarge = false;
+    bool handed = false;
+    bool answered = false;
+    HttpResponse response;
+};
+
+std::string_view HttpRequest::header(std::string_view name) const { return findHeader(headers, name); }
+
+std::string_view HttpRequest::queryValue(std::string_view name) const { return findHeader(query, name); }
+
+HttpServer::HttpServer(HttpServerOptions options, Handler handler, CallerGone callerGone)
+    : m_options(std::move(options))
+    , m_handler(std::move(handler))
+    , m_callerGone(std::move(callerGone))
+{
+}
+
+HttpServer::~HttpServer() { stop(); }
+
+Result<void> HttpServer::start()
+{
+    BOOST_LEAF_AUTO(address, SocketAddress::parse(m_options.address));
+    unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
+    if (address.family() == AF_INET6)
+        flags |= MHD_USE_IPv6;
+    m_daemon = MHD_start_daemon(flags, address.port(), nullptr, nullptr, &HttpServer::onRequest, this,
+        MHD_OPTION_SOCK_ADDR, address.raw(), MHD_OPTION_THREAD_POOL_SIZE, m_options.threads,
+        MHD_OPTION_CONNECTION_LIMIT, m_options.maxConnections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+        m_options.maxHeaderBytes, MHD_OPTION_CONNECTION_TIMEOUT, m_options.idleSeconds,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_LISTEN_BACKLOG_SIZE, 1'024U, MHD_OPTION_NOTIFY_COMPLETED,
+        &HttpServer::onCompleted, this, MHD_OPTION_END);
+    if (m_daemon == nullptr)
+        return fail(
+            ErrorKind::BadRequest, fmt::format("can't listen on {}: {}", m_options.address, std::strerror(errno)));
+    m_watcher = std::thread([this] { watchCallers(); });
+    return {};
+}
+
+void HttpServer::stopListening()
+{
+    if (m_daemon == nullptr)
+        return;
+    const auto fd = MHD_quiesce_daemon(m_daemon);
+    if (fd >= 0)
+        close(fd);
+}
+
+void HttpServer::stop()
+{
+    if (m_daemon == nullptr)
+        return;
+    std::vector<uint64_t> left;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+        for (const auto& [handle, exchange] : m_suspended)
+            left.push_back(handle);
+    }
+    m_wakeWatcher.notify_all();
+    m_watcher.join();
+    for (const auto handle : left)
+        answer(handle,
+            { 503, "application/json", { { "Retry-After", "1" } },
+                R"({"kind":"shutting_down","run":"may_have_run"})" });
+    MHD_stop_daemon(m_daemon);
+    m_daemon = nullptr;
+}
+
+size_t HttpServer::waiting() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_suspended.size();
+}
+
+MHD_Result HttpServer::onRequest(void* self, MHD_Connection* connection, const char* url, const char* method,
+    const char*, const char* data, size_t* n, void** state)
+{
+    auto& server = *static_cast<HttpServer*>(self);
+    if (*state == nullptr)
+        return server.begin(connection, url, method, state);
+    return server.proceed(connection, *static_cast<Exchange*>(*state), data, n);
+}
+
+MHD_Result HttpServer::begin(MHD_Connection* connection, const char* url, const char* method, void** state)
+{
+    auto exchange = std::make_unique<Exchange>();
+    exchange->connection = connection;
+    exchange->request.method = method;
+    exchange->request.path = url;
+    MHD_get_connection_values(connection, MHD_HEADER_KIND, &collect, &exchange->request.headers);
+    MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collect, &exchange->request.query);
+    const auto length = exchange->request.header("content-length");
+    exchange->tooLarge = std::strtoull(std::string(length).c_str(), nullptr, 10) > m_options.maxBodyBytes;
+    const bool refuse = exchange->tooLarge;
+    *state = exchange.release(); // onCompleted takes it back
+    return refuse ? replyTooLarge(connection) : MHD_YES;
+}
+
+MHD_Result HttpServer::proceed(MHD_Connection* connection, Exchange& exchange, const char* data, size_t* n)
+{
+    if (*n > 0) {
+        exchange.tooLarge = exchange.tooLarge || exchange.request.body.size() + *n > m_options.maxBodyBytes;
+        if (!exchange.tooLarge)
+            exchange.request.body.append(data, *n);
+        *n = 0;
+        return MHD_YES;
+    }
+    if (exchange.tooLarge)
+        return replyTooLarge(connection);
+    if (exchange.handed) {
+        const std::lock_guard lock(m_mutex);
+        return exchange.answered ? reply(connection, exchange.response) : MHD_YES;
+    }
+    exchange.handed = true;
+    exchange.request.handle = m_nextHandle++;
+    const auto* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    exchange.fd = info == nullptr ? -1 : info->connect_fd;
+    auto request = std::move(exchange.request); // Once suspended, the exchange may end at any moment.
+    {
+        const std::lock_guard lock(m_mutex);
+        MHD_suspend_connection(connection);
+        m_suspended.emplace(request.handle, &exchange);
+    }
+    m_handler(std::move(request));
+    return MHD_YES;
+}
+
+void HttpServer::answer(uint64_t handle, HttpResponse response)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_suspended.find(handle);
+    if (it == m_suspended.end())
+        return;
+    auto& exchange = *it->second;
+    m_suspended.erase(it);
+    exchange.response = std::move(response);
+    exchange.answered = true;
+    MHD_resume_connection(exchange.connection);
+}
+
+MHD_Result HttpServer::reply(MHD_Connection* connection, const HttpResponse& response) const
+{
+    auto* out = MHD_create_response_from_buffer(
+        response.body.size(), const_cast<char*>(response.body.data()), MHD_RESPMEM_MUST_COPY);
+    MHD_add_response_header(out, "Content-Type", response.contentType.c_str());
+    for (const auto& [name, value] : response.headers)
+        MHD_add_response_header(out, name.c_str(), value.c_str());
+    const auto queued = MHD_queue_response(connection, response.status, out);
+    MHD_destroy_response(out);
+    return queued;
+}
+
+MHD_Result HttpServer::replyTooLarge(MHD_Connection* connection) const
+{
+    return reply(connection, { 413, "application/json", { { "Connection", "close" } }, std::string(tooLargeBody) });
+}
+
+void HttpServer::onCompleted(void*, MHD_Connection*, void** state, MHD_RequestTerminationCode)
+{
+    delete static_cast<Exchange*>(*state);
+    *state = nullptr;
+}
+
+void HttpServer::watchCallers()
+{
+    std::unique_lock lock(m_mutex);
+    while (!m_stopping) {
+        m_wakeWatcher.wait_for(lock, callerCheckEvery);
+        std::vector<pollfd> fds;
+        std::vector<uint64_t> handles;
+        for (const auto& [handle, exchange] : m_suspended) {
+            fds.push_back({ exchange->fd, POLLRDHUP, 0 });
+            handles.push_back(handle);
+        }
+        if (fds.empty() || poll(fds.data(), fds.size(), 0) <= 0)
+            continue;
+        lock.unlock();
+        for (size_t k = 0; k < fds.size(); ++k) {
+            if ((fds[k].revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0)
+                m_callerGone(handles[k]);
+        }
+        lock.lock();
+    }
+}
+
+} // namespace teasel
--- /dev/null
+++ b/net/peer_network.cpp
@@ -0,0 +1,295 @@
+#include "net/peer_network.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace teasel {
+
+namespace {
+
+    constexpr int listenBacklog = 256;
+    constexpr int pollMs = 20;
+
+    void setNoDelay(int fd)
+    {
+        const int one = 1;
+        setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+    }
+
+} // namespace
+
+PeerNetwork::PeerNetwork(
+    PeerNetworkOptions options, std::vector<PeerEndpoint> peers, const Clock& clock, PeerSession::Receiver receiver)
+    : m_options(std::move(options))
+    , m_clock(clock)
+    , m_receiver(std::move(receiver))
+{
+    for (auto& it : peers) {
+        if (it.id == m_options.id)
+            continue;
+        m_outboundById.emplace(it.id, m_outbound.size());
+        Outbound outbound;
+        outbound.endpoint = std::move(it);
+        outbound.backoff = m_options.firstReconnect;
+        m_outbound.push_back(std::move(outbound));
+    }
+}
+
+PeerNetwork::~PeerNetwork() { stop(); }
+
+Result<void> PeerNetwork::start()
+{
+    BOOST_LEAF_AUTO(address, SocketAddress::parse(m_options.listenAddress));
+    m_listener = socket(address.family(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int one = 1;
+    setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+    if (bind(m_listener, address.raw(), address.size()) != 0 || listen(m_listener, listenBacklog) != 0) {
+        const auto reason = std::strerror(errno);
+        close(std::exchange(m_listener, -1));
+        return fail(ErrorKind::BadRequest, fmt::format("can't listen on {}: {}", m_options.listenAddress, reason));
+    }
+    m_epoll = epoll_create1(EPOLL_CLOEXEC);
+    m_wake = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    watch(m_listener, EPOLLIN, true);
+    watch(m_wake, EPOLLIN, true);
+    m_thread = std::thread([this] { run(); });
+    return {};
+}
+
+void PeerNetwork::stop()
+{
+    if (!m_thread.joinable())
+        return;
+    m_stopping = true;
+    const uint64_t one = 1;
+    [[maybe_unused]] const auto n = write(m_wake, &one, sizeof one);
+    m_thread.join();
+    m_inbound.clear();
+    for (auto& it : m_outbound)
+        it.session.reset();
+    close(m_listener);
+    close(m_wake);
+    close(m_epoll);
+}
+
+void PeerNetwork::send(std::string_view to, schema::Envelope envelope)
+{
+    const auto found = m_outboundById.find(std::string(to));
+    if (found == m_outboundById.end()) {
+        ++m_messagesDropped;
+        return;
+    }
+    envelope.set_from(m_options.id);
+    envelope.set_incarnation(m_options.incarnation);
+    auto framed = frameEnvelope(envelope);
+    bool wasEmpty = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        wasEmpty = m_outbox.empty();
+        m_outbox.emplace_back(found->second, std::move(framed));
+    }
+    if (wasEmpty) {
+        const uint64_t one = 1;
+        [[maybe_unused]] const auto n = write(m_wake, &one, sizeof one);
+    }
+}
+
+PeerNetworkStats PeerNetwork::stats() const
+{
+    return { m_messagesSent, m_bytesSent, m_messagesReceived, m_messagesDropped, m_connectionsMade };
+}
+
+void PeerNetwork::watch(int fd, uint32_t events, bool add) const
+{
+    epoll_event event = {};
+    event.events = events;
+    event.data.fd = fd;
+    epoll_ctl(m_epoll, add ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, fd, &event);
+}
+
+void PeerNetwork::run()
+{
+    std::array<epoll_event, 64> events;
+    while (!m_stopping) {
+        const int n = epoll_wait(m_epoll, events.data(), static_cast<int>(events.size()), pollMs);
+        const auto now = m_clock.now();
+        for (int k = 0; k < n; ++k) {
+            const int fd = events[k].data.fd;
+            if (fd == m_listener) {
+                acceptConnections();
+            } else if (fd == m_wake) {
+                uint64_t count = 0;
+                [[maybe_unused]] const auto got = read(m_wake, &count, sizeof count);
+            } else if (const auto it = m_outboundByFd.find(fd); it != m_outboundByFd.end()) {
+                handleOutbound(m_outbound[it->second], events[k].events, now);
+            } else {
+                handleInbound(fd, events[k].events, now);
+            }
+        }
+        takeOutbox();
+        maintain(now);
+    }
+}
+
+void PeerNetwork::acceptConnections()
+{
+    while (true) {
+        const int fd = accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd < 0)
+            return;
+        setNoDelay(fd);
+        auto receiver = [this](schema::Envelope envelope) {
+            ++m_messagesReceived;
+            m_receiver(std::move(envelope));
+        };
+        m_inbound.emplace(fd, std::make_unique<PeerSession>(fd, false, std::move(receiver)));
+        watch(fd, EPOLLIN, true);
+        m_inbound[fd]->flush();
+    }
+}
+
+void PeerNetwork::handleInbound(int fd, uint32_t, Instant now)
+{
+    const auto it = m_inbound.find(fd);
+    if (it == m_inbound.end())
+        return;
+    auto& session = *it->second;
+    if (!session.onReadable(now) || !session.flush()) {
+        m_inbound.erase(it);
+        return;
+    }
+    watch(fd, session.wantsWrite() ? EPOLLIN | EPOLLOUT : EPOLLIN, false);
+}
+
+void PeerNetwork::takeOutbox()
+{
+    std::vector<std::pair<size_t, std::string>> taken;
+    {
+        const std::lock_guard lock(m_mutex);
+        taken.swap(m_outbox);
+    }
+    for (auto& [place, framed] : taken) {
+        auto& outbound = m_outbound[place];
+        const auto queued = outbound.waiting.size() + (outbound.session ? outbound.session->queuedBytes() : 0);
+        if (queued + framed.size() > m_options.maxQueuedBytes) {
+            ++m_messagesDropped;
+            continue;
+        }
+        ++m_messagesSent;
+        m_bytesSent += framed.size();
+        outbound.waiting += framed;
+    }
+}
+
+void PeerNetwork::maintain(Instant now)
+{
+    for (auto& it : m_outbound) {
+        if (!it.session) {
+            if (now >= it.nextConnect)
+                connectPeer(it, now);
+            continue;
+        }
+        if (now - it.session->lastHeard() > m_options.silenceLimit) {
+            dropOutbound(it, now);
+            continue;
+        }
+        if (it.connecting)
+            continue;
+        if (now >= it.nextPing) {
+            it.session->ping();
+            it.nextPing = now + m_options.pingEvery;
+        }
+        if (!it.waiting.empty() || it.session->wantsWrite())
+            flushOutbound(it, now);
+    }
+}
+
+void PeerNetwork::connectPeer(Outbound& outbound, Instant now)
+{
+    const auto parsed = valueOrError([&] { return SocketAddress::parse(outbound.endpoint.address); });
+    outbound.nextConnect = now + m_options.longestReconnect;
+    const auto* address = std::get_if<SocketAddress>(&parsed);
+    if (address == nullptr)
+        return;
+    const int fd = socket(address->family(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0)
+        return;
+    setNoDelay(fd);
+    if (connect(fd, address->raw(), address->size()) != 0 && errno != EINPROGRESS) {
+        close(fd);
+        return;
+    }
+    outbound.session = std::make_unique<PeerSession>(fd, true, [](const schema::Envelope&) {});
+    outbound.session->setLastHeard(now);
+    outbound.connecting = true;
+    m_outboundByFd[fd] = m_outboundById.at(outbound.endpoint.id);
+    watch(fd, EPOLLIN | EPOLLOUT, true);
+}
+
+void PeerNetwork::finishConnect(Outbound& outbound, Instant now)
+{
+    int error = 0;
+    socklen_t size = sizeof error;
+    getsockopt(outbound.session->fd(), SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0) {
+        dropOutbound(outbound, now);
+        return;
+    }
+    outbound.connecting = false;
+    outbound.session->setLastHeard(now);
+    outbound.nextPing = now;
+    outbound.backoff = m_options.firstReconnect;
+    ++m_connectionsMade;
+}
+
+void PeerNetwork::dropOutbound(Outbound& outbound, Instant now)
+{
+    m_outboundByFd.erase(outbound.session->fd());
+    outbound.session.reset();
+    outbound.connecting = false;
+    outbound.waiting.clear(); // Stale messages help nobody; senders repeat what still matters.
+    outbound.nextConnect = now + outbound.backoff;
+    outbound.backoff = std::min(outbound.backoff * 2, m_options.longestReconnect);
+}
+
+void PeerNetwork::handleOutbound(Outbound& outbound, uint32_t events, Instant now)
+{
+    if (outbound.connecting) {
+        if ((events & (EPOLLOUT | EPOLLERR | EPOLLHUP)) != 0)
+            finishConnect(outbound, now);
+        if (!outbound.session || outbound.connecting)
+            return;
+    }
+    if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0 && !outbound.session->onReadable(now)) {
+        dropOutbound(outbound, now);
+        return;
+    }
+    flushOutbound(outbound, now);
+}
+
+void PeerNetwork::flushOutbound(Outbound& outbound, Instant now)
+{
+    auto& session = *outbound.session;
+    if (!outbound.waiting.empty()) {
+        session.enqueue(outbound.waiting);
+        outbound.waiting.clear();
+    }
+    if (!session.flush()) {
+        dropOutbound(outbound, now);
+        return;
+    }
+    watch(session.fd(), session.wantsWrite() ? EPOLLIN | EPOLLOUT : EPOLLIN, false);
+}
+
+} // namespace teasel
