Replicate a log between replicas with their own disks

Cause: the fleet state needs a log that survives the loss of instances; there was only its schema. Before: no code.

--- /dev/null
+++ b/consensus/replica_election.cpp
@@ -0,0 +1,202 @@
+// Replica: elections.
+#include "consensus/replica.h"
+
+#include "core/invariant.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace teasel {
+
+bool Replica::mayCampaign() const
+{
+    const auto& voters = m_log.voters().voters();
+    return m_hard.may_vote() && std::find(voters.begin(), voters.end(), m_options.id) != voters.end();
+}
+
+void Replica::resetElectionDeadline()
+{
+    const auto spread = static_cast<uint64_t>(m_options.electionTimeout.count());
+    m_electionDeadline = m_now + m_options.electionTimeout + Duration(m_random.below(spread));
+}
+
+bool Replica::heardLeaderRecently() const { return isLeader() || m_now < m_leaderContact + m_options.electionTimeout; }
+
+bool Replica::isUpToDate(const schema::VoteRequest& request) const
+{
+    if (request.last_term() != m_log.lastTerm())
+        return request.last_term() > m_log.lastTerm();
+    return request.last_index() >= m_log.lastIndex();
+}
+
+void Replica::adoptTerm(uint64_t term)
+{
+    checkInvariant(term >= m_hard.term(), "termNeverFalls",
+        [&] { return fmt::format("replica {} from {} to {}", m_options.id, m_hard.term(), term); });
+    if (term == m_hard.term())
+        return;
+    m_hard.set_term(term);
+    m_hard.clear_voted_for();
+    m_isHardDirty = true;
+}
+
+void Replica::becomeFollower(uint64_t term, std::string_view leader)
+{
+    if (isLeader())
+        m_actions.emplace_back(SteppedDown { m_hard.term() });
+    m_role = ReplicaRole::Follower;
+    adoptTerm(term);
+    m_leader = leader;
+    m_transfer.reset();
+    m_votes.clear();
+    resetElectionDeadline();
+}
+
+// ---- Campaigns -----------------------------------------------------------
+
+void Replica::startPreVote()
+{
+    m_role = ReplicaRole::PreCandidate;
+    m_leader.clear();
+    m_votes.clear();
+    resetElectionDeadline();
+    sendVoteRequests(true, false);
+    countVotes();
+}
+
+void Replica::startCampaign(bool isTransfer)
+{
+    m_role = ReplicaRole::Candidate;
+    m_leader.clear();
+    m_votes.clear();
+    adoptTerm(m_hard.term() + 1);
+    m_hard.set_voted_for(m_options.id);
+    resetElectionDeadline();
+    sendVoteRequests(false, isTransfer);
+}
+
+void Replica::sendVoteRequests(bool isPreVote, bool isTransfer)
+{
+    for (const auto& id : m_log.voters().voters()) {
+        if (id == m_options.id)
+            continue;
+        schema::ConsensusMessage message;
+        message.set_term(isPreVote ? m_hard.term() + 1 : m_hard.term());
+        auto& request = *message.mutable_vote_request();
+        request.set_pre_vote(isPreVote);
+        request.set_last_index(m_log.lastIndex());
+        request.set_last_term(m_log.lastTerm());
+        request.set_leadership_transfer(isTransfer);
+        request.set_committed_index(m_committed);
+        if (isPreVote)
+            send(id, std::move(message));
+        else
+            sendWhenDurable(id, std::move(message));
+    }
+}
+
+void Replica::countVotes()
+{
+    // The own vote counts once it is durable.
+    if (m_role == ReplicaRole::Candidate && !isHardStateDurable())
+        return;
+    const auto& voters = m_log.voters().voters();
+    const auto granted = std::count_if(
+        voters.begin(), voters.end(), [&](const auto& id) { return id == m_options.id || m_votes.contains(id); });
+    if (granted <= voters.size() / 2)
+        return;
+    if (m_role == ReplicaRole::PreCandidate)
+        startCampaign(false);
+    else
+        becomeLeader();
+}
+
+void Replica::becomeLeader()
+{
+    m_role = ReplicaRole::Leader;
+    m_leader = m_options.id;
+    m_votes.clear();
+    m_leading.begin(m_hard.term(), m_now);
+    m_actions.emplace_back(BecameLeader { m_hard.term() });
+    m_barrierIndex = appendBarrier();
+}
+
+// ---- Votes ---------------------------------------------------------------
+
+void Replica::noteCommittedElsewhere(uint64_t committed)
+{
+    if (committed == 0 || !m_log.isEmpty() || !m_hard.may_vote())
+        return;
+    // Records are committed and none is here: this disk may be that of a voter which once had them.
+    m_hard.set_may_vote(false);
+    m_hard.set_incarnation(m_random.engine()() | 1);
+    m_isHardDirty = true;
+    if (m_role != ReplicaRole::Follower)
+        becomeFollower(m_hard.term(), {});
+}
+
+void Replica::onPreVoteRequest(std::string_view from, uint64_t term, const schema::VoteRequest& request)
+{
+    const bool isGranted = term > m_hard.term() && isUpToDate(request);
+    schema::ConsensusMessage message;
+    message.set_term(isGranted ? term : m_hard.term());
+    auto& reply = *message.mutable_vote_reply();
+    reply.set_pre_vote(true);
+    reply.set_granted(isGranted);
+    reply.set_committed_index(m_committed);
+    send(from, std::move(message));
+}
+
+void Replica::onVoteRequest(std::string_view from, uint64_t term, const schema::VoteRequest& request)
+{
+    noteCommittedElsewhere(request.committed_index());
+    if (!m_hard.may_vote())
+        return;
+    // A leader relies on this silence for its lease; it gives that up before it hands over.
+    if (heardLeaderRecently() && !request.leadership_transfer())
+        return;
+    if (request.pre_vote()) {
+        onPreVoteRequest(from, term, request);
+        return;
+    }
+    if (term > m_hard.term())
+        becomeFollower(term, {});
+    const bool isFree = m_hard.voted_for().empty() || m_hard.voted_for() == from;
+    const bool isGranted = term == m_hard.term() && isFree && m_leader.empty() && isUpToDate(request);
+    if (isGranted && m_hard.voted_for() != from) {
+        m_hard.set_voted_for(std::string(from));
+        m_isHardDirty = true;
+        resetElectionDeadline();
+    }
+    schema::ConsensusMessage message;
+    message.set_term(m_hard.term());
+    auto& reply = *message.mutable_vote_reply();
+    reply.set_granted(isGranted);
+    reply.set_committed_index(m_committed);
+    sendWhenDurable(from, std::move(message));
+}
+
+void Replica::onVoteReply(std::string_view from, uint64_t term, const schema::VoteReply& reply)
+{
+    noteCommittedElsewhere(reply.committed_index());
+    if (!reply.granted()) {
+        if (term > m_hard.term())
+            becomeFollower(term, {});
+        return;
+    }
+    const bool isForPreVote = m_role == ReplicaRole::PreCandidate && reply.pre_vote() && term == m_hard.term() + 1;
+    const bool isForVote = m_role == ReplicaRole::Candidate && !reply.pre_vote() && term == m_hard.term();
+    if (!isForPreVote && !isForVote)
+        return;
+    m_votes.insert(std::string(from));
+    countVotes();
+}
+
+void Replica::onCampaignNow(std::string_view from, uint64_t term)
+{
+    if (term == m_hard.term() && m_leader == from && mayCampaign())
+        startCampaign(true);
+}
+
+} // namespace teasel
--- /dev/null
+++ b/consensus/replicated_log.cpp
@@ -0,0 +1,267 @@
+#include "consensus/replicated_log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace teasel {
+
+ReplicatedLog::ReplicatedLog(ReplicatedLogOptions options, const Clock& clock, Disk& disk, StateMachine& machine,
+    Send send, Post post, ReplicatedLogEvents events)
+    : m_options(std::move(options))
+    , m_clock(clock)
+    , m_machine(machine)
+    , m_send(std::move(send))
+    , m_post(std::move(post))
+    , m_events(std::move(events))
+    , m_store(disk, m_options.store)
+{
+}
+
+ReplicatedLog::~ReplicatedLog() { m_thread.reset(); }
+
+Result<void> ReplicatedLog::start(Instant now)
+{
+    BOOST_LEAF_AUTO(found, m_store.open());
+    if (found.snapshot.index() != 0) {
+        BOOST_LEAF_AUTO(image, m_store.readSnapshot());
+        BOOST_LEAF_CHECK(m_machine.restore(image.data));
+        m_lastSnapshotIndex = image.meta.index();
+        m_image = std::make_shared<const SnapshotImage>(std::move(image));
+    }
+    m_counters.disk = m_store.counters();
+    if (m_options.hasOwnStorageThread)
+        m_thread = std::make_unique<StorageThread>();
+    m_replica = std::make_unique<Replica>(m_options.replica, std::move(found), now);
+    flush();
+    return {};
+}
+
+// ---- Inputs --------------------------------------------------------------
+
+void ReplicatedLog::onTick(Instant now)
+{
+    m_replica->onTick(now);
+    flush();
+}
+
+void ReplicatedLog::onMessage(std::string_view from, const schema::ConsensusMessage& message, Instant now)
+{
+    ++m_counters.messagesReceived;
+    m_counters.bytesReceived += message.ByteSizeLong();
+    m_replica->onMessage(from, message, now);
+    scheduleFlush();
+}
+
+bool ReplicatedLog::propose(std::string command, uint64_t ticket, Instant now)
+{
+    const auto index = m_replica->propose(std::move(command), now);
+    if (!index) {
+        ++m_counters.proposalsTurnedAway;
+        return false;
+    }
+    ++m_counters.proposals;
+    m_waiting[*index] = { m_replica->term(), ticket };
+    scheduleFlush();
+    return true;
+}
+
+Result<uint64_t> ReplicatedLog::changeVoters(const VoterChange& change, Instant now)
+{
+    auto index = m_replica->changeVoters(change, now);
+    flush();
+    return index;
+}
+
+void ReplicatedLog::stepDown(Instant now)
+{
+    m_replica->transferLeadership(now);
+    flush();
+}
+
+std::string_view ReplicatedLog::leaderHint() const { return m_replica ? m_replica->leader() : std::string_view {}; }
+
+// ---- Actions -------------------------------------------------------------
+
+void ReplicatedLog::scheduleFlush()
+{
+    // What arrives before the control thread comes to it goes out together.
+    if (std::exchange(m_isFlushScheduled, true))
+        return;
+    postToControl([this] {
+        m_isFlushScheduled = false;
+        flush();
+    });
+}
+
+void ReplicatedLog::flush()
+{
+    if (std::exchange(m_isFlushing, true))
+        return;
+    for (auto actions = m_replica->takeActions(); !actions.empty(); actions = m_replica->takeActions())
+        for (auto& action : actions)
+            std::visit([this](auto& it) { carryOut(it); }, action);
+    m_isFlushing = false;
+    noteServing();
+}
+
+void ReplicatedLog::sendCounted(std::string_view to, const schema::ConsensusMessage& message)
+{
+    ++m_counters.messagesSent;
+    m_counters.bytesSent += message.ByteSizeLong();
+    m_send(to, message);
+}
+
+void ReplicatedLog::carryOut(SendMessage& action) { sendCounted(action.to, action.message); }
+
+void ReplicatedLog::carryOut(SendSnapshotChunk& action)
+{
+    if (!m_image || m_image->meta.index() != action.meta.index() || action.offset > m_image->data.size())
+        return;
+    const auto data = std::string_view(m_image->data).substr(action.offset, action.maxBytes);
+    schema::ConsensusMessage message;
+    message.set_term(action.term);
+    auto& chunk = *message.mutable_snapshot_chunk();
+    *chunk.mutable_meta() = action.meta;
+    chunk.set_offset(action.offset);
+    chunk.set_data(std::string(data));
+    chunk.set_last(action.offset + data.size() == m_image->data.size());
+    chunk.set_sequence(action.sequence);
+    sendCounted(action.to, message);
+}
+
+void ReplicatedLog::carryOut(Persist& action)
+{
+    const auto sequence = action.sequence;
+    runOnDisk(
+        [this, persist = std::move(action)]() -> Result<void> {
+            if (persist.hard)
+                BOOST_LEAF_CHECK(m_store.saveHardState(*persist.hard));
+            if (persist.snapshot)
+                BOOST_LEAF_CHECK(m_store.installSnapshot(*persist.snapshot));
+            return m_store.append(persist.records);
+        },
+        [this, sequence] { m_replica->onPersisted(sequence, m_clock.now()); });
+}
+
+void ReplicatedLog::carryOut(Apply& action)
+{
+    const auto& record = action.record;
+    std::string result;
+    if (record.has_command())
+        result = m_machine.apply(record.index(), record.command());
+    ++m_counters.recordsApplied;
+    if (const auto it = m_waiting.find(record.index()); it != m_waiting.end()) {
+        const auto waiting = it->second;
+        m_waiting.erase(it);
+        if (waiting.term == record.term())
+            m_events.onApplied(waiting.ticket, std::move(result));
+        else
+            m_events.onDropped(waiting.ticket);
+    }
+    takeSnapshotIfDue(record.index());
+}
+
+void ReplicatedLog::carryOut(RestoreSnapshot& action)
+{
+    ++m_counters.snapshotsInstalled;
+    m_image = action.image;
+    m_lastSnapshotIndex = m_image->meta.index();
+    auto outcome = valueOrError([&] { return m_machine.restore(m_image->data); });
+    if (auto* error = std::get_if<Error>(&outcome))
+        onStorageFailed(std::move(*error));
+}
+
+void ReplicatedLog::carryOut(Compact& action)
+{
+    runOnDisk([this, firstIndex = action.firstIndex] { return m_store.compact(firstIndex); }, [] {});
+}
+
+void ReplicatedLog::carryOut(BecameLeader&) { ++m_counters.timesLeader; }
+
+void ReplicatedLog::carryOut(StartedServing&) { noteServing(); }
+
+void ReplicatedLog::carryOut(SteppedDown&)
+{
+    ++m_counters.timesSteppedDown;
+    dropWaiting();
+    noteServing();
+}
+
+void ReplicatedLog::dropWaiting()
+{
+    const auto waiting = std::exchange(m_waiting, {});
+    m_counters.proposalsDropped += waiting.size();
+    for (const auto& [index, it] : waiting)
+        m_events.onDropped(it.ticket);
+}
+
+void ReplicatedLog::noteServing()
+{
+    if (std::exchange(m_wasServing, isServing()) != m_wasServing)
+        m_events.onServingChanged(m_wasServing);
+}
+
+void ReplicatedLog::takeSnapshotIfDue(uint64_t appliedIndex)
+{
+    const bool isDue = appliedIndex >= m_lastSnapshotIndex + m_options.snapshotEveryRecords;
+    if (!isDue || m_isSavingSnapshot || m_replica->isSendingSnapshot())
+        return;
+    m_isSavingSnapshot = true;
+    m_lastSnapshotIndex = appliedIndex;
+    auto image = std::make_shared<const SnapshotImage>(
+        SnapshotImage { m_replica->log().metaAt(appliedIndex), m_machine.snapshot() });
+    runOnDisk([this, image] { return m_store.saveSnapshot(*image); },
+        [this, image] {
+            m_isSavingSnapshot = false;
+            // A newer one may have come from the leader meanwhile.
+            if (image->meta.index() <= m_replica->log().snapshot().index())
+                return;
+            m_image = image;
+            m_replica->onSnapshotSaved(image->meta);
+        });
+}
+
+// ---- Disk ----------------------------------------------------------------
+
+void ReplicatedLog::postToControl(std::function<void()> function)
+{
+    m_post([alive = std::weak_ptr(m_alive), function = std::move(function)] {
+        if (!alive.expired())
+            function();
+    });
+}
+
+void ReplicatedLog::runOnStorage(std::function<void()> job)
+{
+    if (m_thread)
+        m_thread->post(std::move(job));
+    else
+        postToControl(std::move(job));
+}
+
+void ReplicatedLog::runOnDisk(DiskJob job, std::function<void()> onDone)
+{
+    runOnStorage([this, job = std::move(job), onDone = std::move(onDone)] {
+        auto outcome = valueOrError(job);
+        postToControl([this, outcome = std::move(outcome), counters = m_store.counters(), onDone] {
+            m_counters.disk = counters;
+            if (const auto* error = std::get_if<Error>(&outcome))
+                onStorageFailed(*error);
+            else
+                onDone();
+            flush();
+        });
+    });
+}
+
+void ReplicatedLog::onStorageFailed(Error error)
+{
+    if (m_failure)
+        return;
+    m_failure = std::move(error);
+    m_replica->onStorageFailed(m_clock.now());
+    dropWaiting();
+    m_events.onStorageFailed(*m_failure);
+}
+
+} // namespace teasel
--- /dev/null
+++ b/storage/posix_disk.cpp
@@ -0,0 +1,218 @@
+#include "storage/posix_disk.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <dirent.h>
+#include <fcntl.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+#include <utility>
+
+namespace teasel {
+
+namespace {
+
+    constexpr std::string_view lockName = "lock";
+    constexpr std::string_view temporarySuffix = ".new";
+    constexpr mode_t fileMode = 0640;
+    constexpr mode_t folderMode = 0750;
+
+    boost::leaf::error_id failed(std::string_view what, std::string_view path, int ec)
+    {
+        const bool isFull = ec == ENOSPC || ec == EDQUOT;
+        return fail(isFull ? ErrorKind::StateFull : ErrorKind::StateUnavailable,
+            fmt::format("can't {} {}: {}", what, path, std::strerror(ec))); // NOLINT(concurrency-mt-unsafe)
+    }
+
+    // A file descriptor that is closed at the end of its scope.
+    class ScopedDescriptor {
+    public:
+        explicit ScopedDescriptor(int descriptor)
+            : m_descriptor(descriptor)
+        {
+        }
+        ~ScopedDescriptor()
+        {
+            if (m_descriptor >= 0)
+                ::close(m_descriptor);
+        }
+        ScopedDescriptor(const ScopedDescriptor&) = delete;
+        ScopedDescriptor& operator=(const ScopedDescriptor&) = delete;
+        int get() const { return m_descriptor; }
+
+    private:
+        int m_descriptor;
+    };
+
+} // namespace
+
+PosixDisk::PosixDisk(std::string folder)
+    : m_path(std::move(folder))
+{
+}
+
+PosixDisk::~PosixDisk()
+{
+    for (const auto& [name, file] : m_files)
+        ::close(file.descriptor);
+    if (m_lock >= 0)
+        ::close(m_lock);
+    if (m_folder >= 0)
+        ::close(m_folder);
+}
+
+Result<void> PosixDisk::open()
+{
+    if (::mkdir(m_path.c_str(), folderMode) != 0 && errno != EEXIST)
+        return failed("create the data folder", m_path, errno);
+    m_folder = ::open(m_path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (m_folder < 0)
+        return failed("open the data folder", m_path, errno);
+    m_lock = ::openat(m_folder, std::string(lockName).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, fileMode);
+    if (m_lock < 0)
+        return failed("open the lock in", m_path, errno);
+    if (::flock(m_lock, LOCK_EX | LOCK_NB) != 0)
+        return fail(ErrorKind::StateUnavailable,
+            fmt::format("the data folder {} is in use by another process; stop that one first", m_path));
+    return {};
+}
+
+Result<std::vector<std::string>> PosixDisk::list()
+{
+    const int copy = ::openat(m_folder, ".", O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    DIR* entries = copy < 0 ? nullptr : ::fdopendir(copy);
+    if (!entries)
+        return failed("list", m_path, errno);
+    std::vector<std::string> names;
+    while (const auto* it = ::readdir(entries)) { // NOLINT(concurrency-mt-unsafe)
+        const std::string_view name = it->d_name;
+        if (name != "." && name != ".." && name != lockName && !name.ends_with(temporarySuffix))
+            names.emplace_back(name);
+    }
+    ::closedir(entries);
+    std::sort(names.begin(), names.end());
+    return names;
+}
+
+Result<std::string> PosixDisk::read(std::string_view name)
+{
+    const std::string path(name);
+    const ScopedDescriptor file(::openat(m_folder, path.c_str(), O_RDONLY | O_CLOEXEC));
+    if (file.get() < 0 && errno == ENOENT)
+        return fail(ErrorKind::NotFound, fmt::format("there is no file {}", name));
+    struct stat info { };
+    if (file.get() < 0 || ::fstat(file.get(), &info) != 0)
+        return failed("open", path, errno);
+    std::string bytes(static_cast<size_t>(info.st_size), '\0');
+    size_t at = 0;
+    while (at < bytes.size()) {
+        const auto n = ::read(file.get(), bytes.data() + at, bytes.size() - at);
+        if (n < 0 && errno == EINTR)
+            continue;
+        if (n < 0)
+            return failed("read", path, errno);
+        if (n == 0)
+            break;
+        at += static_cast<size_t>(n);
+    }
+    bytes.resize(at);
+    return bytes;
+}
+
+Result<PosixDisk::OpenFile*> PosixDisk::openForAppend(std::string_view name)
+{
+    const std::string path(name);
+    if (const auto it = m_files.find(path); it != m_files.end())
+        return &it->second;
+    const bool isNew = ::faccessat(m_folder, path.c_str(), F_OK, 0) != 0;
+    const int descriptor = ::openat(m_folder, path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, fileMode);
+    if (descriptor < 0)
+        return failed("open", path, errno);
+    return &m_files.emplace(path, OpenFile { descriptor, isNew }).first->second;
+}
+
+Result<void> PosixDisk::writeAll(int descriptor, std::string_view name, std::string_view bytes)
+{
+    while (!bytes.empty()) {
+        const auto n = ::write(descriptor, bytes.data(), bytes.size());
+        if (n < 0 && errno == EINTR)
+            continue;
+        if (n < 0)
+            return failed("write", name, errno);
+        bytes.remove_prefix(static_cast<size_t>(n));
+    }
+    return {};
+}
+
+Result<void> PosixDisk::append(std::string_view name, std::string_view bytes)
+{
+    BOOST_LEAF_AUTO(file, openForAppend(name));
+    return writeAll(file->descriptor, name, bytes);
+}
+
+Result<void> PosixDisk::syncFolder()
+{
+    if (::fsync(m_folder) != 0)
+        return failed("sync the folder", m_path, errno);
+    return {};
+}
+
+Result<void> PosixDisk::sync(std::string_view name)
+{
+    BOOST_LEAF_AUTO(file, openForAppend(name));
+    if (::fdatasync(file->descriptor) != 0)
+        return failed("sync", name, errno);
+    if (std::exchange(file->isNew, false))
+        return syncFolder();
+    return {};
+}
+
+Result<void> PosixDisk::replace(std::string_view name, std::string_view bytes)
+{
+    close(name);
+    const std::string path(name);
+    const std::string temporary = path + std::string(temporarySuffix);
+    {
+        const ScopedDescriptor file(
+            ::openat(m_folder, temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, fileMode));
+        if (file.get() < 0)
+            return failed("open", temporary, errno);
+        BOOST_LEAF_CHECK(writeAll(file.get(), temporary, bytes));
+        if (::fsync(file.get()) != 0)
+            return failed("sync", temporary, errno);
+    }
+    if (::renameat(m_folder, temporary.c_str(), m_folder, path.c_str()) != 0)
+        return failed("rename", temporary, errno);
+    return syncFolder();
+}
+
+Result<void> PosixDisk::truncate(std::string_view name, uint64_t size)
+{
+    BOOST_LEAF_AUTO(file, openForAppend(name));
+    if (::ftruncate(file->descriptor, static_cast<off_t>(size)) != 0 || ::fsync(file->descriptor) != 0)
+        return failed("cut", name, errno);
+    return {};
+}
+
+Result<void> PosixDisk::remove(std::string_view name)
+{
+    close(name);
+    if (::unlinkat(m_folder, std::string(name).c_str(), 0) != 0 && errno != ENOENT)
+        return failed("remove", name, errno);
+    return syncFolder();
+}
+
+void PosixDisk::close(std::string_view name)
+{
+    const auto it = m_files.find(std::string(name));
+    if (it == m_files.end())
+        return;
+    ::close(it->second.descriptor);
+    m_files.erase(it);
+}
+
+} // namespace teasel
