--- /dev/null
+++ b/node/config_gateway.h
@@ -0,0 +1,35 @@
+// Operators' changes of configuration over HTTP.
+#pragma once
+
+#include "core/clock.h"
+#include "fleet/config_view.h"
+#include "net/http_server.h"
+#include "node/state_client.h"
+
+#include <string_view>
+
+namespace teasel {
+
+// Used on the control thread only.
+class ConfigGateway {
+public:
+    ConfigGateway(HttpServer&, StateClient&, const ConfigView&);
+
+    // Takes a request to one of the paths below; false if the path is none of them.
+    //   POST /v1/config/changes    GET /v1/config    GET /v1/config/changes/{change id}
+    bool onHttp(const HttpRequest&, Instant now);
+
+private:
+    void change(const HttpRequest&, Instant now);
+    void showChange(const HttpRequest&, std::string_view changeId, Instant now);
+    void showConfig(const HttpRequest&);
+    Result<KeyIdentity> identify(const HttpRequest&, bool mayChange) const;
+    void propose(const HttpRequest&, schema::ConfigChange, Duration wait, Instant now);
+    void refuse(const HttpRequest&, const Error&);
+
+    HttpServer& m_server;
+    StateClient& m_state;
+    const ConfigView& m_config;
+};
+
+} // namespace teasel
--- /dev/null
+++ b/node/fleet_machine.cpp
@@ -0,0 +1,17 @@
+#include "node/fleet_machine.h"
+
+#include "core/invariant.h"
+
+#include <fmt/format.h>
+
+namespace teasel {
+
+std::string FleetMachine::apply(uint64_t index, std::string_view command)
+{
+    schema::Command parsed;
+    const bool readable = parsed.ParseFromArray(command.data(), static_cast<int>(command.size()));
+    checkInvariant(readable, "committed commands can be read", [&] { return fmt::format("index {}", index); });
+    return m_state.apply(parsed).SerializeAsString();
+}
+
+} // namespace teasel
--- /dev/null
+++ b/node/state_node.cpp
@@ -0,0 +1,296 @@
+#include "node/state_node.h"
+
+#include "node/http_answers.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <future>
+#include <utility>
+
+namespace teasel {
+
+namespace {
+
+    constexpr Milliseconds tickEvery { 10 };
+    constexpr size_t maxQueuedTasks = 200'000;
+    constexpr Milliseconds metricsEvery { 500 };
+    constexpr Milliseconds handOverTime { 500 };
+
+    std::vector<PeerEndpoint> peersOf(const schema::StateSettings& settings)
+    {
+        std::vector<PeerEndpoint> out;
+        for (const auto& it : settings.states())
+            out.push_back({ it.id(), it.peer_address() });
+        for (const auto& it : settings.entries())
+            out.push_back({ it.id(), it.peer_address() });
+        return out;
+    }
+
+    PeerNetworkOptions networkOptions(const schema::StateSettings& settings, uint64_t incarnation)
+    {
+        PeerNetworkOptions out;
+        out.id = settings.instance().id();
+        out.incarnation = incarnation;
+        out.listenAddress = settings.instance().peer_address();
+        return out;
+    }
+
+    ReplicatedLogOptions logOptions(const schema::StateSettings& settings, uint64_t seed)
+    {
+        ReplicatedLogOptions out;
+        out.replica.id = settings.instance().id();
+        out.replica.seed = seed;
+        for (const auto& it : settings.states())
+            out.replica.bootstrap.add_voters(it.id());
+        out.replica.replacement = settings.replacement();
+        out.snapshotEveryRecords = settings.snapshot_every_records();
+        return out;
+    }
+
+    FleetServiceOptions serviceOptions(const schema::StateSettings& settings)
+    {
+        FleetServiceOptions out;
+        for (const auto& it : settings.entries())
+            out.members[it.data_centre()].push_back(it.id());
+        out.authority = Milliseconds(static_cast<int64_t>(settings.cut_off().serve_for_ms()));
+        return out;
+    }
+
+} // namespace
+
+StateNode::StateNode(schema::StateSettings settings, ProcessLinks links)
+    : m_settings(std::move(settings))
+    , m_links(links)
+    , m_state(m_settings.bootstrap(), FleetLimits {})
+    , m_machine(m_state)
+    , m_service(serviceOptions(m_settings), m_state)
+    , m_voter({}, links.clock.now())
+    , m_disk(m_settings.data_folder())
+    , m_loop(tickEvery, maxQueuedTasks, [this] { onTick(); })
+    , m_network(networkOptions(m_settings, links.incarnation), peersOf(m_settings), links.clock,
+          [this](schema::Envelope envelope) {
+              m_loop.post([this, envelope = std::move(envelope)] { onEnvelope(envelope); });
+          })
+    , m_http(
+          { m_settings.http_address(), 1, 256 },
+          [this](HttpRequest request) { m_loop.post([this, request = std::move(request)] { onHttp(request); }); },
+          [](uint64_t) {})
+    , m_log(
+          logOptions(m_settings, links.seed), links.clock, m_disk, m_machine,
+          [this](std::string_view to, const schema::ConsensusMessage& message) {
+              schema::Envelope envelope;
+              *envelope.mutable_consensus() = message;
+              m_network.send(to, std::move(envelope));
+          },
+          [this](std::function<void()> task) { m_loop.postAlways(std::move(task)); },
+          { [this](uint64_t ticket, const std::string& result) { onApplied(ticket, result); },
+              [this](uint64_t ticket) {
+                  m_proposed.erase(ticket);
+                  m_service.onDropped(ticket, m_links.clock.now());
+              },
+              [this](bool serving) { onServingChanged(serving); },
+              [this](const Error& error) {
+                  m_failed = true;
+                  m_links.log.error("storage_failed", { { "reason", error.message } });
+              } })
+{
+}
+
+StateNode::~StateNode() { stop(); }
+
+Result<void> StateNode::start()
+{
+    BOOST_LEAF_CHECK(m_disk.open());
+    BOOST_LEAF_CHECK(m_log.start(m_links.clock.now()));
+    BOOST_LEAF_CHECK(m_network.start());
+    BOOST_LEAF_CHECK(m_http.start());
+    m_loop.start();
+    m_links.log.info("state_started",
+        { { "id", m_settings.instance().id() }, { "data_centre", m_settings.instance().data_centre() },
+            { "revision", m_state.revision() } });
+    return {};
+}
+
+void StateNode::stop()
+{
+    std::promise<void> handed;
+    if (m_loop.post([&] {
+            m_log.stepDown(m_links.clock.now());
+            handed.set_value();
+        }))
+        handed.get_future().wait_for(handOverTime);
+    std::this_thread::sleep_for(handOverTime);
+    m_http.stop();
+    m_network.stop();
+    m_loop.stop();
+}
+
+void StateNode::onEnvelope(const schema::Envelope& envelope)
+{
+    const auto now = m_links.clock.now();
+    switch (envelope.body_case()) {
+    case schema::Envelope::kConsensus:
+        m_log.onMessage(envelope.from(), envelope.consensus(), now);
+        return;
+    case schema::Envelope::kSessionRenew:
+        if (m_log.holdsLease(now))
+            m_service.onRenew(envelope.from(), envelope.session_renew(), now);
+        else
+            answerNotLeader(envelope.from(), 0);
+        return;
+    case schema::Envelope::kPropose:
+        onPropose(envelope, now);
+        return;
+    case schema::Envelope::kLeadership:
+        onLeadership(envelope, now);
+        return;
+    default:
+        return;
+    }
+}
+
+void StateNode::onPropose(const schema::Envelope& envelope, Instant now)
+{
+    if (!m_log.holdsLease(now)) {
+        answerNotLeader(envelope.from(), envelope.propose().ticket());
+        return;
+    }
+    m_service.onPropose(envelope.from(), envelope.propose(), now);
+}
+
+void StateNode::onLeadership(const schema::Envelope& envelope, Instant now)
+{
+    // Only the leader votes, and only while no other replica can have been elected.
+    if (!m_log.holdsLease(now)) {
+        answerNotLeader(envelope.from(), 0);
+        return;
+    }
+    auto answer = m_voter.onMessage(envelope.from(), envelope.leadership(), now);
+    if (!answer)
+        return;
+    schema::Envelope out;
+    *out.mutable_leadership() = std::move(*answer);
+    m_network.send(envelope.from(), std::move(out));
+}
+
+void StateNode::answerNotLeader(std::string_view to, uint64_t ticket)
+{
+    schema::Envelope out;
+    auto& answer = *out.mutable_propose_answer();
+    answer.set_ticket(ticket);
+    answer.set_not_leader(true);
+    const auto hint = m_log.leaderHint();
+    answer.set_leader_hint(hint == m_settings.instance().id() ? std::string() : std::string(hint));
+    m_network.send(to, std::move(out));
+}
+
+void StateNode::onServingChanged(bool serving)
+{
+    const auto now = m_links.clock.now();
+    m_links.log.info(serving ? "state_leadership_gained" : "state_leadership_lost",
+        { { "id", m_settings.instance().id() }, { "revision", m_state.revision() } });
+    // Promises of the former leader are not known here; wait them out.
+    m_voter.restart(now);
+    m_service.onLeadership(serving, now);
+    m_links.metrics.counter(ProcessCounter::LeaderChanges).Increment();
+}
+
+void StateNode::onApplied(uint64_t ticket, const std::string& result)
+{
+    const auto it = m_proposed.find(ticket);
+    if (it == m_proposed.end())
+        return;
+    const auto command = std::move(it->second);
+    m_proposed.erase(it);
+    schema::CommandResult parsed;
+    parsed.ParseFromString(result);
+    m_links.metrics.counter(ProcessCounter::Commits).Increment();
+    m_service.onApplied(ticket, command, parsed, m_links.clock.now());
+}
+
+void StateNode::onTick()
+{
+    const auto now = m_links.clock.now();
+    m_log.onTick(now);
+    m_service.onTick(now);
+    carryOut(now);
+    if (now >= m_nextMetrics)
+        updateMetrics(now);
+}
+
+void StateNode::carryOut(Instant now)
+{
+    while (true) {
+        auto actions = m_service.takeActions();
+        if (actions.empty())
+            return;
+        for (auto& it : actions) {
+            if (auto* proposal = std::get_if<ProposeCommand>(&it))
+                perform(*proposal, now);
+            else if (auto* grant = std::get_if<SendGrant>(&it))
+                perform(*grant);
+            else if (auto* answer = std::get_if<SendAnswer>(&it))
+                perform(*answer);
+        }
+    }
+}
+
+void StateNode::perform(SendGrant& action)
+{
+    schema::Envelope out;
+    *out.mutable_session_grant() = std::move(action.grant);
+    m_network.send(action.to, std::move(out));
+}
+
+void StateNode::perform(SendAnswer& action)
+{
+    schema::Envelope out;
+    *out.mutable_propose_answer() = std::move(action.answer);
+    m_network.send(action.to, std::move(out));
+}
+
+void StateNode::perform(ProposeCommand& action, Instant now)
+{
+    action.command.set_wall_ms(static_cast<uint64_t>(m_links.clock.wallNow().time_since_epoch().count()));
+    auto bytes = action.command.SerializeAsString();
+    m_proposed[action.ticket] = std::move(action.command);
+    if (!m_log.propose(std::move(bytes), action.ticket, now)) {
+        m_proposed.erase(action.ticket);
+        m_service.onDropped(action.ticket, now);
+    }
+}
+
+void StateNode::onHttp(const HttpRequest& request)
+{
+    if (request.path == "/metrics")
+        m_http.answer(request.handle, { 200, "text/plain; version=0.0.4", {}, m_links.metrics.renderMetrics() });
+    else if (request.path == "/healthz")
+        m_http.answer(
+            request.handle, { m_failed ? 503U : 200U, "text/plain", {}, m_failed ? "storage failed\n" : "ok\n" });
+    else if (request.path == "/v1/status")
+        m_http.answer(request.handle, { 200, "application/json", {}, statusJson() });
+    else
+        m_http.answer(request.handle,
+            errorResponse(
+                { ErrorKind::NotFound, "a state replica answers /metrics, /healthz and /v1/status", {} }, {}));
+}
+
+std::string StateNode::statusJson() const
+{
+    const auto& counters = m_log.counters();
+    return fmt::format(
+        R"({{"instance":{},"data_centre":{},"role":"{}","leader":{},"revision":{},"committed":{},"records_applied":{},"begun":{},"jobs":{}}})",
+        jsonString(m_settings.instance().id()), jsonString(m_settings.instance().data_centre()),
+        m_log.isServing() ? "state_leader" : "state_follower", jsonString(m_log.leaderHint()), m_state.revision(),
+        m_log.replica().committedIndex(), counters.recordsApplied, m_state.begun().size(), m_state.jobs().size());
+}
+
+void StateNode::updateMetrics(Instant now)
+{
+    m_nextMetrics = now + metricsEvery;
+    m_links.metrics.gauge(ProcessGauge::IsLeader).Set(m_log.isServing() ? 1 : 0);
+    m_links.metrics.gauge(ProcessGauge::Revision).Set(static_cast<double>(m_state.revision()));
+}
+
+} // namespace teasel
