Name table, selector parser and label index

Cause: the headers of naming/ had no code behind them. Ruled out: interning names that only a selector mentions (a later announcement in another scheme would make an accepted selector ambiguous); ordered bitmaps of our own (Roaring does it). Debian's Roaring 0.2 has its class outside the namespace, so naming/bitmap.h brings it in. Before: `ctest -R naming`: no such test. Conclusion: 11 selectors give the expected sets, 14 malformed ones the position and what was expected; public additions only (derivedSubject, meaningIn, resolveOrExpect, candidates, LabelIndex::refresh, printSelector, CompiledTerm::text).

--- /dev/null
+++ b/naming/label_index.cpp
@@ -0,0 +1,226 @@
+#include "naming/label_index.h"
+
+#include "core/invariant.h"
+#include "naming/builtin_keys.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace teasel {
+
+namespace {
+
+    bool sameLabels(const InstanceLabels& a, const InstanceLabels& b)
+    {
+        const auto same = [](const schema::Label& x, const schema::Label& y) {
+            return x.key() == y.key() && x.value() == y.value();
+        };
+        return a.scheme == b.scheme && a.name == b.name && a.rack == b.rack && a.dataCentre == b.dataCentre
+            && std::equal(a.labels.begin(), a.labels.end(), b.labels.begin(), b.labels.end(), same);
+    }
+
+    std::string_view fieldOf(const InstanceLabels& labels, SubjectId builtin)
+    {
+        if (builtin == instanceKey)
+            return labels.name;
+        return builtin == rackKey ? labels.rack : labels.dataCentre;
+    }
+
+    bool isBuiltin(SubjectId key) { return key == instanceKey || key == rackKey || key == dataCentreKey; }
+
+} // namespace
+
+// A value is posted under what its key means and, where the key was given to
+// another subject since, under what it meant by itself, so that selectors
+// compiled before go on matching.
+void LabelIndex::addValue(SchemeId scheme, std::string_view key, uint64_t value, Postings& out)
+{
+    const auto subject = m_names.intern(schema::SUBJECT_KIND_LABEL_KEY, scheme, key);
+    const auto derived = m_names.derivedSubject(schema::SUBJECT_KIND_LABEL_KEY, scheme, key);
+    out.push_back({ subject, value });
+    if (derived != subject && !isBuiltin(subject))
+        out.push_back({ derived, value });
+}
+
+void LabelIndex::addLabels(const InstanceLabels& labels, SchemeId scheme, Postings& out)
+{
+    for (const auto& it : labels.labels) {
+        const auto subject = m_names.meaningIn(schema::SUBJECT_KIND_LABEL_KEY, scheme, it.key());
+        if (isBuiltin(subject) && (subject == instanceKey || !fieldOf(labels, subject).empty()))
+            continue;
+        addValue(scheme, it.key(), hashLabelValue(it.value()), out);
+    }
+    if (!labels.rack.empty())
+        out.push_back({ rackKey, hashLabelValue(labels.rack) });
+    if (!labels.dataCentre.empty())
+        out.push_back({ dataCentreKey, hashLabelValue(labels.dataCentre) });
+}
+
+Result<LabelIndex::Postings> LabelIndex::postingsOf(const InstanceLabels& labels)
+{
+    BOOST_LEAF_AUTO(scheme, m_names.scheme(labels.scheme));
+    Postings postings;
+    postings.push_back({ instanceKey, m_names.intern(schema::SUBJECT_KIND_INSTANCE, scheme, labels.name) });
+    postings.push_back({ instanceKey, m_names.derivedSubject(schema::SUBJECT_KIND_INSTANCE, scheme, labels.name) });
+    addLabels(labels, scheme, postings);
+    std::sort(postings.begin(), postings.end());
+    postings.erase(std::unique(postings.begin(), postings.end()), postings.end());
+    return postings;
+}
+
+void LabelIndex::eraseFrom(InstanceOrdinal ordinal, const Postings& before, const Postings& after)
+{
+    for (const auto& it : before) {
+        if (std::binary_search(after.begin(), after.end(), it))
+            continue;
+        auto& values = m_values[it];
+        values.remove(ordinal);
+        if (values.isEmpty())
+            m_values.erase(it);
+        const auto sameKey = [&](const Posting& each) { return each.key == it.key; };
+        if (std::any_of(after.begin(), after.end(), sameKey))
+            continue;
+        auto& keys = m_keys[it.key];
+        keys.remove(ordinal);
+        if (keys.isEmpty())
+            m_keys.erase(it.key);
+    }
+}
+
+void LabelIndex::replacePostings(InstanceOrdinal ordinal, const Postings& before, const Postings& after)
+{
+    eraseFrom(ordinal, before, after);
+    for (const auto& it : after) {
+        m_values[it].add(ordinal);
+        m_keys[it.key].add(ordinal);
+    }
+}
+
+Result<void> LabelIndex::put(InstanceOrdinal ordinal, const InstanceLabels& labels)
+{
+    if (m_configurationVersion != m_names.configurationVersion())
+        refresh();
+    const auto known = m_instances.find(ordinal);
+    if (known != m_instances.end() && sameLabels(known->second.labels, labels))
+        return {};
+    BOOST_LEAF_AUTO(postings, postingsOf(labels));
+    auto& instance = m_instances[ordinal];
+    replacePostings(ordinal, instance.postings, postings);
+    instance = { labels, std::move(postings) };
+    m_all.add(ordinal);
+    ++m_version;
+    checkCounts();
+    return {};
+}
+
+void LabelIndex::remove(InstanceOrdinal ordinal)
+{
+    const auto it = m_instances.find(ordinal);
+    if (it == m_instances.end())
+        return;
+    eraseFrom(ordinal, it->second.postings, {});
+    m_instances.erase(it);
+    m_all.remove(ordinal);
+    ++m_version;
+    checkCounts();
+}
+
+void LabelIndex::refresh()
+{
+    if (m_configurationVersion == m_names.configurationVersion())
+        return;
+    m_configurationVersion = m_names.configurationVersion();
+    for (auto& it : m_instances) {
+        auto& instance = it.second;
+        auto resolved = valueOrError([&] { return postingsOf(instance.labels); });
+        if (std::holds_alternative<Error>(resolved))
+            continue; // its scheme is gone: it keeps what it had
+        auto& postings = std::get<0>(resolved);
+        replacePostings(it.first, instance.postings, postings);
+        instance.postings = std::move(postings);
+    }
+    ++m_version;
+}
+
+const roaring::Roaring* LabelIndex::postingSet(SubjectId key, uint64_t value) const
+{
+    const auto it = m_values.find(Posting { key, value });
+    return it == m_values.end() ? nullptr : &it->second;
+}
+
+const roaring::Roaring* LabelIndex::keySet(SubjectId key) const
+{
+    const auto it = m_keys.find(key);
+    return it == m_keys.end() ? nullptr : &it->second;
+}
+
+void LabelIndex::narrow(roaring::Roaring& result, const CompiledTerm& term) const
+{
+    const auto apply = [&](const roaring::Roaring* set) {
+        if (isPositive(term.op))
+            result &= set ? *set : roaring::Roaring();
+        else if (set)
+            result -= *set;
+    };
+    if (term.values.empty()) {
+        apply(keySet(term.key));
+        return;
+    }
+    if (term.values.size() == 1) {
+        apply(postingSet(term.key, term.values.front()));
+        return;
+    }
+    roaring::Roaring any;
+    for (const auto value : term.values) {
+        if (const auto* set = postingSet(term.key, value))
+            any |= *set;
+    }
+    apply(&any);
+}
+
+roaring::Roaring LabelIndex::matching(const CompiledSelector& selector) const
+{
+    auto result = m_all;
+    for (const auto& it : selector.terms)
+        narrow(result, it);
+    return result;
+}
+
+bool LabelIndex::termMatches(const CompiledTerm& term, InstanceOrdinal ordinal) const
+{
+    const auto holds = [&](const roaring::Roaring* set) { return set && set->contains(ordinal); };
+    bool found = term.values.empty() && holds(keySet(term.key));
+    for (const auto value : term.values)
+        found = found || holds(postingSet(term.key, value));
+    return found == isPositive(term.op);
+}
+
+bool LabelIndex::matches(const CompiledSelector& selector, InstanceOrdinal ordinal) const
+{
+    if (!m_all.contains(ordinal))
+        return false;
+    return std::all_of(
+        selector.terms.begin(), selector.terms.end(), [&](const auto& it) { return termMatches(it, ordinal); });
+}
+
+std::string LabelIndex::blockingTerm(const CompiledSelector& selector) const
+{
+    if (m_all.isEmpty())
+        return {};
+    for (const auto& it : selector.terms) {
+        auto result = m_all;
+        narrow(result, it);
+        if (result.isEmpty())
+            return it.text;
+    }
+    return {};
+}
+
+void LabelIndex::checkCounts() const
+{
+    checkInvariant(m_all.cardinality() == m_instances.size(), "label_index_counts",
+        [&] { return fmt::format("{} instances, {} in the set", m_instances.size(), m_all.cardinality()); });
+}
+
+} // namespace teasel
--- a/naming/label_index.h
+++ b/naming/label_index.h
@@ -3,15 +3,16 @@
 
 #include "common.pb.h"
 #include "core/ids.h"
+#include "naming/bitmap.h"
 #include "naming/name_table.h"
 #include "naming/selector.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <google/protobuf/repeated_ptr_field.h>
-#include <roaring/roaring.hh>
 
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace teasel {
@@ -22,7 +23,7 @@
     std::string name;
     std::string rack;
     std::string dataCentre;
-    std::vector<schema::Label> labels;
+    std::vector<schema::Label> labels; // those named as a built-in key count only where its own field is empty
 };
 
 class LabelIndex {
@@ -36,6 +37,10 @@
     Result<void> put(InstanceOrdinal, const InstanceLabels&);
     void remove(InstanceOrdinal);
 
+    // Resolves all labels again after NameTable::configure. put() does so too
+    // where it finds the configuration changed.
+    void refresh();
+
     // The instances that the selector allows.
     roaring::Roaring matching(const CompiledSelector&) const;
     bool matches(const CompiledSelector&, InstanceOrdinal) const;
@@ -53,20 +58,39 @@
         SubjectId key;
         uint64_t value;
         bool operator==(const Posting&) const = default;
+        bool operator<(const Posting& other) const { return std::tie(key, value) < std::tie(other.key, other.value); }
         template <class H> friend H AbslHashValue(H h, const Posting& it) // NOLINT(readability-identifier-naming)
         {
             return H::combine(std::move(h), it.key, it.value);
         }
     };
 
-    roaring::Roaring termMatches(const CompiledTerm&) const;
+    using Postings = std::vector<Posting>;
+
+    // What is held of one instance.
+    struct Instance {
+        InstanceLabels labels;
+        Postings postings; // sorted, each once
+    };
+
+    Result<Postings> postingsOf(const InstanceLabels&);
+    void addLabels(const InstanceLabels&, SchemeId, Postings&);
+    void addValue(SchemeId, std::string_view key, uint64_t value, Postings&);
+    void replacePostings(InstanceOrdinal, const Postings& before, const Postings& after);
+    void eraseFrom(InstanceOrdinal, const Postings& before, const Postings& after);
+    const roaring::Roaring* postingSet(SubjectId key, uint64_t value) const;
+    const roaring::Roaring* keySet(SubjectId key) const;
+    void narrow(roaring::Roaring& result, const CompiledTerm&) const;
+    bool termMatches(const CompiledTerm&, InstanceOrdinal) const;
+    void checkCounts() const;
 
     NameTable& m_names;
     absl::flat_hash_map<Posting, roaring::Roaring> m_values;
     absl::flat_hash_map<SubjectId, roaring::Roaring> m_keys;
-    absl::flat_hash_map<InstanceOrdinal, std::vector<Posting>> m_instances;
+    absl::flat_hash_map<InstanceOrdinal, Instance> m_instances;
     roaring::Roaring m_all;
     uint64_t m_version = 1;
+    uint64_t m_configurationVersion = 0; // of the names that the postings were resolved with
 };
 
 } // namespace teasel
