Add the request plane: holder, leader and fair queue

Cause: nothing took a request from its arrival to an executor. Ruled out: passing bodies through the leader, since its death would then cut requests; here the holder keeps the body and sends it itself. Before: no requests folder. After: ctest -R requests_flow: 3 cases, 12 assertions pass. Conclusion: a request goes from its holder by ticket and grant to an executor and back; faults are not yet covered by tests.

--- /dev/null
+++ b/requests/attempt_key.cpp
@@ -0,0 +1,42 @@
+#include "requests/attempt_key.h"
+
+#include <fmt/format.h>
+
+#include <charconv>
+
+namespace teasel {
+
+namespace {
+
+    // Cuts the number behind the last dot off `text`.
+    template <class Number> bool takeLastNumber(std::string_view& text, Number& value)
+    {
+        const auto dot = text.rfind('.');
+        if (dot == std::string_view::npos)
+            return false;
+        const auto digits = text.substr(dot + 1);
+        const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), value);
+        if (ec != std::errc() || end != digits.data() + digits.size() || digits.empty())
+            return false;
+        text = text.substr(0, dot);
+        return true;
+    }
+
+} // namespace
+
+std::string toString(const AttemptKey& key)
+{
+    return fmt::format("{}.{}.{}.{}", key.instance, key.incarnation, key.sequence, key.attempt);
+}
+
+std::optional<AttemptKey> parseAttemptKey(std::string_view text)
+{
+    AttemptKey key;
+    if (!takeLastNumber(text, key.attempt) || !takeLastNumber(text, key.sequence)
+        || !takeLastNumber(text, key.incarnation) || text.empty())
+        return std::nullopt;
+    key.instance = std::string(text);
+    return key;
+}
+
+} // namespace teasel
--- /dev/null
+++ b/requests/attempt_ledger.h
@@ -0,0 +1,87 @@
+// The attempts that a leader has granted or heard of, each with the slot it takes.
+//
+// An attempt leaves the ledger when its holder reports its end. When nobody
+// waits for it any more but its executor may still run it, it is closed: it
+// keeps its slot and its place in its team's portion until the executor's
+// announcements show it gone, or until it cannot run any longer.
+#pragma once
+
+#include "core/clock.h"
+#include "core/ids.h"
+#include "requests.pb.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace teasel {
+
+using HolderId = uint32_t; // dense number of a holder within one leader
+
+struct AttemptId {
+    HolderId holder = 0;
+    uint64_t incarnation = 0;
+    uint64_t sequence = 0;
+    uint32_t attempt = 0;
+
+    bool operator==(const AttemptId&) const = default;
+    template <class H> friend H AbslHashValue(H h, const AttemptId& it) // NOLINT(readability-identifier-naming)
+    {
+        return H::combine(std::move(h), it.holder, it.incarnation, it.sequence, it.attempt);
+    }
+};
+
+struct GrantedAttempt {
+    TeamId team = 0;
+    InstanceOrdinal executor = 0;
+    uint64_t executorIncarnation = 0;
+    uint64_t grantBatch = 0; // 0: learned from its holder
+    Instant since {}; // granted or learned
+    Instant deadline {};
+    bool closed = false;
+    Instant closedAt {};
+};
+
+class AttemptLedger {
+public:
+    using Attempts = absl::flat_hash_map<AttemptId, GrantedAttempt>;
+
+    void add(const AttemptId&, const GrantedAttempt&);
+    GrantedAttempt* find(const AttemptId&);
+    void erase(const AttemptId&);
+    void close(const AttemptId&, Instant);
+    void reopen(const AttemptId&);
+    void clear();
+
+    size_t size() const { return m_attempts.size(); }
+    const Attempts& all() const { return m_attempts; }
+
+    // Open attempts of one incarnation of a holder.
+    std::vector<AttemptId> openOf(HolderId, uint64_t incarnation) const;
+    // Attempts of all incarnations of a holder up to this one.
+    std::vector<AttemptId> allUpTo(HolderId, uint64_t incarnation) const;
+
+    // Closed attempts that can no longer run, by the time alone.
+    std::vector<AttemptId> expired(Instant) const;
+    // Closed attempts that an announcement shows gone. `listed` are the attempts it names.
+    std::vector<AttemptId> goneBy(
+        InstanceOrdinal, const schema::ExecutorAnnounce&, const absl::flat_hash_set<AttemptId>& listed, Instant) const;
+
+    // Attempts on an executor that were there `age` ago.
+    uint32_t olderThan(InstanceOrdinal, Duration age, Instant) const;
+
+    // An announcement says nothing of what happened within this time before it came.
+    static constexpr Milliseconds announcementAge { 1'000 };
+    // How long after its deadline a closed attempt is taken to have stopped.
+    static constexpr Milliseconds closedGrace { 5'000 };
+
+private:
+    Attempts m_attempts;
+    absl::flat_hash_set<AttemptId> m_closed;
+};
+
+} // namespace teasel
--- /dev/null
+++ b/requests/dispatch_leader.cpp
@@ -0,0 +1,488 @@
+#include "requests/dispatch_leader.h"
+
+#include "requests/attempt_key.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace teasel {
+
+DispatchLeader::DispatchLeader(DispatchOptions options, NameTable& names)
+    : m_options(std::move(options))
+    , m_names(names)
+    , m_pool(m_options.seed)
+    , m_groups([this](std::string_view selector) { return match(selector); })
+{
+}
+
+void DispatchLeader::onBecameLeader(Epoch epoch, Instant now)
+{
+    onLostLeadership(now);
+    m_leading = true;
+    m_epoch = epoch;
+    m_ledSince = now;
+    m_links.reset(epoch);
+    for (const auto& it : m_options.members)
+        m_links.askForAll(m_links.idOf(it));
+}
+
+void DispatchLeader::onLostLeadership(Instant)
+{
+    m_leading = false;
+    m_settled = false;
+    m_queue.clear();
+    m_queue.setReserve(0);
+    m_tickets.clear();
+    m_ledger.clear();
+    m_pool.clear();
+    m_groups.clear();
+    m_unconfirmed.clear();
+    m_remote.clear();
+}
+
+void DispatchLeader::onTeams(std::span<const TeamPolicy> teams, Instant now)
+{
+    for (const auto& it : teams)
+        m_queue.setTeam(it.id, it.share, it.portion, now);
+}
+
+void DispatchLeader::onClasses(std::span<const ClassPolicy> classes, Instant)
+{
+    m_classes.clear();
+    for (const auto& it : classes)
+        m_classes[it.name] = it;
+}
+
+uint32_t DispatchLeader::rankOf(const std::string& className) const
+{
+    const auto it = m_classes.find(className);
+    return it == m_classes.end() ? unknownClassRank : it->second.rank;
+}
+
+uint32_t DispatchLeader::maxWaiting(const std::string& className) const
+{
+    const auto it = m_classes.find(className);
+    if (it == m_classes.end() || it->second.maxWaitingPerTeam == 0)
+        return m_options.defaultMaxWaitingPerTeam;
+    return it->second.maxWaitingPerTeam;
+}
+
+Result<ExecutorSet> DispatchLeader::match(std::string_view)
+{
+    ExecutorSet all;
+    for (size_t n = 0; n < m_pool.size(); ++n)
+        all.insert(static_cast<InstanceOrdinal>(n));
+    return all;
+}
+
+void DispatchLeader::onDrains(std::span<const std::string> selectors, Instant)
+{
+    m_drains.assign(selectors.begin(), selectors.end());
+}
+
+void DispatchLeader::onKeysWithdrawn(std::span<const std::string> keyIds, Instant now)
+{
+    for (const auto& it : keyIds)
+        m_withdrawnKeys[it] = now;
+    for (const auto id : m_tickets.ofKeys({ keyIds.begin(), keyIds.end() }))
+        refuse(id, ErrorKind::Unauthenticated, "the key was withdrawn", Milliseconds(0));
+}
+
+// ---- Executors -------------------------------------------------------------
+
+schema::AnnounceReply DispatchLeader::onAnnounce(const schema::ExecutorAnnounce& announce, Instant now)
+{
+    schema::AnnounceReply reply;
+    reply.set_known(m_leading);
+    reply.set_next_ms(static_cast<uint64_t>(announcePeriod.count()));
+    if (!m_leading)
+        return reply;
+    const auto size = m_pool.size();
+    const auto n = m_pool.onAnnounce(announce, now);
+    if (m_pool.size() != size)
+        m_groups.refresh();
+    forgetClosed(m_ledger.goneBy(n, announce, listedAttempts(announce), now), now);
+    if (!m_settled)
+        estimateUnknown(n, announce, now);
+    return reply;
+}
+
+absl::flat_hash_set<AttemptId> DispatchLeader::listedAttempts(const schema::ExecutorAnnounce& announce)
+{
+    absl::flat_hash_set<AttemptId> listed;
+    for (const auto& it : announce.attempts()) {
+        if (const auto key = parseAttemptKey(it))
+            listed.insert({ m_links.idOf(key->instance), key->incarnation, key->sequence, key->attempt });
+    }
+    return listed;
+}
+
+// Slots that the executor uses for holders which this leader has not heard. It
+// counts only attempts known for long enough to be in the announcement, so the
+// estimate errs towards too many.
+void DispatchLeader::estimateUnknown(InstanceOrdinal n, const schema::ExecutorAnnounce& announce, Instant now)
+{
+    const auto lapsed = m_ledSince + m_options.grantLife + AttemptLedger::announcementAge;
+    if (now < lapsed)
+        return;
+    const auto known = m_ledger.olderThan(n, AttemptLedger::announcementAge, now);
+    const auto seen = announce.in_flight() > known ? announce.in_flight() - known : 0;
+    const bool first = m_unconfirmed.insert(n).second;
+    m_pool.setUnknownInFlight(n, first ? seen : std::min(seen, m_pool.at(n).unknownInFlight));
+    m_queue.setReserve(m_pool.unknownInFlight());
+}
+
+void DispatchLeader::clearUnknown(Instant)
+{
+    for (size_t n = 0; n < m_pool.size(); ++n)
+        m_pool.setUnknownInFlight(static_cast<InstanceOrdinal>(n), 0);
+    m_queue.setReserve(0);
+    m_unconfirmed.clear();
+}
+
+void DispatchLeader::forgetClosed(const std::vector<AttemptId>& ids, Instant now)
+{
+    for (const auto& it : ids)
+        endAttempt(it, EndedAttempt { .neverSent = true }, now);
+}
+
+// ---- Holders ---------------------------------------------------------------
+
+void DispatchLeader::onTickets(std::string_view holder, const schema::TicketBatch& batch, Instant now)
+{
+    if (!m_leading)
+        return;
+    const auto id = m_links.idOf(holder);
+    const auto place = m_links.place(id, batch, now);
+    if (place == BatchPlace::Old || place == BatchPlace::Gap)
+        return;
+    forgetFormerIncarnations(id, batch.holder_incarnation(), now);
+    for (const auto& it : batch.ends())
+        takeEnd(id, it, now);
+    for (const auto it : batch.cancelled())
+        takeCancelled(id, it);
+    if (place == BatchPlace::Full)
+        reconcile(id, batch, now);
+    for (const auto& it : batch.tickets())
+        takeTicket(id, it, now);
+}
+
+// Attempts of incarnations that are gone keep their slots: their executors may still run them.
+void DispatchLeader::forgetFormerIncarnations(HolderId id, uint64_t incarnation, Instant now)
+{
+    if (incarnation == 0)
+        return;
+    for (const auto& it : m_ledger.allUpTo(id, incarnation - 1))
+        m_ledger.close(it, now);
+}
+
+void DispatchLeader::reconcile(HolderId id, const schema::TicketBatch& batch, Instant now)
+{
+    absl::flat_hash_set<AttemptId> held;
+    for (const auto& it : batch.outstanding())
+        held.insert({ id, batch.holder_incarnation(), it.sequence(), it.attempt() });
+    for (const auto& it : m_ledger.openOf(id, batch.holder_incarnation())) {
+        const auto grantBatch = m_ledger.find(it)->grantBatch;
+        if (grantBatch <= m_links.at(id).acknowledgedGrants && !held.contains(it))
+            endAttempt(it, EndedAttempt { .neverSent = true }, now);
+    }
+    for (const auto& it : batch.outstanding())
+        takeOutstanding(id, it, now);
+    for (const auto it : m_tickets.ofHolder(id))
+        unqueue(it);
+}
+
+void DispatchLeader::takeOutstanding(HolderId holder, const schema::Outstanding& it, Instant now)
+{
+    const AttemptId id { holder, m_links.at(holder).incarnation, it.sequence(), it.attempt() };
+    if (m_ledger.find(id)) {
+        if (it.closed())
+            m_ledger.close(id, now);
+        else
+            m_ledger.reopen(id);
+        return;
+    }
+    GrantedAttempt attempt;
+    attempt.team = it.team_id();
+    attempt.executor = m_pool.entryOf(it.executor());
+    attempt.since = now;
+    attempt.deadline = now + Milliseconds(it.deadline_left_ms());
+    attempt.closed = it.closed();
+    attempt.closedAt = now;
+    m_ledger.add(id, attempt);
+    m_pool.take(attempt.executor);
+    m_queue.onFoundRunning(attempt.team, now);
+    const auto unknown = m_pool.at(attempt.executor).unknownInFlight;
+    if (unknown > 0)
+        m_pool.setUnknownInFlight(attempt.executor, unknown - 1);
+}
+
+void DispatchLeader::takeTicket(HolderId holder, const schema::Ticket& it, Instant now)
+{
+    const AttemptId id { holder, m_links.at(holder).incarnation, it.sequence(), it.attempt() };
+    if (m_ledger.find(id) || m_tickets.find(holder, it.sequence()))
+        return;
+    WaitingTicket ticket;
+    ticket.holder = holder;
+    ticket.sequence = it.sequence();
+    ticket.attempt = it.attempt();
+    ticket.className = it.class_name();
+    ticket.keyId = it.key_id();
+    ticket.queued.team = it.team_id();
+    ticket.queued.rank = rankOf(it.class_name());
+    ticket.queued.deadline = now + Milliseconds(it.deadline_left_ms());
+    if (m_withdrawnKeys.contains(it.key_id()))
+        return refuseArrival(holder, it, Error { ErrorKind::Unauthenticated, "the key was withdrawn", {} });
+    const Arrival arrival { it.team_id(), ticket.queued.rank, ticket.queued.deadline,
+        m_tickets.waitingInClass(it.team_id(), it.class_name()), maxWaiting(it.class_name()) };
+    const bool predictable = mayGrant(now) && m_pool.totalSlots() > 0;
+    if (predictable) {
+        if (const auto error = refusalFor(m_queue, arrival, m_pool.totalSlots(), now))
+            return refuseArrival(holder, it, *error);
+    }
+    std::vector<InstanceOrdinal> avoid;
+    for (const auto& name : it.avoid()) {
+        if (const auto n = m_pool.find(name))
+            avoid.push_back(*n);
+    }
+    const auto group = valueOrError([&] { return m_groups.acquire(it.selector(), avoid); });
+    if (const auto* error = std::get_if<Error>(&group))
+        return refuseArrival(holder, it, *error);
+    ticket.queued.group = std::get<0>(group);
+    ticket.queued.id = m_tickets.add(ticket);
+    m_queue.push(ticket.queued, now);
+}
+
+void DispatchLeader::takeEnd(HolderId holder, const schema::AttemptEnd& it, Instant now)
+{
+    const AttemptId id { holder, m_links.at(holder).incarnation, it.sequence(), it.attempt() };
+    const auto* attempt = m_ledger.find(id);
+    if (!attempt || attempt->closed)
+        return;
+    ++m_stats.endsTaken;
+    const EndedAttempt end { it.failed() || it.connect_failed(), it.never_sent(), it.may_still_run(),
+        Duration(it.service_us()) };
+    if (!it.may_still_run())
+        return endAttempt(id, end, now);
+    m_pool.onEnded(attempt->executor, end, now);
+    m_ledger.close(id, now);
+}
+
+void DispatchLeader::takeCancelled(HolderId holder, uint64_t sequence)
+{
+    if (const auto* it = m_tickets.find(holder, sequence))
+        unqueue(it->queued.id);
+}
+
+void DispatchLeader::onHolderLost(std::string_view holder, Instant now)
+{
+    const auto id = m_links.idOf(holder);
+    for (const auto it : m_tickets.ofHolder(id))
+        unqueue(it);
+    for (const auto& it : m_ledger.openOf(id, m_links.at(id).incarnation))
+        m_ledger.close(it, now);
+    m_links.at(id).known = false;
+}
+
+void DispatchLeader::refuseArrival(HolderId holder, const schema::Ticket& ticket, const Error& error)
+{
+    schema::Refusal refusal;
+    refusal.set_sequence(ticket.sequence());
+    refusal.set_attempt(ticket.attempt());
+    refusal.mutable_failure()->set_kind(static_cast<uint32_t>(error.kind));
+    refusal.mutable_failure()->set_message(error.message);
+    refusal.mutable_failure()->set_retry_after_ms(static_cast<uint64_t>(error.retryAfter.count()));
+    m_links.addRefusal(holder, std::move(refusal));
+    ++m_stats.refused;
+}
+
+void DispatchLeader::refuse(TicketId id, ErrorKind kind, std::string message, Milliseconds retryAfter)
+{
+    const auto* ticket = m_tickets.find(id);
+    if (!ticket)
+        return;
+    schema::Ticket named;
+    named.set_sequence(ticket->sequence);
+    named.set_attempt(ticket->attempt);
+    refuseArrival(ticket->holder, named, Error { kind, std::move(message), retryAfter });
+    unqueue(id);
+}
+
+void DispatchLeader::unqueue(TicketId id)
+{
+    const auto* ticket = m_tickets.find(id);
+    if (!ticket)
+        return;
+    m_queue.remove(ticket->queued);
+    m_groups.release(ticket->queued.group);
+    m_tickets.erase(id);
+}
+
+void DispatchLeader::endAttempt(const AttemptId& id, const EndedAttempt& end, Instant now)
+{
+    const auto* it = m_ledger.find(id);
+    if (!it)
+        return;
+    const auto executor = it->executor;
+    const auto team = it->team;
+    m_ledger.erase(id);
+    m_pool.release(executor);
+    m_pool.onEnded(executor, end, now);
+    const bool ran = !end.neverSent && !end.failed;
+    m_queue.onEnded(team, ran ? std::optional(end.service) : std::nullopt, now);
+}
+
+// ---- Decisions -------------------------------------------------------------
+
+bool DispatchLeader::everyMemberHeard(Instant) const
+{
+    size_t heard = 0;
+    for (size_t n = 0; n < m_links.size(); ++n) {
+        const auto& link = m_links.at(static_cast<HolderId>(n));
+        const bool isMember
+            = std::find(m_options.members.begin(), m_options.members.end(), link.name) != m_options.members.end();
+        // A former incarnation's attempts may still run when this one is young.
+        heard += isMember && link.known && link.upSince + m_options.longestRequest <= m_ledSince ? 1 : 0;
+    }
+    return heard >= m_options.members.size();
+}
+
+bool DispatchLeader::everyHolderKnown(Instant now) const
+{
+    return everyMemberHeard(now) || now >= m_ledSince + m_options.longestRequest;
+}
+
+bool DispatchLeader::mayGrant(Instant now) const
+{
+    if (!m_leading || now >= m_leaseUntil)
+        return false;
+    return m_settled || now >= m_ledSince + m_options.grantLife + m_options.settleMargin;
+}
+
+void DispatchLeader::decide(Instant now)
+{
+    if (!m_settled && m_leading && everyHolderKnown(now)) {
+        m_settled = true;
+        clearUnknown(now);
+    }
+    if (!mayGrant(now))
+        return;
+    const auto isOpen = [&](GroupId group) { return m_pool.open().intersects(m_groups.allowed(group)); };
+    while (const auto ticket = m_queue.next(isOpen)) {
+        const auto executor = m_pool.choose(m_groups.allowed(ticket->group));
+        if (!executor)
+            break;
+        grant(*ticket, *executor, now);
+    }
+}
+
+void DispatchLeader::grant(const QueuedTicket& queued, InstanceOrdinal n, Instant now)
+{
+    const auto ticket = *m_tickets.find(queued.id);
+    auto& link = m_links.at(ticket.holder);
+    const auto& executor = m_pool.at(n);
+    schema::Grant grant;
+    grant.set_sequence(ticket.sequence);
+    grant.set_attempt(ticket.attempt);
+    grant.set_executor(executor.name);
+    grant.set_address(executor.address);
+    grant.set_grant_ms(static_cast<uint64_t>(m_options.grantLife.count()));
+    GrantedAttempt attempt;
+    attempt.team = queued.team;
+    attempt.executor = n;
+    attempt.executorIncarnation = executor.incarnation;
+    attempt.grantBatch = link.nextGrants;
+    attempt.since = now;
+    attempt.deadline = queued.deadline;
+    m_ledger.add({ ticket.holder, link.incarnation, ticket.sequence, ticket.attempt }, attempt);
+    unqueue(queued.id);
+    m_queue.onStarted(queued.team, now);
+    m_pool.take(n);
+    m_links.addGrant(ticket.holder, std::move(grant));
+    ++m_stats.granted;
+}
+
+void DispatchLeader::onTick(Instant now)
+{
+    if (!m_leading)
+        return;
+    m_pool.onTick(now);
+    m_links.onTick(now);
+    forgetClosed(m_ledger.expired(now), now);
+    for (const auto it : m_tickets.overdue(now))
+        refuse(it, ErrorKind::DeadlinePassed, "the deadline passed while it waited", Milliseconds(0));
+    if (now >= m_refreshed + refreshPeriod) {
+        m_refreshed = now;
+        m_queue.refresh(m_pool.totalSlots(), now);
+    }
+    absl::erase_if(m_withdrawnKeys, [&](const auto& it) { return it.second + withdrawnKeysKept <= now; });
+}
+
+std::vector<DispatchAction> DispatchLeader::takeActions(Instant now)
+{
+    std::vector<DispatchAction> actions;
+    if (!m_leading)
+        return actions;
+    decide(now);
+    for (auto& it : m_links.takeBatches(now))
+        actions.emplace_back(SendGrants { std::move(it.holder), std::move(it.batch) });
+    return actions;
+}
+
+// ---- Fleet -----------------------------------------------------------------
+
+void DispatchLeader::onLoadSummary(const schema::LoadSummary& summary, Instant now)
+{
+    if (summary.data_centre() == m_options.dataCentre)
+        return;
+    auto& remote = m_remote[summary.data_centre()];
+    if (summary.epoch() < remote.epoch)
+        return;
+    const auto span = remote.heard == Instant {} ? Duration(0) : std::min<Duration>(now - remote.heard, remoteLoadKept);
+    for (const auto& it : summary.teams())
+        m_queue.onUsedElsewhere(it.team_id(), it.running(), span);
+    remote = { summary.epoch(), now, summary };
+}
+
+std::vector<TeamNeed> DispatchLeader::needs() const
+{
+    std::vector<TeamNeed> needs;
+    m_queue.forEachTeam([&](TeamId team, uint32_t running, size_t waiting) {
+        needs.push_back({ team, running, running + static_cast<uint32_t>(waiting) });
+    });
+    return needs;
+}
+
+schema::LoadSummary DispatchLeader::loadSummary() const
+{
+    schema::LoadSummary summary;
+    summary.set_data_centre(m_options.dataCentre);
+    summary.set_epoch(m_epoch);
+    summary.set_free_slots(m_pool.freeSlots());
+    summary.set_total_slots(m_pool.totalSlots());
+    summary.set_waiting(static_cast<uint32_t>(m_queue.waiting()));
+    m_queue.forEachTeam([&](TeamId team, uint32_t running, size_t waiting) {
+        if (running == 0 && waiting == 0)
+            return;
+        auto* load = summary.add_teams();
+        load->set_team_id(team);
+        load->set_running(running);
+        load->set_waiting(static_cast<uint32_t>(waiting));
+    });
+    return summary;
+}
+
+DispatchStats DispatchLeader::stats() const
+{
+    auto stats = m_stats;
+    stats.executorsSetAside = m_pool.timesSetAside();
+    stats.waiting = m_queue.waiting();
+    stats.inFlight = m_ledger.size();
+    stats.executors = m_pool.size();
+    stats.unknownInFlight = m_pool.unknownInFlight();
+    stats.settled = m_settled;
+    return stats;
+}
+
+} // namespace teasel
--- /dev/null
+++ b/requests/dispatch_leader.h
@@ -0,0 +1,172 @@
+// The leader's side of the request plane: one queue, one set of executors and
+// one place to be fair for a data centre.
+#pragma once
+
+#include "core/clock.h"
+#include "core/ids.h"
+#include "core/random.h"
+#include "fleet.pb.h"
+#include "naming/name_table.h"
+#include "requests.pb.h"
+#include "requests/admission.h"
+#include "requests/attempt_ledger.h"
+#include "requests/executor_pool.h"
+#include "requests/fair_queue.h"
+#include "requests/holder_links.h"
+#include "requests/selector_groups.h"
+#include "requests/ticket_book.h"
+
+#include <absl/container/btree_set.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace teasel {
+
+struct DispatchOptions {
+    std::string dataCentre;
+    std::vector<std::string> members; // entry instances of the data centre, this one too
+    uint64_t seed = 1;
+    Milliseconds grantLife { 1'000 }; // a grant is used within this, counted as leader_link.h says
+    Milliseconds settleMargin { 1'000 }; // added to grantLife before a new leader works without a member's report
+    Milliseconds longestRequest { 60'000 }; // no attempt runs longer
+    uint32_t defaultMaxWaitingPerTeam = 2'000;
+};
+
+struct TeamPolicy {
+    TeamId id = 0;
+    double share = 1.0;
+    uint32_t portion = 0; // requests it may run at once in this data centre
+};
+
+struct ClassPolicy {
+    std::string name;
+    uint32_t rank = 0; // lower is more urgent
+    uint32_t maxWaitingPerTeam = 0; // 0: the default
+};
+
+struct TeamNeed {
+    TeamId team = 0;
+    uint32_t inUse = 0;
+    uint32_t wanted = 0; // running and waiting
+};
+
+// To a member, which may be this same instance.
+struct SendGrants {
+    std::string holder;
+    schema::GrantBatch batch;
+};
+using DispatchAction = std::variant<SendGrants>;
+
+// Counters since the start, and gauges.
+struct DispatchStats {
+    uint64_t granted = 0;
+    uint64_t refused = 0;
+    uint64_t endsTaken = 0;
+    uint64_t fullRequests = 0;
+    uint64_t executorsSetAside = 0;
+    size_t waiting = 0;
+    size_t inFlight = 0;
+    size_t executors = 0;
+    uint32_t unknownInFlight = 0; // attempts of unheard holders that executors report
+    bool settled = false;
+};
+
+class DispatchLeader {
+public:
+    DispatchLeader(DispatchOptions, NameTable&);
+
+    void onBecameLeader(Epoch, Instant);
+    void onLostLeadership(Instant);
+    // No grant is made at or after `until`. Without a call there is no bound.
+    void onLeaseUntil(Instant until) { m_leaseUntil = until; }
+
+    void onTeams(std::span<const TeamPolicy>, Instant);
+    void onClasses(std::span<const ClassPolicy>, Instant);
+    void onDrains(std::span<const std::string> selectors, Instant);
+    // Queued tickets of these keys are refused.
+    void onKeysWithdrawn(std::span<const std::string> keyIds, Instant);
+
+    schema::AnnounceReply onAnnounce(const schema::ExecutorAnnounce&, Instant);
+    void onTickets(std::string_view holder, const schema::TicketBatch&, Instant);
+    void onHolderLost(std::string_view holder, Instant);
+    void onLoadSummary(const schema::LoadSummary&, Instant);
+
+    // Called at least every 20 ms.
+    void onTick(Instant);
+
+    // Decides what can be decided and returns what is to be sent.
+    std::vector<DispatchAction> takeActions(Instant);
+
+    std::vector<TeamNeed> needs() const;
+    schema::LoadSummary loadSummary() const;
+    DispatchStats stats() const;
+    bool leading() const { return m_leading; }
+
+private:
+    struct RemoteLoad {
+        Epoch epoch = 0;
+        Instant heard {};
+        schema::LoadSummary summary;
+    };
+
+    Result<ExecutorSet> match(std::string_view selector);
+    void takeTicket(HolderId, const schema::Ticket&, Instant);
+    void takeEnd(HolderId, const schema::AttemptEnd&, Instant);
+    void takeCancelled(HolderId, uint64_t sequence);
+    void takeOutstanding(HolderId, const schema::Outstanding&, Instant);
+    void reconcile(HolderId, const schema::TicketBatch&, Instant);
+    void forgetFormerIncarnations(HolderId, uint64_t incarnation, Instant);
+    void refuse(TicketId, ErrorKind, std::string message, Milliseconds retryAfter);
+    void refuseArrival(HolderId, const schema::Ticket&, const Error&);
+    void unqueue(TicketId);
+    void endAttempt(const AttemptId&, const EndedAttempt&, Instant);
+    void decide(Instant);
+    void grant(const QueuedTicket&, InstanceOrdinal, Instant);
+    bool mayGrant(Instant) const;
+    bool everyHolderKnown(Instant) const;
+    bool everyMemberHeard(Instant) const;
+    void estimateUnknown(InstanceOrdinal, const schema::ExecutorAnnounce&, Instant);
+    void clearUnknown(Instant);
+    void refuseWithoutExecutors(Instant);
+    void refuseHopeless(Instant);
+    void forgetClosed(const std::vector<AttemptId>&, Instant);
+    absl::flat_hash_set<AttemptId> listedAttempts(const schema::ExecutorAnnounce&);
+    uint32_t rankOf(const std::string& className) const;
+    uint32_t maxWaiting(const std::string& className) const;
+
+    static constexpr Milliseconds announcePeriod { 500 };
+    static constexpr Milliseconds withdrawnKeysKept { 120'000 };
+    static constexpr Milliseconds refreshPeriod { 20 };
+    static constexpr Milliseconds remoteLoadKept { 2'000 };
+    static constexpr uint32_t unknownClassRank = 1'000;
+
+    DispatchOptions m_options;
+    NameTable& m_names;
+    bool m_leading = false;
+    Epoch m_epoch = 0;
+    Instant m_ledSince {};
+    Instant m_leaseUntil = Instant::max();
+    bool m_settled = false; // nothing is unknown any more
+    FairQueue m_queue;
+    TicketBook m_tickets;
+    AttemptLedger m_ledger;
+    ExecutorPool m_pool;
+    SelectorGroups m_groups;
+    HolderLinks m_links;
+    absl::flat_hash_map<std::string, ClassPolicy> m_classes;
+    absl::flat_hash_map<std::string, Instant> m_withdrawnKeys;
+    std::vector<std::string> m_drains;
+    absl::flat_hash_map<std::string, RemoteLoad> m_remote;
+    absl::flat_hash_set<InstanceOrdinal> m_unconfirmed; // executors not yet heard since grants of former leaders lapsed
+    Instant m_refreshed {};
+    DispatchStats m_stats;
+};
+
+} // namespace teasel
--- /dev/null
+++ b/requests/executor_pool.h
@@ -0,0 +1,125 @@
+// The executors of a data centre: their slots, their health and the choice among them.
+//
+// The choice takes the free executor whose next request is expected to finish
+// first: its observed service time, weighed by how full it is and by its
+// recent failures. An executor that fails or is far slower than its peers is
+// set aside and tried again with one request at a time.
+#pragma once
+
+#include "core/clock.h"
+#include "core/ids.h"
+#include "core/random.h"
+#include "requests.pb.h"
+#include "requests/executor_set.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace teasel {
+
+enum class ExecutorHealth : uint8_t {
+    Good = 0,
+    SetAside = 1, // gets nothing until its pause is over
+    Probing = 2, // gets one request at a time
+};
+
+struct Executor {
+    std::string name;
+    std::string address;
+    uint64_t incarnation = 0;
+    uint32_t capacity = 0; // the lower of slots and connections
+    uint32_t inFlight = 0; // granted attempts that may be running
+    uint32_t unknownInFlight = 0; // reported by the executor and known to no holder heard so far
+    Instant lastHeard {};
+    bool live = false; // heard of lately and not leaving
+    bool leaving = false;
+    bool drained = false;
+    ExecutorHealth health = ExecutorHealth::Good;
+    Instant setAsideUntil {};
+    uint32_t setAsideTimes = 0; // in a row
+    uint32_t failuresInRow = 0;
+    uint32_t successes = 0; // since it was last set aside
+    double failureRate = 0.0; // moving average
+    double serviceUs = 0.0; // moving average; 0: not yet seen
+};
+
+// How an attempt ended at its executor.
+struct EndedAttempt {
+    bool failed = false;
+    bool neverSent = false;
+    bool mayStillRun = false;
+    Duration service { 0 };
+};
+
+class ExecutorPool {
+public:
+    explicit ExecutorPool(uint64_t seed);
+
+    void clear();
+
+    // Adds or refreshes an executor.
+    InstanceOrdinal onAnnounce(const schema::ExecutorAnnounce&, Instant);
+    std::optional<InstanceOrdinal> find(std::string_view name) const;
+    // The executor of this name; one that has not announced itself yet gets nothing.
+    InstanceOrdinal entryOf(const std::string& name);
+    const Executor& at(InstanceOrdinal n) const { return m_executors[n]; }
+    size_t size() const { return m_executors.size(); }
+
+    // An attempt takes a slot, and gives it back.
+    void take(InstanceOrdinal);
+    void release(InstanceOrdinal);
+    // What an attempt says about the executor's health.
+    void onEnded(InstanceOrdinal, const EndedAttempt&, Instant);
+
+    void setDrained(InstanceOrdinal, bool drained);
+    void setUnknownInFlight(InstanceOrdinal, uint32_t);
+
+    // Notices silence and the end of pauses.
+    void onTick(Instant);
+
+    // Executors that may be given a request now.
+    const ExecutorSet& open() const { return m_open; }
+    // Executors that are heard of and not leaving, busy or not.
+    const ExecutorSet& live() const { return m_live; }
+
+    // The best open executor of a set.
+    std::optional<InstanceOrdinal> choose(const ExecutorSet& allowed) const;
+
+    uint32_t freeSlots() const;
+    uint32_t totalSlots() const;
+    uint32_t unknownInFlight() const { return m_unknownInFlight; }
+    uint64_t timesSetAside() const { return m_timesSetAside; }
+
+private:
+    void update(InstanceOrdinal);
+    void setAside(Executor&, Instant);
+    void onFailure(Executor&, Instant);
+    void onSuccess(Executor&, Duration service, Instant);
+    bool farSlowerThanPeers(const Executor&) const;
+    static bool hasRoom(const Executor&);
+    double cost(const Executor&) const;
+
+    static constexpr Milliseconds silenceBound { 2'000 };
+    static constexpr Milliseconds firstPause { 1'000 };
+    static constexpr Milliseconds longestPause { 30'000 };
+    static constexpr uint32_t failuresToSetAside = 3; // in a row
+    static constexpr double failureRateToSetAside = 0.5;
+    static constexpr uint32_t samplesToJudge = 8;
+    static constexpr double slownessToSetAside = 5.0; // times the peers' service time
+    static constexpr double averageWeight = 0.1; // of the newest sample
+
+    Random m_random;
+    std::vector<Executor> m_executors;
+    absl::flat_hash_map<std::string, InstanceOrdinal> m_byName;
+    ExecutorSet m_open;
+    ExecutorSet m_live;
+    double m_peerServiceUs = 0.0; // moving average over all executors
+    uint32_t m_unknownInFlight = 0;
+    uint64_t m_timesSetAside = 0;
+};
+
+} // namespace teasel
--- /dev/null
+++ b/requests/fair_queue.cpp
@@ -0,0 +1,264 @@
+#include "requests/fair_queue.h"
+
+#include "core/invariant.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace teasel {
+
+void FairQueue::setTeam(TeamId id, double share, uint32_t limit, Instant now)
+{
+    auto& team = m_teams[id];
+    accrue(team, now);
+    team.share = std::max(share, 1e-6);
+    team.limit = limit;
+    settlePlace(id, team);
+}
+
+void FairQueue::setReserve(uint32_t slots)
+{
+    if (slots == m_reserve)
+        return;
+    m_reserve = slots;
+    for (auto& [id, team] : m_teams)
+        settlePlace(id, team);
+}
+
+void FairQueue::push(const QueuedTicket& ticket, Instant now)
+{
+    auto& team = m_teams[ticket.team];
+    accrue(team, now);
+    auto& waiting = team.groups[ticket.group];
+    const bool groupWasEmpty = waiting.empty();
+    if (!waiting.insert({ ticket.rank, ticket.deadline, ticket.id }).second)
+        return;
+    ++team.waiting;
+    ++team.waitingByRank[ticket.rank];
+    ++m_waiting;
+    if (team.entered && groupWasEmpty)
+        m_orders[ticket.group].insert({ team.place, ticket.team });
+    else
+        settlePlace(ticket.team, team);
+}
+
+void FairQueue::remove(const QueuedTicket& ticket)
+{
+    auto& team = m_teams[ticket.team];
+    const auto group = team.groups.find(ticket.group);
+    if (group == team.groups.end() || group->second.erase({ ticket.rank, ticket.deadline, ticket.id }) == 0)
+        return;
+    --team.waiting;
+    --m_waiting;
+    const auto rank = team.waitingByRank.find(ticket.rank);
+    if (--rank->second == 0)
+        team.waitingByRank.erase(rank);
+    if (!group->second.empty())
+        return;
+    if (team.entered) {
+        const auto order = m_orders.find(ticket.group);
+        order->second.erase({ team.place, ticket.team });
+        if (order->second.empty())
+            m_orders.erase(order);
+    }
+    team.groups.erase(group);
+    if (team.waiting == 0)
+        team.entered = false;
+    noteActivity(team);
+}
+
+void FairQueue::onStarted(TeamId id, Instant now)
+{
+    auto& team = m_teams[id];
+    checkInvariant(team.running + m_reserve < team.limit, "team_within_portion",
+        [&] { return fmt::format("team {}: {} of {}, {} held back", id, team.running, team.limit, m_reserve); });
+    accrue(team, now);
+    m_present = std::max(m_present, team.virtualTime);
+    ++team.running;
+    settlePlace(id, team);
+}
+
+void FairQueue::onFoundRunning(TeamId id, Instant now)
+{
+    auto& team = m_teams[id];
+    accrue(team, now);
+    ++team.running;
+    settlePlace(id, team);
+}
+
+void FairQueue::onEnded(TeamId id, std::optional<Duration> service, Instant now)
+{
+    auto& team = m_teams[id];
+    accrue(team, now);
+    checkInvariant(team.running > 0, "ended_request_was_running", [&] { return fmt::format("team {}", id); });
+    --team.running;
+    if (service) {
+        const auto sample = static_cast<double>(service->count());
+        team.serviceUs = team.serviceUs == 0.0 ? sample : team.serviceUs + (sample - team.serviceUs) * averageWeight;
+        m_serviceUs = m_serviceUs == 0.0 ? sample : m_serviceUs + (sample - m_serviceUs) * averageWeight;
+    }
+    settlePlace(id, team);
+}
+
+void FairQueue::onUsedElsewhere(TeamId id, uint32_t slots, Duration span)
+{
+    const auto it = m_teams.find(id);
+    if (it == m_teams.end() || slots == 0)
+        return;
+    it->second.virtualTime += static_cast<double>(slots) * static_cast<double>(span.count()) / it->second.share;
+    settlePlace(id, it->second);
+}
+
+void FairQueue::refresh(uint32_t totalSlots, Instant now)
+{
+    const double bound = window(totalSlots);
+    for (auto& [id, team] : m_teams) {
+        accrue(team, now);
+        team.virtualTime = std::clamp(team.virtualTime, m_present - bound, m_present + bound);
+        settlePlace(id, team);
+    }
+}
+
+// How far a team's virtual time may be from the present: what a full fleet
+// adds to it within the history window.
+double FairQueue::window(uint32_t totalSlots) const
+{
+    if (m_activeShares <= 0.0)
+        return 0.0;
+    return static_cast<double>(Duration(historyWindow).count()) * totalSlots / m_activeShares;
+}
+
+double FairQueue::serviceUs(const Team& team) const
+{
+    if (team.serviceUs > 0.0)
+        return team.serviceUs;
+    return m_serviceUs > 0.0 ? m_serviceUs : unseenServiceUs;
+}
+
+double FairQueue::placeOf(const Team& team) const
+{
+    return team.virtualTime + team.running * serviceUs(team) / team.share;
+}
+
+bool FairQueue::mayEnter(const Team& team) const { return team.waiting > 0 && team.running + m_reserve < team.limit; }
+
+void FairQueue::accrue(Team& team, Instant now)
+{
+    if (now > team.accrued && team.running > 0)
+        team.virtualTime += static_cast<double>((now - team.accrued).count()) * team.running / team.share;
+    team.accrued = std::max(team.accrued, now);
+}
+
+// Puts the team where it belongs after a change of its numbers.
+void FairQueue::settlePlace(TeamId id, Team& team)
+{
+    noteActivity(team);
+    const bool shallStand = mayEnter(team);
+    if (team.entered && shallStand && placeOf(team) == team.place)
+        return;
+    const bool wasAway = !team.entered;
+    if (team.entered)
+        leave(id, team);
+    if (!shallStand)
+        return;
+    if (wasAway)
+        team.virtualTime = std::max(team.virtualTime, m_present);
+    enter(id, team);
+}
+
+void FairQueue::noteActivity(Team& team)
+{
+    const double share = team.waiting > 0 || team.running > 0 ? team.share : 0.0;
+    m_activeShares += share - team.activeShare;
+    team.activeShare = share;
+}
+
+void FairQueue::enter(TeamId id, Team& team)
+{
+    team.place = placeOf(team);
+    team.entered = true;
+    for (const auto& [group, waiting] : team.groups)
+        m_orders[group].insert({ team.place, id });
+}
+
+void FairQueue::leave(TeamId id, Team& team)
+{
+    for (const auto& [group, waiting] : team.groups) {
+        const auto order = m_orders.find(group);
+        order->second.erase({ team.place, id });
+        if (order->second.empty())
+            m_orders.erase(order);
+    }
+    team.entered = false;
+}
+
+const FairQueue::Team* FairQueue::find(TeamId id) const
+{
+    const auto it = m_teams.find(id);
+    return it == m_teams.end() ? nullptr : &it->second;
+}
+
+uint32_t FairQueue::running(TeamId id) const
+{
+    const auto* team = find(id);
+    return team ? team->running : 0;
+}
+
+uint32_t FairQueue::limit(TeamId id) const
+{
+    const auto* team = find(id);
+    return team ? team->limit : 0;
+}
+
+size_t FairQueue::waiting(TeamId id) const
+{
+    const auto* team = find(id);
+    return team ? team->waiting : 0;
+}
+
+size_t FairQueue::waitingUpTo(TeamId id, uint32_t rank) const
+{
+    const auto* team = find(id);
+    size_t n = 0;
+    if (!team)
+        return n;
+    for (auto it = team->waitingByRank.begin(); it != team->waitingByRank.end() && it->first <= rank; ++it)
+        n += it->second;
+    return n;
+}
+
+Duration FairQueue::expectedService(TeamId id) const
+{
+    const auto* team = find(id);
+    return Duration(static_cast<int64_t>(team ? serviceUs(*team) : unseenServiceUs));
+}
+
+double FairQueue::expectedSlots(TeamId id, uint32_t totalSlots) const
+{
+    const auto* team = find(id);
+    if (!team)
+        return 0.0;
+    const double shares = m_activeShares - team->activeShare + team->share;
+    const double fair = totalSlots * team->share / shares;
+    return std::min<double>(std::max<double>(fair, team->running), team->limit);
+}
+
+void FairQueue::clear()
+{
+    for (auto& [id, team] : m_teams) {
+        team.running = 0;
+        team.waiting = 0;
+        team.entered = false;
+        team.activeShare = 0.0;
+        team.virtualTime = 0.0;
+        team.waitingByRank.clear();
+        team.groups.clear();
+    }
+    m_orders.clear();
+    m_present = 0.0;
+    m_activeShares = 0.0;
+    m_waiting = 0;
+}
+
+} // namespace teasel
--- /dev/null
+++ b/requests/leader_link.cpp
@@ -0,0 +1,153 @@
+#include "requests/leader_link.h"
+
+#include <algorithm>
+
+namespace teasel {
+
+LeaderLink::LeaderLink(uint64_t incarnation, Instant startedAt)
+    : m_incarnation(incarnation)
+    , m_startedAt(startedAt)
+    , m_leaderlessSince(startedAt)
+{
+}
+
+bool LeaderLink::onLeader(std::string_view leader, Epoch epoch, Instant now)
+{
+    if (leader.empty()) {
+        if (hasLeader())
+            m_leaderlessSince = now;
+        m_leader.clear();
+        return false;
+    }
+    if (epoch < m_epoch || (epoch == m_epoch && leader == m_leader))
+        return false;
+    const bool sameEpoch = epoch == m_epoch;
+    m_leader = leader;
+    m_needsFull = true;
+    if (sameEpoch)
+        return true;
+    m_epoch = epoch;
+    m_lastBatch = 0;
+    m_lastAcknowledged = 0;
+    m_lastGrants = 0;
+    m_sent.clear();
+    m_fullWait = acknowledgementPatience;
+    for (auto& it : m_ends)
+        it.batch = 0;
+    return true;
+}
+
+void LeaderLink::addTicket(schema::Ticket ticket)
+{
+    *m_next.add_tickets() = std::move(ticket);
+    m_dirty = true;
+}
+
+void LeaderLink::addCancelled(uint64_t sequence)
+{
+    m_next.add_cancelled(sequence);
+    m_dirty = true;
+}
+
+void LeaderLink::addEnd(schema::AttemptEnd end, const schema::Outstanding& attempt, Instant now)
+{
+    if (end.may_still_run()) {
+        m_closed.push_back({ now + closedAttemptKept, attempt });
+        m_closed.back().attempt.set_closed(true);
+    }
+    m_ends.push_back({ 0, std::move(end) });
+    m_dirty = true;
+}
+
+bool LeaderLink::accept(const schema::GrantBatch& batch, Instant now)
+{
+    if (!hasLeader() || batch.epoch() != m_epoch)
+        return false;
+    if (batch.holder_incarnation() != m_incarnation) {
+        // A leader that has not heard this incarnation yet can only ask for everything.
+        m_needsFull = m_needsFull || (batch.send_full() && m_lastBatch == 0);
+        return false;
+    }
+    if (batch.batch() <= m_lastGrants)
+        return false;
+    if (batch.batch() != m_lastGrants + 1 || batch.send_full())
+        m_needsFull = true;
+    m_lastGrants = batch.batch();
+    if (batch.grants_size() + batch.refusals_size() > 0)
+        m_dirty = true;
+    acknowledge(batch.acknowledged_batch());
+    m_lastHeard = now;
+    return true;
+}
+
+void LeaderLink::acknowledge(uint64_t batch)
+{
+    m_madeNotBefore = Instant {};
+    while (!m_sent.empty() && m_sent.front().number < batch)
+        m_sent.pop_front();
+    if (!m_sent.empty() && m_sent.front().number == batch)
+        m_madeNotBefore = m_sent.front().at;
+    if (batch <= m_lastAcknowledged)
+        return;
+    m_lastAcknowledged = batch;
+    m_fullWait = acknowledgementPatience;
+    std::erase_if(m_ends, [&](const UnconfirmedEnd& it) { return it.batch != 0 && it.batch <= batch; });
+}
+
+void LeaderLink::onTick(bool holdsAnything, Instant now)
+{
+    while (!m_closed.empty() && m_closed.front().forgetAt <= now)
+        m_closed.pop_front();
+    if (!hasLeader())
+        return;
+    if ((holdsAnything || !m_ends.empty()) && now >= m_lastSent + heartbeatPeriod)
+        m_dirty = true;
+    const auto unanswered = std::find_if(
+        m_sent.begin(), m_sent.end(), [&](const SentBatch& it) { return it.number > m_lastAcknowledged; });
+    if (unanswered == m_sent.end() || now < unanswered->at + m_fullWait || now < m_lastFull + m_fullWait)
+        return;
+    m_needsFull = true;
+    m_fullWait = std::min(m_fullWait * 2, longestFullWait);
+}
+
+schema::TicketBatch LeaderLink::takeBatch(
+    std::vector<schema::Ticket> tickets, std::vector<schema::Outstanding> outstanding, Instant now)
+{
+    auto batch = std::move(m_next);
+    m_next.Clear();
+    batch.set_epoch(m_epoch);
+    batch.set_batch(++m_lastBatch);
+    batch.set_holder_incarnation(m_incarnation);
+    batch.set_acknowledged_grants(m_lastGrants);
+    batch.set_holder_up_ms(static_cast<uint64_t>(std::chrono::duration_cast<Milliseconds>(now - m_startedAt).count()));
+    if (m_needsFull)
+        fillFull(batch, std::move(tickets), std::move(outstanding), now);
+    for (auto& it : m_ends) {
+        if (it.batch != 0 && !m_needsFull)
+            continue;
+        it.batch = m_lastBatch;
+        *batch.add_ends() = it.end;
+    }
+    m_sent.push_back({ m_lastBatch, now });
+    m_lastSent = now;
+    m_dirty = false;
+    m_needsFull = false;
+    return batch;
+}
+
+void LeaderLink::fillFull(schema::TicketBatch& batch, std::vector<schema::Ticket> tickets,
+    std::vector<schema::Outstanding> outstanding, Instant now)
+{
+    batch.set_full(true);
+    batch.clear_tickets();
+    batch.clear_cancelled();
+    for (auto& it : tickets)
+        *batch.add_tickets() = std::move(it);
+    for (auto& it : outstanding)
+        *batch.add_outstanding() = std::move(it);
+    for (const auto& it : m_closed)
+        *batch.add_outstanding() = it.attempt;
+    m_lastFull = now;
+}
+
+} // namespace teasel
--- /dev/null
+++ b/requests/ticket_book.h
@@ -0,0 +1,53 @@
+// The tickets that wait at a leader, found by holder, by deadline and by key.
+#pragma once
+
+#include "core/clock.h"
+#include "core/ids.h"
+#include "requests/attempt_ledger.h"
+#include "requests/fair_queue.h"
+
+#include <absl/container/btree_set.h>
+#include <absl/container/flat_hash_map.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace teasel {
+
+struct WaitingTicket {
+    QueuedTicket queued;
+    HolderId holder = 0;
+    uint64_t sequence = 0;
+    uint32_t attempt = 0;
+    std::string className;
+    std::string keyId;
+};
+
+class TicketBook {
+public:
+    // Gives the ticket its id and keeps it.
+    TicketId add(WaitingTicket);
+    const WaitingTicket* find(TicketId) const;
+    const WaitingTicket* find(HolderId, uint64_t sequence) const;
+    void erase(TicketId);
+    void clear();
+
+    size_t size() const { return m_tickets.size(); }
+    size_t waitingInClass(TeamId, const std::string& className) const;
+
+    std::vector<TicketId> ofHolder(HolderId) const;
+    std::vector<TicketId> ofKeys(const std::vector<std::string>& keyIds) const;
+    std::vector<TicketId> overdue(Instant) const;
+
+private:
+    using Place = std::pair<HolderId, uint64_t>;
+
+    absl::flat_hash_map<TicketId, WaitingTicket> m_tickets;
+    absl::flat_hash_map<Place, TicketId> m_byPlace;
+    absl::btree_set<std::pair<Instant, TicketId>> m_byDeadline;
+    absl::flat_hash_map<std::pair<TeamId, std::string>, size_t> m_inClass;
+    TicketId m_next = 1;
+};
+
+} // namespace teasel
