--- a/naming/label_index.h
+++ b/naming/label_index.h
@@ -37,13 +37,13 @@
     void remove(InstanceOrdinal);
 
     // The instances that the selector allows.
-    roaring::Roaring matching(const CompiledSelector&) const;
+    Roaring matching(const CompiledSelector&) const;
     bool matches(const CompiledSelector&, InstanceOrdinal) const;
 
     // The term that alone rules out every instance, as text; empty if none does.
     std::string blockingTerm(const CompiledSelector&) const;
 
-    const roaring::Roaring& all() const { return m_all; }
+    const Roaring& all() const { return m_all; }
 
     // Grows with every change of labels.
     uint64_t version() const { return m_version; }
@@ -59,13 +59,13 @@
         }
     };
 
-    roaring::Roaring termMatches(const CompiledTerm&) const;
+    Roaring termMatches(const CompiledTerm&) const;
 
     NameTable& m_names;
-    absl::flat_hash_map<Posting, roaring::Roaring> m_values;
-    absl::flat_hash_map<SubjectId, roaring::Roaring> m_keys;
+    absl::flat_hash_map<Posting, Roaring> m_values;
+    absl::flat_hash_map<SubjectId, Roaring> m_keys;
     absl::flat_hash_map<InstanceOrdinal, std::vector<Posting>> m_instances;
-    roaring::Roaring m_all;
+    Roaring m_all;
     uint64_t m_version = 1;
 };
 
--- /dev/null
+++ b/placement/fair_share.h
@@ -0,0 +1,60 @@
+// Weighted dominant-resource shares of teams, fleet-wide, and their portions here.
+#pragma once
+
+#include "placement/placement_types.h"
+#include "requests.pb.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <span>
+#include <string>
+#include <vector>
+
+namespace teasel {
+
+// Accounts what each team's tasks hold. The dominant share of a team is the
+// largest fraction that it holds of any kind of resource; divided by its
+// weight it orders the teams (dominant resource fairness).
+class FairShare {
+public:
+    void setTeams(std::span<const TaskTeamPolicy>);
+    void setTotal(const ResourceVector& total) { m_total = total; }
+    // What the teams use in another data centre; replaces what it said before.
+    void setElsewhere(const schema::LoadSummary&);
+    void clearUse();
+
+    void add(TeamId, const ResourceVector&);
+    void subtract(TeamId, const ResourceVector&);
+
+    // Whether the team may hold this much more here.
+    bool withinPortion(TeamId, const ResourceVector& more) const;
+    // What the team holds here beyond its portion, of each kind at least 0.
+    ResourceVector excess(TeamId) const;
+    ResourceVector used(TeamId) const;
+    ResourceVector portion(TeamId) const;
+
+    // The dominant share over the weight, with `more` added to what is held fleet-wide.
+    double weighted(TeamId, const ResourceVector& more = {}) const;
+
+    // Keeps a part of the team's portion for a waiting gang.
+    void reserve(TeamId, const ResourceVector&);
+    void unreserve(TeamId, const ResourceVector&);
+
+    std::vector<TeamId> teams() const;
+
+private:
+    struct Team {
+        double share = 0; // 0: unknown to the configuration
+        ResourceVector portion;
+        ResourceVector used;
+        ResourceVector reserved;
+        ResourceVector elsewhere;
+    };
+    const Team* find(TeamId) const;
+
+    absl::flat_hash_map<TeamId, Team> m_teams;
+    absl::flat_hash_map<std::string, absl::flat_hash_map<TeamId, ResourceVector>> m_elsewhere; // by data centre
+    ResourceVector m_total;
+};
+
+} // namespace teasel
--- /dev/null
+++ b/placement/resource_vector.h
@@ -0,0 +1,101 @@
+// Amounts of resources as vectors of signed numbers, for arithmetic in decisions.
+#pragma once
+
+#include "common.pb.h"
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include <fmt/format.h>
+
+namespace teasel {
+
+// Processors in thousandths of a core, memory in MiB, accelerators in devices.
+struct ResourceVector {
+    static constexpr size_t kinds = 3;
+    std::array<int64_t, kinds> amounts {};
+
+    bool operator==(const ResourceVector&) const = default;
+    ResourceVector& operator+=(const ResourceVector& other)
+    {
+        for (size_t i = 0; i < kinds; ++i)
+            amounts[i] += other.amounts[i];
+        return *this;
+    }
+    ResourceVector& operator-=(const ResourceVector& other)
+    {
+        for (size_t i = 0; i < kinds; ++i)
+            amounts[i] -= other.amounts[i];
+        return *this;
+    }
+    friend ResourceVector operator+(ResourceVector a, const ResourceVector& b) { return a += b; }
+    friend ResourceVector operator-(ResourceVector a, const ResourceVector& b) { return a -= b; }
+    friend ResourceVector operator*(ResourceVector a, int64_t factor)
+    {
+        for (auto& it : a.amounts)
+            it *= factor;
+        return a;
+    }
+
+    // Whether every amount is at most that of `room`.
+    bool fitsIn(const ResourceVector& room) const
+    {
+        for (size_t i = 0; i < kinds; ++i) {
+            if (amounts[i] > room.amounts[i])
+                return false;
+        }
+        return true;
+    }
+
+    // The largest fraction that this takes of any kind in `total`; kinds that `total` lacks do not count.
+    double dominantShareOf(const ResourceVector& total) const
+    {
+        double share = 0;
+        for (size_t i = 0; i < kinds; ++i) {
+            if (total.amounts[i] > 0)
+                share = std::max(share, static_cast<double>(amounts[i]) / static_cast<double>(total.amounts[i]));
+        }
+        return share;
+    }
+
+    // How many times this fits into `room`; `bound` at most.
+    int64_t timesIn(const ResourceVector& room, int64_t bound) const
+    {
+        int64_t times = bound;
+        for (size_t i = 0; i < kinds; ++i) {
+            if (amounts[i] > 0)
+                times = std::min(times, std::max<int64_t>(0, room.amounts[i]) / amounts[i]);
+        }
+        return times;
+    }
+
+    template <class H> friend H AbslHashValue(H h, const ResourceVector& it) // NOLINT(readability-identifier-naming)
+    {
+        return H::combine(std::move(h), it.amounts);
+    }
+};
+
+inline ResourceVector toVector(const schema::Resources& it)
+{
+    return { { static_cast<int64_t>(it.milli_cpus()), static_cast<int64_t>(it.memory_mib()),
+        static_cast<int64_t>(it.accelerators()) } };
+}
+
+inline schema::Resources toMessage(const ResourceVector& it)
+{
+    schema::Resources message;
+    message.set_milli_cpus(static_cast<uint64_t>(std::max<int64_t>(0, it.amounts[0])));
+    message.set_memory_mib(static_cast<uint64_t>(std::max<int64_t>(0, it.amounts[1])));
+    message.set_accelerators(static_cast<uint64_t>(std::max<int64_t>(0, it.amounts[2])));
+    return message;
+}
+
+inline std::string describe(const ResourceVector& it)
+{
+    return fmt::format("{} milli-CPUs, {} MiB, {} accelerators", it.amounts[0], it.amounts[1], it.amounts[2]);
+}
+
+} // namespace teasel
