--- a/leadership/data_centre_election.cpp
+++ b/leadership/data_centre_election.cpp
@@ -190,6 +190,11 @@
     return backed == m_options.self ? std::string_view {} : backed;
 }
 
+Epoch DataCentreElection::leaderEpoch(Instant now) const
+{
+    return leads(now) ? m_epoch : m_voter.seenEpoch(m_options.dataCentre);
+}
+
 std::vector<ElectionAction> DataCentreElection::takeActions() { return std::exchange(m_actions, {}); }
 
 } // namespace teasel
--- a/leadership/data_centre_election.h
+++ b/leadership/data_centre_election.h
@@ -69,6 +69,9 @@
     // Who leads as far as this instance knows; empty if nobody does.
     std::string_view leader(Instant now) const;
 
+    // The epoch of that leader, as far as it is known.
+    Epoch leaderEpoch(Instant now) const;
+
     std::vector<ElectionAction> takeActions();
 
 private:
--- a/requests/dispatch_leader.cpp
+++ b/requests/dispatch_leader.cpp
@@ -445,9 +445,9 @@
     remote = { summary.epoch(), now, summary };
 }
 
-std::vector<TeamNeed> DispatchLeader::needs() const
+std::vector<RequestNeed> DispatchLeader::needs() const
 {
-    std::vector<TeamNeed> needs;
+    std::vector<RequestNeed> needs;
     m_queue.forEachTeam([&](TeamId team, uint32_t running, size_t waiting) {
         needs.push_back({ team, running, running + static_cast<uint32_t>(waiting) });
     });
--- a/requests/dispatch_leader.h
+++ b/requests/dispatch_leader.h
@@ -51,7 +51,7 @@
     uint32_t maxWaitingPerTeam = 0; // 0: the default
 };
 
-struct TeamNeed {
+struct RequestNeed {
     TeamId team = 0;
     uint32_t inUse = 0;
     uint32_t wanted = 0; // running and waiting
@@ -104,7 +104,7 @@
     // Decides what can be decided and returns what is to be sent.
     std::vector<DispatchAction> takeActions(Instant);
 
-    std::vector<TeamNeed> needs() const;
+    std::vector<RequestNeed> needs() const;
     schema::LoadSummary loadSummary() const;
     DispatchStats stats() const;
     bool leading() const { return m_leading; }
