Add the fleet state, its sessions and the entries' view of the configuration

Cause: the daemons need the replicated fleet state, the state leader's sessions and the entries' half of them; nothing was there. Ruled out: authority from a data centre's settings alone; epochs of leaders are recorded in the log, so that a new leader of the state knows whose reports count and which data centres hold no lease. Before: no fleet folder; not measured.

--- /dev/null
+++ b/fleet/change_log.h
@@ -0,0 +1,56 @@
+// What became of the operators' changes, so that a resend gets the first answer and the loser of a race learns who won.
+#pragma once
+
+#include "core/ids.h"
+#include "fleet.pb.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include <deque>
+#include <string>
+
+namespace teasel {
+
+class ChangeLog {
+public:
+    // Keeps the latest `maxRecords` changes.
+    explicit ChangeLog(size_t maxRecords)
+        : m_maxRecords(maxRecords)
+    {
+    }
+
+    void add(schema::ChangeRecord);
+
+    // The record of an operator's change; null if it is not remembered.
+    const schema::ChangeRecord* find(const std::string& madeBy, const std::string& changeId) const;
+
+    // The change that made a revision; null if it is not remembered.
+    const schema::ChangeRecord* madeRevision(Revision) const;
+
+    // Notes that the portions of a team are within its limit again.
+    void teamSettled(TeamId);
+
+    // Teams that some change still waits for.
+    const absl::flat_hash_set<TeamId>& waitingTeams() const { return m_waiting; }
+
+    const std::deque<schema::ChangeRecord>& records() const { return m_records; }
+
+private:
+    static std::string keyOf(const std::string& madeBy, const std::string& changeId);
+    void dropOldest();
+    schema::ChangeRecord& at(uint64_t number) { return m_records[number - m_first]; }
+    const schema::ChangeRecord& at(uint64_t number) const { return m_records[number - m_first]; }
+
+    size_t m_maxRecords;
+    std::deque<schema::ChangeRecord> m_records;
+    uint64_t m_first = 0; // number of the oldest record
+    absl::flat_hash_map<std::string, uint64_t> m_byId;
+    absl::flat_hash_map<Revision, uint64_t> m_byRevision;
+    absl::flat_hash_set<TeamId> m_waiting;
+};
+
+// A hash of what a change asks for, to tell a resend from another change under the same id.
+uint64_t contentHash(const schema::ConfigChange&);
+
+} // namespace teasel
--- /dev/null
+++ b/fleet/config_table.h
@@ -0,0 +1,64 @@
+// The configuration as a table with indexes and a digest that is kept up to date edit by edit.
+#pragma once
+
+#include "core/ids.h"
+#include "fleet.pb.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <string>
+#include <string_view>
+
+namespace teasel {
+
+// Holds one FleetConfig. Edits are absolute: applying a sequence of them again
+// ends in the same configuration. It does not judge edits; ConfigEditor does.
+class ConfigTable {
+public:
+    ConfigTable() = default;
+    explicit ConfigTable(schema::FleetConfig);
+
+    // Puts or removes one thing. Removing what is not there changes nothing.
+    void apply(const schema::ConfigEdit&);
+    void setRevision(Revision);
+
+    // Sets the ids that come next, to undo a change that failed half-way.
+    void setNextIds(TeamId, SubjectId);
+    void truncateSchemes(int count);
+
+    const schema::FleetConfig& config() const { return m_config; }
+    Revision revision() const { return m_config.revision(); }
+
+    // A digest of all that is configured, equal for equal configurations whatever the order.
+    uint64_t digest() const;
+
+    const schema::Team* team(TeamId) const;
+    const schema::Team* teamByName(std::string_view) const;
+    const schema::Key* key(std::string_view id) const;
+    const schema::RequestClass* requestClass(std::string_view name) const;
+    const schema::Scheme* scheme(SchemeId) const;
+    const schema::Alias* alias(const schema::Alias& like) const; // same scheme, kind and subject
+    const schema::Drain* drain(std::string_view id) const;
+    size_t operatorKeys() const;
+
+private:
+    using Index = absl::flat_hash_map<std::string, int>;
+
+    void takeSubjectId(const schema::Alias&);
+    template <class T> void put(google::protobuf::RepeatedPtrField<T>&, Index&, std::string key, const T&);
+    template <class T> void remove(google::protobuf::RepeatedPtrField<T>&, Index&, const std::string& key);
+    template <class T> void rebuild(const google::protobuf::RepeatedPtrField<T>&, Index&);
+    template <class T>
+    const T* find(const google::protobuf::RepeatedPtrField<T>&, const Index&, std::string_view key) const;
+
+    schema::FleetConfig m_config;
+    Index m_teams;
+    Index m_keys;
+    Index m_classes;
+    Index m_schemes;
+    Index m_aliases;
+    Index m_drains;
+    uint64_t m_sum = 0; // of the hashes of all rows
+};
+
+} // namespace teasel
--- /dev/null
+++ b/fleet/fleet_service.cpp
@@ -0,0 +1,400 @@
+#include "fleet/fleet_service.h"
+
+#include "fleet/lease_time.h"
+
+#include <algorithm>
+
+namespace teasel {
+
+namespace {
+
+    bool isFromEntry(const schema::Command& command)
+    {
+        switch (command.body_case()) {
+        case schema::Command::kConfigChange:
+        case schema::Command::kBegin:
+        case schema::Command::kFinish:
+        case schema::Command::kSubmitJob:
+        case schema::Command::kJobProgress:
+            return true;
+        default:
+            return false;
+        }
+    }
+
+    schema::CommandResult failed(ErrorKind kind, std::string message)
+    {
+        schema::CommandResult result;
+        result.mutable_failure()->set_kind(static_cast<uint32_t>(kind));
+        result.mutable_failure()->set_message(std::move(message));
+        result.mutable_failure()->set_retry_after_ms(answerOf(kind).retryAfterMs);
+        return result;
+    }
+
+} // namespace
+
+FleetService::FleetService(FleetServiceOptions options, const FleetState& state)
+    : m_options(std::move(options))
+    , m_state(state)
+    , m_rounds(state, m_ledger, m_options.heardWithin)
+    , m_lastTicket(m_options.firstTicket)
+{
+}
+
+void FleetService::onLeadership(bool serving, Instant now)
+{
+    if (serving == m_serving)
+        return;
+    m_serving = serving;
+    for (const auto& [ticket, pending] : m_pending)
+        if (pending.origin == Origin::Entry)
+            answerNotLeader(pending.from, pending.askerTicket);
+    for (const auto& it : m_waiting)
+        answerNotLeader(it.pending.from, it.pending.askerTicket);
+    m_pending.clear();
+    m_waiting.clear();
+    m_inForceTicket = 0;
+    m_portionsTicket = 0;
+    m_nextPlan = now;
+    // A former leader of the state may have given any of them a lease until just now.
+    m_ledger.reset(m_state.sessions(), now + withClockMargin(m_options.authority));
+}
+
+uint64_t FleetService::propose(schema::Command command, Pending pending)
+{
+    const uint64_t ticket = ++m_lastTicket;
+    m_pending.emplace(ticket, std::move(pending));
+    m_actions.emplace_back(ProposeCommand { ticket, std::move(command) });
+    return ticket;
+}
+
+// ---- Sessions
+
+void FleetService::onRenew(std::string_view from, const schema::SessionRenew& renew, Instant now)
+{
+    const auto& known = m_options.dataCentres;
+    if (!m_serving || std::find(known.begin(), known.end(), renew.data_centre()) == known.end())
+        return;
+    takeRenew(std::string(from), renew, now);
+}
+
+bool FleetService::isOpen(const std::string& dataCentre, Epoch epoch) const
+{
+    const auto it = m_state.sessions().find(dataCentre);
+    return it != m_state.sessions().end() && it->second.open() && it->second.epoch() == epoch;
+}
+
+void FleetService::takeRenew(const std::string& from, const schema::SessionRenew& renew, Instant now)
+{
+    const auto recorded = m_state.sessions().find(renew.data_centre());
+    if (recorded != m_state.sessions().end() && recorded->second.epoch() > renew.epoch())
+        return;
+    SessionEntry& entry = m_ledger.entry(renew.data_centre());
+    if (entry.recordTicket != 0 || !isOpen(renew.data_centre(), renew.epoch())) {
+        const bool newer = !entry.waitingRenew || entry.waitingRenew->epoch() <= renew.epoch();
+        if (newer) {
+            entry.waitingRenew = renew;
+            entry.address = from;
+        }
+        if (entry.recordTicket == 0 && !renew.leaving())
+            recordSession(renew.data_centre(), entry, renew.epoch(), true);
+        return;
+    }
+    if (entry.heard && renew.sequence() <= entry.sequence)
+        return;
+    m_ledger.takeReport(entry, from, renew, now);
+    grant(renew.data_centre(), entry, renew, now);
+    advanceInForce(now);
+}
+
+void FleetService::recordSession(const std::string& dataCentre, SessionEntry& entry, Epoch epoch, bool open)
+{
+    // What a former leader of the data centre said must not lead to a reduction any more.
+    if (open)
+        SessionLedger::forgetReports(entry);
+    schema::Command command;
+    command.mutable_session()->set_data_centre(dataCentre);
+    command.mutable_session()->set_epoch(epoch);
+    command.mutable_session()->set_open(open);
+    Pending pending;
+    pending.origin = Origin::Session;
+    pending.from = dataCentre;
+    entry.recordTicket = propose(std::move(command), std::move(pending));
+}
+
+void FleetService::onRecorded(const std::string& dataCentre, uint64_t ticket, Instant now)
+{
+    SessionEntry& entry = m_ledger.entry(dataCentre);
+    if (entry.recordTicket != ticket)
+        return;
+    entry.recordTicket = 0;
+    if (!entry.waitingRenew)
+        return;
+    const schema::SessionRenew renew = std::move(*entry.waitingRenew);
+    const std::string from = entry.address;
+    entry.waitingRenew.reset();
+    takeRenew(from, renew, now);
+}
+
+// A data centre whose lease is given up or has run out is not waited for, not even by the next leader of the state.
+void FleetService::onLeaving(const std::string& dataCentre, SessionEntry& entry, const schema::SessionRenew& renew)
+{
+    const auto& members = renew.members();
+    const bool alone
+        = std::all_of(members.begin(), members.end(), [](const auto& it) { return it.lease_left_ms() == 0; });
+    if (!alone)
+        return;
+    entry.authorityEnd = Instant();
+    recordSession(dataCentre, entry, renew.epoch(), false);
+}
+
+void FleetService::closeEnded(Instant now)
+{
+    for (const auto& [name, session] : m_state.sessions()) {
+        if (!session.open())
+            continue;
+        SessionEntry& entry = m_ledger.entry(name);
+        if (entry.recordTicket == 0 && entry.authorityEnd <= now)
+            recordSession(name, entry, session.epoch(), false);
+    }
+}
+
+void FleetService::grant(
+    const std::string& dataCentre, SessionEntry& entry, const schema::SessionRenew& renew, Instant now)
+{
+    if (renew.leaving())
+        return onLeaving(dataCentre, entry, renew);
+    schema::SessionGrant grant = grantFor(dataCentre, entry);
+    grant.set_send_all_needs(!entry.allNeeds);
+    entry.authorityEnd = std::max(entry.authorityEnd, now + withClockMargin(m_options.authority));
+    entry.pushDue = false;
+    m_actions.emplace_back(SendGrant { entry.address, std::move(grant) });
+}
+
+schema::SessionGrant FleetService::grantFor(const std::string& dataCentre, const SessionEntry& entry) const
+{
+    schema::SessionGrant grant;
+    grant.set_data_centre(dataCentre);
+    grant.set_epoch(entry.epoch);
+    grant.set_sequence(entry.sequence);
+    grant.set_authority_ms(
+        static_cast<uint64_t>(std::chrono::duration_cast<Milliseconds>(m_options.authority).count()));
+    if (entry.appliedRevision != m_state.revision() || entry.digest != m_state.digest())
+        *grant.mutable_delta() = m_state.deltaFor(entry.appliedRevision, entry.digest);
+    grant.set_portions_version(m_state.portions().versionOf(dataCentre));
+    for (auto& it : m_state.portions().changedSince(dataCentre, entry.portionsVersion))
+        *grant.add_portions() = std::move(it);
+    for (const auto& [team, target] : entry.targets)
+        *grant.add_targets() = toPortion(dataCentre, team, target);
+    const JobChanges changes = m_state.jobs().changedSince(dataCentre, entry.jobsVersion, m_options.maxJobsPerGrant);
+    for (const auto& it : changes.jobs)
+        *grant.add_jobs() = it;
+    grant.set_jobs_version(changes.version);
+    grant.set_jobs_whole(changes.whole);
+    grant.set_jobs_more(changes.more);
+    return grant;
+}
+
+// The lease of a pushed grant is still dated from the renewal that it names.
+void FleetService::pushChanges()
+{
+    for (auto& [name, entry] : m_ledger.entries()) {
+        if (!entry.pushDue || !entry.heard)
+            continue;
+        entry.pushDue = false;
+        m_actions.emplace_back(SendGrant { entry.address, grantFor(name, entry) });
+    }
+}
+
+// ---- Proposals
+
+void FleetService::onPropose(std::string_view from, const schema::Propose& proposal, Instant now)
+{
+    if (!m_serving)
+        return answerNotLeader(std::string(from), proposal.ticket());
+    Pending pending;
+    pending.from = std::string(from);
+    pending.askerTicket = proposal.ticket();
+    pending.waitInForce = proposal.wait_in_force();
+    pending.deadline = now + std::min<Duration>(m_options.maxWait, Milliseconds(proposal.wait_ms()));
+    if (!isFromEntry(proposal.command()))
+        return answer(pending, failed(ErrorKind::Forbidden, "not a command of an entry instance"));
+    if (m_pending.size() + m_waiting.size() >= m_options.maxPending)
+        return answer(pending, failed(ErrorKind::StateUnavailable, "too many proposals at once"));
+    propose(proposal.command(), std::move(pending));
+}
+
+void FleetService::answer(const Pending& pending, schema::CommandResult result)
+{
+    SendAnswer action;
+    action.to = pending.from;
+    action.answer.set_ticket(pending.askerTicket);
+    *action.answer.mutable_result() = std::move(result);
+    m_actions.emplace_back(std::move(action));
+}
+
+void FleetService::answerNotLeader(const std::string& to, uint64_t askerTicket)
+{
+    SendAnswer action;
+    action.to = to;
+    action.answer.set_ticket(askerTicket);
+    action.answer.set_not_leader(true);
+    m_actions.emplace_back(std::move(action));
+}
+
+void FleetService::onApplied(
+    uint64_t ticket, const schema::Command& command, const schema::CommandResult& result, Instant now)
+{
+    if (!m_serving)
+        return;
+    markChanged(command, result, now);
+    const auto it = m_pending.find(ticket);
+    if (it != m_pending.end()) {
+        Pending pending = std::move(it->second);
+        m_pending.erase(it);
+        if (pending.origin == Origin::Session)
+            onRecorded(pending.from, ticket, now);
+        else if (pending.origin == Origin::Entry && command.has_config_change())
+            answerChange(std::move(pending), command.config_change(), result, now);
+        else if (pending.origin == Origin::Entry)
+            answer(pending, result);
+    }
+    if (ticket == m_inForceTicket)
+        m_inForceTicket = 0;
+    if (ticket == m_portionsTicket)
+        m_portionsTicket = 0;
+    advanceInForce(now);
+    checkWaiting(now);
+}
+
+void FleetService::onDropped(uint64_t ticket, Instant now)
+{
+    const auto it = m_pending.find(ticket);
+    if (it == m_pending.end())
+        return;
+    const Pending pending = std::move(it->second);
+    m_pending.erase(it);
+    if (pending.origin == Origin::Entry)
+        answerNotLeader(pending.from, pending.askerTicket);
+    if (pending.origin == Origin::Session)
+        onRecorded(pending.from, ticket, now);
+    if (ticket == m_inForceTicket)
+        m_inForceTicket = 0;
+    if (ticket == m_portionsTicket)
+        m_portionsTicket = 0;
+}
+
+// A data centre that is silent gets what it lacks when it renews again.
+void FleetService::markChanged(const schema::Command& command, const schema::CommandResult& result, Instant now)
+{
+    const auto mark = [&](SessionEntry& entry) { entry.pushDue |= now - entry.heardAt <= m_options.heardWithin; };
+    if (command.has_portions() && !result.has_failure())
+        for (const auto& it : command.portions().portions())
+            mark(m_ledger.entry(it.data_centre()));
+    if (result.has_job())
+        mark(m_ledger.entry(result.job().data_centre()));
+    if (command.has_job_progress() && !command.job_progress().move_to_data_centre().empty())
+        for (auto& [name, entry] : m_ledger.entries())
+            mark(entry);
+    if (command.has_config_change())
+        for (auto& [name, entry] : m_ledger.entries())
+            if (entry.appliedRevision < m_state.revision())
+                mark(entry);
+}
+
+void FleetService::answerChange(
+    Pending pending, const schema::ConfigChange& change, schema::CommandResult result, Instant now)
+{
+    Waiting waiting { std::move(pending), change.made_by(), change.change_id(), std::move(result) };
+    if (waiting.result.change().state() == schema::CHANGE_STATE_REFUSED)
+        return answer(waiting.pending, std::move(waiting.result));
+    if (!waiting.pending.waitInForce)
+        waiting.pending.deadline = now;
+    if (!finishIfAccepted(waiting, now))
+        m_waiting.push_back(std::move(waiting));
+}
+
+// Answers a change that is accepted, or whose proposer has waited long enough.
+bool FleetService::finishIfAccepted(const Waiting& waiting, Instant now)
+{
+    const auto* record = m_state.changes().find(waiting.madeBy, waiting.changeId);
+    const bool accepted = record != nullptr && m_state.isAccepted(*record);
+    if (!accepted && now < waiting.pending.deadline)
+        return false;
+    schema::CommandResult result = waiting.result;
+    schema::ChangeAnswer& change = *result.mutable_change();
+    change.set_state(accepted ? schema::CHANGE_STATE_ACCEPTED : schema::CHANGE_STATE_PENDING);
+    if (!accepted && record != nullptr)
+        for (auto& it : missingFor(*record, now))
+            change.add_data_centres_not_reached(std::move(it));
+    answer(waiting.pending, std::move(result));
+    return true;
+}
+
+void FleetService::checkWaiting(Instant now)
+{
+    std::vector<Waiting> waiting = std::exchange(m_waiting, {});
+    for (auto& it : waiting)
+        if (!finishIfAccepted(it, now))
+            m_waiting.push_back(std::move(it));
+}
+
+// Data centres without the revision, or with more than their part of a limit that was lowered.
+std::vector<std::string> FleetService::missingFor(const schema::ChangeRecord& record, Instant now) const
+{
+    std::vector<std::string> names = m_ledger.notReached(record.answer().revision(), now);
+    for (const auto& it : m_state.portions().all()) {
+        const auto& teams = record.waiting_team_ids();
+        const bool holds = std::find(teams.begin(), teams.end(), it.team_id()) != teams.end();
+        if (holds && !amountsOf(it).isZero() && std::find(names.begin(), names.end(), it.data_centre()) == names.end())
+            names.push_back(it.data_centre());
+    }
+    return names;
+}
+
+void FleetService::advanceInForce(Instant now)
+{
+    if (!m_serving || m_inForceTicket != 0)
+        return;
+    const Revision revision = m_ledger.inForceRevision(m_state.revision(), now);
+    if (revision <= m_state.inForceRevision())
+        return;
+    schema::Command command;
+    command.mutable_in_force()->set_revision(revision);
+    Pending pending;
+    pending.origin = Origin::InForce;
+    m_inForceTicket = propose(std::move(command), std::move(pending));
+}
+
+void FleetService::planPortions(Instant now)
+{
+    if (m_portionsTicket != 0 || now < m_nextPlan)
+        return;
+    m_nextPlan = now + m_options.planEvery;
+    auto update = m_rounds.plan(now);
+    if (!update)
+        return;
+    schema::Command command;
+    *command.mutable_portions() = std::move(*update);
+    Pending pending;
+    pending.origin = Origin::Portions;
+    m_portionsTicket = propose(std::move(command), std::move(pending));
+}
+
+void FleetService::onTick(Instant now)
+{
+    if (!m_serving)
+        return;
+    closeEnded(now);
+    planPortions(now);
+    advanceInForce(now);
+    checkWaiting(now);
+}
+
+std::vector<FleetAction> FleetService::takeActions()
+{
+    pushChanges();
+    return std::exchange(m_actions, {});
+}
+
+} // namespace teasel
--- /dev/null
+++ b/fleet/fleet_state.cpp
@@ -0,0 +1,320 @@
+#include "fleet/fleet_state.h"
+
+#include "fleet/config_editor.h"
+#include "fleet/key_material.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace teasel {
+
+namespace {
+
+    constexpr Revision s_firstRevision = 1;
+    constexpr size_t s_maxChangeIdLength = 128;
+
+    void setFailure(schema::Failure& failure, const Error& error)
+    {
+        failure.set_kind(static_cast<uint32_t>(error.kind));
+        failure.set_message(error.message);
+        failure.set_retry_after_ms(static_cast<uint64_t>(error.retryAfter.count()));
+    }
+
+    schema::FleetConfig firstConfig(const schema::BootstrapSettings& settings)
+    {
+        schema::FleetConfig config;
+        config.set_revision(s_firstRevision);
+        config.set_next_team_id(1);
+        config.set_next_subject_id(1);
+        for (const auto& it : settings.schemes()) {
+            auto& scheme = *config.add_schemes();
+            scheme.set_id(static_cast<SchemeId>(config.schemes_size() - 1));
+            scheme.set_name(it);
+        }
+        if (settings.operator_key_id().empty())
+            return config;
+        auto& key = *config.add_keys();
+        key.set_id(settings.operator_key_id());
+        key.set_role(schema::ROLE_OPERATOR);
+        const auto bytes = [](const std::string& text) {
+            auto value = valueOrError([&] { return fromHex(text); });
+            return value.index() == 0 ? std::get<0>(std::move(value)) : std::string();
+        };
+        key.set_salt(bytes(settings.operator_key_salt()));
+        key.set_hash(bytes(settings.operator_key_hash()));
+        return config;
+    }
+
+} // namespace
+
+FleetState::FleetState(const schema::BootstrapSettings& settings, const FleetLimits& limits)
+    : m_limits(limits)
+    , m_table(firstConfig(settings))
+    , m_deltas(limits.maxDeltaEdits)
+    , m_changes(limits.maxChangeRecords)
+    , m_begun(limits.begun)
+    , m_jobs(limits.jobs)
+    , m_inForce(s_firstRevision)
+{
+}
+
+schema::CommandResult FleetState::apply(const schema::Command& command)
+{
+    schema::CommandResult result;
+    m_wallMs = std::max(m_wallMs, command.wall_ms());
+    m_begun.expire(m_wallMs);
+    m_jobs.expire(m_wallMs);
+    const auto keep = [&](auto&& operation) {
+        auto outcome = valueOrError(operation);
+        if (const auto* error = std::get_if<Error>(&outcome))
+            setFailure(*result.mutable_failure(), *error);
+        else if constexpr (std::is_same_v<std::decay_t<decltype(std::get<0>(outcome))>, schema::JobRecord>)
+            *result.mutable_job() = std::get<0>(outcome);
+    };
+    switch (command.body_case()) {
+    case schema::Command::kConfigChange:
+        applyChange(command.config_change(), result);
+        break;
+    case schema::Command::kBegin:
+        *result.mutable_begin() = m_begun.begin(command.begin(), m_wallMs);
+        break;
+    case schema::Command::kFinish:
+        m_begun.finish(command.finish());
+        break;
+    case schema::Command::kPortions:
+        keep([&] { return m_portions.apply(command.portions()); });
+        settleTeams();
+        break;
+    case schema::Command::kSubmitJob:
+        keep([&] { return m_jobs.submit(command.submit_job(), m_wallMs); });
+        break;
+    case schema::Command::kJobProgress:
+        keep([&] { return m_jobs.progress(command.job_progress(), m_wallMs); });
+        break;
+    case schema::Command::kSession:
+        applySession(command.session(), result);
+        break;
+    case schema::Command::kInForce:
+        m_inForce = std::max(m_inForce, std::min(command.in_force().revision(), revision()));
+        break;
+    case schema::Command::BODY_NOT_SET:
+        break;
+    }
+    return result;
+}
+
+void FleetState::applyChange(const schema::ConfigChange& change, schema::CommandResult& result)
+{
+    schema::ChangeAnswer& answer = *result.mutable_change();
+    if (answerFromLog(change, answer))
+        return;
+    ConfigEditor editor(m_table, m_usedKeyIds);
+    auto outcome = valueOrError([&]() -> Result<EditedChange> {
+        BOOST_LEAF_CHECK(checkChange(change));
+        return editor.run(change.edits());
+    });
+    if (const auto* error = std::get_if<Error>(&outcome))
+        return refuse(change, *error, answer);
+    EditedChange& done = std::get<0>(outcome);
+    rememberKeyIds(done.edits);
+    const std::vector<TeamId> waiting = takeLimits(done.edits);
+    commitEdits(std::move(done.edits));
+    answer.set_change_id(change.change_id());
+    answer.set_state(schema::CHANGE_STATE_PENDING);
+    answer.set_revision(revision());
+    answer.mutable_team_ids()->Add(done.createdTeams.begin(), done.createdTeams.end());
+    record(change, answer, waiting);
+}
+
+// Whether the change was answered before; another change under its id is refused.
+bool FleetState::answerFromLog(const schema::ConfigChange& change, schema::ChangeAnswer& answer) const
+{
+    const auto* known = m_changes.find(change.made_by(), change.change_id());
+    if (known == nullptr)
+        return false;
+    if (known->content_hash() == contentHash(change)) {
+        answer = known->answer();
+        return true;
+    }
+    answer.set_change_id(change.change_id());
+    answer.set_state(schema::CHANGE_STATE_REFUSED);
+    answer.set_revision(revision());
+    answer.set_winning_change_id(known->answer().change_id());
+    answer.set_winning_made_by(known->made_by());
+    setFailure(*answer.mutable_failure(), { ErrorKind::RevisionConflict, "another change has this change id", {} });
+    return true;
+}
+
+Result<void> FleetState::checkChange(const schema::ConfigChange& change) const
+{
+    if (change.change_id().empty() || change.change_id().size() > s_maxChangeIdLength || change.edits().empty())
+        return fail(ErrorKind::BadRequest, "a change has an id and at least one edit");
+    const schema::Key* key = m_table.key(change.made_by());
+    if (key == nullptr || key->role() != schema::ROLE_OPERATOR)
+        return fail(ErrorKind::Forbidden, "the change was not made with an operator's key in force");
+    if (change.base_revision() != 0 && change.base_revision() != revision())
+        return fail(ErrorKind::RevisionConflict,
+            fmt::format("made on revision {}, current is {}", change.base_revision(), revision()));
+    return {};
+}
+
+void FleetState::refuse(const schema::ConfigChange& change, const Error& error, schema::ChangeAnswer& answer)
+{
+    answer.set_change_id(change.change_id());
+    answer.set_state(schema::CHANGE_STATE_REFUSED);
+    answer.set_revision(revision());
+    setFailure(*answer.mutable_failure(), error);
+    const bool raced = change.base_revision() != 0 && change.base_revision() < revision();
+    if (const auto* winner = raced ? m_changes.madeRevision(change.base_revision() + 1) : nullptr) {
+        answer.set_winning_change_id(winner->answer().change_id());
+        answer.set_winning_made_by(winner->made_by());
+    }
+    record(change, answer, {});
+}
+
+void FleetState::record(
+    const schema::ConfigChange& change, const schema::ChangeAnswer& answer, const std::vector<TeamId>& waiting)
+{
+    schema::ChangeRecord record;
+    *record.mutable_answer() = answer;
+    record.set_made_by(change.made_by());
+    record.set_content_hash(contentHash(change));
+    record.mutable_waiting_team_ids()->Add(waiting.begin(), waiting.end());
+    m_changes.add(std::move(record));
+}
+
+void FleetState::commitEdits(std::vector<schema::ConfigEdit> edits)
+{
+    schema::ConfigDelta delta;
+    delta.set_from_revision(revision());
+    m_table.setRevision(revision() + 1);
+    delta.set_to_revision(revision());
+    delta.set_digest(digest());
+    for (auto& it : edits)
+        *delta.add_edits() = std::move(it);
+    m_deltas.append(std::move(delta));
+}
+
+void FleetState::rememberKeyIds(const std::vector<schema::ConfigEdit>& edits)
+{
+    for (const auto& it : edits) {
+        const bool grants = it.edit_case() == schema::ConfigEdit::kGrantKey;
+        if (grants && m_usedKeyIds.insert(it.grant_key().id()).second)
+            m_usedKeyOrder.push_back(it.grant_key().id());
+    }
+    while (m_usedKeyOrder.size() > m_limits.maxUsedKeyIds) {
+        m_usedKeyIds.erase(m_usedKeyOrder.front());
+        m_usedKeyOrder.pop_front();
+    }
+}
+
+// Sets the limits of the teams edited. Gives those whose portions exceed the new limit.
+std::vector<TeamId> FleetState::takeLimits(const std::vector<schema::ConfigEdit>& edits)
+{
+    std::vector<TeamId> exceeded;
+    for (const auto& it : edits) {
+        if (it.has_put_team())
+            takeLimit(it.put_team().id(), exceeded);
+        else if (it.edit_case() == schema::ConfigEdit::kRemoveTeam)
+            takeLimit(it.remove_team(), exceeded);
+    }
+    settleTeams();
+    return exceeded;
+}
+
+void FleetState::takeLimit(TeamId id, std::vector<TeamId>& exceeded)
+{
+    const schema::Team* team = m_table.team(id);
+    m_portions.setLimit(id, team == nullptr ? Amounts {} : limitOf(*team));
+    if (!m_portions.withinLimit(id))
+        exceeded.push_back(id);
+}
+
+void FleetState::settleTeams()
+{
+    std::vector<TeamId> settled;
+    for (const TeamId it : m_changes.waitingTeams())
+        if (m_portions.withinLimit(it))
+            settled.push_back(it);
+    for (const TeamId it : settled)
+        m_changes.teamSettled(it);
+}
+
+void FleetState::applySession(const schema::SessionRecord& session, schema::CommandResult& result)
+{
+    const auto it = m_sessions.find(session.data_centre());
+    if (it != m_sessions.end() && it->second.epoch() > session.epoch()) {
+        setFailure(*result.mutable_failure(), { ErrorKind::RevisionConflict, "a later leader has a session", {} });
+        return;
+    }
+    m_sessions[session.data_centre()] = session;
+    m_portions.bumpVersion();
+}
+
+bool FleetState::isAccepted(const schema::ChangeRecord& record) const
+{
+    return record.answer().state() != schema::CHANGE_STATE_REFUSED && record.answer().revision() <= m_inForce
+        && record.waiting_team_ids().empty();
+}
+
+schema::ConfigDelta FleetState::deltaSince(Revision from) const { return m_deltas.since(from, config(), digest()); }
+
+schema::ConfigDelta FleetState::deltaFor(Revision from, uint64_t holderDigest) const
+{
+    const bool same = from == revision() ? holderDigest == digest() : m_deltas.covers(from, holderDigest);
+    return same ? deltaSince(from) : wholeDelta(config(), digest());
+}
+
+std::string FleetState::snapshot() const
+{
+    schema::FleetSnapshot snapshot;
+    *snapshot.mutable_config() = config();
+    for (const auto& it : m_changes.records())
+        *snapshot.add_changes() = it;
+    for (const auto& it : m_portions.all())
+        *snapshot.add_portions() = it;
+    snapshot.set_portions_version(m_portions.version());
+    for (const auto& it : m_deltas.steps())
+        *snapshot.add_recent_deltas() = it;
+    for (const auto& it : m_usedKeyOrder)
+        snapshot.add_used_key_ids(it);
+    for (const auto& [name, session] : m_sessions)
+        *snapshot.add_sessions() = session;
+    snapshot.set_in_force_revision(m_inForce);
+    snapshot.set_wall_ms(m_wallMs);
+    m_begun.writeTo(snapshot);
+    m_jobs.writeTo(snapshot);
+    return snapshot.SerializeAsString();
+}
+
+Result<void> FleetState::restore(std::string_view bytes)
+{
+    schema::FleetSnapshot snapshot;
+    if (!snapshot.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || !snapshot.has_config())
+        return fail(ErrorKind::BadRequest, "the bytes are no snapshot of the fleet state");
+    m_table = ConfigTable(snapshot.config());
+    m_deltas.clear();
+    for (const auto& it : snapshot.recent_deltas())
+        m_deltas.append(it);
+    m_changes = ChangeLog(m_limits.maxChangeRecords);
+    for (const auto& it : snapshot.changes())
+        m_changes.add(it);
+    m_portions = PortionTable();
+    for (const auto& it : config().teams())
+        m_portions.setLimit(it.id(), limitOf(it));
+    m_portions.restore(snapshot.portions(), snapshot.portions_version());
+    m_usedKeyOrder.assign(snapshot.used_key_ids().begin(), snapshot.used_key_ids().end());
+    m_usedKeyIds = { m_usedKeyOrder.begin(), m_usedKeyOrder.end() };
+    m_sessions.clear();
+    for (const auto& it : snapshot.sessions())
+        m_sessions[it.data_centre()] = it;
+    m_inForce = snapshot.in_force_revision();
+    m_wallMs = snapshot.wall_ms();
+    m_begun.readFrom(snapshot);
+    m_jobs.readFrom(snapshot);
+    return {};
+}
+
+} // namespace teasel
--- /dev/null
+++ b/fleet/job_table.h
@@ -0,0 +1,79 @@
+// Jobs as the fleet state holds them, versioned so that a data centre's leader is sent just what changed.
+#pragma once
+
+#include "core/ids.h"
+#include "core/result.h"
+#include "fleet.pb.h"
+
+#include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace teasel {
+
+struct JobLimits {
+    size_t maxJobs = 200'000; // that have not ended
+    uint64_t endedMaxAgeMs = 60ULL * 60 * 1'000;
+    size_t endedMaxJobs = 20'000;
+};
+
+// Jobs of one data centre that changed after a version.
+struct JobChanges {
+    std::vector<schema::JobRecord> jobs; // those with another owner are to be let go
+    uint64_t version = 0; // up to which this is complete
+    bool whole = false; // jobs not listed are to be forgotten
+    bool more = false; // `max` was reached
+};
+
+bool hasEnded(const schema::JobRecord&);
+
+class JobTable {
+public:
+    explicit JobTable(const JobLimits& limits)
+        : m_limits(limits)
+    {
+    }
+
+    // Stores a job; a resend gives what is stored. Fails with BadRequest and StateFull.
+    Result<schema::JobRecord> submit(const schema::JobRecord&, uint64_t wallMs);
+
+    // Fails with NotFound for an unknown job, Forbidden for one owned elsewhere.
+    // Progress of a job that has ended changes nothing.
+    Result<schema::JobRecord> progress(const schema::JobProgress&, uint64_t wallMs);
+
+    // Drops jobs that ended long ago, and the oldest where there are too many.
+    void expire(uint64_t wallMs);
+
+    const schema::JobRecord* find(const std::string& id) const;
+    const absl::flat_hash_map<std::string, schema::JobRecord>& jobs() const { return m_jobs; }
+
+    // At most `max` jobs changed after `version`, the least recently changed first.
+    JobChanges changedSince(const std::string& dataCentre, uint64_t version, size_t max) const;
+    uint64_t versionOf(const std::string& dataCentre) const;
+
+    void writeTo(schema::FleetSnapshot&) const;
+    void readFrom(const schema::FleetSnapshot&);
+
+private:
+    struct DataCentre {
+        absl::btree_map<uint64_t, std::string> byVersion;
+        absl::flat_hash_map<std::string, uint64_t> versionOf;
+        uint64_t droppedVersion = 0; // of the latest job dropped
+    };
+
+    void touch(const std::string& dataCentre, const std::string& id);
+    void drop(const std::string& id);
+
+    JobLimits m_limits;
+    absl::flat_hash_map<std::string, schema::JobRecord> m_jobs;
+    absl::btree_map<std::string, DataCentre> m_dataCentres;
+    std::deque<std::pair<uint64_t, std::string>> m_ended; // (when, id), oldest first
+    uint64_t m_version = 0;
+};
+
+} // namespace teasel
