--- a/node/state_node.cpp
+++ b/node/state_node.cpp
@@ -52,7 +52,8 @@
     {
         FleetServiceOptions out;
         for (const auto& it : settings.entries())
-            out.members[it.data_centre()].push_back(it.id());
+            if (std::find(out.dataCentres.begin(), out.dataCentres.end(), it.data_centre()) == out.dataCentres.end())
+                out.dataCentres.push_back(it.data_centre());
         out.authority = Milliseconds(static_cast<int64_t>(settings.cut_off().serve_for_ms()));
         return out;
     }
