--- a/consensus/leader.cpp
+++ b/consensus/leader.cpp
@@ -194,6 +194,23 @@
     return best;
 }
 
+bool Leader::isWithinReach(std::string_view voter, Instant now) const
+{
+    const auto it = m_progress.find(voter);
+    if (it == m_progress.end() || it->second.catchingUp != 0)
+        return false;
+    // One without any record may still turn out to be a lost disk.
+    return it->second.match > 0 && it->second.contact + m_options.electionTimeout > now;
+}
+
+bool Leader::reachesQuorumOf(const schema::VoterSet& set, Instant now) const
+{
+    const auto& voters = set.voters();
+    const auto reached = std::count_if(
+        voters.begin(), voters.end(), [&](const auto& id) { return id == m_options.id || isWithinReach(id, now); });
+    return reached > voters.size() / 2;
+}
+
 bool Leader::isSendingSnapshot(Instant now) const
 {
     return std::any_of(m_progress.begin(), m_progress.end(), [&](const auto& it) {
--- a/consensus/leader.h
+++ b/consensus/leader.h
@@ -53,6 +53,9 @@
     // The voter other than this one that has the most; empty if there is none.
     std::string mostCaughtUpVoter() const;
 
+    // A quorum of these voters has records and was heard of within an election timeout.
+    bool reachesQuorumOf(const schema::VoterSet&, Instant now) const;
+
     bool isSendingSnapshot(Instant now) const;
 
     // Messages and chunks that are due.
@@ -89,6 +92,7 @@
     uint64_t noteSent(Progress&, Instant now);
     Instant quorumContactFrom(Instant now, Instant atLeast) const;
     bool counts(std::string_view voter) const;
+    bool isWithinReach(std::string_view voter, Instant now) const;
 
     const ReplicaOptions& m_options;
     const MemoryLog& m_log;
--- a/consensus/memory_log.h
+++ b/consensus/memory_log.h
@@ -31,6 +31,12 @@
     const schema::VoterSet& voters() const { return m_voters.back().set; }
     uint64_t votersIndex() const { return m_voters.back().index; }
 
+    // The voters before the last change, as far back as the snapshot.
+    const schema::VoterSet& previousVoters() const
+    {
+        return m_voters[m_voters.size() < 2 ? 0 : m_voters.size() - 2].set;
+    }
+
     // What a snapshot at `index`, not before the current snapshot, is described by.
     schema::SnapshotMeta metaAt(uint64_t index) const;
 
--- a/consensus/replica.h
+++ b/consensus/replica.h
@@ -121,6 +121,7 @@
     bool isUpToDate(const schema::VoteRequest&) const;
     bool heardLeaderRecently() const;
     bool mayCampaign() const;
+    bool isVoter() const;
     void becomeLeader();
     void becomeFollower(uint64_t term, std::string_view leader);
     void adoptTerm(uint64_t term);
--- a/consensus/replica_election.cpp
+++ b/consensus/replica_election.cpp
@@ -9,10 +9,22 @@
 
 namespace teasel {
 
+namespace {
+
+    bool hasVoter(const schema::VoterSet& set, std::string_view id)
+    {
+        return std::find(set.voters().begin(), set.voters().end(), id) != set.voters().end();
+    }
+
+} // namespace
+
+bool Replica::isVoter() const { return hasVoter(m_log.voters(), m_options.id); }
+
 bool Replica::mayCampaign() const
 {
-    const auto& voters = m_log.voters().voters();
-    return m_hard.may_vote() && std::find(voters.begin(), voters.end(), m_options.id) != voters.end();
+    // A replica may be the only one that has the record of its own removal.
+    const bool isRemovalOpen = m_log.votersIndex() > m_committed && hasVoter(m_log.previousVoters(), m_options.id);
+    return m_hard.may_vote() && (isVoter() || isRemovalOpen);
 }
 
 void Replica::resetElectionDeadline()
--- a/consensus/replica_replication.cpp
+++ b/consensus/replica_replication.cpp
@@ -223,7 +223,7 @@
 
 void Replica::leaveIfRemoved()
 {
-    if (!mayCampaign() && m_committed >= m_log.votersIndex())
+    if (!isVoter() && m_committed >= m_log.votersIndex())
         becomeFollower(m_hard.term(), {});
 }
 
@@ -300,6 +300,8 @@
             return fail(ErrorKind::BadRequest, change.replica + " is the last voter");
         break;
     }
+    if (!m_leading.reachesQuorumOf(next, m_now))
+        return fail(ErrorKind::RevisionConflict, "too few of the voters after the change are within reach");
     return next;
 }
 
--- a/storage/log_store.cpp
+++ b/storage/log_store.cpp
@@ -51,6 +51,7 @@
     BOOST_LEAF_CHECK(recoverHardState(found, names));
     BOOST_LEAF_CHECK(recoverSnapshot(found, names));
     BOOST_LEAF_CHECK(recoverSegments(found, names));
+    BOOST_LEAF_CHECK(syncWhatWasRead(found));
     BOOST_LEAF_CHECK(dropWhatSnapshotReplaced(found));
     found.isEmpty = found.hard.replica().empty();
     if (found.isEmpty && (found.snapshot.index() != 0 || !found.records.empty()))
@@ -133,6 +134,16 @@
     return m_disk.truncate(name, good);
 }
 
+Result<void> LogStore::syncWhatWasRead(const RecoveredLog& found)
+{
+    // A process that ended may have left bytes that are read now and not yet durable.
+    if (!found.hard.replica().empty())
+        BOOST_LEAF_CHECK(m_disk.sync(hardStateName));
+    if (!m_segments.empty())
+        BOOST_LEAF_CHECK(m_disk.sync(segmentName(m_segments.back().number)));
+    return {};
+}
+
 bool LogStore::addRecovered(std::vector<schema::LogRecord>& records, schema::LogRecord record)
 {
     while (!records.empty() && records.back().index() >= record.index())
--- a/storage/log_store.h
+++ b/storage/log_store.h
@@ -73,6 +73,7 @@
     Result<void> recoverSegments(RecoveredLog&, std::span<const std::string> names);
     Result<void> recoverSegment(RecoveredLog&, uint64_t number, bool isLast);
     Result<void> cutTornTail(std::string_view name, std::string_view data, size_t good, bool isLast);
+    Result<void> syncWhatWasRead(const RecoveredLog&);
     static bool addRecovered(std::vector<schema::LogRecord>&, schema::LogRecord);
     Result<void> dropWhatSnapshotReplaced(RecoveredLog&);
     Result<void> appendTo(Segment&, std::span<const schema::LogRecord>);
--- a/storage/posix_disk.cpp
+++ b/storage/posix_disk.cpp
@@ -128,11 +128,10 @@
     const std::string path(name);
     if (const auto it = m_files.find(path); it != m_files.end())
         return &it->second;
-    const bool isNew = ::faccessat(m_folder, path.c_str(), F_OK, 0) != 0;
     const int descriptor = ::openat(m_folder, path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, fileMode);
     if (descriptor < 0)
         return failed("open", path, errno);
-    return &m_files.emplace(path, OpenFile { descriptor, isNew }).first->second;
+    return &m_files.emplace(path, OpenFile { descriptor, false }).first->second;
 }
 
 Result<void> PosixDisk::writeAll(int descriptor, std::string_view name, std::string_view bytes)
@@ -166,8 +165,9 @@
     BOOST_LEAF_AUTO(file, openForAppend(name));
     if (::fdatasync(file->descriptor) != 0)
         return failed("sync", name, errno);
-    if (std::exchange(file->isNew, false))
-        return syncFolder();
+    if (!file->isEntrySynced)
+        BOOST_LEAF_CHECK(syncFolder());
+    file->isEntrySynced = true;
     return {};
 }
 
--- a/storage/posix_disk.h
+++ b/storage/posix_disk.h
@@ -30,7 +30,7 @@
 private:
     struct OpenFile {
         int descriptor = -1;
-        bool isNew = false; // its entry in the folder is not synced yet
+        bool isEntrySynced = false; // in the folder, as far as this process knows
     };
 
     Result<OpenFile*> openForAppend(std::string_view name);
