Serve a request and accept a job end to end through separate processes

Cause: the planes, the fleet state and the network had not met. The first run showed an instance that followed nobody: its failed campaigns had left a higher epoch in its own vote, so that it refused the leader's renewals for good. Ruled out: forgetting the epoch when a campaign ends (a leader that resigns must leave its epoch behind); a pre-vote round (one more message for each election, and the vote would still hold the stale epoch). Conclusion: a leader renews without a gap, so a vacant vote may back its renewal whatever epoch it has seen. A job is accepted but waits out the worker lease after a change of leaders.

--- a/leadership/data_centre_election.cpp
+++ b/leadership/data_centre_election.cpp
@@ -128,7 +128,8 @@
 void DataCentreElection::extendLease(const Round& round, Instant now)
 {
     const auto until = round.sentAt + m_options.voter.lease - m_options.clockMargin;
-    if (until <= now)
+    // A lease that has run out is not taken up again: somebody else may have led since.
+    if (until <= now || (m_leading && now >= m_leaseUntil))
         return;
     m_leaseUntil = std::max(m_leaseUntil, until);
     assertLeaseWithinPromises(now);
--- a/leadership/lease_voter.cpp
+++ b/leadership/lease_voter.cpp
@@ -22,24 +22,28 @@
     return std::nullopt;
 }
 
-bool LeaseVoter::mayBack(std::string_view candidate, Epoch epoch, const Promise& promise, Instant now) const
+bool LeaseVoter::mayBack(
+    std::string_view candidate, Epoch epoch, bool renewal, const Promise& promise, Instant now) const
 {
-    if (now < m_backsFrom || epoch < promise.epoch)
+    if (now < m_backsFrom)
         return false;
     if (promise.holder == candidate && promise.epoch == epoch)
         return true;
-    if (epoch == promise.epoch)
+    const bool vacant = promise.until <= now;
+    if (!vacant && promise.holder != candidate)
         return false;
-    if (promise.until > now && promise.holder != candidate)
+    if (promise.successorUntil > now && promise.successor != candidate)
         return false;
-    return promise.successorUntil <= now || promise.successor == candidate;
+    // A leader renews without a gap, so that nobody can have led after it: a
+    // higher epoch seen here belongs to a campaign that failed.
+    return epoch > promise.epoch || (renewal && vacant);
 }
 
 schema::LeadershipMessage LeaseVoter::answerRequest(
     std::string_view from, const schema::LeadershipMessage& message, Instant now)
 {
     auto& promise = m_promises[message.data_centre()];
-    const bool granted = mayBack(from, message.epoch(), promise, now);
+    const bool granted = mayBack(from, message.epoch(), message.request().renewal(), promise, now);
     if (granted) {
         promise.holder = from;
         promise.epoch = message.epoch();
--- a/leadership/lease_voter.h
+++ b/leadership/lease_voter.h
@@ -47,7 +47,7 @@
     };
 
     schema::LeadershipMessage answerRequest(std::string_view from, const schema::LeadershipMessage&, Instant now);
-    bool mayBack(std::string_view candidate, Epoch, const Promise&, Instant now) const;
+    bool mayBack(std::string_view candidate, Epoch, bool renewal, const Promise&, Instant now) const;
     void takeRelease(std::string_view from, const schema::LeadershipMessage&, Instant now);
 
     LeaseVoterOptions m_options;
--- a/node/endpoint_gateway.cpp
+++ b/node/endpoint_gateway.cpp
@@ -197,7 +197,7 @@
     route(request, std::move(message), now);
 }
 
-void EndpointGateway::handleHere(const schema::Forwarded& message, Forwarder::Reply reply)
+void EndpointGateway::handleHere(const schema::Forwarded& message, const Forwarder::Reply& reply)
 {
     const auto now = m_clock.now();
     schema::ForwardedReply out;
--- a/node/endpoint_gateway.h
+++ b/node/endpoint_gateway.h
@@ -25,7 +25,7 @@
     bool onHttp(const HttpRequest&, bool mayServe, Instant now);
 
     // The leader's part of a forwarded message.
-    void handleHere(const schema::Forwarded&, Forwarder::Reply);
+    void handleHere(const schema::Forwarded&, const Forwarder::Reply&);
 
 private:
     void announceExecutor(const HttpRequest&, Instant now);
--- a/node/entry_node.cpp
+++ b/node/entry_node.cpp
@@ -167,7 +167,7 @@
     , m_forwarder(
           { m_settings.instance().data_centre(), membersOf(m_settings) }, links.incarnation << 20,
           [this](std::string_view to, const schema::Forwarded& it) { send(to, envelopeWith(it)); },
-          [this](const schema::Forwarded& it, Forwarder::Reply reply) { m_endpoints.handleHere(it, std::move(reply)); },
+          [this](const schema::Forwarded& it, const Forwarder::Reply& reply) { m_endpoints.handleHere(it, reply); },
           [this] { return m_authority.leader(m_links.clock.now()); },
           [this] { return m_authority.leads(m_links.clock.now()); })
     , m_requests(holderOptions(m_settings, links),
@@ -404,7 +404,8 @@
     const auto tasks = m_planes.placement().stats();
     std::string teams;
     if (m_authority.leads(now)) {
-        for (const auto& it : m_planes.loadSummary().teams()) {
+        const auto load = m_planes.loadSummary();
+        for (const auto& it : load.teams()) {
             const auto* team = m_authority.config().team(it.team_id());
             teams += fmt::format(R"({}{{"team":{},"running":{},"waiting":{},"task_milli_cpus":{}}})",
                 teams.empty() ? "" : ",", jsonString(team == nullptr ? "" : team->name()), it.running(), it.waiting(),
--- a/node/state_node.cpp
+++ b/node/state_node.cpp
@@ -281,10 +281,10 @@
 {
     const auto& counters = m_log.counters();
     return fmt::format(
-        R"({{"instance":{},"data_centre":{},"role":"{}","leader":{},"revision":{},"committed":{},"records_applied":{},"begun":{},"jobs":{}}})",
+        R"({{"instance":{},"data_centre":{},"role":"{}","leader":{},"revision":{},"committed":{},"records_applied":{},"begun":{}}})",
         jsonString(m_settings.instance().id()), jsonString(m_settings.instance().data_centre()),
         m_log.isServing() ? "state_leader" : "state_follower", jsonString(m_log.leaderHint()), m_state.revision(),
-        m_log.replica().committedIndex(), counters.recordsApplied, m_state.begun().size(), m_state.jobs().size());
+        m_log.replica().committedIndex(), counters.recordsApplied, m_state.begun().size());
 }
 
 void StateNode::updateMetrics(Instant now)
--- a/requests/attempt_key.cpp
+++ b/requests/attempt_key.cpp
@@ -24,14 +24,14 @@
 
 } // namespace
 
-std::string toString(const AttemptKey& key)
+std::string toString(const RequestAttempt& key)
 {
     return fmt::format("{}.{}.{}.{}", key.instance, key.incarnation, key.sequence, key.attempt);
 }
 
-std::optional<AttemptKey> parseAttemptKey(std::string_view text)
+std::optional<RequestAttempt> parseAttemptKey(std::string_view text)
 {
-    AttemptKey key;
+    RequestAttempt key;
     if (!takeLastNumber(text, key.attempt) || !takeLastNumber(text, key.sequence)
         || !takeLastNumber(text, key.incarnation) || text.empty())
         return std::nullopt;
--- a/requests/attempt_key.h
+++ b/requests/attempt_key.h
@@ -11,18 +11,18 @@
 namespace teasel {
 
 // Written as `instance.incarnation.sequence.attempt`. The executor echoes it.
-struct AttemptKey {
+struct RequestAttempt {
     std::string instance;
     uint64_t incarnation = 0;
     uint64_t sequence = 0;
     uint32_t attempt = 0;
 
-    bool operator==(const AttemptKey&) const = default;
+    bool operator==(const RequestAttempt&) const = default;
 };
 
-std::string toString(const AttemptKey&);
+std::string toString(const RequestAttempt&);
 
 // Nothing when the text is not a key. The instance itself may contain dots.
-std::optional<AttemptKey> parseAttemptKey(std::string_view text);
+std::optional<RequestAttempt> parseAttemptKey(std::string_view text);
 
 } // namespace teasel
--- a/requests/request_holder.cpp
+++ b/requests/request_holder.cpp
@@ -21,7 +21,7 @@
 {
 }
 
-AttemptKey RequestHolder::keyOf(const HeldRequest& it) const
+RequestAttempt RequestHolder::keyOf(const HeldRequest& it) const
 {
     return { m_options.instance, m_options.incarnation, it.sequence, it.attempt };
 }
--- a/requests/request_holder.h
+++ b/requests/request_holder.h
@@ -174,7 +174,7 @@
     bool attemptStillUsable(const HeldRequest&, Instant) const;
     HeldRequest* byKey(std::string_view attemptKey);
     void refuseLeaderless(Instant);
-    AttemptKey keyOf(const HeldRequest&) const;
+    RequestAttempt keyOf(const HeldRequest&) const;
     schema::Ticket ticketOf(const HeldRequest&, Instant) const;
     schema::Outstanding outstandingOf(const HeldRequest&, Instant) const;
     schema::TicketBatch makeBatch(Instant);
--- /dev/null
+++ b/standins/worker_main.cpp
@@ -0,0 +1,209 @@
+// A stand-in for a worker: reports to the entry instances, runs tasks for
+// their declared time under the worker agent's lease, notes every start and
+// end in a journal that the tests read.
+#include "core/clock.h"
+#include "core/random.h"
+#include "placement/worker_agent.h"
+#include "standins/announcer.h"
+
+#include <CLI/CLI.hpp>
+#include <fmt/format.h>
+#include <google/protobuf/util/json_util.h>
+
+#include <atomic>
+#include <csignal>
+#include <cstdio>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace teasel {
+namespace {
+
+    std::atomic<bool> endRequested = false;
+
+    struct WorkerOptions {
+        WorkerAgentOptions agent;
+        std::vector<std::string> entries;
+        std::vector<std::string> labels; // key=value
+        std::string journal; // file of starts and ends, one a line
+        double failRate = 0; // of tasks
+        uint64_t seed = 1;
+    };
+
+    class Worker {
+    public:
+        explicit Worker(WorkerOptions options)
+            : m_options(std::move(options))
+            , m_random(m_options.seed)
+            , m_agent(m_options.agent)
+            , m_announcer(
+                  m_options.entries, "/v1/workers/report", [this] { return report(); },
+                  [this](const std::string& body, Instant sentAt) { onReply(body, sentAt); })
+        {
+            if (!m_options.journal.empty())
+                m_journal = std::fopen(m_options.journal.c_str(), "a");
+        }
+
+        ~Worker()
+        {
+            if (m_journal != nullptr)
+                std::fclose(m_journal);
+        }
+        Worker(const Worker&) = delete;
+        Worker& operator=(const Worker&) = delete;
+
+        int run()
+        {
+            m_announcer.start();
+            while (!endRequested) {
+                std::this_thread::sleep_for(Milliseconds(10));
+                const std::lock_guard lock(m_mutex);
+                m_agent.onTick(m_clock.now());
+                carryOut();
+                endDue();
+            }
+            m_announcer.stop();
+            return 0;
+        }
+
+    private:
+        struct Running {
+            AttemptKey key;
+            Instant end;
+            bool endless = false;
+            bool fails = false;
+            schema::Resources resources;
+            Instant start;
+        };
+
+        std::string report()
+        {
+            const std::lock_guard lock(m_mutex);
+            const auto now = m_clock.now();
+            for (const auto& [name, it] : m_running) {
+                const auto ran = std::chrono::duration_cast<Milliseconds>(now - it.start).count();
+                m_agent.onUsage(it.key, it.resources, static_cast<uint64_t>(ran));
+            }
+            std::string body;
+            static_cast<void>(google::protobuf::util::MessageToJsonString(m_agent.makeReport(now), &body));
+            return body;
+        }
+
+        void onReply(const std::string& body, Instant sentAt)
+        {
+            schema::WorkerOrders orders;
+            if (!google::protobuf::util::JsonStringToMessage(body, &orders).ok())
+                return;
+            const std::lock_guard lock(m_mutex);
+            m_agent.onOrders(orders, sentAt, m_clock.now());
+            carryOut();
+        }
+
+        void carryOut()
+        {
+            for (auto& it : m_agent.takeActions()) {
+                if (auto* start = std::get_if<RunTask>(&it))
+                    runTask(*start);
+                else if (auto* end = std::get_if<EndTask>(&it))
+                    endTask(end->key, end->checkpoint ? schema::TASK_STATE_CHECKPOINTED : schema::TASK_STATE_STOPPED);
+            }
+        }
+
+        static std::string nameOf(const AttemptKey& key)
+        {
+            return fmt::format("{} {} {}.{}", key.job, key.index, key.attempt.epoch, key.attempt.number);
+        }
+
+        void note(std::string_view what, const AttemptKey& key)
+        {
+            if (m_journal == nullptr)
+                return;
+            fmt::print(m_journal, "{} {} {} {}\n", m_clock.now().time_since_epoch().count(), what, m_options.agent.name,
+                nameOf(key));
+            std::fflush(m_journal);
+        }
+
+        void runTask(const RunTask& action)
+        {
+            Running it;
+            it.key = action.key;
+            it.start = m_clock.now();
+            it.endless = action.order.run_ms() == 0;
+            it.end = it.start + Milliseconds(static_cast<int64_t>(action.order.run_ms()));
+            it.fails = m_random.chance(m_options.failRate);
+            it.resources = action.order.resources();
+            m_running[nameOf(it.key)] = it;
+            note("start", it.key);
+            m_agent.onTaskStarted(it.key);
+        }
+
+        void endTask(const AttemptKey& key, schema::TaskState state)
+        {
+            if (m_running.erase(nameOf(key)) == 0)
+                return;
+            note(state == schema::TASK_STATE_SUCCEEDED ? "done" : "stop", key);
+            m_agent.onTaskEnded(key, state);
+        }
+
+        void endDue()
+        {
+            const auto now = m_clock.now();
+            std::vector<Running> due;
+            for (const auto& [name, it] : m_running) {
+                if (it.fails || (!it.endless && it.end <= now))
+                    due.push_back(it);
+            }
+            for (const auto& it : due)
+                endTask(it.key, it.fails ? schema::TASK_STATE_FAILED : schema::TASK_STATE_SUCCEEDED);
+        }
+
+        WorkerOptions m_options;
+        SystemClock m_clock;
+        Random m_random;
+        std::mutex m_mutex;
+        WorkerAgent m_agent;
+        std::map<std::string, Running> m_running;
+        std::FILE* m_journal = nullptr;
+        Announcer m_announcer;
+    };
+
+} // namespace
+} // namespace teasel
+
+int main(int argc, char** argv)
+{
+    teasel::WorkerOptions options;
+    uint64_t cpus = 32;
+    uint64_t memoryGib = 128;
+    uint64_t accelerators = 0;
+    CLI::App app("A stand-in worker.");
+    app.add_option("--name", options.agent.name)->required();
+    app.add_option("--scheme", options.agent.scheme);
+    app.add_option("--rack", options.agent.rack);
+    app.add_option("--data-centre", options.agent.dataCentre);
+    app.add_option("--entry", options.entries, "host:port of an entry instance; may be repeated")->required();
+    app.add_option("--label", options.labels, "key=value; may be repeated");
+    app.add_option("--cpus", cpus, "cores");
+    app.add_option("--memory-gib", memoryGib);
+    app.add_option("--accelerators", accelerators);
+    app.add_option("--journal", options.journal, "file of starts and ends");
+    app.add_option("--fail-rate", options.failRate);
+    app.add_option("--seed", options.seed);
+    CLI11_PARSE(app, argc, argv);
+    options.agent.capacity.set_milli_cpus(cpus * 1'000);
+    options.agent.capacity.set_memory_mib(memoryGib * 1'024);
+    options.agent.capacity.set_accelerators(accelerators);
+    options.agent.incarnation = static_cast<uint64_t>(teasel::SystemClock().wallNow().time_since_epoch().count());
+    for (const auto& label : options.labels) {
+        const auto cut = label.find('=');
+        teasel::schema::Label added;
+        added.set_key(label.substr(0, cut));
+        added.set_value(label.substr(cut + 1));
+        options.agent.labels.push_back(std::move(added));
+    }
+    std::signal(SIGTERM, [](int) { teasel::endRequested = true; });
+    std::signal(SIGINT, [](int) { teasel::endRequested = true; });
+    return teasel::Worker(std::move(options)).run();
+}
--- a/tests/leadership_test.cpp
+++ b/tests/leadership_test.cpp
@@ -60,6 +60,15 @@
             return out;
         }
 
+        // The instances that know who leads.
+        size_t followers() const
+        {
+            size_t out = 0;
+            for (const auto& [name, node] : m_nodes)
+                out += leaders().front() == node->leader(m_clock.now()) ? 1 : 0;
+            return out;
+        }
+
         void run(Duration time)
         {
             for (const auto end = m_clock.now() + time; m_clock.now() < end;) {
@@ -95,7 +104,7 @@
             }
         }
 
-        void transmit(InFlight message)
+        void transmit(const InFlight& message)
         {
             if (m_cut[message.from] || m_cut[message.to] || m_random.chance(m_loss))
                 return;
@@ -160,6 +169,18 @@
     }
 }
 
+TEST_CASE("an instance whose campaigns failed follows the leader all the same")
+{
+    Trial trial(3, 4);
+    trial.run(std::chrono::seconds(3));
+    const auto lonely = trial.names()[trial.leaders().front() == "e0" ? 1 : 0];
+    trial.isolate(lonely, true);
+    trial.run(std::chrono::seconds(20));
+    trial.isolate(lonely, false);
+    trial.run(std::chrono::seconds(2));
+    CHECK(trial.followers() == 3);
+}
+
 TEST_CASE("two instances keep their leader while the fleet state is out of reach")
 {
     Trial trial(2, 5);
@@ -252,6 +273,7 @@
         trial.setLoss(0);
         trial.run(std::chrono::seconds(10));
         CHECK_MESSAGE(trial.leaders().size() == 1, "no leader after healing");
+        CHECK_MESSAGE(trial.followers() == trial.names().size(), "an instance follows nobody after healing");
         elected += trial.epochsSeen();
     }
     MESSAGE("faults injected: " << faults << ", leaders elected: " << elected);
