--- a/naming/label_index.cpp
+++ b/naming/label_index.cpp
@@ -78,9 +78,6 @@
         values.remove(ordinal);
         if (values.isEmpty())
             m_values.erase(it);
-        const auto sameKey = [&](const Posting& each) { return each.key == it.key; };
-        if (std::any_of(after.begin(), after.end(), sameKey))
-            continue;
         auto& keys = m_keys[it.key];
         keys.remove(ordinal);
         if (keys.isEmpty())
@@ -155,35 +152,38 @@
     return it == m_keys.end() ? nullptr : &it->second;
 }
 
-void LabelIndex::narrow(roaring::Roaring& result, const CompiledTerm& term) const
+LabelIndex::TermSet LabelIndex::setOf(const CompiledTerm& term) const
 {
-    const auto apply = [&](const roaring::Roaring* set) {
-        if (isPositive(term.op))
-            result &= set ? *set : roaring::Roaring();
-        else if (set)
-            result -= *set;
-    };
-    if (term.values.empty()) {
-        apply(keySet(term.key));
-        return;
-    }
-    if (term.values.size() == 1) {
-        apply(postingSet(term.key, term.values.front()));
-        return;
-    }
-    roaring::Roaring any;
+    static const roaring::Roaring none;
+    const auto orNone = [](const roaring::Roaring* set) { return set ? set : &none; };
+    if (term.values.empty())
+        return { orNone(keySet(term.key)), {} };
+    if (term.values.size() == 1)
+        return { orNone(postingSet(term.key, term.values.front())), {} };
+    TermSet any;
     for (const auto value : term.values) {
         if (const auto* set = postingSet(term.key, value))
-            any |= *set;
+            any.own |= *set;
     }
-    apply(&any);
+    return any;
 }
 
 roaring::Roaring LabelIndex::matching(const CompiledSelector& selector) const
 {
-    auto result = m_all;
+    std::vector<TermSet> kept;
+    std::vector<TermSet> leftOut;
     for (const auto& it : selector.terms)
-        narrow(result, it);
+        (isPositive(it.op) ? kept : leftOut).push_back(setOf(it));
+    // The smallest set first: each later step costs no more than what is left.
+    std::sort(kept.begin(), kept.end(),
+        [](const TermSet& a, const TermSet& b) { return a.get().cardinality() < b.get().cardinality(); });
+    auto result = kept.empty() ? m_all : kept.front().get();
+    for (size_t n = 1; n < kept.size() && !result.isEmpty(); ++n) {
+        if (kept[n].get().cardinality() != m_all.cardinality())
+            result &= kept[n].get();
+    }
+    for (const auto& it : leftOut)
+        result -= it.get();
     return result;
 }
 
@@ -209,9 +209,8 @@
     if (m_all.isEmpty())
         return {};
     for (const auto& it : selector.terms) {
-        auto result = m_all;
-        narrow(result, it);
-        if (result.isEmpty())
+        const auto named = setOf(it).get().cardinality();
+        if (named == (isPositive(it.op) ? 0 : m_all.cardinality()))
             return it.text;
     }
     return {};
--- a/naming/label_index.h
+++ b/naming/label_index.h
@@ -73,6 +73,14 @@
         Postings postings; // sorted, each once
     };
 
+    // The instances that have what a term names: a set of the index, or one of its own.
+    struct TermSet {
+        const roaring::Roaring* shared = nullptr;
+        roaring::Roaring own;
+
+        const roaring::Roaring& get() const { return shared ? *shared : own; }
+    };
+
     Result<Postings> postingsOf(const InstanceLabels&);
     void addLabels(const InstanceLabels&, SchemeId, Postings&);
     void addValue(SchemeId, std::string_view key, uint64_t value, Postings&);
@@ -80,7 +88,7 @@
     void eraseFrom(InstanceOrdinal, const Postings& before, const Postings& after);
     const roaring::Roaring* postingSet(SubjectId key, uint64_t value) const;
     const roaring::Roaring* keySet(SubjectId key) const;
-    void narrow(roaring::Roaring& result, const CompiledTerm&) const;
+    TermSet setOf(const CompiledTerm&) const;
     bool termMatches(const CompiledTerm&, InstanceOrdinal) const;
     void checkCounts() const;
 
--- a/naming/name_table.cpp
+++ b/naming/name_table.cpp
@@ -59,6 +59,7 @@
         return;
     std::swap(names, m_configured);
     keepFormerNames(names);
+    indexConfiguredNames();
     m_expected.clear();
     ++m_version;
     ++m_configurationVersion;
@@ -87,6 +88,13 @@
     });
 }
 
+void NameTable::indexConfiguredNames()
+{
+    m_configuredNames.clear();
+    for (const auto& [key, subject] : m_configured)
+        m_configuredNames.emplace(Place { key.kind, key.scheme, subject }, key.name);
+}
+
 SchemeId NameTable::normalized(SchemeId scheme) const
 {
     return !m_schemes.empty() && m_schemes.front().id() == scheme ? 0 : scheme;
@@ -140,16 +148,18 @@
 SubjectId NameTable::intern(schema::SubjectKind kind, SchemeId scheme, std::string_view name)
 {
     Key key { kind, normalized(scheme), std::string(name) };
-    if (const auto it = m_interned.find(key); it != m_interned.end() && it->second != 0)
-        return meaningOf(key);
+    const auto subject = meaningOf(key);
+    if (m_interned.contains(key))
+        return subject;
     if (m_interned.size() >= maxInternedNames) {
-        m_interned.clear(); // they are announced again
+        m_interned.clear(); // what is still in use is announced again
+        m_internedNames.clear();
         ++m_version;
     }
-    const auto subject = meaningOf(key);
     if (m_expected.contains(Key { kind, 0, key.name }))
         ++m_version;
-    m_interned.emplace(std::move(key), subject);
+    m_internedNames.emplace(Place { kind, key.scheme, derivedSubject(kind, scheme, name) }, key.name);
+    m_interned.insert(std::move(key));
     return subject;
 }
 
@@ -240,24 +250,17 @@
 
 std::string NameTable::nameIn(SchemeId scheme, schema::SubjectKind kind, SubjectId subject) const
 {
-    const auto wanted = normalized(scheme);
-    const auto findIn = [&](const Names& names) -> const std::string* {
-        for (const auto& [key, value] : names) {
-            if (value == subject && key.kind == kind && key.scheme == wanted)
-                return &key.name;
-        }
-        return nullptr;
-    };
-    if (const auto* name = findIn(m_configured))
-        return *name;
+    const Place place { kind, normalized(scheme), subject };
+    if (const auto it = m_configuredNames.find(place); it != m_configuredNames.end())
+        return it->second;
     if (kind == schema::SUBJECT_KIND_LABEL_KEY) {
         for (const auto& it : builtinKeys) {
             if (it.subject == subject)
                 return std::string(it.name);
         }
     }
-    const auto* name = findIn(m_interned);
-    return name ? *name : std::string();
+    const auto it = m_internedNames.find(place);
+    return it == m_internedNames.end() ? std::string() : it->second;
 }
 
 } // namespace teasel
--- a/naming/name_table.h
+++ b/naming/name_table.h
@@ -86,6 +86,19 @@
     };
     using Names = absl::flat_hash_map<Key, SubjectId>;
 
+    // A subject in one scheme.
+    struct Place {
+        schema::SubjectKind kind;
+        SchemeId scheme;
+        SubjectId subject;
+        bool operator==(const Place&) const = default;
+        template <class H> friend H AbslHashValue(H h, const Place& it) // NOLINT(readability-identifier-naming)
+        {
+            return H::combine(std::move(h), static_cast<int>(it.kind), it.scheme, it.subject);
+        }
+    };
+    using NamesBySubject = absl::flat_hash_map<Place, std::string>;
+
     // A name as written, split at its scheme.
     struct SplitName {
         std::optional<SchemeId> scheme;
@@ -99,6 +112,7 @@
     SubjectId meaningOf(const Key&) const;
     Names configuredNames(const schema::FleetConfig&) const;
     void keepFormerNames(const Names& before);
+    void indexConfiguredNames();
     boost::leaf::error_id refuseAmbiguous(std::string_view name, std::span<const NameCandidate>) const;
     boost::leaf::error_id refuseUnknown(schema::SubjectKind, std::string_view name) const;
 
@@ -106,7 +120,9 @@
     absl::flat_hash_map<std::string, SchemeId> m_schemeIds;
     Names m_configured;
     Names m_former; // names that renamed subjects had, until another subject gets them
-    Names m_interned;
+    absl::flat_hash_set<Key> m_interned;
+    NamesBySubject m_configuredNames;
+    NamesBySubject m_internedNames; // by derived id
     absl::flat_hash_set<Key> m_expected; // unqualified names asked for; their meaning may change when announced
     uint64_t m_version = 1;
     uint64_t m_configurationVersion = 1;
--- a/tests/naming_selector_test.cpp
+++ b/tests/naming_selector_test.cpp
@@ -1,7 +1,4 @@
-#include "naming/label_index.h"
-#include "naming/selector.h"
-
-#include <doctest/doctest.h>
+#include "naming_fixture.h"
 
 #include <set>
 #include <string>
@@ -9,66 +6,26 @@
 
 namespace teasel {
 
-namespace {
-
-    constexpr SchemeId ours = 1;
-    constexpr SchemeId theirs = 2;
-
-    schema::FleetConfig twoSchemes()
-    {
-        schema::FleetConfig config;
-        auto& first = *config.add_schemes();
-        first.set_id(ours);
-        first.set_name("ours");
-        auto& second = *config.add_schemes();
-        second.set_id(theirs);
-        second.set_name("theirs");
-        return config;
-    }
-
-    InstanceLabels instance(const std::string& scheme, const std::string& name,
-        const std::vector<std::pair<std::string, std::string>>& labels)
-    {
-        InstanceLabels out { scheme, name, "r1", "north", {} };
-        for (const auto& [key, value] : labels) {
-            schema::Label label;
-            label.set_key(key);
-            label.set_value(value);
-            out.labels.push_back(label);
-        }
-        return out;
-    }
+using namespace test;
 
-    std::string errorOf(std::string_view text, NameTable& names)
-    {
-        const auto outcome = valueOrError([&] { return compileSelector(text, names); });
-        const auto* error = std::get_if<Error>(&outcome);
-        return error ? error->message : "";
-    }
+namespace {
 
     std::set<uint32_t> matching(const LabelIndex& index, NameTable& names, std::string_view text)
     {
-        const auto outcome = valueOrError([&] { return compileSelector(text, names); });
-        REQUIRE(outcome.index() == 0);
-        const auto found = index.matching(std::get<0>(outcome));
+        const auto selector = compiled(text, names);
+        const auto found = index.matching(selector);
         std::set<uint32_t> out(found.begin(), found.end());
         for (const auto ordinal : index.all())
-            CHECK(index.matches(std::get<0>(outcome), ordinal) == out.contains(ordinal));
+            CHECK(index.matches(selector, ordinal) == out.contains(ordinal));
         return out;
     }
 
-    template <class T> T mustHave(Result<T> result)
-    {
-        REQUIRE(result);
-        return std::move(result.value());
-    }
-
 } // namespace
 
 TEST_CASE("selectors allow the instances that their terms describe")
 {
     NameTable names;
-    names.configure(twoSchemes());
+    names.configure(threeSchemes());
     LabelIndex index(names);
     REQUIRE(index.put(1, instance("", "w1", { { "zone", "a" }, { "gpu", "yes" } })));
     REQUIRE(index.put(2, instance("", "w2", { { "zone", "b" } })));
@@ -91,8 +48,8 @@
         CAPTURE(it.first);
         CHECK(matching(index, names, it.first) == it.second);
     }
-    CHECK(index.blockingTerm(mustHave(compileSelector("exists zone and colour = red", names))) == "colour = red");
-    CHECK(index.blockingTerm(mustHave(compileSelector("gpu = yes and zone = b", names))) == "");
+    CHECK(index.blockingTerm(compiled("exists zone and colour = red", names)) == "colour = red");
+    CHECK(index.blockingTerm(compiled("gpu = yes and zone = b", names)) == "");
 }
 
 TEST_CASE("a malformed selector is refused with the position and what was expected")
@@ -114,8 +71,11 @@
         { std::string(maxSelectorBytes + 1, 'a'), "selector: expected at most 16384 bytes, found 16385" },
     };
     NameTable names;
-    for (const auto& [text, message] : rows)
-        CHECK(errorOf(text, names) == message);
+    for (const auto& it : rows) {
+        const auto error = errorOf([&] { return compileSelector(it.first, names); });
+        CHECK(error.kind == ErrorKind::BadRequest);
+        CHECK(error.message == it.second);
+    }
 }
 
 } // namespace teasel
