--- a/fleet/change_log.cpp
+++ b/fleet/change_log.cpp
@@ -24,7 +24,9 @@
     m_byId[keyOf(record.made_by(), record.answer().change_id())] = number;
     if (record.answer().state() != schema::CHANGE_STATE_REFUSED)
         m_byRevision[record.answer().revision()] = number;
-    m_waiting.insert(record.waiting_team_ids().begin(), record.waiting_team_ids().end());
+    if (!record.waiting_team_ids().empty())
+        m_waitingRecords.insert(number);
+    m_waitingTeams.insert(record.waiting_team_ids().begin(), record.waiting_team_ids().end());
     m_records.push_back(std::move(record));
     while (m_records.size() > m_maxRecords)
         dropOldest();
@@ -36,6 +38,7 @@
     m_byId.erase(keyOf(oldest.made_by(), oldest.answer().change_id()));
     if (oldest.answer().state() != schema::CHANGE_STATE_REFUSED)
         m_byRevision.erase(oldest.answer().revision());
+    m_waitingRecords.erase(m_first);
     m_records.pop_front();
     ++m_first;
 }
@@ -54,11 +57,16 @@
 
 void ChangeLog::teamSettled(TeamId team)
 {
-    m_waiting.erase(team);
-    for (auto& it : m_records) {
-        auto& waiting = *it.mutable_waiting_team_ids();
+    m_waitingTeams.erase(team);
+    std::vector<uint64_t> settled;
+    for (const uint64_t number : m_waitingRecords) {
+        auto& waiting = *at(number).mutable_waiting_team_ids();
         waiting.erase(std::remove(waiting.begin(), waiting.end(), team), waiting.end());
+        if (waiting.empty())
+            settled.push_back(number);
     }
+    for (const uint64_t number : settled)
+        m_waitingRecords.erase(number);
 }
 
 } // namespace teasel
--- a/fleet/change_log.h
+++ b/fleet/change_log.h
@@ -4,11 +4,13 @@
 #include "core/ids.h"
 #include "fleet.pb.h"
 
+#include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
 #include <deque>
 #include <string>
+#include <vector>
 
 namespace teasel {
 
@@ -32,7 +34,7 @@
     void teamSettled(TeamId);
 
     // Teams that some change still waits for.
-    const absl::flat_hash_set<TeamId>& waitingTeams() const { return m_waiting; }
+    const absl::flat_hash_set<TeamId>& waitingTeams() const { return m_waitingTeams; }
 
     const std::deque<schema::ChangeRecord>& records() const { return m_records; }
 
@@ -47,7 +49,8 @@
     uint64_t m_first = 0; // number of the oldest record
     absl::flat_hash_map<std::string, uint64_t> m_byId;
     absl::flat_hash_map<Revision, uint64_t> m_byRevision;
-    absl::flat_hash_set<TeamId> m_waiting;
+    absl::flat_hash_set<TeamId> m_waitingTeams;
+    absl::btree_set<uint64_t> m_waitingRecords; // numbers of those that wait for a team
 };
 
 // A hash of what a change asks for, to tell a resend from another change under the same id.
--- a/fleet/config_editor.cpp
+++ b/fleet/config_editor.cpp
@@ -274,8 +274,9 @@
 
 void ConfigEditor::undo()
 {
-    for (auto it = m_inverse.rbegin(); it != m_inverse.rend(); ++it)
-        m_table.apply(*it);
+    std::reverse(m_inverse.begin(), m_inverse.end());
+    for (const auto& it : m_inverse)
+        m_table.apply(it);
 }
 
 } // namespace teasel
--- a/fleet/config_table.cpp
+++ b/fleet/config_table.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace teasel {
@@ -139,9 +140,9 @@
 
 uint64_t ConfigTable::digest() const
 {
-    const std::string text
-        = fmt::format("{}/{}/{}/{}", m_sum, m_config.revision(), m_config.next_team_id(), m_config.next_subject_id());
-    return XXH3_64bits(text.data(), text.size());
+    const std::array<uint64_t, 4> parts { m_sum, m_config.revision(), m_config.next_team_id(),
+        m_config.next_subject_id() };
+    return XXH3_64bits(parts.data(), sizeof(parts));
 }
 
 const schema::Team* ConfigTable::team(TeamId id) const { return find(m_config.teams(), m_teams, std::to_string(id)); }
--- a/fleet/fleet_service.cpp
+++ b/fleet/fleet_service.cpp
@@ -321,12 +321,17 @@
     const bool accepted = record != nullptr && m_state.isAccepted(*record);
     if (!accepted && now < waiting.pending.deadline)
         return false;
+    std::vector<std::string> missing;
+    if (!accepted && record != nullptr)
+        missing = missingFor(*record, now);
+    // Where nothing is missing, only the mark of it has still to be committed.
+    if (!accepted && record != nullptr && missing.empty())
+        return false;
     schema::CommandResult result = waiting.result;
     schema::ChangeAnswer& change = *result.mutable_change();
     change.set_state(accepted ? schema::CHANGE_STATE_ACCEPTED : schema::CHANGE_STATE_PENDING);
-    if (!accepted && record != nullptr)
-        for (auto& it : missingFor(*record, now))
-            change.add_data_centres_not_reached(std::move(it));
+    for (auto& it : missing)
+        change.add_data_centres_not_reached(std::move(it));
     answer(waiting.pending, std::move(result));
     return true;
 }
--- a/fleet/portion_holder.cpp
+++ b/fleet/portion_holder.cpp
@@ -9,7 +9,7 @@
     for (auto& [team, row] : m_rows) {
         row.granted = {};
         row.target = {};
-        row.cap = {};
+        row.held = {};
         row.reportedIn = 0;
         row.acknowledged = false;
     }
@@ -28,56 +28,55 @@
             Row& row = m_rows[it.team_id()];
             row.granted = amountsOf(it);
             row.target = row.granted;
-            changed |= row.cap != row.granted;
-            row.cap = row.granted;
+            changed |= row.held != row.granted;
+            row.held = row.granted;
             row.reportedIn = 0;
             row.acknowledged = false;
         }
     }
     for (const auto& it : grant.targets()) {
         Row& row = m_rows[it.team_id()];
-        row.target = smallest(row.granted, amountsOf(it));
+        const Amounts target = smallest(row.granted, amountsOf(it));
+        changed |= row.target != target;
+        row.target = target;
     }
     return changed;
 }
 
-bool PortionHolder::lowerCap(Row& row)
+void PortionHolder::shrink(Row& row)
 {
-    const Amounts cap = smallest(row.cap, largest(row.target, row.need.inUse));
-    if (cap == row.cap)
-        return false;
-    row.cap = cap;
+    const Amounts held = smallest(row.held, largest(row.target, row.need.inUse));
+    if (held == row.held)
+        return;
+    row.held = held;
     row.reportedIn = 0;
     row.acknowledged = false;
     m_unreported = true;
-    return true;
 }
 
 void PortionHolder::takeNeed(Row& row, const TeamNeed& need)
 {
     if (row.need.inUse == need.inUse && row.need.wanted == need.wanted)
         return;
-    // A need that starts to exceed the cap is told at once.
-    m_unreported |= !need.wanted.fitsIn(row.cap) && row.need.wanted.fitsIn(row.cap);
+    // A need that starts to exceed the portion is told at once.
+    m_unreported |= !need.wanted.fitsIn(row.held) && row.need.wanted.fitsIn(row.held);
     row.need = need;
     row.reportedIn = 0;
     row.acknowledged = false;
 }
 
-bool PortionHolder::setNeeds(std::span<const TeamNeed> needs)
+void PortionHolder::setNeeds(std::span<const TeamNeed> needs)
 {
     absl::flat_hash_map<TeamId, const TeamNeed*> byTeam;
     for (const TeamNeed& it : needs) {
         byTeam[it.team] = &it;
         m_rows.try_emplace(it.team);
     }
-    bool changed = false;
     for (auto& [team, row] : m_rows) {
         const auto it = byTeam.find(team);
         takeNeed(row, it == byTeam.end() ? TeamNeed { team, {}, {} } : *it->second);
-        changed |= lowerCap(row);
+        shrink(row);
     }
-    return changed;
 }
 
 void PortionHolder::writeNeeds(schema::SessionRenew& renew)
@@ -93,8 +92,8 @@
         need.set_requests_wanted(static_cast<uint32_t>(row.need.wanted[0]));
         *need.mutable_tasks_in_use() = toResources(row.need.inUse);
         *need.mutable_tasks_wanted() = toResources(row.need.wanted);
-        need.set_requests_held(static_cast<uint32_t>(row.cap[0]));
-        *need.mutable_tasks_held() = toResources(row.cap);
+        need.set_requests_held(static_cast<uint32_t>(row.held[0]));
+        *need.mutable_tasks_held() = toResources(row.held);
         need.set_returned_portion_version(m_version);
         row.reportedIn = renew.sequence();
     }
@@ -118,7 +117,7 @@
 Amounts PortionHolder::cap(TeamId team) const
 {
     const auto it = m_rows.find(team);
-    return it == m_rows.end() ? Amounts {} : it->second.cap;
+    return it == m_rows.end() ? Amounts {} : smallest(it->second.held, it->second.target);
 }
 
 } // namespace teasel
--- a/fleet/session.cpp
+++ b/fleet/session.cpp
@@ -157,8 +157,7 @@
 
 void FleetSession::setNeeds(std::span<const TeamNeed> needs, Instant now)
 {
-    if (m_holder.setNeeds(needs))
-        m_actions.emplace_back(PortionsChanged {});
+    m_holder.setNeeds(needs);
     renewIfDue(now);
 }
 
--- a/fleet/session.h
+++ b/fleet/session.h
@@ -46,10 +46,11 @@
     void onMemberRenew(std::string_view from, const schema::MemberRenew&, Instant now);
     void onTick(Instant now);
 
-    // What the data centre uses and wants of each team's limits, as of now. Lowers caps that the state asks back.
+    // What the data centre uses and wants of each team's limits, as of this
+    // instant. Called before onTick, so that portions asked back shrink.
     void setNeeds(std::span<const TeamNeed>, Instant now);
 
-    // What the team may use in this data centre.
+    // The use up to which new work of the team may start in this data centre.
     Amounts cap(TeamId team) const { return m_holder.cap(team); }
 
     // Whether this instance may act on its configuration: it leads and the authority lease lasts.
