Prove the request plane by random runs; evaluate selectors

Cause: faults of link, processes and executors were untested, and selectors were not evaluated. Ruled out: a test of the leader alone, since the promises hold only between holder, leader and executor together. Before: no such test.

--- a/requests/dispatch_leader.cpp
+++ b/requests/dispatch_leader.cpp
@@ -12,7 +12,8 @@
     : m_options(std::move(options))
     , m_names(names)
     , m_pool(m_options.seed)
-    , m_groups([this](std::string_view selector) { return match(selector); })
+    , m_labels(names)
+    , m_groups(names, m_labels)
 {
 }
 
@@ -35,6 +36,8 @@
     m_queue.setReserve(0);
     m_tickets.clear();
     m_ledger.clear();
+    for (InstanceOrdinal n = 0; n < m_pool.size(); ++n)
+        m_labels.remove(n);
     m_pool.clear();
     m_groups.clear();
     m_unconfirmed.clear();
@@ -68,17 +71,27 @@
     return it->second.maxWaitingPerTeam;
 }
 
-Result<ExecutorSet> DispatchLeader::match(std::string_view)
+// Selectors were checked when the configuration took them; one that cannot be read drains nothing.
+void DispatchLeader::onDrains(std::span<const std::string> selectors, Instant)
 {
-    ExecutorSet all;
-    for (size_t n = 0; n < m_pool.size(); ++n)
-        all.insert(static_cast<InstanceOrdinal>(n));
-    return all;
+    m_drains.clear();
+    for (const auto& it : selectors) {
+        auto compiled = valueOrError([&] { return compileSelector(it, m_names); });
+        if (auto* selector = std::get_if<CompiledSelector>(&compiled))
+            m_drains.push_back(std::move(*selector));
+    }
+    applyDrains();
 }
 
-void DispatchLeader::onDrains(std::span<const std::string> selectors, Instant)
+void DispatchLeader::applyDrains()
 {
-    m_drains.assign(selectors.begin(), selectors.end());
+    ExecutorSet drained;
+    for (const auto& selector : m_drains) {
+        for (const auto n : m_labels.matching(selector))
+            drained.insert(n);
+    }
+    for (InstanceOrdinal n = 0; n < m_pool.size(); ++n)
+        m_pool.setDrained(n, drained.contains(n));
 }
 
 void DispatchLeader::onKeysWithdrawn(std::span<const std::string> keyIds, Instant now)
@@ -98,16 +111,33 @@
     reply.set_next_ms(static_cast<uint64_t>(announcePeriod.count()));
     if (!m_leading)
         return reply;
-    const auto size = m_pool.size();
-    const auto n = m_pool.onAnnounce(announce, now);
-    if (m_pool.size() != size)
-        m_groups.refresh();
+    const auto n = m_pool.entryOf(announce.name());
+    if (!noteLabels(n, announce)) {
+        reply.set_known(false);
+        return reply;
+    }
+    m_pool.onAnnounce(announce, now);
     forgetClosed(m_ledger.goneBy(n, announce, listedAttempts(announce), now), now);
     if (!m_settled)
         estimateUnknown(n, announce, now);
     return reply;
 }
 
+// Returns whether the naming scheme of the announcement is known.
+bool DispatchLeader::noteLabels(InstanceOrdinal n, const schema::ExecutorAnnounce& announce)
+{
+    const auto& dataCentre = announce.data_centre().empty() ? m_options.dataCentre : announce.data_centre();
+    const InstanceLabels labels { announce.scheme(), announce.name(), "", dataCentre,
+        { announce.labels().begin(), announce.labels().end() } };
+    const auto before = m_labels.version();
+    const auto outcome = valueOrError([&] { return m_labels.put(n, labels); });
+    if (m_labels.version() != before) {
+        m_groups.refresh();
+        applyDrains();
+    }
+    return !std::holds_alternative<Error>(outcome);
+}
+
 absl::flat_hash_set<AttemptId> DispatchLeader::listedAttempts(const schema::ExecutorAnnounce& announce)
 {
     absl::flat_hash_set<AttemptId> listed;
--- a/requests/dispatch_leader.h
+++ b/requests/dispatch_leader.h
@@ -6,7 +6,9 @@
 #include "core/ids.h"
 #include "core/random.h"
 #include "fleet.pb.h"
+#include "naming/label_index.h"
 #include "naming/name_table.h"
+#include "naming/selector.h"
 #include "requests.pb.h"
 #include "requests/admission.h"
 #include "requests/attempt_ledger.h"
@@ -116,7 +118,8 @@
         schema::LoadSummary summary;
     };
 
-    Result<ExecutorSet> match(std::string_view selector);
+    bool noteLabels(InstanceOrdinal, const schema::ExecutorAnnounce&);
+    void applyDrains();
     void takeTicket(HolderId, const schema::Ticket&, Instant);
     void takeEnd(HolderId, const schema::AttemptEnd&, Instant);
     void takeCancelled(HolderId, uint64_t sequence);
@@ -158,11 +161,12 @@
     TicketBook m_tickets;
     AttemptLedger m_ledger;
     ExecutorPool m_pool;
+    LabelIndex m_labels;
     SelectorGroups m_groups;
     HolderLinks m_links;
     absl::flat_hash_map<std::string, ClassPolicy> m_classes;
     absl::flat_hash_map<std::string, Instant> m_withdrawnKeys;
-    std::vector<std::string> m_drains;
+    std::vector<CompiledSelector> m_drains;
     absl::flat_hash_map<std::string, RemoteLoad> m_remote;
     absl::flat_hash_set<InstanceOrdinal> m_unconfirmed; // executors not yet heard since grants of former leaders lapsed
     Instant m_refreshed {};
--- a/requests/selector_groups.cpp
+++ b/requests/selector_groups.cpp
@@ -6,34 +6,41 @@
 
 namespace teasel {
 
-SelectorGroups::SelectorGroups(Match match)
-    : m_match(std::move(match))
+SelectorGroups::SelectorGroups(NameTable& names, const LabelIndex& labels)
+    : m_names(names)
+    , m_labels(labels)
 {
 }
 
-std::string SelectorGroups::keyOf(std::string_view selector, const std::vector<InstanceOrdinal>& avoid)
+std::string SelectorGroups::keyOf(std::string_view selector, const std::vector<InstanceOrdinal>& avoid) const
 {
-    std::string key(selector);
+    auto key = fmt::format("{}\n{}", selector, selector.empty() ? 0 : m_names.version());
     for (const auto it : avoid)
-        key += fmt::format("\n{}", it);
+        key += fmt::format(" {}", it);
     return key;
 }
 
 Result<GroupId> SelectorGroups::acquire(std::string_view selector, std::vector<InstanceOrdinal> avoid)
 {
     std::sort(avoid.begin(), avoid.end());
-    auto key = keyOf(selector, avoid);
-    if (const auto it = m_byKey.find(key); it != m_byKey.end()) {
-        ++m_groups.at(it->second).users;
-        return it->second;
+    const auto known = m_byKey.find(keyOf(selector, avoid));
+    if (known != m_byKey.end()) {
+        ++m_groups.at(known->second).users;
+        return known->second;
     }
-    Group group { key, std::string(selector), std::move(avoid), {}, 1 };
-    BOOST_LEAF_CHECK(evaluate(group));
+    Group group;
+    if (!selector.empty()) {
+        BOOST_LEAF_ASSIGN(group.selector, compileSelector(selector, m_names));
+    }
+    group.key = keyOf(selector, avoid); // reading the selector may have brought new names
+    group.avoid = std::move(avoid);
+    group.users = 1;
+    evaluate(group);
     if (m_groups.size() >= keptGroups)
         forgetUnused();
     const auto id = m_next++;
+    m_byKey.emplace(group.key, id);
     m_groups.emplace(id, std::move(group));
-    m_byKey.emplace(std::move(key), id);
     return id;
 }
 
@@ -44,23 +51,22 @@
         --it->second.users;
 }
 
-Result<void> SelectorGroups::evaluate(Group& group)
+void SelectorGroups::evaluate(Group& group) const
 {
-    BOOST_LEAF_AUTO(allowed, m_match(group.selector));
+    group.allowed = {};
+    for (const auto it : m_labels.matching(group.selector))
+        group.allowed.insert(it);
     for (const auto it : group.avoid)
-        allowed.erase(it);
-    group.allowed = std::move(allowed);
-    return {};
+        group.allowed.erase(it);
 }
 
 void SelectorGroups::refresh()
 {
-    for (auto& it : m_groups) {
-        auto& group = it.second;
-        const auto outcome = valueOrError([&] { return evaluate(group); });
-        if (std::holds_alternative<Error>(outcome))
-            group.allowed = {};
-    }
+    if (m_labelsVersion == m_labels.version())
+        return;
+    m_labelsVersion = m_labels.version();
+    for (auto& it : m_groups)
+        evaluate(it.second);
 }
 
 void SelectorGroups::forgetUnused()
--- a/requests/selector_groups.h
+++ b/requests/selector_groups.h
@@ -1,14 +1,16 @@
 // Groups of requests that may run on the same executors: one per selector and
-// set of executors to avoid.
+// set of executors to avoid. Ordinals in the label index are those of the executor pool.
 #pragma once
 
 #include "core/result.h"
+#include "naming/label_index.h"
+#include "naming/name_table.h"
+#include "naming/selector.h"
 #include "requests/executor_set.h"
 #include "requests/fair_queue.h"
 
 #include <absl/container/flat_hash_map.h>
 
-#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,40 +19,41 @@
 
 class SelectorGroups {
 public:
-    // Gives the executors that a selector allows, or why it cannot be read.
-    using Match = std::function<Result<ExecutorSet>(std::string_view selector)>;
+    SelectorGroups(NameTable&, const LabelIndex&);
 
-    explicit SelectorGroups(Match);
-
-    // The group of a selector without the executors to avoid. Each call is paired with one of `release`.
+    // The group of a selector without the executors to avoid. Names in the
+    // selector mean what they mean now, and go on meaning that after a renaming.
+    // Fails as compileSelector does. Each call is paired with one of `release`.
     Result<GroupId> acquire(std::string_view selector, std::vector<InstanceOrdinal> avoid);
     void release(GroupId);
 
     const ExecutorSet& allowed(GroupId id) const { return m_groups.at(id).allowed; }
 
-    // Evaluates all selectors again, after executors or labels changed.
+    // Evaluates all selectors again, if executors or labels have changed.
     void refresh();
     void clear();
 
 private:
     struct Group {
         std::string key;
-        std::string selector;
+        CompiledSelector selector;
         std::vector<InstanceOrdinal> avoid;
         ExecutorSet allowed;
         size_t users = 0;
     };
 
-    static std::string keyOf(std::string_view selector, const std::vector<InstanceOrdinal>& avoid);
-    Result<void> evaluate(Group&);
+    std::string keyOf(std::string_view selector, const std::vector<InstanceOrdinal>& avoid) const;
+    void evaluate(Group&) const;
     void forgetUnused();
 
     static constexpr size_t keptGroups = 256;
 
-    Match m_match;
+    NameTable& m_names;
+    const LabelIndex& m_labels;
     absl::flat_hash_map<GroupId, Group> m_groups;
     absl::flat_hash_map<std::string, GroupId> m_byKey;
     GroupId m_next = 1;
+    uint64_t m_labelsVersion = 0;
 };
 
 } // namespace teasel
--- /dev/null
+++ b/tests/requests_random_test.cpp
@@ -0,0 +1,546 @@
+// Seeded random runs of the whole request plane under faults.
+//
+// TEASEL_SEEDS sets how many seeds are run, TEASEL_FIRST_SEED the first one.
+#include "tests/requests_world.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace teasel {
+
+World::World(uint64_t seed, WorldCounts& counts)
+    : m_random(seed)
+    , m_counts(counts)
+    , m_end(m_now + chaos)
+{
+    const size_t centres = m_random.chance(0.3) ? 2 : 1;
+    m_centres.resize(centres);
+    m_processes.resize(centres * members);
+    for (TeamId id = 1; id <= 4; ++id)
+        m_teams.push_back(
+            { id, 1.0 + static_cast<double>(m_random.below(3)), 1 + static_cast<uint32_t>(m_random.below(6)) });
+    for (size_t n = 0; n < m_processes.size(); ++n) {
+        m_processes[n].dataCentre = n / members;
+        m_processes[n].name = fmt::format("d{}.e{}", n / members, n % members);
+        startProcess(n);
+        after(upTo(tick), [this, n] { tickProcess(n); });
+    }
+    for (size_t dataCentre = 0; dataCentre < centres; ++dataCentre) {
+        const auto runners = 2 + m_random.below(3);
+        for (size_t n = 0; n < runners; ++n) {
+            Runner runner;
+            runner.name = fmt::format("d{}.x{}", dataCentre, n);
+            runner.dataCentre = dataCentre;
+            runner.kind = n % 2 == 0 ? "kiln" : "press";
+            runner.slots = 1 + static_cast<uint32_t>(m_random.below(4));
+            m_runners.push_back(runner);
+            const auto place = m_runners.size() - 1;
+            after(upTo(Milliseconds(500)), [this, place] { announce(place); });
+        }
+        after(Duration(1), [this, dataCentre] { elect(dataCentre); });
+    }
+    after(upTo(Milliseconds(50)), [this] { submit(); });
+    after(upTo(Milliseconds(2'000)), [this] { fault(); });
+}
+
+void World::check(bool holds, const std::string& what)
+{
+    if (!holds)
+        throw std::runtime_error(fmt::format("{} (at {} ms)", what, (m_now - (m_end - chaos)).count() / 1'000));
+}
+
+void World::after(Duration wait, std::function<void()> act)
+{
+    m_events.push({ m_now + wait, m_order++, std::move(act) });
+}
+
+void World::run()
+{
+    while (!m_events.empty() && m_events.top().at <= m_end + quiet) {
+        auto event = m_events.top();
+        m_events.pop();
+        m_now = event.at;
+        event.act();
+    }
+    for (const auto& [handle, it] : m_callers) {
+        const auto& process = m_processes[it.process];
+        if (it.gone || !process.alive || process.incarnation != it.incarnation)
+            continue;
+        check(it.answers == 1, fmt::format("caller {} of {} got {} answers", handle, it.id, it.answers));
+    }
+    for (const auto& it : m_processes)
+        check(it.holder->idle(), it.name + " still holds requests");
+}
+
+// ---- Processes and links -----------------------------------------------------
+
+void World::startProcess(size_t n)
+{
+    auto& it = m_processes[n];
+    HolderOptions holder;
+    holder.instance = it.name;
+    holder.incarnation = it.incarnation;
+    holder.seed = m_random.below(1'000'000);
+    holder.startedAt = it.incarnation == 1 ? m_now - Milliseconds(100'000) : m_now;
+    holder.leaderlessPatience = Milliseconds(2'000);
+    it.holder = std::make_unique<RequestHolder>(holder);
+    DispatchOptions leader;
+    leader.dataCentre = fmt::format("d{}", it.dataCentre);
+    for (size_t member = 0; member < members; ++member)
+        leader.members.push_back(fmt::format("d{}.e{}", it.dataCentre, member));
+    leader.longestRequest = Milliseconds(8'000);
+    it.leader = std::make_unique<DispatchLeader>(leader, m_names);
+    it.leader->onTeams(m_teams, m_now);
+    const std::vector<ClassPolicy> classes { { "weigh-check", 0, 50 }, { "label-run", 1, 50 },
+        { "batch-blend", 2, 50 } };
+    it.leader->onClasses(classes, m_now);
+    it.alive = true;
+}
+
+void World::killProcess(size_t n)
+{
+    auto& it = m_processes[n];
+    it.alive = false;
+    it.inbox.clear();
+    it.pausedUntil = {};
+    after(upTo(Milliseconds(3'000)), [this, n] {
+        ++m_processes[n].incarnation;
+        startProcess(n);
+    });
+    after(Milliseconds(300), [this, n] {
+        const auto& centre = m_centres[m_processes[n].dataCentre];
+        const auto name = m_processes[n].name;
+        deliver(centre.leader, m_processes[centre.leader].incarnation,
+            [this, name, to = centre.leader] { m_processes[to].leader->onHolderLost(name, m_now); });
+    });
+}
+
+// Runs `act` in a process, later if it is paused, never if it died meanwhile.
+void World::deliver(size_t n, uint64_t incarnation, std::function<void()> act)
+{
+    auto& it = m_processes[n];
+    if (!it.alive || it.incarnation != incarnation)
+        return;
+    if (it.pausedUntil > m_now) {
+        it.inbox.push_back(std::move(act));
+        return;
+    }
+    act();
+    pump(n);
+}
+
+bool World::cut(size_t a, size_t b) const
+{
+    const auto it = m_cuts.find(std::minmax(a, b));
+    return it != m_cuts.end() && it->second > m_now;
+}
+
+void World::sendBetween(size_t from, size_t to, const std::function<void()>& act)
+{
+    const auto incarnation = m_processes[to].incarnation;
+    if (from == to)
+        return after(Duration(50), [=, this] { deliver(to, incarnation, act); });
+    if (cut(from, to) || happens(0.01)) {
+        ++m_counts.faults["dropped"];
+        return;
+    }
+    auto delay = upTo(Milliseconds(2));
+    if (happens(0.01)) {
+        ++m_counts.faults["delayed"];
+        delay += upTo(Milliseconds(3'000));
+    }
+    const int copies = happens(0.01) ? 2 : 1;
+    m_counts.faults["doubled"] += copies - 1;
+    for (int n = 0; n < copies; ++n)
+        after(delay + n * upTo(Milliseconds(200)), [=, this] { deliver(to, incarnation, act); });
+}
+
+void World::tickProcess(size_t n)
+{
+    auto& it = m_processes[n];
+    after(tick, [this, n] { tickProcess(n); });
+    if (!it.alive || it.pausedUntil > m_now)
+        return;
+    for (auto& act : std::exchange(it.inbox, {}))
+        act();
+    it.holder->onTick(m_now);
+    it.leader->onTick(m_now);
+    pump(n);
+}
+
+// An election as a service: a lease, renewed while the leader answers, then a new epoch.
+void World::elect(size_t dataCentre)
+{
+    after(Milliseconds(100), [this, dataCentre] { elect(dataCentre); });
+    auto& centre = m_centres[dataCentre];
+    const auto usable = [&](size_t n) { return m_processes[n].alive && m_processes[n].pausedUntil <= m_now; };
+    const bool leads = centre.epoch > 0 && usable(centre.leader) && m_processes[centre.leader].leader->leading();
+    const bool resigns = leads && happens(0.005);
+    if (resigns)
+        ++m_counts.faults["leader changed"];
+    if (leads && !resigns && m_now < centre.leaseUntil) {
+        centre.leaseUntil = m_now + lease;
+        m_processes[centre.leader].leader->onLeaseUntil(centre.leaseUntil);
+    } else if (resigns || m_now >= centre.leaseUntil) {
+        const auto candidate = dataCentre * members + m_random.below(members);
+        if (!usable(candidate))
+            return;
+        if (resigns)
+            m_processes[centre.leader].leader->onLostLeadership(m_now);
+        ++centre.epoch;
+        ++m_counts.work["elections"];
+        centre.leader = candidate;
+        centre.leaseUntil = m_now + lease;
+        m_processes[candidate].leader->onBecameLeader(centre.epoch, m_now);
+        m_processes[candidate].leader->onLeaseUntil(centre.leaseUntil);
+    }
+    for (size_t n = dataCentre * members; n < (dataCentre + 1) * members; ++n) {
+        if (!cut(n, centre.leader))
+            after(upTo(Milliseconds(60)), [this, n, centre, incarnation = m_processes[n].incarnation] {
+                deliver(n, incarnation, [=, this] {
+                    m_processes[n].holder->onLeader(m_processes[centre.leader].name, centre.epoch, m_now);
+                });
+            });
+    }
+}
+
+void World::pump(size_t n)
+{
+    for (auto& it : m_processes[n].holder->takeActions(m_now))
+        onAction(n, it);
+    for (auto& it : m_processes[n].leader->takeActions(m_now)) {
+        const auto grants = std::get<SendGrants>(it);
+        for (size_t to = 0; to < m_processes.size(); ++to) {
+            if (m_processes[to].name == grants.holder)
+                sendBetween(n, to, [=, this] { m_processes[to].holder->onGrants(grants.batch, m_now); });
+        }
+    }
+}
+
+// ---- Executors -----------------------------------------------------------------
+
+void World::announce(size_t n)
+{
+    after(Milliseconds(500), [this, n] { announce(n); });
+    const auto& it = m_runners[n];
+    if (!it.alive || happens(0.05))
+        return;
+    schema::ExecutorAnnounce message;
+    message.set_name(it.name);
+    message.set_incarnation(it.incarnation);
+    message.set_address(it.name);
+    message.set_slots(it.slots);
+    message.set_connections(64);
+    message.set_in_flight(static_cast<uint32_t>(it.running.size()));
+    message.set_lists_attempts(n % 2 == 0);
+    for (const auto& [key, run] : it.running)
+        message.add_attempts(key);
+    auto* label = message.add_labels();
+    label->set_key("kind");
+    label->set_value(it.kind);
+    const auto to = m_centres[it.dataCentre].leader;
+    after(upTo(Milliseconds(20)), [this, to, message, incarnation = m_processes[to].incarnation] {
+        deliver(to, incarnation, [=, this] { m_processes[to].leader->onAnnounce(message, m_now); });
+    });
+}
+
+void World::send(size_t process, const SendToExecutor& action)
+{
+    const auto incarnation = m_processes[process].incarnation;
+    for (size_t n = 0; n < m_runners.size(); ++n) {
+        if (m_runners[n].name != action.executor)
+            continue;
+        if (!m_runners[n].alive || happens(0.01)) {
+            ++m_counts.faults["connect failed"];
+            return after(upTo(Milliseconds(5)),
+                [=, this] { report(process, incarnation, action.attemptKey, ConnectFailed {}, {}); });
+        }
+        return after(upTo(Milliseconds(5)), [=, this] { arrive(n, process, incarnation, action); });
+    }
+    check(false, "sent to an unknown executor " + action.executor);
+}
+
+void World::arrive(size_t n, size_t process, uint64_t incarnation, const SendToExecutor& action)
+{
+    auto& runner = m_runners[n];
+    if (!runner.alive)
+        return report(process, incarnation, action.attemptKey, FailedAfterSending {}, {});
+    auto& caller = m_callers.at(action.handle);
+    check(!caller.toldNotRun, "run after its caller was told did_not_run: " + caller.id);
+    check(caller.kind.empty() || caller.kind == runner.kind, "run where its selector does not allow it: " + caller.id);
+    ++caller.runs;
+    ++m_counts.work["runs"];
+    if (!caller.idempotent)
+        check(++m_runsById[caller.id] == 1, "ran twice: " + caller.id);
+    runner.running[action.attemptKey] = { caller.team, caller.id };
+    check(runner.running.size() <= runner.slots, "over slots: " + runner.name);
+    uint32_t running = 0;
+    for (const auto& it : m_runners) {
+        for (const auto& [key, run] : it.running)
+            running += it.dataCentre == runner.dataCentre && run.team == caller.team ? 1 : 0;
+    }
+    check(running <= m_teams[caller.team - 1].portion, fmt::format("over portion: team {}", caller.team));
+    after(Milliseconds(5) + upTo(Milliseconds(60)) + runner.lag, [=, this, began = m_now, of = runner.incarnation] {
+        finishRun(n, of, process, incarnation, action.attemptKey, began);
+    });
+}
+
+void World::finishRun(
+    size_t n, uint64_t runnerIncarnation, size_t process, uint64_t incarnation, const std::string& key, Instant began)
+{
+    auto& runner = m_runners[n];
+    const auto place = runner.running.find(key);
+    if (runner.incarnation != runnerIncarnation || place == runner.running.end())
+        return;
+    const auto id = place->second.id;
+    runner.running.erase(place);
+    if (happens(runner.failing) || happens(0.01)) {
+        ++m_counts.faults["failed after sending"];
+        return report(process, incarnation, key, FailedAfterSending {}, m_now - began);
+    }
+    if (happens(0.01)) {
+        ++m_counts.faults["cut short"];
+        return report(process, incarnation, key, CutShort {}, m_now - began);
+    }
+    if (happens(0.01) && !runner.running.empty()) {
+        // The answers of two attempts are crossed: the echoes differ and the wiring reports both as failed.
+        ++m_counts.faults["crossed"];
+        return report(process, incarnation, key, FailedAfterSending {}, m_now - began);
+    }
+    m_answers[fmt::format("{} {}", process, key)] = id;
+    const int copies = happens(0.02) ? 2 : 1;
+    m_counts.faults["answer doubled"] += copies - 1;
+    for (int it = 0; it < copies; ++it)
+        report(process, incarnation, key, WholeAnswer {}, m_now - began);
+}
+
+void World::report(
+    size_t process, uint64_t incarnation, const std::string& key, const AttemptOutcome& outcome, Duration service)
+{
+    auto delay = upTo(Milliseconds(2));
+    if (happens(0.01)) {
+        ++m_counts.faults["answer late"];
+        delay += upTo(Milliseconds(2'000));
+    }
+    after(delay, [=, this] {
+        deliver(process, incarnation, [=, this] {
+            m_processes[process].holder->onExecutorResult({ key, outcome, service }, m_now);
+        });
+    });
+}
+
+// ---- Callers and the record of begun requests ------------------------------------
+
+void World::onAction(size_t n, HolderAction& action)
+{
+    auto& process = m_processes[n];
+    if (auto* it = std::get_if<SendTickets>(&action)) {
+        for (size_t to = 0; to < m_processes.size(); ++to) {
+            if (m_processes[to].name == it->leader)
+                sendBetween(n, to, [this, to, name = process.name, batch = it->batch] {
+                    m_processes[to].leader->onTickets(name, batch, m_now);
+                });
+        }
+    } else if (auto* sent = std::get_if<SendToExecutor>(&action)) {
+        send(n, *sent);
+    } else if (auto* begun = std::get_if<BeginDurably>(&action)) {
+        begin(n, *begun);
+    } else if (auto* finish = std::get_if<FinishDurably>(&action)) {
+        after(upTo(Milliseconds(300)), [this, finish = finish->finish] {
+            const auto place = m_begun.find(finish.request_id());
+            if (place == m_begun.end() || place->second.attempt != finish.attempt())
+                return;
+            if (finish.did_not_run())
+                m_begun.erase(place);
+            else
+                place->second.finished = true;
+        });
+    } else if (auto* answer = std::get_if<AnswerCaller>(&action)) {
+        const auto& of = m_callers.at(answer->handle);
+        check(m_answers[fmt::format("{} {}", n, answer->attemptKey)] == of.id, "crossed answer for " + of.id);
+        answered(answer->handle, false);
+    } else if (auto* refusal = std::get_if<RefuseCaller>(&action)) {
+        ++m_counts.work[fmt::format("refused {}", answerOf(refusal->error.kind).name)];
+        answered(refusal->handle, answerOf(refusal->error.kind).runState == RunState::DidNotRun);
+    } else if (auto* stored = std::get_if<AnswerStored>(&action)) {
+        ++m_counts.work["answered from the record"];
+        check(stored->outcome.request_id() == m_callers.at(stored->handle).id, "stored outcome of another id");
+        answered(stored->handle, false);
+    }
+}
+
+void World::begin(size_t n, const BeginDurably& action)
+{
+    if (happens(0.05)) {
+        ++m_counts.faults["begin lost"];
+        return;
+    }
+    after(upTo(Milliseconds(10)), [this, n, begin = action.begin, incarnation = m_processes[n].incarnation] {
+        auto [place, isNew] = m_begun.try_emplace(begin.request_id(), Begun { begin.attempt(), false });
+        schema::BeginAnswer answer;
+        answer.set_request_id(begin.request_id());
+        answer.set_attempt(begin.attempt());
+        const bool own = place->second.attempt == begin.attempt();
+        answer.set_verdict(place->second.finished ? schema::BEGIN_VERDICT_FINISHED
+                : own                             ? schema::BEGIN_VERDICT_BEGUN
+                                                  : schema::BEGIN_VERDICT_RUNNING);
+        answer.mutable_outcome()->set_request_id(begin.request_id());
+        if (happens(0.05)) {
+            ++m_counts.faults["begin answer lost"];
+            return;
+        }
+        after(upTo(happens(0.03) ? Milliseconds(1'500) : Milliseconds(10)),
+            [=, this] { deliver(n, incarnation, [=, this] { m_processes[n].holder->onBeginAnswer(answer, m_now); }); });
+    });
+}
+
+void World::answered(uint64_t handle, bool didNotRun)
+{
+    auto& it = m_callers.at(handle);
+    check(++it.answers == 1, "answered twice: " + it.id);
+    ++m_counts.work["answered"];
+    it.toldNotRun = didNotRun;
+    if (didNotRun)
+        check(it.runs == 0 && (it.idempotent || m_runsById[it.id] == 0), "false did_not_run for " + it.id);
+}
+
+void World::submit()
+{
+    if (!chaotic())
+        return;
+    after(upTo(Milliseconds(15)), [this] { submit(); });
+    const auto n = m_random.below(m_processes.size());
+    if (!m_processes[n].alive)
+        return;
+    const auto handle = m_nextHandle++;
+    auto& caller = m_callers[handle];
+    caller.team = 1 + static_cast<TeamId>(m_random.below(m_teams.size()));
+    caller.idempotent = m_random.chance(0.5);
+    caller.id = fmt::format("r{}", handle);
+    caller.process = n;
+    caller.incarnation = m_processes[n].incarnation;
+    const auto& earlier = m_callers.at(1 + m_random.below(handle));
+    if (!earlier.idempotent && m_random.chance(0.2)) {
+        ++m_counts.work["ids sent again"];
+        caller.id = earlier.id;
+        caller.team = earlier.team;
+        caller.idempotent = false;
+    }
+    if (m_random.chance(0.3))
+        caller.kind = m_random.chance(0.5) ? "kiln" : "press";
+    Submission submission;
+    submission.handle = handle;
+    submission.selector = caller.kind.empty() ? "" : "kind = " + caller.kind;
+    submission.team = caller.team;
+    submission.keyId = fmt::format("k{}", caller.team);
+    submission.className = caller.idempotent ? (m_random.chance(0.5) ? "weigh-check" : "label-run") : "batch-blend";
+    submission.requestId = caller.id;
+    submission.idempotent = caller.idempotent;
+    const auto patience = Milliseconds(200) + upTo(Milliseconds(4'000));
+    deliver(n, caller.incarnation, [=, this]() mutable {
+        submission.deadline = m_now + patience;
+        m_processes[n].holder->onSubmit(submission, m_now);
+    });
+}
+
+void World::fault()
+{
+    if (!chaotic())
+        return;
+    after(upTo(Milliseconds(1'500)), [this] { fault(); });
+    const auto n = m_random.below(m_processes.size());
+    auto& runner = m_runners[m_random.below(m_runners.size())];
+    const auto place = static_cast<size_t>(&runner - m_runners.data());
+    switch (m_random.below(8)) {
+    case 0:
+        if (m_processes[n].alive) {
+            ++m_counts.faults["process died"];
+            killProcess(n);
+        }
+        return;
+    case 1:
+        ++m_counts.faults["process paused"];
+        m_processes[n].pausedUntil = std::min(m_now + upTo(Milliseconds(4'000)), m_end);
+        return;
+    case 2:
+    case 3:
+        ++m_counts.faults["link cut"];
+        m_cuts[std::minmax(n, m_random.below(m_processes.size()))] = std::min(m_now + upTo(Milliseconds(4'000)), m_end);
+        return;
+    case 4:
+        ++m_counts.faults["executor died"];
+        runner.alive = false;
+        ++runner.incarnation;
+        runner.running.clear();
+        after(upTo(Milliseconds(3'000)), [this, place] { m_runners[place].alive = true; });
+        return;
+    case 5:
+        ++m_counts.faults["executor lags"];
+        runner.lag = upTo(Milliseconds(3'000));
+        after(upTo(Milliseconds(2'000)), [this, place] { m_runners[place].lag = Duration(0); });
+        return;
+    case 6:
+        ++m_counts.faults["executor fails everything"];
+        runner.failing = 0.9;
+        after(upTo(Milliseconds(3'000)), [this, place] { m_runners[place].failing = 0.0; });
+        return;
+    default:
+        ++m_counts.faults["wave of cancellations"];
+        for (auto& [handle, it] : m_callers) {
+            if (it.answers > 0 || it.gone || !m_random.chance(0.5))
+                continue;
+            it.gone = true;
+            deliver(it.process, it.incarnation,
+                [this, handle = handle, to = it.process] { m_processes[to].holder->onCallerGone(handle, m_now); });
+        }
+        return;
+    }
+}
+
+namespace {
+
+    uint64_t setting(const char* name, uint64_t otherwise)
+    {
+        const char* text = std::getenv(name);
+        return text ? std::strtoull(text, nullptr, 10) : otherwise;
+    }
+
+    void printAndRequire(const char* what, const std::map<std::string, uint64_t>& counts)
+    {
+        std::string line;
+        for (const auto& it : counts) {
+            line += fmt::format(" {}={};", it.first, it.second);
+            CHECK_MESSAGE(it.second > 0, it.first);
+        }
+        MESSAGE(std::string(what) << ":" << line);
+        CHECK(counts.size() >= 5);
+    }
+
+} // namespace
+
+TEST_CASE("the promises to callers hold under random faults")
+{
+    const auto first = setting("TEASEL_FIRST_SEED", 1);
+    const auto seeds = setting("TEASEL_SEEDS", 200);
+    auto former = setInvariantHandler([](std::string_view name, std::string_view seen) {
+        throw std::runtime_error(fmt::format("invariant {} broken: {}", name, seen));
+    });
+    WorldCounts counts;
+    uint64_t failed = 0;
+    for (auto seed = first; seed < first + seeds; ++seed) {
+        try {
+            World(seed, counts).run();
+        } catch (const std::exception& it) {
+            ++failed;
+            MESSAGE("TEASEL_FIRST_SEED=" << seed << " TEASEL_SEEDS=1 build/requests_random_test  # " << it.what());
+        }
+    }
+    setInvariantHandler(std::move(former));
+    CHECK(failed == 0);
+    printAndRequire("faults", counts.faults);
+    printAndRequire("work", counts.work);
+}
+
+} // namespace teasel
