--- a/fleet/fleet_state.cpp
+++ b/fleet/fleet_state.cpp
@@ -132,9 +132,17 @@
 bool FleetState::answerFromLog(const schema::ConfigChange& change, schema::ChangeAnswer& answer) const
 {
     const auto* known = m_changes.find(change.made_by(), change.change_id());
+    // Without edits it only asks what became of the change.
+    if (known == nullptr && change.edits().empty()) {
+        answer.set_change_id(change.change_id());
+        answer.set_state(schema::CHANGE_STATE_REFUSED);
+        answer.set_revision(revision());
+        setFailure(*answer.mutable_failure(), { ErrorKind::NotFound, "this key made no change with this id", {} });
+        return true;
+    }
     if (known == nullptr)
         return false;
-    if (known->content_hash() == contentHash(change)) {
+    if (change.edits().empty() || known->content_hash() == contentHash(change)) {
         answer = known->answer();
         return true;
     }
