--- a/tests/fake_disk.h
+++ b/tests/fake_disk.h
@@ -87,11 +87,13 @@
         size_t lost = 0;
         for (auto it = files.begin(); it != files.end();) {
             auto& [name, file] = *it;
-            const auto kept = random.below(file.unsynced.size() + 1);
-            lost += file.unsynced.size() - kept;
-            file.synced += file.unsynced.substr(0, kept);
+            const auto size = file.unsynced.size();
+            const auto kept = random.chance(0.3) ? size : random.below(size + 1);
+            lost += size - kept;
+            auto left = file.unsynced.substr(0, kept);
             if (kept > 0 && random.chance(0.3))
-                file.synced.back() ^= 1; // the last block is torn
+                left[random.below(kept)] ^= 1; // a torn block
+            file.synced += left;
             file.unsynced.clear();
             const bool isGone = !file.isEntrySynced && random.chance(0.5);
             file.isEntrySynced = true;
--- a/tests/storage_log_store_test.cpp
+++ b/tests/storage_log_store_test.cpp
@@ -1,3 +1,4 @@
+#include "fake_disk.h"
 #include "storage/log_store.h"
 #include "storage/posix_disk.h"
 
@@ -87,3 +88,124 @@
     REQUIRE(std::holds_alternative<Error>(outcome));
     CHECK(std::get<Error>(outcome).message.find("in use by another process") != std::string::npos);
 }
+
+namespace {
+
+// A disk with three batches: records 1 to 3, 4 to 6 and 7 to 9.
+FakeDisk writtenDisk()
+{
+    FakeDisk disk;
+    LogStore store(disk);
+    REQUIRE(store.open());
+    REQUIRE(store.saveHardState(makeHardState()));
+    for (uint64_t first = 1; first <= 7; first += 3)
+        REQUIRE(store.append(makeRecords(first, first + 2, 1)));
+    return disk;
+}
+
+std::string& segmentOf(FakeDisk& disk) { return disk.files["segment-00000000000000000001"].synced; }
+
+size_t recordsFound(FakeDisk& disk)
+{
+    LogStore store(disk);
+    return store.open().value().records.size();
+}
+
+// The message with which a disk is refused; empty when it is not.
+std::string refusal(FakeDisk& disk)
+{
+    LogStore store(disk);
+    const auto outcome = valueOrError([&] { return store.open(); });
+    const auto* error = std::get_if<Error>(&outcome);
+    return error ? error->message : "";
+}
+
+} // namespace
+
+TEST_CASE("a torn last batch is cut off at every length")
+{
+    const auto whole = writtenDisk();
+    const auto size = whole.files.at("segment-00000000000000000001").synced.size();
+    const auto batch = size / 3;
+    for (size_t left = 2 * batch; left < size; ++left) {
+        auto disk = whole;
+        segmentOf(disk).resize(left);
+        const auto expected = 6 + (left - 2 * batch) / (batch / 3);
+        CHECK(recordsFound(disk) == expected);
+        CHECK(recordsFound(disk) == expected); // what was cut off stays so
+    }
+}
+
+TEST_CASE("a damaged record before the last batch is refused with the way to repair")
+{
+    const auto whole = writtenDisk();
+    const auto size = whole.files.at("segment-00000000000000000001").synced.size();
+    for (size_t at = 0; at < size / 3 * 2; at += 7) {
+        auto disk = whole;
+        segmentOf(disk)[at] ^= 1;
+        const auto message = refusal(disk);
+        CHECK(message.find("segment-00000000000000000001 is damaged at byte") != std::string::npos);
+        CHECK(message.find("`replacement: true`") != std::string::npos);
+    }
+}
+
+TEST_CASE("a damaged or missing hard state or snapshot is refused")
+{
+    const auto damage = [](const char* name) {
+        auto disk = writtenDisk();
+        LogStore store(disk);
+        REQUIRE(store.open());
+        SnapshotImage image;
+        image.meta.set_index(5);
+        image.meta.set_term(1);
+        image.data = "state";
+        REQUIRE(store.saveSnapshot(image));
+        disk.files[name].synced.back() ^= 1;
+        return refusal(disk);
+    };
+    CHECK(damage("hard-state").find("hard-state is damaged") != std::string::npos);
+    CHECK(
+        damage("snapshot-00000000000000000005").find("snapshot-00000000000000000005 is damaged") != std::string::npos);
+    auto disk = writtenDisk();
+    disk.files.erase("hard-state");
+    CHECK(refusal(disk).find("missing beside a log") != std::string::npos);
+}
+
+TEST_CASE("after a failed write nothing more is written and what was acknowledged is found")
+{
+    for (uint64_t writes = 0; writes < 2; ++writes) {
+        auto disk = writtenDisk();
+        LogStore store(disk);
+        REQUIRE(store.open());
+        disk.writesLeft = writes;
+        CHECK(!store.append(makeRecords(10, 12, 1)));
+        disk.writesLeft = FakeDisk::unlimited;
+        CHECK(!store.append(makeRecords(10, 12, 1)));
+        CHECK(!store.saveHardState(makeHardState()));
+        Random random(writes);
+        disk.crash(random);
+        CHECK(recordsFound(disk) >= 9);
+    }
+}
+
+TEST_CASE("compaction removes whole segments and a snapshot of the leader replaces the log")
+{
+    FakeDisk disk;
+    LogStore store(disk, { 100 });
+    REQUIRE(store.open());
+    REQUIRE(store.saveHardState(makeHardState()));
+    for (uint64_t first = 1; first <= 91; first += 10)
+        REQUIRE(store.append(makeRecords(first, first + 9, 1)));
+    SnapshotImage image;
+    image.meta.set_index(55);
+    image.meta.set_term(1);
+    REQUIRE(store.saveSnapshot(image));
+    REQUIRE(store.compact(45));
+    CHECK(recordsFound(disk) == 60);
+    image.meta.set_index(500);
+    image.meta.set_term(3);
+    REQUIRE(store.installSnapshot(image));
+    REQUIRE(store.append(makeRecords(501, 510, 3)));
+    CHECK(recordsFound(disk) == 10);
+    CHECK(LogStore(disk).open().value().snapshot.index() == 500);
+}
