Operators' command line; enum values in YAML

Cause: there was no way to operate a fleet but by hand-made HTTP calls, and job files could not name their kind. Ruled out: a resend of a request whose answer was lost (it may have run; the tool names the id to ask with instead); a change without a base revision (two operators would overwrite one another); printing a hand-made JSON beside the schema's. Conclusion: each end of a change has its exit code and says what to do next.

--- a/settings/settings_reader.cpp
+++ b/settings/settings_reader.cpp
@@ -3,6 +3,8 @@
 #include <fmt/format.h>
 #include <yaml-cpp/yaml.h>
 
+#include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <fstream>
 #include <sstream>
@@ -49,6 +51,24 @@
         return true;
     }
 
+    // An enum value as it stands in YAML: `JOB_KIND_BATCH` of JobKind is `batch`.
+    std::string yamlName(const google::protobuf::EnumValueDescriptor& value)
+    {
+        constexpr std::string_view zeroName = "UNSPECIFIED"; // ends the name of each enum's first value
+        const auto prefix = value.type()->value(0)->name().size() - zeroName.size();
+        auto name = value.name().substr(prefix);
+        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
+        return name;
+    }
+
+    std::string yamlNames(const google::protobuf::EnumDescriptor& type)
+    {
+        std::string names;
+        for (int n = 1; n < type.value_count(); ++n)
+            names += fmt::format("{}{}", n > 1 ? ", " : "one of ", yamlName(*type.value(n)));
+        return names;
+    }
+
     std::string join(std::string_view parent, std::string_view key)
     {
         return parent.empty() ? std::string(key) : fmt::format("{}.{}", parent, key);
@@ -139,6 +159,8 @@
                 return {};
             case FieldDescriptor::CPPTYPE_BOOL:
                 return readBool(node, path, into, field);
+            case FieldDescriptor::CPPTYPE_ENUM:
+                return readEnum(node, path, into, field);
             case FieldDescriptor::CPPTYPE_UINT32:
                 return readNumber<uint32_t>(node, path, "a whole number from 0 to 4294967295",
                     [&](uint32_t value) { reflection.SetUInt32(&into, &field, value); });
@@ -163,6 +185,19 @@
             return {};
         }
 
+        Result<void> readEnum(
+            const YAML::Node& node, const std::string& path, Message& into, const FieldDescriptor& field)
+        {
+            const auto& type = *field.enum_type();
+            for (int n = 1; node.IsScalar() && n < type.value_count(); ++n) {
+                if (yamlName(*type.value(n)) != node.Scalar())
+                    continue;
+                into.GetReflection()->SetEnum(&into, &field, type.value(n));
+                return {};
+            }
+            return refuse(path, yamlNames(type), node);
+        }
+
         template <class Number, class Set>
         Result<void> readNumber(const YAML::Node& node, const std::string& path, std::string_view expected, Set&& set)
         {
@@ -193,6 +228,9 @@
         case FieldDescriptor::CPPTYPE_BOOL:
             out << reflection.GetBool(message, &field);
             return;
+        case FieldDescriptor::CPPTYPE_ENUM:
+            out << yamlName(*reflection.GetEnum(message, &field));
+            return;
         case FieldDescriptor::CPPTYPE_UINT32:
             out << reflection.GetUInt32(message, &field);
             return;
--- a/tests/settings_reader_test.cpp
+++ b/tests/settings_reader_test.cpp
@@ -1,3 +1,4 @@
+#include "placement.pb.h"
 #include "settings/entry_settings.h"
 #include "settings/state_settings.h"
 
@@ -139,6 +140,18 @@
     CHECK(stateError(state + "replacement: yes\n").starts_with("s.yaml:9: replacement: expected true or false"));
 }
 
+TEST_CASE("enum values are read and printed by their names in lower case")
+{
+    schema::JobSpec spec;
+    const auto read
+        = [&](std::string_view text) { return messageOf([&] { return readSettingsText(text, "j", spec); }); };
+    CHECK(read("kind: gang\nresources: {milli_cpus: 500}\n") == "");
+    CHECK(spec.kind() == schema::JOB_KIND_GANG);
+    CHECK(spec.resources().milli_cpus() == 500);
+    CHECK(printSettings(spec).find("kind: gang\n") != std::string::npos);
+    CHECK(read("kind: bulk\n") == "j:1: kind: expected one of service, batch, gang, found \"bulk\"");
+}
+
 TEST_CASE("a file that is not there is refused with its name")
 {
     CHECK(
--- /dev/null
+++ b/tests/teasel_tool_test.cpp
@@ -0,0 +1,260 @@
+#include "fleet/key_material.h"
+#include "main/teasel_json.h"
+#include "main/teasel_tool.h"
+
+#include "fleet.pb.h"
+#include "naming/name_table.h"
+#include "settings.pb.h"
+#include "settings/settings_reader.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <deque>
+#include <sstream>
+
+namespace teasel {
+
+namespace {
+
+    // Answers from a script and keeps what was sent.
+    class ScriptedTransport final : public HttpTransport {
+    public:
+        HttpOutcome send(const std::string& server, const HttpCall& call) override
+        {
+            servers.push_back(server);
+            calls.push_back(call);
+            if (outcomes.empty())
+                return HttpFailure { false, "nothing scripted" };
+            auto next = std::move(outcomes.front());
+            outcomes.pop_front();
+            return next;
+        }
+
+        schema::ConfigChange change(size_t n) const
+        {
+            schema::ConfigChange out;
+            REQUIRE(fromJson(calls.at(n).body, out));
+            return out;
+        }
+
+        std::deque<HttpOutcome> outcomes;
+        std::vector<std::string> servers;
+        std::vector<HttpCall> calls;
+    };
+
+    struct Run {
+        int code = 0;
+        std::string out;
+        std::string err;
+    };
+
+    Run run(ScriptedTransport& transport, std::vector<std::string> arguments)
+    {
+        std::vector<std::string> all { "--server", "http://a", "--server", "http://b", "--key", "op.secret" };
+        all.insert(all.end(), arguments.begin(), arguments.end());
+        std::ostringstream out;
+        std::ostringstream err;
+        const auto code = runTool(all, transport, out, err);
+        return { code, out.str(), err.str() };
+    }
+
+    schema::FleetConfig fleetConfig()
+    {
+        schema::FleetConfig config;
+        config.set_revision(7);
+        auto& team = *config.add_teams();
+        team.set_id(3);
+        team.set_name("red");
+        team.set_share(2);
+        team.set_request_limit(40);
+        for (const auto* name : { "ours", "theirs" }) {
+            auto& scheme = *config.add_schemes();
+            scheme.set_id(static_cast<uint32_t>(config.schemes_size() - 1));
+            scheme.set_name(name);
+        }
+        auto& alias = *config.add_aliases();
+        alias.set_scheme_id(1);
+        alias.set_kind(schema::SUBJECT_KIND_TEAM);
+        alias.set_subject_id(3);
+        alias.set_name("rojo");
+        return config;
+    }
+
+    HttpOutcome answer(int status, const google::protobuf::Message& body)
+    {
+        return HttpReply { status, toJson(body), {} };
+    }
+
+    schema::ChangeAnswer changeAnswer(schema::ChangeState state)
+    {
+        schema::ChangeAnswer out;
+        out.set_change_id("c1");
+        out.set_state(state);
+        out.set_revision(8);
+        return out;
+    }
+
+    bool holds(const std::string& text, std::string_view part) { return text.find(part) != std::string::npos; }
+
+} // namespace
+
+TEST_CASE("each end of a change has its exit code, and says what to do next")
+{
+    auto pending = changeAnswer(schema::CHANGE_STATE_PENDING);
+    pending.add_data_centres_not_reached("south");
+    auto refused = changeAnswer(schema::CHANGE_STATE_REFUSED);
+    refused.mutable_failure()->set_kind(static_cast<uint32_t>(ErrorKind::RevisionConflict));
+    refused.mutable_failure()->set_message("based on revision 7");
+    refused.set_winning_change_id("c0");
+    refused.set_winning_made_by("op2");
+    const HttpReply forbidden { 403,
+        R"({"kind":"forbidden","run":"did_not_run","message":"not yours","advice":"use another key","retry_after_ms":0})",
+        {} };
+    struct Row {
+        HttpOutcome reply;
+        int code;
+        std::vector<std::string> parts;
+    };
+    const std::vector<Row> rows {
+        { answer(200, changeAnswer(schema::CHANGE_STATE_ACCEPTED)), 0, { "accepted", "revision 8" } },
+        { answer(202, pending), 2, { "pending", "south", "teasel config change-status c1" } },
+        { answer(409, refused), 3, { "refused", "based on revision 7", "change c0 of key op2", "next: " } },
+        { forbidden, 3, { "refused (forbidden): not yours", "next: use another key" } },
+        { HttpFailure { true, "cut" }, 4, { "may have been made", "--change-id ", "--base-revision 7" } },
+    };
+    for (const auto& it : rows) {
+        ScriptedTransport transport;
+        transport.outcomes = { answer(200, fleetConfig()), it.reply };
+        const auto ended = run(transport, { "share", "set", "red", "4" });
+        CHECK(ended.code == it.code);
+        for (const auto& part : it.parts)
+            CHECK_MESSAGE(holds(ended.out + ended.err, part), ended.out << ended.err);
+    }
+}
+
+TEST_CASE("a change is based on the revision read, keeps the rest of the team and resends the same id")
+{
+    ScriptedTransport transport;
+    transport.outcomes = { answer(200, fleetConfig()), HttpFailure { true, "the answer was lost" },
+        answer(200, changeAnswer(schema::CHANGE_STATE_ACCEPTED)) };
+    CHECK(run(transport, { "limit", "set", "theirs:rojo", "--requests", "50" }).code == 0);
+    REQUIRE(transport.calls.size() == 3);
+    CHECK(transport.servers == std::vector<std::string> { "http://a", "http://a", "http://b" });
+    CHECK(transport.calls[1].body == transport.calls[2].body);
+    const auto change = transport.change(1);
+    CHECK(change.base_revision() == 7);
+    CHECK(change.change_id().size() == 32);
+    REQUIRE(change.edits_size() == 1);
+    CHECK(change.edits(0).put_team().id() == 3);
+    CHECK(change.edits(0).put_team().share() == 2);
+    CHECK(change.edits(0).put_team().request_limit() == 50);
+    ScriptedTransport again;
+    again.outcomes = { answer(200, fleetConfig()), answer(200, changeAnswer(schema::CHANGE_STATE_ACCEPTED)) };
+    CHECK(run(again, { "team", "remove", "red", "--change-id", "x", "--base-revision", "5" }).code == 0);
+    CHECK(again.change(1).change_id() == "x");
+    CHECK(again.change(1).base_revision() == 5);
+}
+
+TEST_CASE("granting a key sends its salted hash and never its secret")
+{
+    ScriptedTransport transport;
+    transport.outcomes = { answer(200, fleetConfig()), answer(200, changeAnswer(schema::CHANGE_STATE_ACCEPTED)) };
+    const auto ended = run(transport, { "key", "grant", "--team", "rojo", "--id", "k1" });
+    CHECK(ended.code == 0);
+    const auto at = ended.out.find("k1.");
+    REQUIRE(at != std::string::npos);
+    const auto token = ended.out.substr(at, ended.out.find('\n', at) - at);
+    const auto parts = splitToken(token);
+    REQUIRE(parts);
+    CHECK_FALSE(holds(transport.calls[1].body, parts.value().secret));
+    const auto key = transport.change(1).edits(0).grant_key();
+    CHECK(key.team_id() == 3);
+    CHECK(secretMatches(key, parts.value().secret));
+    ScriptedTransport lost;
+    lost.outcomes = { answer(200, fleetConfig()), HttpFailure { true, "cut" }, HttpFailure { false, "cut" } };
+    const auto unsure = run(lost, { "key", "grant", "--team", "red", "--id", "k1" });
+    CHECK(unsure.code == 4);
+    CHECK(holds(unsure.err, "--salt " + toHex(lost.change(1).edits(0).grant_key().salt())));
+    ScriptedTransport teamless;
+    teamless.outcomes = { answer(200, fleetConfig()) };
+    CHECK(run(teamless, { "key", "grant" }).code == 3);
+    CHECK(teamless.calls.size() == 1);
+}
+
+TEST_CASE("the first operator's settings read back and match the key")
+{
+    ScriptedTransport transport;
+    const auto ended = run(transport, { "key", "bootstrap", "--scheme", "ours", "theirs" });
+    CHECK(ended.code == 0);
+    schema::StateSettings settings;
+    REQUIRE(readSettingsText(ended.out, "printed", settings));
+    CHECK(settings.bootstrap().schemes_size() == 2);
+    const auto secret = ended.err.substr(ended.err.find("operator.") + 9, 48);
+    schema::Key key;
+    key.set_salt(fromHex(settings.bootstrap().operator_key_salt()).value());
+    key.set_hash(fromHex(settings.bootstrap().operator_key_hash()).value());
+    CHECK(secretMatches(key, secret));
+    CHECK(transport.calls.empty());
+}
+
+TEST_CASE("an alias names the subject that the name means, announced or not")
+{
+    ScriptedTransport transport;
+    transport.outcomes = { answer(200, fleetConfig()), answer(200, changeAnswer(schema::CHANGE_STATE_ACCEPTED)) };
+    CHECK(run(transport,
+              { "alias", "add", "--kind", "instance", "--scheme", "theirs", "--name", "B-17", "--of", "ours:w1" })
+              .code
+        == 0);
+    NameTable names;
+    names.configure(fleetConfig());
+    const auto alias = transport.change(1).edits(0).put_alias();
+    CHECK(alias.subject_id() == names.derivedSubject(schema::SUBJECT_KIND_INSTANCE, 0, "w1"));
+    CHECK(alias.scheme_id() == 1);
+    ScriptedTransport unsent;
+    CHECK(run(unsent, { "alias", "add", "--kind", "team", "--name", "x" }).code == 64);
+    unsent.outcomes = { answer(200, fleetConfig()) };
+    CHECK(run(unsent, { "drain", "add", "d1", "zone = " }).code == 3);
+    CHECK(unsent.calls.size() == 1);
+}
+
+TEST_CASE("a request whose answer was lost is not sent to another server")
+{
+    ScriptedTransport transport;
+    transport.outcomes = { HttpFailure { true, "cut" }, HttpReply { 200, "done", {} } };
+    const auto ended = run(transport, { "request", "send", "check", "--body", "x", "--request-id", "r1" });
+    CHECK(ended.code == 4);
+    CHECK(transport.calls.size() == 1);
+    CHECK(holds(ended.err, "it may have run"));
+    ScriptedTransport unconnected;
+    unconnected.outcomes = { HttpFailure { false, "no connection" }, HttpReply { 200, "done", {} } };
+    const auto sent = run(unconnected, { "request", "send", "check", "--body", "x", "--selector", "zone = a" });
+    CHECK(sent.code == 0);
+    CHECK(sent.out == "done");
+    CHECK(unconnected.servers.back() == "http://b");
+}
+
+TEST_CASE("a server that is shutting down is passed over")
+{
+    ScriptedTransport transport;
+    transport.outcomes = { HttpReply { 503, R"({"kind":"shutting_down","run":"did_not_run"})", {} },
+        HttpReply { 200, R"({"instance":"e2","queue":{"waiting":4},"teams":[{"team":"red","running":1.5}]})", {} } };
+    const auto ended = run(transport, { "status" });
+    CHECK(ended.code == 0);
+    CHECK(holds(ended.out, "queue.waiting  4"));
+    CHECK(holds(ended.out, "1.5      red"));
+    CHECK(transport.calls[0].headers.back().value == "Bearer op.secret");
+}
+
+TEST_CASE("wrong usage ends with 64 and sends nothing")
+{
+    ScriptedTransport transport;
+    const std::vector<std::vector<std::string>> rows { {}, { "team" }, { "team", "create" }, { "paint" },
+        { "share", "set", "red", "much" }, { "job", "submit" },
+        { "class", "put", "x", "--closed", "--open-team", "red" } };
+    for (const auto& it : rows)
+        CHECK(run(transport, it).code == 64);
+    CHECK(transport.calls.empty());
+}
+
+} // namespace teasel
