--- a/main/teasel_change.cpp
+++ b/main/teasel_change.cpp
@@ -13,6 +13,7 @@
 
     constexpr size_t idBytes = 16;
     constexpr std::chrono::milliseconds answerMargin { 5'000 };
+    constexpr int firstServerError = 500;
 
     ExitCode exitCodeOf(schema::ChangeState state)
     {
@@ -53,9 +54,13 @@
     const auto& reply = std::get<HttpReply>(outcome);
     schema::ChangeAnswer answer;
     const auto parsed = valueOrError([&] { return fromJson(reply.body, answer); });
-    if (std::holds_alternative<Error>(parsed) || answer.state() == schema::CHANGE_STATE_UNSPECIFIED)
+    if (!std::holds_alternative<Error>(parsed) && answer.state() != schema::CHANGE_STATE_UNSPECIFIED)
+        return { exitCodeOf(answer.state()), answer };
+    if (reply.status < firstServerError)
         return { m_out.refused(reply), std::nullopt };
-    return { exitCodeOf(answer.state()), answer };
+    // The instance answered, but not for the fleet state.
+    const auto message = fmt::format("HTTP {}: {}", reply.status, readErrorBody(reply.body).message);
+    return { m_out.unreachable({ true, message }, next), std::nullopt };
 }
 
 ChangeOutcome ConfigChanges::send(const ChangeOptions& options, const EditMaker& maker)
@@ -117,6 +122,10 @@
     }
     const auto& advice = answerOf(errorKindFromNumber(answer.failure().kind())).advice;
     auto text = fmt::format("refused: change {} was not made: {}", answer.change_id(), answer.failure().message());
+    if (answer.winning_change_id() == answer.change_id())
+        return text
+            + "\nnext: to send that change again, give the --base-revision that it had and the same values; "
+              "for another change, leave --change-id out";
     if (!answer.winning_change_id().empty())
         text += fmt::format("\nwon by: change {} of key {}", answer.winning_change_id(), answer.winning_made_by());
     return text + fmt::format("\nnext: {}; the current revision is {}", advice, answer.revision());
--- a/main/teasel_job_commands.cpp
+++ b/main/teasel_job_commands.cpp
@@ -6,6 +6,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <cctype>
 #include <fstream>
 #include <memory>
 #include <optional>
@@ -42,10 +44,12 @@
         return randomId();
     }
 
-    std::string phaseName(schema::JobPhase phase)
+    // `JOB_PHASE_RUNNING` as `running`.
+    std::string shortName(std::string name, std::string_view prefix)
     {
-        constexpr std::string_view prefix = "JOB_PHASE_";
-        return schema::JobPhase_Name(phase).substr(prefix.size());
+        name.erase(0, std::min(prefix.size(), name.size()));
+        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
+        return name;
     }
 
     Result<HttpCall> submission(const JobOptions& options)
@@ -85,9 +89,9 @@
     {
         Table table({ "job", "name", "phase", "tasks", "running", "waiting", "finished", "reason" });
         for (const auto& it : status.jobs())
-            table.add({ it.job_id(), it.name(), phaseName(it.phase()), fmt::format("{}", it.tasks()),
-                fmt::format("{}", it.running()), fmt::format("{}", it.waiting()), fmt::format("{}", it.finished()),
-                it.reason() });
+            table.add({ it.job_id(), it.name(), shortName(schema::JobPhase_Name(it.phase()), "JOB_PHASE_"),
+                fmt::format("{}", it.tasks()), fmt::format("{}", it.running()), fmt::format("{}", it.waiting()),
+                fmt::format("{}", it.finished()), it.reason() });
         out.show(status, table);
         if (!withTasks || out.json())
             return;
@@ -95,7 +99,7 @@
         for (const auto& job : status.jobs()) {
             for (const auto& it : job.placed())
                 tasks.add({ fmt::format("{}", it.index()), fmt::format("{}", it.attempt()), it.worker(),
-                    schema::TaskState_Name(it.state()) });
+                    shortName(schema::TaskState_Name(it.state()), "TASK_STATE_") });
         }
         out.raw("\n" + tasks.text());
     }
@@ -139,7 +143,7 @@
         if (reply.status >= 300)
             return session.out.refused(reply);
         session.out.raw(
-            session.out.json() ? reply.body + "\n" : fmt::format("accepted: {} is cancelled\n", options.id));
+            session.out.json() ? reply.body + "\n" : fmt::format("accepted: cancellation of {}\n", options.id));
         return ExitCode::Accepted;
     }
 
--- a/main/teasel_output.cpp
+++ b/main/teasel_output.cpp
@@ -69,6 +69,10 @@
 
 void Output::showList(const std::string& name, const google::protobuf::ListValue& list)
 {
+    if (list.values().empty()) {
+        line(fmt::format("\n{}: none", name));
+        return;
+    }
     std::set<std::string> columns;
     for (const auto& it : list.values()) {
         for (const auto& field : it.struct_value().fields())
@@ -137,7 +141,7 @@
 
 ExitCode Output::unreachable(const HttpFailure& failure, std::string_view next)
 {
-    note(fmt::format("no answer from any server: {}\nnext: {}", failure.message, next));
+    note(fmt::format("no answer: {}\nnext: {}", failure.message, next));
     return ExitCode::Unreachable;
 }
 
--- a/naming/label_index.cpp
+++ b/naming/label_index.cpp
@@ -152,15 +152,32 @@
     return it == m_keys.end() ? nullptr : &it->second;
 }
 
+std::optional<CompiledTerm> LabelIndex::currentMeaning(const CompiledTerm& term) const
+{
+    auto resolved = valueOrError([&] { return resolveAgain(term, m_names); });
+    if (std::holds_alternative<Error>(resolved))
+        return std::nullopt;
+    return std::get<0>(std::move(resolved));
+}
+
 LabelIndex::TermSet LabelIndex::setOf(const CompiledTerm& term) const
+{
+    if (!term.provisional)
+        return setOfResolved(term);
+    const auto current = currentMeaning(term);
+    return current ? setOfResolved(*current) : TermSet {};
+}
+
+LabelIndex::TermSet LabelIndex::setOfResolved(const CompiledTerm& term) const
 {
     static const roaring::Roaring none;
     const auto orNone = [](const roaring::Roaring* set) { return set ? set : &none; };
+    const bool keeps = isPositive(term.op);
     if (term.values.empty())
-        return { orNone(keySet(term.key)), {} };
+        return { orNone(keySet(term.key)), {}, keeps };
     if (term.values.size() == 1)
-        return { orNone(postingSet(term.key, term.values.front())), {} };
-    TermSet any;
+        return { orNone(postingSet(term.key, term.values.front())), {}, keeps };
+    TermSet any { nullptr, {}, keeps };
     for (const auto value : term.values) {
         if (const auto* set = postingSet(term.key, value))
             any.own |= *set;
@@ -172,8 +189,10 @@
 {
     std::vector<TermSet> kept;
     std::vector<TermSet> leftOut;
-    for (const auto& it : selector.terms)
-        (isPositive(it.op) ? kept : leftOut).push_back(setOf(it));
+    for (const auto& it : selector.terms) {
+        auto set = setOf(it);
+        (set.keeps ? kept : leftOut).push_back(std::move(set));
+    }
     // The smallest set first: each later step costs no more than what is left.
     std::sort(kept.begin(), kept.end(),
         [](const TermSet& a, const TermSet& b) { return a.get().cardinality() < b.get().cardinality(); });
@@ -189,6 +208,10 @@
 
 bool LabelIndex::termMatches(const CompiledTerm& term, InstanceOrdinal ordinal) const
 {
+    if (term.provisional) {
+        const auto set = setOf(term);
+        return set.get().contains(ordinal) == set.keeps;
+    }
     const auto holds = [&](const roaring::Roaring* set) { return set && set->contains(ordinal); };
     bool found = term.values.empty() && holds(keySet(term.key));
     for (const auto value : term.values)
@@ -209,8 +232,8 @@
     if (m_all.isEmpty())
         return {};
     for (const auto& it : selector.terms) {
-        const auto named = setOf(it).get().cardinality();
-        if (named == (isPositive(it.op) ? 0 : m_all.cardinality()))
+        const auto set = setOf(it);
+        if (set.get().cardinality() == (set.keeps ? 0 : m_all.cardinality()))
             return it.text;
     }
     return {};
--- a/naming/label_index.h
+++ b/naming/label_index.h
@@ -10,6 +10,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <google/protobuf/repeated_ptr_field.h>
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -41,7 +42,8 @@
     // where it finds the configuration changed.
     void refresh();
 
-    // The instances that the selector allows.
+    // The instances that the selector allows. Names that it only expected are
+    // looked up anew; one that has become ambiguous since allows nothing.
     roaring::Roaring matching(const CompiledSelector&) const;
     bool matches(const CompiledSelector&, InstanceOrdinal) const;
 
@@ -77,6 +79,7 @@
     struct TermSet {
         const roaring::Roaring* shared = nullptr;
         roaring::Roaring own;
+        bool keeps = true; // false: instances in the set are left out
 
         const roaring::Roaring& get() const { return shared ? *shared : own; }
     };
@@ -88,7 +91,9 @@
     void eraseFrom(InstanceOrdinal, const Postings& before, const Postings& after);
     const roaring::Roaring* postingSet(SubjectId key, uint64_t value) const;
     const roaring::Roaring* keySet(SubjectId key) const;
+    std::optional<CompiledTerm> currentMeaning(const CompiledTerm&) const;
     TermSet setOf(const CompiledTerm&) const;
+    TermSet setOfResolved(const CompiledTerm&) const;
     bool termMatches(const CompiledTerm&, InstanceOrdinal) const;
     void checkCounts() const;
 
--- a/naming/name_table.cpp
+++ b/naming/name_table.cpp
@@ -195,6 +195,11 @@
     return { it->second, name.substr(colon + 1) };
 }
 
+bool NameTable::isUnknown(schema::SubjectKind kind, std::string_view name) const
+{
+    return !split(name).scheme && candidates(kind, name).empty();
+}
+
 std::optional<SchemeId> NameTable::qualifier(std::string_view name) const { return split(name).scheme; }
 
 boost::leaf::error_id NameTable::refuseAmbiguous(std::string_view name, std::span<const NameCandidate> found) const
--- a/naming/name_table.h
+++ b/naming/name_table.h
@@ -58,6 +58,9 @@
     Result<SubjectId> resolveOrExpect(
         schema::SubjectKind, std::string_view name, std::optional<SchemeId> within = std::nullopt);
 
+    // Whether a name is neither qualified nor known in any scheme.
+    bool isUnknown(schema::SubjectKind, std::string_view name) const;
+
     // The scheme that qualifies `scheme:name`; none if the name is unqualified.
     std::optional<SchemeId> qualifier(std::string_view name) const;
 
--- a/naming/selector.cpp
+++ b/naming/selector.cpp
@@ -39,6 +39,7 @@
         CompiledTerm compiled;
         compiled.op = term.op;
         compiled.text = printTerm(term);
+        compiled.provisional = names.isUnknown(schema::SUBJECT_KIND_LABEL_KEY, term.key);
         BOOST_LEAF_ASSIGN(compiled.key, names.resolveOrExpect(schema::SUBJECT_KIND_LABEL_KEY, term.key));
         const auto scheme = names.qualifier(term.key);
         for (const auto& it : term.values) {
@@ -46,6 +47,8 @@
                 compiled.values.push_back(hashLabelValue(it));
                 continue;
             }
+            const bool unknown = !scheme && names.isUnknown(schema::SUBJECT_KIND_INSTANCE, it);
+            compiled.provisional = compiled.provisional || unknown;
             BOOST_LEAF_AUTO(subject, names.resolveOrExpect(schema::SUBJECT_KIND_INSTANCE, it, scheme));
             compiled.values.push_back(subject);
         }
@@ -93,6 +96,12 @@
 
 Result<std::vector<SelectorTerm>> parseSelector(std::string_view text) { return SelectorParser(text).parse(); }
 
+Result<CompiledTerm> resolveAgain(const CompiledTerm& term, NameTable& names)
+{
+    BOOST_LEAF_AUTO(terms, parseSelector(term.text));
+    return compileTerm(terms.front(), names);
+}
+
 Result<CompiledSelector> compileSelector(std::string_view text, NameTable& names)
 {
     BOOST_LEAF_AUTO(terms, parseSelector(text));
--- a/naming/selector.h
+++ b/naming/selector.h
@@ -44,6 +44,7 @@
     SelectorOperator op = SelectorOperator::Equal;
     std::vector<uint64_t> values; // hashes of the values; subject ids where the key is `instance`
     std::string text; // as written
+    bool provisional = false; // an unqualified name in it is not known yet; see resolveAgain()
 };
 
 // A selector ready for evaluation. Renaming does not change what it means.
@@ -68,9 +69,14 @@
 // A label value as compiled terms hold it.
 uint64_t hashLabelValue(std::string_view);
 
-// Reads and resolves a selector. Keys not known to the table are interned, in
-// the first scheme unless qualified, so that work may wait for instances that
-// have not announced themselves yet. Fails as parseSelector and NameTable::resolve do.
+// Reads and resolves a selector. Keys and instances not known to the table are
+// expected, in the first scheme unless qualified, so that work may wait for
+// instances that have not announced themselves yet. Fails as parseSelector and
+// NameTable::resolve do.
 Result<CompiledSelector> compileSelector(std::string_view text, NameTable&);
 
+// A provisional term with its names resolved by what is known now. Fails as
+// NameTable::resolve does, where they have become ambiguous since.
+Result<CompiledTerm> resolveAgain(const CompiledTerm&, NameTable&);
+
 } // namespace teasel
--- a/settings/state_settings.cpp
+++ b/settings/state_settings.cpp
@@ -13,6 +13,7 @@
 namespace {
 
     constexpr uint64_t defaultServeForMs = 3'600'000;
+    constexpr uint64_t leastServeForMs = 2'000; // some renewals of the lease on the configuration
     constexpr uint64_t mostServeForMs = 31'536'000'000; // a year
     constexpr uint64_t defaultSnapshotEveryRecords = 100'000;
     constexpr uint64_t mostSnapshotEveryRecords = 1'000'000'000;
@@ -67,7 +68,8 @@
     BOOST_LEAF_CHECK(checks.logLevel(settings.log()));
     if (settings.data_folder().empty())
         return checks.refuse("data_folder", "the path of a folder", "nothing");
-    BOOST_LEAF_CHECK(checks.range("cut_off.serve_for_ms", settings.cut_off().serve_for_ms(), 0, mostServeForMs));
+    BOOST_LEAF_CHECK(
+        checks.range("cut_off.serve_for_ms", settings.cut_off().serve_for_ms(), leastServeForMs, mostServeForMs));
     BOOST_LEAF_CHECK(
         checks.range("snapshot_every_records", settings.snapshot_every_records(), 1, mostSnapshotEveryRecords));
     if (settings.http_address() == settings.instance().peer_address())
--- a/tests/naming_table_test.cpp
+++ b/tests/naming_table_test.cpp
@@ -141,6 +141,27 @@
     CHECK(index.matching(compiled("theirs:instance = t2", names)) == roaring::Roaring::bitmapOf(1, 2));
 }
 
+TEST_CASE("a selector accepted before anything was announced finds what is announced later in any scheme")
+{
+    NameTable names;
+    names.configure(threeSchemes());
+    LabelIndex index(names);
+    const auto byLabel = compiled("zona = a", names);
+    const auto byName = compiled("instance in (t2, t3)", names);
+    const auto without = compiled("zona != a", names);
+    REQUIRE(index.put(1, instance("ours", "w1")));
+    REQUIRE(index.put(2, instance("theirs", "t2", { { "zona", "a" } })));
+    CHECK(index.matching(byLabel) == roaring::Roaring::bitmapOf(1, 2));
+    CHECK(index.matching(byName) == roaring::Roaring::bitmapOf(1, 2));
+    CHECK(index.matching(without) == roaring::Roaring::bitmapOf(1, 1));
+    CHECK(index.matches(byLabel, 2));
+    REQUIRE(index.put(3, instance("older", "o3", { { "zona", "a" } })));
+    CHECK(index.matching(byLabel).isEmpty());
+    CHECK_FALSE(index.matches(without, 1));
+    CHECK(index.blockingTerm(byLabel) == "zona = a");
+    CHECK(index.matching(compiled("theirs:zona = a", names)) == roaring::Roaring::bitmapOf(1, 2));
+}
+
 TEST_CASE("labels named as a built-in key do not overrule the instance's own fields")
 {
     NameTable names;
--- a/tests/settings_reader_test.cpp
+++ b/tests/settings_reader_test.cpp
@@ -64,9 +64,9 @@
     CHECK(settings.max_connections() == 4'096);
     CHECK(settings.log().level() == "info");
     const auto other
-        = valueOrError([] { return parseStateSettings(state + "cut_off: {serve_for_ms: 0}\n", "s.yaml"); });
+        = valueOrError([] { return parseStateSettings(state + "cut_off: {serve_for_ms: 5000}\n", "s.yaml"); });
     REQUIRE(other.index() == 0);
-    CHECK(std::get<0>(other).cut_off().serve_for_ms() == 0);
+    CHECK(std::get<0>(other).cut_off().serve_for_ms() == 5'000);
     CHECK(std::get<0>(other).snapshot_every_records() == 100'000);
 }
 
@@ -137,6 +137,8 @@
               .starts_with("s.yaml:1: data_folder: expected"));
     CHECK(
         stateError(state + "replacement: true\n").starts_with("s.yaml:9: replacement: expected other state replicas"));
+    CHECK(stateError(state + "cut_off: {serve_for_ms: 0}\n")
+        == "s.yaml:9: cut_off.serve_for_ms: expected a whole number from 2000 to 31536000000, found 0");
     CHECK(stateError(state + "replacement: yes\n").starts_with("s.yaml:9: replacement: expected true or false"));
 }
 
--- a/tests/teasel_tool_test.cpp
+++ b/tests/teasel_tool_test.cpp
@@ -111,6 +111,8 @@
     const HttpReply forbidden { 403,
         R"({"kind":"forbidden","run":"did_not_run","message":"not yours","advice":"use another key","retry_after_ms":0})",
         {} };
+    auto reused = refused;
+    reused.set_winning_change_id("c1");
     struct Row {
         HttpOutcome reply;
         int code;
@@ -120,6 +122,9 @@
         { answer(200, changeAnswer(schema::CHANGE_STATE_ACCEPTED)), 0, { "accepted", "revision 8" } },
         { answer(202, pending), 2, { "pending", "south", "teasel config change-status c1" } },
         { answer(409, refused), 3, { "refused", "based on revision 7", "change c0 of key op2", "next: " } },
+        { answer(409, reused), 3, { "give the --base-revision that it had" } },
+        { HttpReply { 503, R"({"kind":"state_unavailable","message":"no quorum"})", {} }, 4,
+            { "no quorum", "may have been made", "--base-revision 7" } },
         { forbidden, 3, { "refused (forbidden): not yours", "next: use another key" } },
         { HttpFailure { true, "cut" }, 4, { "may have been made", "--change-id ", "--base-revision 7" } },
     };
