--- a/fleet/portion_holder.cpp
+++ b/fleet/portion_holder.cpp
@@ -34,9 +34,19 @@
             row.acknowledged = false;
         }
     }
-    for (const auto& it : grant.targets()) {
-        Row& row = m_rows[it.team_id()];
-        const Amounts target = smallest(row.granted, amountsOf(it));
+    return takeTargets(grant) || changed;
+}
+
+// What is not asked back any more may be used again, as far as it is still held.
+bool PortionHolder::takeTargets(const schema::SessionGrant& grant)
+{
+    absl::flat_hash_map<TeamId, Amounts> targets;
+    for (const auto& it : grant.targets())
+        targets[it.team_id()] = amountsOf(it);
+    bool changed = false;
+    for (auto& [team, row] : m_rows) {
+        const auto it = targets.find(team);
+        const Amounts target = it == targets.end() ? row.granted : smallest(row.granted, it->second);
         changed |= row.target != target;
         row.target = target;
     }
--- a/fleet/portion_holder.h
+++ b/fleet/portion_holder.h
@@ -55,6 +55,7 @@
         bool acknowledged = false;
     };
 
+    bool takeTargets(const schema::SessionGrant&);
     void takeNeed(Row&, const TeamNeed&);
     void shrink(Row&);
 
--- a/tests/fleet_random_test.cpp
+++ b/tests/fleet_random_test.cpp
@@ -5,11 +5,14 @@
 
 #include <doctest/doctest.h>
 
+#include <limits>
+
 namespace teasel {
 
 namespace {
 
     constexpr int s_requestIds = 40;
+    constexpr uint64_t s_firstLimit = 100; // above that of any new team
 
     // A proposal that its maker sends again until it is answered.
     struct Proposal {
@@ -26,7 +29,7 @@
             : FakeFleet(seed, counts)
         {
             for (int i = 0; i < 3; ++i)
-                proposeTeam(fmt::format("team{}", i), 40 + m_random.below(60));
+                proposeTeam(fmt::format("team{}", i), 40 + m_random.below(s_firstLimit - 40));
         }
 
         void run()
@@ -258,12 +261,34 @@
                 checkUse(team);
         }
 
+        void onCommitted(const schema::Command& command, const schema::CommandResult& result) override
+        {
+            if (result.change().state() != schema::CHANGE_STATE_PENDING
+                || result.change().revision() != m_state->revision())
+                return;
+            for (const auto& it : command.config_change().edits())
+                if (const auto* team = m_state->table().team(it.put_team().id()))
+                    m_limits[team->id()][m_state->revision()] = team->request_limit();
+        }
+
+        // At most the limit that was accepted last, or one committed after it.
+        uint64_t allowedUse(TeamId team)
+        {
+            uint64_t allowed = 0;
+            auto& limits = m_limits[team];
+            for (auto it = limits.end(); it != limits.begin();) {
+                --it;
+                allowed = std::max(allowed, it->second);
+                if (m_madeRevision.contains(it->first))
+                    return allowed;
+            }
+            return limits.empty() ? std::numeric_limits<uint64_t>::max() : std::max(allowed, s_firstLimit);
+        }
+
         void checkUse(const schema::Team& team)
         {
-            uint64_t& allowed = m_allowed[team.id()];
-            const bool lowering = m_state->changes().waitingTeams().contains(team.id());
-            allowed = lowering ? std::max<uint64_t>(allowed, team.request_limit()) : team.request_limit();
-            m_counts["limits lowered below use"] += lowering ? 1 : 0;
+            m_counts["limits lowered below use"] += m_state->changes().waitingTeams().contains(team.id()) ? 1 : 0;
+            const uint64_t allowed = allowedUse(team.id());
             uint64_t total = 0;
             for (const auto& [name, it] : m_dataCentres)
                 if (const auto use = it.use.find(team.id()); use != it.use.end())
@@ -294,7 +319,7 @@
         std::map<uint64_t, Proposal> m_proposals;
         std::set<uint64_t> m_open; // tickets of those not done
         uint64_t m_lastTicket = 0;
-        std::map<TeamId, uint64_t> m_allowed;
+        std::map<TeamId, std::map<Revision, uint64_t>> m_limits; // committed, by revision
         std::map<std::string, std::set<std::string>> m_active;
         std::map<std::string, std::string> m_outcomes;
         std::set<std::string> m_accepted;
--- a/tests/fleet_random_world.h
+++ b/tests/fleet_random_world.h
@@ -103,6 +103,7 @@
 protected:
     virtual void onAnswer(const schema::ProposeAnswer&) = 0;
     virtual void onAnswerSent(const schema::ProposeAnswer&) = 0;
+    virtual void onCommitted(const schema::Command&, const schema::CommandResult&) = 0;
 
     // Lets work of the data centre start and end, and gives its needs.
     virtual std::vector<TeamNeed> useLimits(const Instance&, DataCentre&) = 0;
@@ -461,6 +462,7 @@
         m_log.pop_front();
         const schema::CommandResult result = m_state->apply(next.command);
         m_digests[m_state->revision()] = m_state->digest();
+        onCommitted(next.command, result);
         if (next.command.has_portions())
             ++m_counts["portion updates"];
         if (tell)
--- /dev/null
+++ b/tests/fleet_session_test.cpp
@@ -0,0 +1,211 @@
+#include "fleet/fleet_state.h"
+#include "fleet/member_session.h"
+#include "fleet/portion_planner.h"
+#include "fleet/session.h"
+
+#include <doctest/doctest.h>
+
+namespace teasel {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    template <class T> std::vector<T> actionsOf(std::vector<SessionAction> actions)
+    {
+        std::vector<T> chosen;
+        for (auto& it : actions)
+            if (auto* action = std::get_if<T>(&it))
+                chosen.push_back(std::move(*action));
+        return chosen;
+    }
+
+    // A data centre's leader `l` with one member `m`, at epoch 3.
+    struct Fixture {
+        Fixture()
+        {
+            session.onBecameLeader(3, std::nullopt, clock.now());
+            takeRenew();
+        }
+
+        schema::SessionRenew takeRenew()
+        {
+            auto renews = actionsOf<SendRenew>(session.takeActions());
+            if (!renews.empty())
+                last = std::move(renews.back().renew);
+            return last;
+        }
+
+        schema::SessionGrant grant(uint64_t authorityMs = 10'000)
+        {
+            schema::SessionGrant grant;
+            grant.set_data_centre("x");
+            grant.set_epoch(3);
+            grant.set_sequence(last.sequence());
+            grant.set_authority_ms(authorityMs);
+            *grant.mutable_delta() = state.deltaFor(last.applied_revision(), last.config_digest());
+            return grant;
+        }
+
+        schema::MemberUpdate renewMember()
+        {
+            for (auto& it : actionsOf<SendMemberRenew>(member.takeActions()))
+                session.onMemberRenew("m", it.renew, clock.now());
+            auto updates = actionsOf<SendMemberUpdate>(session.takeActions());
+            return updates.empty() ? schema::MemberUpdate() : updates.back().update;
+        }
+
+        ManualClock clock;
+        FleetState state { schema::BootstrapSettings(), {} };
+        ConfigView leaderView;
+        ConfigView memberView;
+        FleetSession session { { "x", { "m" } }, leaderView };
+        MemberSession member { { "x" }, memberView };
+        schema::SessionRenew last;
+    };
+
+    PortionSite site(bool live, uint64_t portion, uint64_t need)
+    {
+        PortionSite it;
+        it.live = live;
+        it.portion[0] = portion;
+        it.held[0] = portion;
+        it.wanted[0] = need;
+        return it;
+    }
+
+    std::string firstOf(const std::vector<Amounts>& amounts)
+    {
+        std::string values;
+        for (const auto& it : amounts)
+            values += std::to_string(it[0]) + " ";
+        return values;
+    }
+
+} // namespace
+
+TEST_CASE("a leader takes an authority lease only with the configuration that came with it")
+{
+    Fixture it;
+    schema::SessionGrant gap = it.grant();
+    gap.mutable_delta()->clear_whole();
+    gap.mutable_delta()->set_from_revision(1);
+    gap.mutable_delta()->set_to_revision(2);
+    it.session.onGrant(gap, it.clock.now());
+    CHECK_FALSE(it.session.mayServe(it.clock.now()));
+    it.session.onGrant(it.grant(), it.clock.now());
+    CHECK(it.session.mayServe(it.clock.now()));
+}
+
+TEST_CASE("an authority lease is dated from the sending of its renewal and belongs to one epoch")
+{
+    Fixture it;
+    auto foreign = it.grant();
+    foreign.set_epoch(2);
+    it.session.onGrant(foreign, it.clock.now());
+    CHECK_FALSE(it.session.mayServe(it.clock.now()));
+    it.clock.advance(4s);
+    it.session.onGrant(it.grant(), it.clock.now());
+    CHECK(it.session.cutOff(it.clock.now()));
+    it.clock.advance(5'999ms);
+    CHECK(it.session.mayServe(it.clock.now()));
+    it.clock.advance(1ms);
+    CHECK_FALSE(it.session.mayServe(it.clock.now()));
+}
+
+TEST_CASE("a member serves on a lease of its own, and only one with a lease inherits the authority")
+{
+    Fixture it;
+    it.member.onLeaderChanged(it.clock.now());
+    const auto without = it.renewMember();
+    CHECK(without.lease_ms() == 0);
+    it.session.onGrant(it.grant(), it.clock.now());
+    it.session.takeActions();
+    it.clock.advance(250ms);
+    it.member.onTick(it.clock.now());
+    auto update = it.renewMember();
+    CHECK(update.lease_ms() == 2'000);
+    auto broken = update;
+    broken.mutable_delta()->clear_whole();
+    broken.mutable_delta()->set_from_revision(7);
+    broken.mutable_delta()->set_to_revision(8);
+    it.member.onUpdate(broken, it.clock.now());
+    CHECK_FALSE(it.member.mayServe(it.clock.now()));
+    it.clock.advance(500ms);
+    it.member.onUpdate(update, it.clock.now());
+    CHECK(it.member.mayServe(it.clock.now()));
+    CHECK(it.member.inheritableAuthority(it.clock.now()).has_value());
+    it.clock.advance(1'500ms);
+    CHECK_FALSE(it.member.mayServe(it.clock.now()));
+    CHECK_FALSE(it.member.inheritableAuthority(it.clock.now()).has_value());
+}
+
+TEST_CASE("a member that was not heard counts until its former lease must have ended")
+{
+    Fixture it;
+    it.session.onGrant(it.grant(), it.clock.now());
+    CHECK(it.session.inForceRevision(it.clock.now()) == 0);
+    it.clock.advance(2'003ms); // the member's clock may be slower
+    CHECK(it.session.inForceRevision(it.clock.now()) == 0);
+    it.clock.advance(1ms);
+    CHECK(it.session.inForceRevision(it.clock.now()) == 1);
+    it.session.onTick(it.clock.now());
+    CHECK(it.takeRenew().members(0).lease_left_ms() == 0);
+}
+
+TEST_CASE("portions follow the use down to a target and never rise on one version")
+{
+    Fixture it;
+    auto grant = it.grant();
+    grant.set_portions_version(5);
+    *grant.add_portions() = toPortion("x", 1, { { 10, 0, 0, 0 } });
+    it.session.onGrant(grant, it.clock.now());
+    CHECK(it.session.cap(1)[0] == 10);
+    const auto use = [&](uint64_t n) {
+        const TeamNeed need { 1, { { n, 0, 0, 0 } }, { { n, 0, 0, 0 } } };
+        it.clock.advance(250ms);
+        it.session.setNeeds({ &need, 1 }, it.clock.now());
+        return it.takeRenew().needs(0).requests_held();
+    };
+    CHECK(use(8) == 10);
+    auto pull = it.grant();
+    pull.set_portions_version(5);
+    *pull.add_targets() = toPortion("x", 1, { { 4, 0, 0, 0 } });
+    it.session.onGrant(pull, it.clock.now());
+    CHECK(it.session.cap(1)[0] == 4);
+    CHECK(use(7) == 7);
+    CHECK(use(2) == 4);
+    it.session.onGrant(grant, it.clock.now());
+    CHECK(use(9) == 4);
+    CHECK(it.session.cap(1)[0] == 4);
+    it.session.onBecameLeader(4, std::nullopt, it.clock.now());
+    CHECK(it.session.cap(1)[0] == 0);
+}
+
+TEST_CASE("a limit is divided by need, with a floor, and never beyond")
+{
+    struct Row {
+        std::string what;
+        uint64_t limit;
+        std::vector<PortionSite> sites;
+        std::string portions;
+        std::string targets;
+    };
+    const std::vector<Row> rows {
+        { "idle ones share evenly", 16, { site(true, 0, 0), site(true, 0, 0) }, "8 8 ", "8 8 " },
+        { "need goes first", 100, { site(true, 0, 80), site(true, 0, 0) }, "88 12 ", "88 12 " },
+        { "idle ones give back, in steps", 100, { site(true, 50, 80), site(true, 50, 0) }, "50 50 ", "50 31 " },
+        { "nothing moves while needs are met", 100, { site(true, 50, 40), site(true, 50, 0) }, "50 50 ", "50 50 " },
+        { "a silent one keeps its part", 100, { site(true, 50, 90), site(false, 50, 0) }, "50 50 ", "50 50 " },
+        { "a lowered limit is pulled in at once", 10, { site(true, 50, 50), site(true, 50, 50) }, "50 50 ", "5 5 " },
+        { "a small limit goes where the need is", 2, { site(true, 0, 0), site(true, 0, 2) }, "0 2 ", "0 2 " },
+    };
+    for (const auto& it : rows) {
+        CAPTURE(it.what);
+        const PortionPlan plan = planPortions({ { it.limit, 0, 0, 0 } }, it.sites);
+        CHECK(firstOf(plan.portions) == it.portions);
+        CHECK(firstOf(plan.targets) == it.targets);
+    }
+}
+
+} // namespace teasel
