Wait for the next renewal when the log does not take a session record

Cause: reading how the state's daemon carries out proposals showed that a record the log refuses was proposed again at once, without end; the runs also did not check that one change wins on a revision. Ruled out: a pause inside the service; a renewal comes every 250 ms anyway. Before: build/fleet_service_test had no such case; not measured.

--- a/fleet/fleet_service.cpp
+++ b/fleet/fleet_service.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+    constexpr Duration s_shortestAuthority = std::chrono::seconds(2); // several renewals may be lost
+
     bool isFromEntry(const schema::Command& command)
     {
         switch (command.body_case()) {
@@ -39,6 +41,7 @@
     , m_rounds(state, m_ledger, m_options.heardWithin)
     , m_lastTicket(m_options.firstTicket)
 {
+    m_options.authority = std::max(m_options.authority, s_shortestAuthority);
 }
 
 void FleetService::onLeadership(bool serving, Instant now)
@@ -136,6 +139,16 @@
     takeRenew(from, renew, now);
 }
 
+// The next renewal tries again; at once, a log that takes nothing would be asked without end.
+void FleetService::onNotRecorded(const std::string& dataCentre, uint64_t ticket)
+{
+    SessionEntry& entry = m_ledger.entry(dataCentre);
+    if (entry.recordTicket != ticket)
+        return;
+    entry.recordTicket = 0;
+    entry.waitingRenew.reset();
+}
+
 // A data centre whose lease is given up or has run out is not waited for, not even by the next leader of the state.
 void FleetService::onLeaving(const std::string& dataCentre, SessionEntry& entry, const schema::SessionRenew& renew)
 {
@@ -267,7 +280,7 @@
     checkWaiting(now);
 }
 
-void FleetService::onDropped(uint64_t ticket, Instant now)
+void FleetService::onDropped(uint64_t ticket, Instant)
 {
     const auto it = m_pending.find(ticket);
     if (it == m_pending.end())
@@ -277,7 +290,7 @@
     if (pending.origin == Origin::Entry)
         answerNotLeader(pending.from, pending.askerTicket);
     if (pending.origin == Origin::Session)
-        onRecorded(pending.from, ticket, now);
+        onNotRecorded(pending.from, ticket);
     if (ticket == m_inForceTicket)
         m_inForceTicket = 0;
     if (ticket == m_portionsTicket)
--- a/fleet/fleet_service.h
+++ b/fleet/fleet_service.h
@@ -20,7 +20,7 @@
 
 struct FleetServiceOptions {
     std::vector<std::string> dataCentres; // of the settings; others are not answered
-    Duration authority = std::chrono::hours(1); // how long a data centre serves when cut off
+    Duration authority = std::chrono::hours(1); // how long a data centre serves when cut off; at least 2 s
     Duration planEvery = std::chrono::milliseconds(200); // between updates of portions, at least
     Duration heardWithin = std::chrono::seconds(1); // a data centre silent for longer keeps its portions
     Duration maxWait = std::chrono::seconds(60); // for a change to come into force
@@ -101,6 +101,7 @@
     uint64_t propose(schema::Command, Pending);
     void recordSession(const std::string& dataCentre, SessionEntry&, Epoch, bool open);
     void onRecorded(const std::string& dataCentre, uint64_t ticket, Instant now);
+    void onNotRecorded(const std::string& dataCentre, uint64_t ticket);
     bool isOpen(const std::string& dataCentre, Epoch) const;
     void takeRenew(const std::string& from, const schema::SessionRenew&, Instant now);
     void onLeaving(const std::string& dataCentre, SessionEntry&, const schema::SessionRenew&);
--- a/tests/fleet_random_test.cpp
+++ b/tests/fleet_random_test.cpp
@@ -195,6 +195,10 @@
                     && std::equal(first.team_ids().begin(), first.team_ids().end(), answer.team_ids().begin(),
                         answer.team_ids().end()),
                 fmt::format("equal answers to {}", answer.change_id()));
+            const Revision base = it.message.command().config_change().base_revision();
+            if (base != 0 && answer.state() != schema::CHANGE_STATE_REFUSED)
+                require(m_winners.emplace(base, answer.change_id()).first->second == answer.change_id(),
+                    fmt::format("one winner on revision {}", base));
             const bool raced = answer.failure().kind() == static_cast<uint32_t>(ErrorKind::RevisionConflict);
             if (raced) {
                 require(!answer.winning_change_id().empty(), "the loser learns who won");
@@ -322,6 +326,7 @@
         std::map<TeamId, std::map<Revision, uint64_t>> m_limits; // committed, by revision
         std::map<std::string, std::set<std::string>> m_active;
         std::map<std::string, std::string> m_outcomes;
+        std::map<Revision, std::string> m_winners; // by the revision that the change was made on
         std::set<std::string> m_accepted;
         std::map<Revision, std::string> m_madeRevision;
         Revision m_acceptedRevision = 0;
--- a/tests/fleet_service_test.cpp
+++ b/tests/fleet_service_test.cpp
@@ -203,6 +203,20 @@
     CHECK(it.state.sessions().at("x").open());
 }
 
+TEST_CASE("a session that the log did not take is recorded at the next renewal")
+{
+    Fixture it;
+    it.renew("x", 1, 1);
+    const uint64_t dropped = it.log.back().ticket;
+    it.log.clear();
+    it.service->onDropped(dropped, it.clock.now());
+    it.collect();
+    CHECK(it.log.empty());
+    it.renew("x", 1, 1);
+    it.commit();
+    CHECK(it.grants.size() == 1);
+}
+
 TEST_CASE("a data centre that leaves is not waited for once its members hold no lease")
 {
     Fixture it;
