Let a new leader inherit portions when its data centre is cut off

Cause: a data centre that lost its leader while cut off started nothing more until the state was in reach, since portions were known to the lost leader alone. Handing them on showed a second fault: a lease pushed to a member that had missed the configuration was taken without it. Ruled out: handing on without a bound; what shrank is reported to the state only once every member with a lease knows it. A lease of a member now names the leader's revision. The test of shrinking first lets the member's assumed lease end, since an unheard member now delays the report; a new case covers that delay.

--- a/bench/config_bench.cpp
+++ b/bench/config_bench.cpp
@@ -154,7 +154,7 @@
             it.member = std::make_unique<MemberSession>(MemberSessionOptions { it.dataCentre }, it.view);
             if (it.leads) {
                 it.member->onBecameLeader();
-                it.session->onBecameLeader(1, std::nullopt, now());
+                it.session->onBecameLeader(1, {}, now());
             } else {
                 it.member->onLeaderChanged(now());
             }
--- a/fleet/member_session.cpp
+++ b/fleet/member_session.cpp
@@ -55,6 +55,8 @@
     renew.set_applied_revision(m_view.revision());
     renew.set_config_digest(m_view.digest());
     renew.set_leaving(m_leaving);
+    renew.set_portions_epoch(m_portionsEpoch);
+    renew.set_portions_serial(m_portionsSerial);
     m_actions.emplace_back(SendMemberRenew { std::move(renew) });
 }
 
@@ -75,33 +77,48 @@
     if (!sent)
         return;
     m_cutOff = update.cut_off();
+    const bool newPortions = takePortions(update);
     const Revision before = m_view.revision();
     // The lease is on the configuration that came with it.
     if (applyDelta(update) && !m_leaving) {
         m_leaseEnd = std::max(m_leaseEnd, *sent + Milliseconds(update.lease_ms()));
         m_authorityEnd = std::max(m_authorityEnd, *sent + Milliseconds(update.authority_left_ms()));
     }
-    if (m_view.revision() == before)
-        return;
-    m_actions.emplace_back(ConfigChanged { m_view.revision() });
-    sendRenew(now);
+    if (m_view.revision() != before)
+        m_actions.emplace_back(ConfigChanged { m_view.revision() });
+    if (m_view.revision() != before || newPortions)
+        sendRenew(now);
+}
+
+// Without rows the update names a serial that this member said it knows.
+bool MemberSession::takePortions(const schema::MemberUpdate& update)
+{
+    const bool older = update.epoch() == m_portionsEpoch && update.portions_serial() <= m_portionsSerial;
+    if (update.portions_serial() == 0 || older)
+        return false;
+    m_portions.assign(update.portions().begin(), update.portions().end());
+    m_portionsEpoch = update.epoch();
+    m_portionsSerial = update.portions_serial();
+    return true;
 }
 
 bool MemberSession::applyDelta(const schema::MemberUpdate& update)
 {
-    if (!update.has_delta())
-        return !m_view.damaged();
-    const auto outcome = valueOrError([&] { return m_view.apply(update.delta()); });
-    return outcome.index() == 0 && !m_view.damaged();
+    const auto outcome = valueOrError([&]() -> Result<void> {
+        if (update.has_delta())
+            return m_view.apply(update.delta());
+        return {};
+    });
+    return outcome.index() == 0 && !m_view.damaged() && m_view.revision() >= update.revision();
 }
 
 bool MemberSession::mayServe(Instant now) const { return m_active && now < m_leaseEnd && !m_view.damaged(); }
 
-std::optional<Instant> MemberSession::inheritableAuthority(Instant now) const
+std::optional<InheritedAuthority> MemberSession::inheritableAuthority(Instant now) const
 {
     if (!mayServe(now))
         return std::nullopt;
-    return m_authorityEnd;
+    return InheritedAuthority { m_authorityEnd, m_portions };
 }
 
 } // namespace teasel
--- a/fleet/member_session.h
+++ b/fleet/member_session.h
@@ -13,6 +13,12 @@
 
 namespace teasel {
 
+// What a member takes over when it becomes its data centre's leader.
+struct InheritedAuthority {
+    Instant end; // of the data centre's authority lease
+    std::vector<schema::Portion> portions;
+};
+
 struct MemberSessionOptions {
     std::string dataCentre;
     Duration renewEvery = std::chrono::milliseconds(250);
@@ -41,10 +47,10 @@
     // Whether the data centre is out of the fleet state's reach, as its leader said.
     bool cutOff() const { return m_cutOff; }
 
-    // End of the data centre's authority lease, for a member that becomes its
-    // leader. None without a lease of its own: it may then lack changes that
-    // are in force.
-    std::optional<Instant> inheritableAuthority(Instant now) const;
+    // The data centre's authority lease and portions, for a member that becomes
+    // its leader. None without a lease of its own: it may then lack changes
+    // that are in force, and portions may have been given back.
+    std::optional<InheritedAuthority> inheritableAuthority(Instant now) const;
 
     std::vector<SessionAction> takeActions() { return std::exchange(m_actions, {}); }
 
@@ -57,11 +63,15 @@
     void sendRenew(Instant now);
     std::optional<Instant> sentAt(uint64_t sequence) const;
     bool applyDelta(const schema::MemberUpdate&);
+    bool takePortions(const schema::MemberUpdate&);
 
     MemberSessionOptions m_options;
     ConfigView& m_view;
     std::deque<SentRenew> m_sent;
     std::vector<SessionAction> m_actions;
+    std::vector<schema::Portion> m_portions;
+    Epoch m_portionsEpoch = 0;
+    uint64_t m_portionsSerial = 0;
     uint64_t m_sequence = 0;
     Epoch m_epoch = 0; // highest seen
     Instant m_leaseEnd;
--- a/fleet/portion_holder.cpp
+++ b/fleet/portion_holder.cpp
@@ -4,17 +4,61 @@
 
 namespace teasel {
 
-void PortionHolder::reset()
+void PortionHolder::reset(std::span<const schema::Portion> inherited)
 {
+    m_version = 0;
+    ++m_serial;
+    m_unreported = false;
+    m_shrunk = false;
     for (auto& [team, row] : m_rows) {
-        row.granted = {};
-        row.target = {};
-        row.held = {};
+        row = Row { {}, {}, {}, {}, row.need };
+        row.steps.push_back({ m_serial, {} });
+    }
+    for (const auto& it : inherited) {
+        Row& row = m_rows[it.team_id()];
+        row.granted = amountsOf(it);
+        row.target = row.granted;
+        setHeld(row, row.granted);
+    }
+}
+
+void PortionHolder::setHeld(Row& row, const Amounts& held)
+{
+    row.held = held;
+    row.steps.push_back({ ++m_serial, held });
+}
+
+// The most that any possible successor believes to hold.
+Amounts PortionHolder::reported(const Row& row)
+{
+    Amounts most = row.held;
+    for (const Step& it : row.steps)
+        most = largest(most, it.held);
+    return most;
+}
+
+void PortionHolder::onMembersKnow(uint64_t serial)
+{
+    for (auto& [team, row] : m_rows) {
+        const Amounts before = reported(row);
+        while (row.steps.size() > 1 && row.steps[1].serial <= serial)
+            row.steps.pop_front();
+        if (reported(row) == before)
+            continue;
         row.reportedIn = 0;
         row.acknowledged = false;
+        m_unreported = true;
     }
-    m_version = 0;
-    m_unreported = false;
+}
+
+void PortionHolder::writePortions(
+    schema::MemberUpdate& update, const std::string& dataCentre, uint64_t knownSerial) const
+{
+    update.set_portions_serial(m_serial);
+    if (knownSerial == m_serial)
+        return;
+    for (const auto& [team, row] : m_rows)
+        *update.add_portions() = toPortion(dataCentre, team, row.held);
 }
 
 bool PortionHolder::onGrant(const schema::SessionGrant& grant)
@@ -29,7 +73,7 @@
             row.granted = amountsOf(it);
             row.target = row.granted;
             changed |= row.held != row.granted;
-            row.held = row.granted;
+            setHeld(row, row.granted);
             row.reportedIn = 0;
             row.acknowledged = false;
         }
@@ -58,10 +102,8 @@
     const Amounts held = smallest(row.held, largest(row.target, row.need.inUse));
     if (held == row.held)
         return;
-    row.held = held;
-    row.reportedIn = 0;
-    row.acknowledged = false;
-    m_unreported = true;
+    setHeld(row, held);
+    m_shrunk = true;
 }
 
 void PortionHolder::takeNeed(Row& row, const TeamNeed& need)
@@ -102,8 +144,9 @@
         need.set_requests_wanted(static_cast<uint32_t>(row.need.wanted[0]));
         *need.mutable_tasks_in_use() = toResources(row.need.inUse);
         *need.mutable_tasks_wanted() = toResources(row.need.wanted);
-        need.set_requests_held(static_cast<uint32_t>(row.held[0]));
-        *need.mutable_tasks_held() = toResources(row.held);
+        const Amounts held = reported(row);
+        need.set_requests_held(static_cast<uint32_t>(held[0]));
+        *need.mutable_tasks_held() = toResources(held);
         need.set_returned_portion_version(m_version);
         row.reportedIn = renew.sequence();
     }
--- a/fleet/session.cpp
+++ b/fleet/session.cpp
@@ -16,17 +16,18 @@
 {
 }
 
-void FleetSession::onBecameLeader(Epoch epoch, std::optional<Instant> inherited, Instant now)
+void FleetSession::onBecameLeader(Epoch epoch, const std::optional<InheritedAuthority>& inherited, Instant now)
 {
     m_epoch = epoch;
-    m_authorityEnd = inherited.value_or(Instant());
+    m_authorityEnd = inherited ? inherited->end : Instant();
     m_heardAt = now;
     m_sent.clear();
     m_jobsVersion = 0;
     m_awaitsJobs = true;
     m_reportedRevision = 0;
     m_leaving = false;
-    m_holder.reset();
+    m_portionsPushDue = false;
+    m_holder.reset(inherited ? inherited->portions : std::vector<schema::Portion>());
     m_members.clear();
     // A former leader may have given any member a lease until just now.
     for (const auto& it : m_options.members)
@@ -39,7 +40,7 @@
 {
     m_epoch = 0;
     m_authorityEnd = Instant();
-    m_holder.reset();
+    m_holder.reset({});
     m_members.clear();
     m_actions.emplace_back(PortionsChanged {});
 }
@@ -122,6 +123,7 @@
     member.heard = true;
     member.sequence = renew.sequence();
     member.revision = std::max(member.revision, renew.applied_revision());
+    member.portionsSerial = renew.portions_epoch() == m_epoch ? renew.portions_serial() : 0;
     const bool gives = mayServe(now) && !renew.leaving();
     const Duration lease = gives ? std::min(m_options.memberLease, m_authorityEnd - now) : Duration(0);
     member.leaseMs = static_cast<uint64_t>(std::chrono::duration_cast<Milliseconds>(lease).count());
@@ -140,9 +142,11 @@
     update.set_sequence(member.sequence);
     update.set_lease_ms(member.leaseMs);
     update.set_cut_off(cutOff(now));
+    update.set_revision(m_view.revision());
     update.set_authority_left_ms(millisecondsLeft(m_authorityEnd, now));
     if (delta.has_whole() || delta.to_revision() != delta.from_revision())
         *update.mutable_delta() = std::move(delta);
+    m_holder.writePortions(update, m_options.dataCentre, member.portionsSerial);
     member.sentRevision = m_view.revision();
     member.sentDigest = m_view.digest();
     m_actions.emplace_back(SendMemberUpdate { name, std::move(update) });
@@ -176,11 +180,28 @@
 {
     if (!leads())
         return;
+    spreadPortions(now);
     const bool early = m_renewSoon || m_holder.hasUnreported() || inForceRevision(now) > m_reportedRevision;
     if (now >= m_nextRenew || (early && now - m_lastRenew >= m_options.earlyRenewGap))
         sendRenew(now);
 }
 
+// A member that may come to lead must know of what shrank before the fleet state does.
+void FleetSession::spreadPortions(Instant now)
+{
+    uint64_t known = m_holder.serial();
+    for (const auto& [name, member] : m_members)
+        if (member.leaseEnd > now)
+            known = std::min(known, member.portionsSerial);
+    m_holder.onMembersKnow(known);
+    m_portionsPushDue |= m_holder.takeShrunk();
+    if (!m_portionsPushDue || now < m_nextPortionsPush)
+        return;
+    m_portionsPushDue = false;
+    m_nextPortionsPush = now + m_options.portionsPushGap;
+    fanOut(now);
+}
+
 void FleetSession::sendRenew(Instant now)
 {
     m_lastRenew = now;
--- a/fleet/session.h
+++ b/fleet/session.h
@@ -4,6 +4,7 @@
 
 #include "core/clock.h"
 #include "fleet/config_view.h"
+#include "fleet/member_session.h"
 #include "fleet/portion_holder.h"
 #include "fleet/session_actions.h"
 
@@ -25,6 +26,7 @@
     Duration earlyRenewGap = std::chrono::milliseconds(10); // between renewals sent ahead of time
     Duration memberLease = std::chrono::seconds(2); // longer than a change of leaders takes
     Duration cutOffAfter = std::chrono::seconds(1); // without a grant
+    Duration portionsPushGap = std::chrono::milliseconds(50); // between pushes of portions to members
 };
 
 // The host calls it only while the instance's own leadership lease lasts, and
@@ -33,10 +35,10 @@
 public:
     FleetSession(FleetSessionOptions, ConfigView&);
 
-    // Starts leading. `inherited` is the end of the data centre's authority
-    // lease as MemberSession::inheritableAuthority gave it at this instant.
-    // No portion may be used before a grant under this epoch has come.
-    void onBecameLeader(Epoch, std::optional<Instant> inherited, Instant now);
+    // Starts leading, with what MemberSession::inheritableAuthority gave at this
+    // instant. Without it no portion may be used before a grant under this
+    // epoch has come.
+    void onBecameLeader(Epoch, const std::optional<InheritedAuthority>&, Instant now);
     void onLostLeadership();
 
     // Gives up the authority lease, before the last instance of a data centre stops.
@@ -77,6 +79,7 @@
         Revision revision = 0; // applied, at least
         Revision sentRevision = 0;
         uint64_t sentDigest = 0;
+        uint64_t portionsSerial = 0; // that it knows, under this epoch
     };
     struct SentRenew {
         uint64_t sequence = 0;
@@ -90,6 +93,7 @@
     void sendUpdate(const std::string& name, Member&, schema::ConfigDelta, Instant now);
     void fanOut(Instant now);
     void renewIfDue(Instant now);
+    void spreadPortions(Instant now);
     void sendRenew(Instant now);
     void writeMembers(schema::SessionRenew&, Instant now) const;
 
@@ -105,10 +109,12 @@
     Instant m_authorityEnd;
     Instant m_nextRenew;
     Instant m_lastRenew;
+    Instant m_nextPortionsPush;
     Instant m_heardAt; // sending of the latest renewal that was answered
     Revision m_reportedRevision = 0; // in force, by the latest renewal
     bool m_awaitsJobs = false; // no grant has come under this epoch
     bool m_renewSoon = false;
+    bool m_portionsPushDue = false;
     bool m_leaving = false;
 };
 
--- a/tests/fleet_session_test.cpp
+++ b/tests/fleet_session_test.cpp
@@ -24,7 +24,7 @@
     struct Fixture {
         Fixture()
         {
-            session.onBecameLeader(3, std::nullopt, clock.now());
+            session.onBecameLeader(3, {}, clock.now());
             takeRenew();
         }
 
@@ -161,6 +161,7 @@
     *grant.add_portions() = toPortion("x", 1, { { 10, 0, 0, 0 } });
     it.session.onGrant(grant, it.clock.now());
     CHECK(it.session.cap(1)[0] == 10);
+    it.clock.advance(2s); // no member may inherit from a former leader any more
     const auto use = [&](uint64_t n) {
         const TeamNeed need { 1, { { n, 0, 0, 0 } }, { { n, 0, 0, 0 } } };
         it.clock.advance(250ms);
@@ -178,10 +179,58 @@
     it.session.onGrant(grant, it.clock.now());
     CHECK(use(9) == 4);
     CHECK(it.session.cap(1)[0] == 4);
-    it.session.onBecameLeader(4, std::nullopt, it.clock.now());
+    it.session.onBecameLeader(4, {}, it.clock.now());
     CHECK(it.session.cap(1)[0] == 0);
 }
 
+TEST_CASE("a member inherits portions, and what shrank is reported only once it knows")
+{
+    Fixture it;
+    auto grant = it.grant();
+    grant.set_portions_version(5);
+    *grant.add_portions() = toPortion("x", 1, { { 10, 0, 0, 0 } });
+    it.session.onGrant(grant, it.clock.now());
+    it.member.onLeaderChanged(it.clock.now());
+    const auto exchange = [&] { it.member.onUpdate(it.renewMember(), it.clock.now()); };
+    exchange();
+    exchange();
+    auto pull = it.grant();
+    pull.set_portions_version(5);
+    *pull.add_targets() = toPortion("x", 1, { { 4, 0, 0, 0 } });
+    it.session.onGrant(pull, it.clock.now());
+    const auto held = [&] {
+        it.clock.advance(250ms);
+        it.session.setNeeds({}, it.clock.now());
+        return it.takeRenew().needs(0).requests_held();
+    };
+    CHECK(held() == 10);
+    CHECK(it.session.cap(1)[0] == 4);
+    CHECK(it.member.inheritableAuthority(it.clock.now())->portions[0].requests() == 10);
+    it.member.onTick(it.clock.now());
+    exchange();
+    exchange();
+    const auto inherited = it.member.inheritableAuthority(it.clock.now());
+    CHECK(inherited->portions[0].requests() == 4);
+    CHECK(held() == 4);
+
+    FleetSession next { { "x", { "l" } }, it.memberView };
+    next.onBecameLeader(4, inherited, it.clock.now());
+    CHECK(next.mayServe(it.clock.now()));
+    CHECK(next.cap(1)[0] == 4);
+}
+
+TEST_CASE("a lease pushed to a member that missed the configuration is not taken")
+{
+    Fixture it;
+    it.session.onGrant(it.grant(), it.clock.now());
+    it.member.onLeaderChanged(it.clock.now());
+    auto update = it.renewMember();
+    update.clear_delta();
+    it.member.onUpdate(update, it.clock.now());
+    CHECK(update.lease_ms() > 0);
+    CHECK_FALSE(it.member.mayServe(it.clock.now()));
+}
+
 TEST_CASE("a limit is divided by need, with a floor, and never beyond")
 {
     struct Row {
