Hold shares fleet-wide, refuse at once, measure the request plane

Cause: shares held per data centre only, nothing measured them, and requests without an executor or a chance waited until their deadline.

--- /dev/null
+++ b/bench/queue_bench.cpp
@@ -0,0 +1,179 @@
+// Cost of a queue decision: a request ends, another arrives, one is granted.
+#include "bench/request_fleet.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <ctime>
+
+namespace teasel::bench {
+
+namespace {
+
+    // Processor time of this thread, which other programs on the machine do not add to.
+    double processorUs()
+    {
+        timespec time {};
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+        return static_cast<double>(time.tv_sec) * 1e6 + static_cast<double>(time.tv_nsec) / 1e3;
+    }
+
+    struct Figures {
+        double perSecond = 0; // of one core
+        double p99Us = 0;
+        double meanUs = 0;
+    };
+
+    // Runs a full data centre with a steady number of waiting requests, messages included.
+    class SteadyQueue {
+    public:
+        SteadyQueue(uint32_t teams, uint32_t waiting)
+            : m_teams(teams)
+            , m_leader(DispatchOptions { .dataCentre = "a", .members = { "h" }, .defaultMaxWaitingPerTeam = 1'000'000 },
+                  m_names)
+        {
+            m_leader.onBecameLeader(1, m_clock.now());
+            std::vector<TeamPolicy> policies;
+            for (TeamId id = 1; id <= teams; ++id)
+                policies.push_back({ id, 1.0 + id % 4, 100'000 });
+            m_leader.onTeams(policies, m_clock.now());
+            const std::vector<ClassPolicy> classes { { "c0", 0, 1'000'000 }, { "c1", 1, 1'000'000 },
+                { "c2", 2, 1'000'000 } };
+            m_leader.onClasses(classes, m_clock.now());
+            schema::TicketBatch batch;
+            batch.set_full(true);
+            exchange(batch);
+            announce();
+            batch.Clear();
+            for (uint32_t n = 0; n < waiting + slots; ++n)
+                addTicket(batch);
+            exchange(batch);
+        }
+
+        Figures measure(uint32_t decisions)
+        {
+            std::vector<double> times;
+            times.reserve(decisions);
+            double total = 0;
+            std::vector<schema::TicketBatch> batches(chunk);
+            for (uint32_t n = 0; n < decisions; n += chunk) {
+                for (auto& it : batches)
+                    prepare(it);
+                const double began = processorUs();
+                if (n % announceEvery == 0)
+                    announce();
+                for (auto& it : batches)
+                    times.push_back(decide(it));
+                m_leader.onTick(m_clock.now());
+                total += processorUs() - began;
+            }
+            return { decisions / total * 1e6, percentile(times, 0.99), total / decisions };
+        }
+
+    private:
+        static constexpr uint32_t chunk = 200;
+        static constexpr uint32_t announceEvery = 100'000; // decisions, half a second
+        static constexpr uint32_t executors = 50;
+        static constexpr uint32_t slotsEach = 8;
+        static constexpr uint32_t slots = executors * slotsEach;
+
+        // One request ends, another arrives.
+        void prepare(schema::TicketBatch& batch)
+        {
+            batch.Clear();
+            addTicket(batch);
+            auto* end = batch.add_ends();
+            end->set_sequence(m_running.front());
+            end->set_attempt(1);
+            end->set_service_us(2'000);
+            m_running.pop_front();
+        }
+
+        // Returns what it took, in microseconds.
+        double decide(schema::TicketBatch& batch)
+        {
+            m_clock.advance(Duration(5));
+            const auto began = std::chrono::steady_clock::now();
+            exchange(batch);
+            const std::chrono::duration<double, std::micro> took = std::chrono::steady_clock::now() - began;
+            return took.count();
+        }
+
+        void addTicket(schema::TicketBatch& batch)
+        {
+            auto* ticket = batch.add_tickets();
+            ticket->set_sequence(m_sequence++);
+            ticket->set_attempt(1);
+            ticket->set_team_id(1 + static_cast<TeamId>(m_random.below(m_teams)));
+            ticket->set_class_name(classNames[m_random.below(3)]);
+            ticket->set_deadline_left_ms(3'000'000 + m_random.below(600'000));
+        }
+
+        void exchange(schema::TicketBatch& batch)
+        {
+            batch.set_epoch(1);
+            batch.set_batch(++m_batch);
+            batch.set_holder_incarnation(1);
+            batch.set_acknowledged_grants(m_grants);
+            batch.set_holder_up_ms(3'600'000);
+            m_leader.onTickets("h", batch, m_clock.now());
+            for (const auto& it : m_leader.takeActions(m_clock.now())) {
+                const auto& grants = std::get<SendGrants>(it).batch;
+                m_grants = grants.batch();
+                for (const auto& grant : grants.grants())
+                    m_running.push_back(grant.sequence());
+            }
+        }
+
+        void announce()
+        {
+            for (uint32_t n = 0; n < executors; ++n) {
+                schema::ExecutorAnnounce message;
+                message.set_name(fmt::format("x{}", n));
+                message.set_incarnation(1);
+                message.set_slots(slotsEach);
+                message.set_connections(64);
+                m_leader.onAnnounce(message, m_clock.now());
+            }
+        }
+
+        static constexpr const char* classNames[] = { "c0", "c1", "c2" };
+
+        uint32_t m_teams;
+        ManualClock m_clock;
+        NameTable m_names;
+        DispatchLeader m_leader;
+        Random m_random { 6 };
+        std::deque<uint64_t> m_running;
+        uint64_t m_sequence = 1;
+        uint64_t m_batch = 0;
+        uint64_t m_grants = 0;
+    };
+
+    constexpr uint32_t decisions = 300'000;
+
+    Figures measure(uint32_t teams, uint32_t waiting) { return SteadyQueue(teams, waiting).measure(decisions); }
+
+    // How the cost grows with a count, against the growth of its logarithm.
+    bool growth(const std::string& name, double small, double large, double smallCount, double largeCount)
+    {
+        const double logarithmic = std::log2(largeCount) / std::log2(smallCount);
+        return report("queue", name, large / small, "times", logarithmic, true);
+    }
+
+} // namespace
+
+} // namespace teasel::bench
+
+int main()
+{
+    using namespace teasel::bench;
+    const auto target = measure(140, 10'000);
+    bool held = report("queue", "decisions_per_second", target.perSecond, "1/s", 200'000, false);
+    held &= report("queue", "decision_p99", target.p99Us, "us", 100, true);
+    held &= growth(
+        "cost_growth_waiting_1k_to_100k", measure(140, 1'000).meanUs, measure(140, 100'000).meanUs, 1'000, 100'000);
+    held
+        &= growth("cost_growth_teams_14_to_1400", measure(14, 10'000).meanUs, measure(1'400, 10'000).meanUs, 14, 1'400);
+    return held ? 0 : 1;
+}
--- a/requests/attempt_ledger.cpp
+++ b/requests/attempt_ledger.cpp
@@ -54,11 +54,11 @@
     return found;
 }
 
-std::vector<AttemptId> AttemptLedger::allUpTo(HolderId holder, uint64_t incarnation) const
+std::vector<AttemptId> AttemptLedger::allBefore(HolderId holder, uint64_t incarnation) const
 {
     std::vector<AttemptId> found;
     for (const auto& [id, it] : m_attempts) {
-        if (id.holder == holder && id.incarnation <= incarnation)
+        if (id.holder == holder && id.incarnation < incarnation)
             found.push_back(id);
     }
     return found;
--- a/requests/attempt_ledger.h
+++ b/requests/attempt_ledger.h
@@ -62,8 +62,8 @@
 
     // Open attempts of one incarnation of a holder.
     std::vector<AttemptId> openOf(HolderId, uint64_t incarnation) const;
-    // Attempts of all incarnations of a holder up to this one.
-    std::vector<AttemptId> allUpTo(HolderId, uint64_t incarnation) const;
+    // Attempts of all incarnations of a holder before this one.
+    std::vector<AttemptId> allBefore(HolderId, uint64_t incarnation) const;
 
     // Closed attempts that can no longer run, by the time alone.
     std::vector<AttemptId> expired(Instant) const;
--- a/requests/dispatch_leader.cpp
+++ b/requests/dispatch_leader.cpp
@@ -50,26 +50,7 @@
         m_queue.setTeam(it.id, it.share, it.portion, now);
 }
 
-void DispatchLeader::onClasses(std::span<const ClassPolicy> classes, Instant)
-{
-    m_classes.clear();
-    for (const auto& it : classes)
-        m_classes[it.name] = it;
-}
-
-uint32_t DispatchLeader::rankOf(const std::string& className) const
-{
-    const auto it = m_classes.find(className);
-    return it == m_classes.end() ? unknownClassRank : it->second.rank;
-}
-
-uint32_t DispatchLeader::maxWaiting(const std::string& className) const
-{
-    const auto it = m_classes.find(className);
-    if (it == m_classes.end() || it->second.maxWaitingPerTeam == 0)
-        return m_options.defaultMaxWaitingPerTeam;
-    return it->second.maxWaitingPerTeam;
-}
+void DispatchLeader::onClasses(std::span<const ClassPolicy> classes, Instant) { m_classes.configure(classes); }
 
 // Selectors were checked when the configuration took them; one that cannot be read drains nothing.
 void DispatchLeader::onDrains(std::span<const std::string> selectors, Instant)
@@ -184,10 +165,12 @@
     if (!m_leading)
         return;
     const auto id = m_links.idOf(holder);
+    const auto former = m_links.at(id).incarnation;
     const auto place = m_links.place(id, batch, now);
+    if (m_links.at(id).incarnation != former)
+        closeFormerIncarnations(id, now);
     if (place == BatchPlace::Old || place == BatchPlace::Gap)
         return;
-    forgetFormerIncarnations(id, batch.holder_incarnation(), now);
     for (const auto& it : batch.ends())
         takeEnd(id, it, now);
     for (const auto it : batch.cancelled())
@@ -199,12 +182,12 @@
 }
 
 // Attempts of incarnations that are gone keep their slots: their executors may still run them.
-void DispatchLeader::forgetFormerIncarnations(HolderId id, uint64_t incarnation, Instant now)
+void DispatchLeader::closeFormerIncarnations(HolderId id, Instant now)
 {
-    if (incarnation == 0)
-        return;
-    for (const auto& it : m_ledger.allUpTo(id, incarnation - 1))
+    for (const auto& it : m_ledger.allBefore(id, m_links.at(id).incarnation))
         m_ledger.close(it, now);
+    for (const auto it : m_tickets.ofHolder(id))
+        unqueue(it);
 }
 
 void DispatchLeader::reconcile(HolderId id, const schema::TicketBatch& batch, Instant now)
@@ -257,15 +240,16 @@
     ticket.holder = holder;
     ticket.sequence = it.sequence();
     ticket.attempt = it.attempt();
-    ticket.className = it.class_name();
+    ticket.classId = m_classes.idOf(it.class_name());
     ticket.keyId = it.key_id();
     ticket.queued.team = it.team_id();
-    ticket.queued.rank = rankOf(it.class_name());
+    ticket.queued.rank = m_classes.at(ticket.classId).rank;
     ticket.queued.deadline = now + Milliseconds(it.deadline_left_ms());
-    if (m_withdrawnKeys.contains(it.key_id()))
+    if (!m_withdrawnKeys.empty() && m_withdrawnKeys.contains(it.key_id()))
         return refuseArrival(holder, it, Error { ErrorKind::Unauthenticated, "the key was withdrawn", {} });
+    const auto most = m_classes.at(ticket.classId).maxWaitingPerTeam;
     const Arrival arrival { it.team_id(), ticket.queued.rank, ticket.queued.deadline,
-        m_tickets.waitingInClass(it.team_id(), it.class_name()), maxWaiting(it.class_name()) };
+        m_tickets.waitingInClass(it.team_id(), ticket.classId), most > 0 ? most : m_options.defaultMaxWaitingPerTeam };
     const bool predictable = mayGrant(now) && m_pool.totalSlots() > 0;
     if (predictable) {
         if (const auto error = refusalFor(m_queue, arrival, m_pool.totalSlots(), now))
@@ -280,6 +264,10 @@
     if (const auto* error = std::get_if<Error>(&group))
         return refuseArrival(holder, it, *error);
     ticket.queued.group = std::get<0>(group);
+    if (executorsHeard(now) && !m_groups.allowed(ticket.queued.group).intersects(m_pool.live())) {
+        m_groups.release(ticket.queued.group);
+        return refuseArrival(holder, it, Error { ErrorKind::NoEndpoint, "no executor that the selector allows", {} });
+    }
     ticket.queued.id = m_tickets.add(ticket);
     m_queue.push(ticket.queued, now);
 }
@@ -409,8 +397,9 @@
 
 void DispatchLeader::grant(const QueuedTicket& queued, InstanceOrdinal n, Instant now)
 {
-    const auto ticket = *m_tickets.find(queued.id);
-    auto& link = m_links.at(ticket.holder);
+    const auto& ticket = *m_tickets.find(queued.id);
+    const auto holder = ticket.holder;
+    const auto& link = m_links.at(holder);
     const auto& executor = m_pool.at(n);
     schema::Grant grant;
     grant.set_sequence(ticket.sequence);
@@ -425,11 +414,11 @@
     attempt.grantBatch = link.nextGrants;
     attempt.since = now;
     attempt.deadline = queued.deadline;
-    m_ledger.add({ ticket.holder, link.incarnation, ticket.sequence, ticket.attempt }, attempt);
+    m_ledger.add({ holder, link.incarnation, ticket.sequence, ticket.attempt }, attempt);
     unqueue(queued.id);
     m_queue.onStarted(queued.team, now);
     m_pool.take(n);
-    m_links.addGrant(ticket.holder, std::move(grant));
+    m_links.addGrant(holder, std::move(grant));
     ++m_stats.granted;
 }
 
@@ -442,9 +431,14 @@
     forgetClosed(m_ledger.expired(now), now);
     for (const auto it : m_tickets.overdue(now))
         refuse(it, ErrorKind::DeadlinePassed, "the deadline passed while it waited", Milliseconds(0));
+    refuseWithoutExecutors(now);
+    if (now >= m_swept + sweepPeriod) {
+        m_swept = now;
+        refuseHopeless(now);
+    }
     if (now >= m_refreshed + refreshPeriod) {
         m_refreshed = now;
-        m_queue.refresh(m_pool.totalSlots(), now);
+        m_queue.refresh(m_remote.fleetSize(m_pool.totalSlots(), now), now);
     }
     absl::erase_if(m_withdrawnKeys, [&](const auto& it) { return it.second + withdrawnKeysKept <= now; });
 }
@@ -460,19 +454,48 @@
     return actions;
 }
 
+void DispatchLeader::refuseWithoutExecutors(Instant now)
+{
+    if (!executorsHeard(now))
+        return;
+    const auto groups = m_groups.withoutAny(m_pool.live());
+    if (groups.empty())
+        return;
+    for (const auto it : m_tickets.ofGroups(groups))
+        refuse(it, ErrorKind::NoEndpoint, "no executor that the selector allows", Milliseconds(0));
+}
+
+// Refuses what will not be reached by its deadline, now that the team's slots
+// or service times have changed. Each request is taken to wait for those of its
+// team with earlier deadlines, and is given the benefit of doubt.
+void DispatchLeader::refuseHopeless(Instant now)
+{
+    if (!mayGrant(now) || m_pool.totalSlots() == 0)
+        return;
+    std::vector<std::pair<TicketId, Duration>> hopeless;
+    if (m_sweepFrom == TicketBook::DeadlinePlace {})
+        m_sweepAhead.clear();
+    m_sweepFrom = m_tickets.visitByDeadline(m_sweepFrom, sweepTickets, [&](const WaitingTicket& it) {
+        auto& ahead = m_sweepAhead[it.queued.team];
+        const auto wait = predictedWait(m_queue, it.queued.team, ahead, m_pool.totalSlots());
+        const auto left = it.queued.deadline - now;
+        if (wait > left + left / 2 + predictionSlack)
+            hopeless.emplace_back(it.queued.id, wait - left);
+        else
+            ++ahead;
+    });
+    for (const auto& it : hopeless)
+        refuse(it.first, ErrorKind::DeadlineUnreachable, "its turn will not come before its deadline",
+            boundedRetryAfter(it.second));
+}
+
 // ---- Fleet -----------------------------------------------------------------
 
 void DispatchLeader::onLoadSummary(const schema::LoadSummary& summary, Instant now)
 {
-    if (summary.data_centre() == m_options.dataCentre)
-        return;
-    auto& remote = m_remote[summary.data_centre()];
-    if (summary.epoch() < remote.epoch)
+    if (!m_leading || summary.data_centre() == m_options.dataCentre)
         return;
-    const auto span = remote.heard == Instant {} ? Duration(0) : std::min<Duration>(now - remote.heard, remoteLoadKept);
-    for (const auto& it : summary.teams())
-        m_queue.onUsedElsewhere(it.team_id(), it.running(), span);
-    remote = { summary.epoch(), now, summary };
+    m_remote.onSummary(summary, m_queue, now);
 }
 
 std::vector<TeamNeed> DispatchLeader::needs() const
@@ -493,9 +516,11 @@
     summary.set_total_slots(m_pool.totalSlots());
     summary.set_waiting(static_cast<uint32_t>(m_queue.waiting()));
     m_queue.forEachTeam([&](TeamId team, uint32_t running, size_t waiting) {
-        if (running == 0 && waiting == 0)
+        const auto slotTime = std::chrono::duration_cast<Milliseconds>(m_queue.slotTime(team));
+        if (running == 0 && waiting == 0 && slotTime.count() == 0)
             return;
         auto* load = summary.add_teams();
+        load->set_slot_ms(static_cast<uint64_t>(slotTime.count()));
         load->set_team_id(team);
         load->set_running(running);
         load->set_waiting(static_cast<uint32_t>(waiting));
--- a/requests/dispatch_leader.h
+++ b/requests/dispatch_leader.h
@@ -12,9 +12,11 @@
 #include "requests.pb.h"
 #include "requests/admission.h"
 #include "requests/attempt_ledger.h"
+#include "requests/class_table.h"
 #include "requests/executor_pool.h"
 #include "requests/fair_queue.h"
 #include "requests/holder_links.h"
+#include "requests/remote_load.h"
 #include "requests/selector_groups.h"
 #include "requests/ticket_book.h"
 
@@ -47,12 +49,6 @@
     uint32_t portion = 0; // requests it may run at once in this data centre
 };
 
-struct ClassPolicy {
-    std::string name;
-    uint32_t rank = 0; // lower is more urgent
-    uint32_t maxWaitingPerTeam = 0; // 0: the default
-};
-
 struct TeamNeed {
     TeamId team = 0;
     uint32_t inUse = 0;
@@ -112,12 +108,6 @@
     bool leading() const { return m_leading; }
 
 private:
-    struct RemoteLoad {
-        Epoch epoch = 0;
-        Instant heard {};
-        schema::LoadSummary summary;
-    };
-
     bool noteLabels(InstanceOrdinal, const schema::ExecutorAnnounce&);
     void applyDrains();
     void takeTicket(HolderId, const schema::Ticket&, Instant);
@@ -125,7 +115,7 @@
     void takeCancelled(HolderId, uint64_t sequence);
     void takeOutstanding(HolderId, const schema::Outstanding&, Instant);
     void reconcile(HolderId, const schema::TicketBatch&, Instant);
-    void forgetFormerIncarnations(HolderId, uint64_t incarnation, Instant);
+    void closeFormerIncarnations(HolderId, Instant);
     void refuse(TicketId, ErrorKind, std::string message, Milliseconds retryAfter);
     void refuseArrival(HolderId, const schema::Ticket&, const Error&);
     void unqueue(TicketId);
@@ -133,6 +123,7 @@
     void decide(Instant);
     void grant(const QueuedTicket&, InstanceOrdinal, Instant);
     bool mayGrant(Instant) const;
+    bool executorsHeard(Instant now) const { return now >= m_ledSince + executorsHeardAfter; }
     bool everyHolderKnown(Instant) const;
     bool everyMemberHeard(Instant) const;
     void estimateUnknown(InstanceOrdinal, const schema::ExecutorAnnounce&, Instant);
@@ -141,14 +132,16 @@
     void refuseHopeless(Instant);
     void forgetClosed(const std::vector<AttemptId>&, Instant);
     absl::flat_hash_set<AttemptId> listedAttempts(const schema::ExecutorAnnounce&);
-    uint32_t rankOf(const std::string& className) const;
-    uint32_t maxWaiting(const std::string& className) const;
 
     static constexpr Milliseconds announcePeriod { 500 };
     static constexpr Milliseconds withdrawnKeysKept { 120'000 };
     static constexpr Milliseconds refreshPeriod { 20 };
-    static constexpr Milliseconds remoteLoadKept { 2'000 };
-    static constexpr uint32_t unknownClassRank = 1'000;
+    static constexpr Milliseconds sweepPeriod { 100 };
+    static constexpr size_t sweepTickets = 1'000; // looked at in one period
+    static constexpr Milliseconds executorsHeardAfter {
+        2'000
+    }; // of leading; all live executors have announced themselves
+    static constexpr Milliseconds predictionSlack { 100 };
 
     DispatchOptions m_options;
     NameTable& m_names;
@@ -164,12 +157,15 @@
     LabelIndex m_labels;
     SelectorGroups m_groups;
     HolderLinks m_links;
-    absl::flat_hash_map<std::string, ClassPolicy> m_classes;
+    ClassTable m_classes;
     absl::flat_hash_map<std::string, Instant> m_withdrawnKeys;
     std::vector<CompiledSelector> m_drains;
-    absl::flat_hash_map<std::string, RemoteLoad> m_remote;
+    RemoteLoad m_remote;
     absl::flat_hash_set<InstanceOrdinal> m_unconfirmed; // executors not yet heard since grants of former leaders lapsed
     Instant m_refreshed {};
+    Instant m_swept {};
+    TicketBook::DeadlinePlace m_sweepFrom {}; // where refuseHopeless goes on
+    absl::flat_hash_map<TeamId, size_t> m_sweepAhead; // waiting requests that it has passed
     DispatchStats m_stats;
 };
 
--- a/requests/executor_pool.cpp
+++ b/requests/executor_pool.cpp
@@ -36,6 +36,7 @@
     m_open = {};
     m_live = {};
     m_unknownInFlight = 0;
+    m_totalSlots = 0;
 }
 
 InstanceOrdinal ExecutorPool::entryOf(const std::string& name)
@@ -193,8 +194,11 @@
 
 void ExecutorPool::update(InstanceOrdinal n)
 {
-    const auto& it = m_executors[n];
+    auto& it = m_executors[n];
     const bool usable = it.live && !it.drained;
+    m_totalSlots -= it.countedSlots;
+    it.countedSlots = usable ? it.capacity : 0;
+    m_totalSlots += it.countedSlots;
     if (usable)
         m_live.insert(n);
     else
@@ -238,11 +242,4 @@
     return free;
 }
 
-uint32_t ExecutorPool::totalSlots() const
-{
-    uint32_t total = 0;
-    m_live.forEachCommon(m_live, [&](InstanceOrdinal n) { total += m_executors[n].capacity; });
-    return total;
-}
-
 } // namespace teasel
--- a/requests/executor_pool.h
+++ b/requests/executor_pool.h
@@ -34,6 +34,7 @@
     uint32_t capacity = 0; // the lower of slots and connections
     uint32_t inFlight = 0; // granted attempts that may be running
     uint32_t unknownInFlight = 0; // reported by the executor and known to no holder heard so far
+    uint32_t countedSlots = 0; // its part of the pool's slots
     Instant lastHeard {};
     bool live = false; // heard of lately and not leaving
     bool leaving = false;
@@ -90,7 +91,7 @@
     std::optional<InstanceOrdinal> choose(const ExecutorSet& allowed) const;
 
     uint32_t freeSlots() const;
-    uint32_t totalSlots() const;
+    uint32_t totalSlots() const { return m_totalSlots; }
     uint32_t unknownInFlight() const { return m_unknownInFlight; }
     uint64_t timesSetAside() const { return m_timesSetAside; }
 
@@ -119,6 +120,7 @@
     ExecutorSet m_live;
     double m_peerServiceUs = 0.0; // moving average over all executors
     uint32_t m_unknownInFlight = 0;
+    uint32_t m_totalSlots = 0;
     uint64_t m_timesSetAside = 0;
 };
 
--- a/requests/fair_queue.cpp
+++ b/requests/fair_queue.cpp
@@ -29,7 +29,6 @@
 void FairQueue::push(const QueuedTicket& ticket, Instant now)
 {
     auto& team = m_teams[ticket.team];
-    accrue(team, now);
     auto& waiting = team.groups[ticket.group];
     const bool groupWasEmpty = waiting.empty();
     if (!waiting.insert({ ticket.rank, ticket.deadline, ticket.id }).second)
@@ -37,10 +36,12 @@
     ++team.waiting;
     ++team.waitingByRank[ticket.rank];
     ++m_waiting;
-    if (team.entered && groupWasEmpty)
-        m_orders[ticket.group].insert({ team.place, ticket.team });
-    else
+    if (!team.entered) {
+        accrue(team, now);
         settlePlace(ticket.team, team);
+    } else if (groupWasEmpty) {
+        m_orders[ticket.group].insert({ team.place, ticket.team });
+    }
 }
 
 void FairQueue::remove(const QueuedTicket& ticket)
@@ -74,7 +75,7 @@
     checkInvariant(team.running + m_reserve < team.limit, "team_within_portion",
         [&] { return fmt::format("team {}: {} of {}, {} held back", id, team.running, team.limit, m_reserve); });
     accrue(team, now);
-    m_present = std::max(m_present, team.virtualTime);
+    m_present = placeOf(team);
     ++team.running;
     settlePlace(id, team);
 }
@@ -101,32 +102,44 @@
     settlePlace(id, team);
 }
 
-void FairQueue::onUsedElsewhere(TeamId id, uint32_t slots, Duration span)
+void FairQueue::onUsedElsewhere(TeamId id, Duration slotTime, Instant now)
 {
     const auto it = m_teams.find(id);
-    if (it == m_teams.end() || slots == 0)
+    if (it == m_teams.end() || slotTime.count() <= 0)
         return;
-    it->second.virtualTime += static_cast<double>(slots) * static_cast<double>(span.count()) / it->second.share;
+    it->second.usedElsewhere = now;
+    it->second.virtualTime += static_cast<double>(slotTime.count()) / it->second.share;
     settlePlace(id, it->second);
 }
 
-void FairQueue::refresh(uint32_t totalSlots, Instant now)
+void FairQueue::refresh(const FleetSize& fleet, Instant now)
 {
-    const double bound = window(totalSlots);
+    m_fleet = fleet;
+    const double window = windowPerShare();
     for (auto& [id, team] : m_teams) {
         accrue(team, now);
-        team.virtualTime = std::clamp(team.virtualTime, m_present - bound, m_present + bound);
+        const double aheadByRunning = placeOf(team) - team.virtualTime;
+        team.virtualTime
+            = std::clamp(team.virtualTime, m_present - window - aheadByRunning, m_present + window - aheadByRunning);
         settlePlace(id, team);
     }
 }
 
-// How far a team's virtual time may be from the present: what a full fleet
-// adds to it within the history window.
-double FairQueue::window(uint32_t totalSlots) const
+// How far a team's place may be from the present: what a full fleet adds to it
+// within the history window.
+double FairQueue::windowPerShare() const
 {
     if (m_activeShares <= 0.0)
         return 0.0;
-    return static_cast<double>(Duration(historyWindow).count()) * totalSlots / m_activeShares;
+    return static_cast<double>(Duration(historyWindow).count()) * m_fleet.allSlots / m_activeShares;
+}
+
+double FairQueue::horizonUs(const Team& team) const
+{
+    if (m_fleet.dataCentres < 2)
+        return serviceUs(team);
+    const auto horizon = Duration(horizonPerDataCentre) * m_fleet.dataCentres;
+    return std::max(serviceUs(team), static_cast<double>(horizon.count()));
 }
 
 double FairQueue::serviceUs(const Team& team) const
@@ -138,15 +151,18 @@
 
 double FairQueue::placeOf(const Team& team) const
 {
-    return team.virtualTime + team.running * serviceUs(team) / team.share;
+    return team.virtualTime + team.running * horizonUs(team) / team.share;
 }
 
 bool FairQueue::mayEnter(const Team& team) const { return team.waiting > 0 && team.running + m_reserve < team.limit; }
 
 void FairQueue::accrue(Team& team, Instant now)
 {
-    if (now > team.accrued && team.running > 0)
-        team.virtualTime += static_cast<double>((now - team.accrued).count()) * team.running / team.share;
+    if (now > team.accrued && team.running > 0) {
+        const double used = static_cast<double>((now - team.accrued).count()) * team.running;
+        team.slotTimeUs += used;
+        team.virtualTime += used / team.share;
+    }
     team.accrued = std::max(team.accrued, now);
 }
 
@@ -163,13 +179,21 @@
     if (!shallStand)
         return;
     if (wasAway)
-        team.virtualTime = std::max(team.virtualTime, m_present);
+        team.virtualTime = std::max(team.virtualTime, m_present - fairOffset(team));
     enter(id, team);
 }
 
+// What a team's place is above its virtual time while it runs its fair part here.
+double FairQueue::fairOffset(const Team& team) const
+{
+    return m_activeShares > 0.0 ? horizonUs(team) * m_fleet.ownSlots / m_activeShares : 0.0;
+}
+
 void FairQueue::noteActivity(Team& team)
 {
-    const double share = team.waiting > 0 || team.running > 0 ? team.share : 0.0;
+    const bool usedElsewhere = team.usedElsewhere + elsewhereKept > team.accrued;
+    const bool active = team.waiting > 0 || team.running > 0 || usedElsewhere;
+    const double share = active ? team.share : 0.0;
     m_activeShares += share - team.activeShare;
     team.activeShare = share;
 }
@@ -234,6 +258,12 @@
     return Duration(static_cast<int64_t>(team ? serviceUs(*team) : unseenServiceUs));
 }
 
+Duration FairQueue::slotTime(TeamId id) const
+{
+    const auto* team = find(id);
+    return Duration(static_cast<int64_t>(team ? team->slotTimeUs : 0.0));
+}
+
 double FairQueue::expectedSlots(TeamId id, uint32_t totalSlots) const
 {
     const auto* team = find(id);
@@ -248,6 +278,7 @@
 {
     for (auto& [id, team] : m_teams) {
         team.running = 0;
+        team.slotTimeUs = 0.0;
         team.waiting = 0;
         team.entered = false;
         team.activeShare = 0.0;
--- a/requests/fair_queue.h
+++ b/requests/fair_queue.h
@@ -1,13 +1,16 @@
 // The order of waiting requests: between teams by weighted shares, inside a
 // team by class, then deadline.
 //
-// Each team has a virtual time: the slot time that it has used, divided by its
-// share. Its place in the order adds what its running requests are expected to
-// use still. The team with the lowest place goes first. A team that was away
-// enters at the present, so idle share is lent and not owed back; a team that
-// is far ahead is held at a bound, so history outside a window does not count.
-// Requests are grouped by where they may run, and a group without an open
-// executor costs one test however many requests and teams wait in it.
+// Each team has a virtual time: the slot time that it has used in all data
+// centres, divided by its share. Its place in the order adds a horizon for each
+// request that it runs here. The team with the lowest place goes first. The
+// horizon is the expected service time; with several data centres it is long
+// enough that their leaders, who hear of one another late, do not overcorrect.
+// A team that was away enters at the present, so idle share is lent and not
+// owed back; a team that is far from the present is held at a bound, so history
+// outside a window does not count. Requests are grouped by where they may run,
+// and a group without an open executor costs one test however many requests and
+// teams wait in it.
 #pragma once
 
 #include "core/clock.h"
@@ -35,6 +38,13 @@
     GroupId group = 0;
 };
 
+// What the leaders of a fleet know of its size.
+struct FleetSize {
+    uint32_t ownSlots = 0;
+    uint32_t allSlots = 0; // of all data centres
+    uint32_t dataCentres = 1;
+};
+
 class FairQueue {
 public:
     void setTeam(TeamId, double share, uint32_t limit, Instant);
@@ -53,10 +63,10 @@
     void onFoundRunning(TeamId, Instant);
     // A slot is given back; `service` is what it took, if it ran to its end.
     void onEnded(TeamId, std::optional<Duration> service, Instant);
-    // The team held `slots` slots elsewhere during `span`.
-    void onUsedElsewhere(TeamId, uint32_t slots, Duration span);
+    // The team has used this slot time in another data centre.
+    void onUsedElsewhere(TeamId, Duration slotTime, Instant);
     // Brings all places up to the present. Called every few tens of milliseconds.
-    void refresh(uint32_t totalSlots, Instant);
+    void refresh(const FleetSize&, Instant);
 
     uint32_t running(TeamId) const;
     uint32_t limit(TeamId) const;
@@ -69,6 +79,9 @@
     // Slots that the team can count on now.
     double expectedSlots(TeamId, uint32_t totalSlots) const;
 
+    // Slot time of the team's requests here.
+    Duration slotTime(TeamId) const;
+
     // Calls `visit(team, running, waiting)` for each team.
     template <class Visit> void forEachTeam(Visit&& visit) const;
 
@@ -94,6 +107,8 @@
         uint32_t running = 0;
         double virtualTime = 0.0; // microseconds of slot time per unit of share
         double place = 0.0; // under which it stands in the groups' orders
+        double slotTimeUs = 0.0; // used here
+        Instant usedElsewhere {}; // last time it was heard to run in another data centre
         Instant accrued {}; // up to when its running requests are in virtualTime
         double serviceUs = 0.0; // moving average; 0: not yet seen
         bool entered = false; // stands in the groups' orders
@@ -105,7 +120,9 @@
 
     double serviceUs(const Team&) const;
     double placeOf(const Team&) const;
-    double window(uint32_t totalSlots) const;
+    double horizonUs(const Team&) const;
+    double fairOffset(const Team&) const;
+    double windowPerShare() const;
     bool mayEnter(const Team&) const;
     void accrue(Team&, Instant);
     void enter(TeamId, Team&);
@@ -117,10 +134,13 @@
     static constexpr double unseenServiceUs = 20'000;
     static constexpr double averageWeight = 0.05; // of the newest service time
     static constexpr Milliseconds historyWindow { 1'000 };
+    static constexpr Milliseconds horizonPerDataCentre { 500 }; // twice the age of what leaders know of one another
+    static constexpr Milliseconds elsewhereKept { 1'000 };
 
     absl::flat_hash_map<TeamId, Team> m_teams;
     absl::flat_hash_map<GroupId, TeamOrder> m_orders;
-    double m_present = 0.0; // virtual time of the last start
+    double m_present = 0.0; // place of the last start
+    FleetSize m_fleet;
     double m_serviceUs = 0.0; // moving average over all teams
     double m_activeShares = 0.0; // of teams that wait or run
     uint32_t m_reserve = 0;
--- a/requests/held_request.h
+++ b/requests/held_request.h
@@ -4,6 +4,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "core/result.h"
+#include "requests/attempt_outcome.h"
 
 #include <cstdint>
 #include <optional>
--- a/requests/request_holder.cpp
+++ b/requests/request_holder.cpp
@@ -1,5 +1,7 @@
 #include "requests/request_holder.h"
 
+#include "requests/holder_messages.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -127,12 +129,7 @@
         && (place->second.phase == HeldPhase::Beginning || place->second.phase == HeldPhase::Sent))
         return; // a repetition of the grant in use
     if (!known || place->second.attempt != grant.attempt() || place->second.phase != HeldPhase::Waiting) {
-        schema::AttemptEnd end;
-        end.set_sequence(grant.sequence());
-        end.set_attempt(grant.attempt());
-        end.set_executor(grant.executor());
-        end.set_never_sent(true);
-        m_link.addEnd(std::move(end), {}, now);
+        m_link.addEnd(unusedGrant(grant), {}, now);
         return;
     }
     auto& it = place->second;
@@ -168,35 +165,6 @@
     m_link.addTicket(ticketOf(it, now));
 }
 
-schema::Ticket RequestHolder::ticketOf(const HeldRequest& it, Instant now) const
-{
-    schema::Ticket ticket;
-    ticket.set_sequence(it.sequence);
-    ticket.set_team_id(it.submission.team);
-    ticket.set_class_name(it.submission.className);
-    ticket.set_selector(it.submission.selector);
-    ticket.set_deadline_left_ms(millisecondsLeft(it.submission.deadline, now));
-    ticket.set_idempotent(it.submission.idempotent);
-    ticket.set_attempt(it.attempt);
-    for (const auto& name : it.avoid)
-        ticket.add_avoid(name);
-    ticket.set_body_bytes(static_cast<uint32_t>(it.submission.bodyBytes));
-    ticket.set_key_id(it.submission.keyId);
-    return ticket;
-}
-
-schema::Outstanding RequestHolder::outstandingOf(const HeldRequest& it, Instant now) const
-{
-    schema::Outstanding attempt;
-    attempt.set_sequence(it.sequence);
-    attempt.set_attempt(it.attempt);
-    attempt.set_executor(it.executor);
-    attempt.set_team_id(it.submission.team);
-    attempt.set_class_name(it.submission.className);
-    attempt.set_deadline_left_ms(millisecondsLeft(it.submission.deadline, now));
-    return attempt;
-}
-
 // ---- Attempts --------------------------------------------------------------
 
 void RequestHolder::start(HeldRequest& it, Instant now)
@@ -317,8 +285,7 @@
 
 void RequestHolder::onFailure(HeldRequest& it, const ExecutorResult& result, Instant now)
 {
-    const bool unsent = std::holds_alternative<ConnectFailed>(result.outcome)
-        || std::holds_alternative<ExecutorRefused>(result.outcome);
+    const bool unsent = surelyDidNotRun(result.outcome);
     it.bytesSent = it.bytesSent || !unsent;
     const bool retry = (it.submission.idempotent || unsent) && mayRetry(it, now);
     endAttempt(it, &result, retry, now);
@@ -353,22 +320,7 @@
 // Reports the end of the current attempt to the leader; without a result it was never sent.
 void RequestHolder::endAttempt(HeldRequest& it, const ExecutorResult* result, bool wantsRetry, Instant now)
 {
-    schema::AttemptEnd end;
-    end.set_sequence(it.sequence);
-    end.set_attempt(it.attempt);
-    end.set_executor(it.executor);
-    end.set_wants_retry(wantsRetry);
-    end.set_never_sent(!result);
-    if (result) {
-        const auto* answer = std::get_if<WholeAnswer>(&result->outcome);
-        const bool unsent = std::holds_alternative<ConnectFailed>(result->outcome);
-        const bool refused = std::holds_alternative<ExecutorRefused>(result->outcome);
-        end.set_failed(!answer || answer->httpStatus >= serverErrorStatus);
-        end.set_connect_failed(unsent);
-        end.set_may_still_run(!answer && !unsent && !refused);
-        end.set_service_us(static_cast<uint64_t>(result->service.count()));
-    }
-    m_link.addEnd(std::move(end), outstandingOf(it, now), now);
+    m_link.addEnd(endOf(it, result, wantsRetry), outstandingOf(it, now), now);
 }
 
 void RequestHolder::endUnsentAttempt(HeldRequest& it, Instant now)
--- a/requests/request_holder.h
+++ b/requests/request_holder.h
@@ -14,6 +14,7 @@
 #include "fleet.pb.h"
 #include "requests.pb.h"
 #include "requests/attempt_key.h"
+#include "requests/attempt_outcome.h"
 #include "requests/held_request.h"
 #include "requests/leader_link.h"
 #include "requests/retry_budget.h"
@@ -43,25 +44,6 @@
     uint32_t maxAttempts = 3;
 };
 
-// What became of an attempt at its executor.
-struct WholeAnswer {
-    uint32_t httpStatus = 200;
-    std::string contentType;
-    uint64_t bodyBytes = 0;
-};
-struct ConnectFailed { }; // no byte was sent
-struct ExecutorRefused { }; // the executor says that it did not run it
-struct FailedAfterSending { };
-struct CutShort { };
-struct Overdue { };
-using AttemptOutcome = std::variant<WholeAnswer, ConnectFailed, ExecutorRefused, FailedAfterSending, CutShort, Overdue>;
-
-struct ExecutorResult {
-    std::string attemptKey;
-    AttemptOutcome outcome;
-    Duration service { 0 }; // from the first byte sent to the last one received
-};
-
 // To the current leader.
 struct SendTickets {
     std::string leader;
@@ -175,12 +157,8 @@
     HeldRequest* byKey(std::string_view attemptKey);
     void refuseLeaderless(Instant);
     AttemptKey keyOf(const HeldRequest&) const;
-    schema::Ticket ticketOf(const HeldRequest&, Instant) const;
-    schema::Outstanding outstandingOf(const HeldRequest&, Instant) const;
     schema::TicketBatch makeBatch(Instant);
 
-    static constexpr uint32_t serverErrorStatus = 500;
-
     HolderOptions m_options;
     Random m_random;
     RetryBudget m_retryBudget;
--- a/requests/selector_groups.cpp
+++ b/requests/selector_groups.cpp
@@ -22,6 +22,8 @@
 
 Result<GroupId> SelectorGroups::acquire(std::string_view selector, std::vector<InstanceOrdinal> avoid)
 {
+    if (selector.empty() && avoid.empty() && m_unrestricted != 0)
+        return m_unrestricted;
     std::sort(avoid.begin(), avoid.end());
     const auto known = m_byKey.find(keyOf(selector, avoid));
     if (known != m_byKey.end()) {
@@ -39,6 +41,8 @@
     if (m_groups.size() >= keptGroups)
         forgetUnused();
     const auto id = m_next++;
+    if (selector.empty() && group.avoid.empty())
+        m_unrestricted = id;
     m_byKey.emplace(group.key, id);
     m_groups.emplace(id, std::move(group));
     return id;
@@ -47,7 +51,7 @@
 void SelectorGroups::release(GroupId id)
 {
     const auto it = m_groups.find(id);
-    if (it != m_groups.end() && it->second.users > 0)
+    if (id != m_unrestricted && it != m_groups.end() && it->second.users > 0)
         --it->second.users;
 }
 
@@ -69,6 +73,16 @@
         evaluate(it.second);
 }
 
+std::vector<GroupId> SelectorGroups::withoutAny(const ExecutorSet& executors) const
+{
+    std::vector<GroupId> found;
+    for (const auto& [id, group] : m_groups) {
+        if (group.users > 0 && !group.allowed.intersects(executors))
+            found.push_back(id);
+    }
+    return found;
+}
+
 void SelectorGroups::forgetUnused()
 {
     absl::erase_if(m_byKey, [&](const auto& it) { return m_groups.at(it.second).users == 0; });
@@ -79,6 +93,7 @@
 {
     m_groups.clear();
     m_byKey.clear();
+    m_unrestricted = 0;
 }
 
 } // namespace teasel
--- a/requests/selector_groups.h
+++ b/requests/selector_groups.h
@@ -29,6 +29,9 @@
 
     const ExecutorSet& allowed(GroupId id) const { return m_groups.at(id).allowed; }
 
+    // Groups in use that share no executor with this set.
+    std::vector<GroupId> withoutAny(const ExecutorSet&) const;
+
     // Evaluates all selectors again, if executors or labels have changed.
     void refresh();
     void clear();
@@ -53,6 +56,7 @@
     absl::flat_hash_map<GroupId, Group> m_groups;
     absl::flat_hash_map<std::string, GroupId> m_byKey;
     GroupId m_next = 1;
+    GroupId m_unrestricted = 0; // group of the empty selector with nothing to avoid; always kept
     uint64_t m_labelsVersion = 0;
 };
 
--- a/requests/ticket_book.cpp
+++ b/requests/ticket_book.cpp
@@ -10,7 +10,7 @@
     ticket.queued.id = id;
     m_byPlace[{ ticket.holder, ticket.sequence }] = id;
     m_byDeadline.insert({ ticket.queued.deadline, id });
-    ++m_inClass[{ ticket.queued.team, ticket.className }];
+    ++m_inClass[{ ticket.queued.team, ticket.classId }];
     m_tickets.emplace(id, std::move(ticket));
     return id;
 }
@@ -35,7 +35,7 @@
     const auto& ticket = it->second;
     m_byPlace.erase({ ticket.holder, ticket.sequence });
     m_byDeadline.erase({ ticket.queued.deadline, id });
-    const auto count = m_inClass.find({ ticket.queued.team, ticket.className });
+    const auto count = m_inClass.find({ ticket.queued.team, ticket.classId });
     if (--count->second == 0)
         m_inClass.erase(count);
     m_tickets.erase(it);
@@ -49,9 +49,9 @@
     m_inClass.clear();
 }
 
-size_t TicketBook::waitingInClass(TeamId team, const std::string& className) const
+size_t TicketBook::waitingInClass(TeamId team, ClassId classId) const
 {
-    const auto it = m_inClass.find({ team, className });
+    const auto it = m_inClass.find({ team, classId });
     return it == m_inClass.end() ? 0 : it->second;
 }
 
@@ -75,6 +75,16 @@
     return found;
 }
 
+std::vector<TicketId> TicketBook::ofGroups(const std::vector<GroupId>& groups) const
+{
+    std::vector<TicketId> found;
+    for (const auto& [id, it] : m_tickets) {
+        if (std::find(groups.begin(), groups.end(), it.queued.group) != groups.end())
+            found.push_back(id);
+    }
+    return found;
+}
+
 std::vector<TicketId> TicketBook::overdue(Instant now) const
 {
     std::vector<TicketId> found;
--- a/requests/ticket_book.h
+++ b/requests/ticket_book.h
@@ -15,12 +15,14 @@
 
 namespace teasel {
 
+using ClassId = uint32_t; // dense number of a class within one leader
+
 struct WaitingTicket {
     QueuedTicket queued;
     HolderId holder = 0;
     uint64_t sequence = 0;
     uint32_t attempt = 0;
-    std::string className;
+    ClassId classId = 0;
     std::string keyId;
 };
 
@@ -34,19 +36,33 @@
     void clear();
 
     size_t size() const { return m_tickets.size(); }
-    size_t waitingInClass(TeamId, const std::string& className) const;
+    size_t waitingInClass(TeamId, ClassId) const;
 
     std::vector<TicketId> ofHolder(HolderId) const;
     std::vector<TicketId> ofKeys(const std::vector<std::string>& keyIds) const;
+    std::vector<TicketId> ofGroups(const std::vector<GroupId>&) const;
     std::vector<TicketId> overdue(Instant) const;
+    // Calls `visit(ticket)` in order of deadlines for at most `most` tickets
+    // after `from`. Returns where to go on; the start once all were visited.
+    using DeadlinePlace = std::pair<Instant, TicketId>;
+    template <class Visit> DeadlinePlace visitByDeadline(DeadlinePlace from, size_t most, Visit&& visit) const
+    {
+        for (auto it = m_byDeadline.upper_bound(from); it != m_byDeadline.end(); ++it) {
+            if (most-- == 0)
+                return from;
+            from = *it;
+            visit(m_tickets.at(it->second));
+        }
+        return {};
+    }
 
 private:
     using Place = std::pair<HolderId, uint64_t>;
 
     absl::flat_hash_map<TicketId, WaitingTicket> m_tickets;
     absl::flat_hash_map<Place, TicketId> m_byPlace;
-    absl::btree_set<std::pair<Instant, TicketId>> m_byDeadline;
-    absl::flat_hash_map<std::pair<TeamId, std::string>, size_t> m_inClass;
+    absl::btree_set<DeadlinePlace> m_byDeadline;
+    absl::flat_hash_map<std::pair<TeamId, ClassId>, size_t> m_inClass;
     TicketId m_next = 1;
 };
 
