--- a/requests/dispatch_leader.h
+++ b/requests/dispatch_leader.h
@@ -49,7 +49,7 @@
     uint32_t portion = 0; // requests it may run at once in this data centre
 };
 
-struct TeamNeed {
+struct RequestNeed {
     TeamId team = 0;
     uint32_t inUse = 0;
     uint32_t wanted = 0; // running and waiting
@@ -102,7 +102,7 @@
     // Decides what can be decided and returns what is to be sent.
     std::vector<DispatchAction> takeActions(Instant);
 
-    std::vector<TeamNeed> needs() const;
+    std::vector<RequestNeed> needs() const;
     schema::LoadSummary loadSummary() const;
     DispatchStats stats() const;
     bool leading() const { return m_leading; }
--- a/requests/request_holder.h
+++ b/requests/request_holder.h
@@ -156,7 +156,7 @@
     bool attemptStillUsable(const HeldRequest&, Instant) const;
     HeldRequest* byKey(std::string_view attemptKey);
     void refuseLeaderless(Instant);
-    AttemptKey keyOf(const HeldRequest&) const;
+    RequestAttempt keyOf(const HeldRequest&) const;
     schema::TicketBatch makeBatch(Instant);
 
     HolderOptions m_options;
