--- a/placement/fair_share.cpp
+++ b/placement/fair_share.cpp
@@ -47,6 +47,8 @@
     for (auto& [id, team] : m_teams) {
         team.used = {};
         team.reserved = {};
+        team.claimed = {};
+        team.expected = {};
     }
 }
 
@@ -60,6 +62,26 @@
     return team && team->share > 0 && (team->used + team->reserved + more).fitsIn(team->portion);
 }
 
+void FairShare::expect(TeamId id, const ResourceVector& amount) { m_teams[id].expected += amount; }
+
+void FairShare::claim(TeamId id, const ResourceVector& amount)
+{
+    m_teams[id].claimed += amount;
+    m_teams[id].expected += amount;
+}
+
+void FairShare::unclaim(TeamId id, const ResourceVector& amount)
+{
+    m_teams[id].claimed -= amount;
+    m_teams[id].expected -= amount;
+}
+
+bool FairShare::withinPortionAfterClaims(TeamId id, const ResourceVector& more) const
+{
+    const auto* team = find(id);
+    return team && withinPortion(id, team->claimed + more);
+}
+
 ResourceVector FairShare::excess(TeamId id) const
 {
     const auto* team = find(id);
@@ -86,7 +108,8 @@
     const auto* team = find(id);
     if (!team)
         return more.dominantShareOf(m_total) / leastShare;
-    return (team->used + team->elsewhere + more).dominantShareOf(m_total) / std::max(leastShare, team->share);
+    return (team->used + team->expected + team->elsewhere + more).dominantShareOf(m_total)
+        / std::max(leastShare, team->share);
 }
 
 void FairShare::reserve(TeamId id, const ResourceVector& amount) { m_teams[id].reserved += amount; }
--- a/placement/fair_share.h
+++ b/placement/fair_share.h
@@ -33,7 +33,17 @@
     ResourceVector used(TeamId) const;
     ResourceVector portion(TeamId) const;
 
-    // The dominant share over the weight, with `more` added to what is held fleet-wide.
+    // What the team is about to hold, or to give up when negative: it counts
+    // for its weighted share at once, and for its portion when it happens.
+    void expect(TeamId, const ResourceVector&);
+    // Room being made for the team's tasks.
+    void claim(TeamId, const ResourceVector&);
+    void unclaim(TeamId, const ResourceVector&);
+    // Like withinPortion, with all of the team's claims.
+    bool withinPortionAfterClaims(TeamId, const ResourceVector& more) const;
+
+    // The dominant share over the weight, with `more` added to what is held
+    // and expected fleet-wide.
     double weighted(TeamId, const ResourceVector& more = {}) const;
 
     // Keeps a part of the team's portion for a waiting gang.
@@ -48,6 +58,8 @@
         ResourceVector portion;
         ResourceVector used;
         ResourceVector reserved;
+        ResourceVector claimed;
+        ResourceVector expected;
         ResourceVector elsewhere;
     };
     const Team* find(TeamId) const;
--- a/placement/job_intake.cpp
+++ b/placement/job_intake.cpp
@@ -20,11 +20,14 @@
 void JobIntake::takeOne(const schema::JobRecord& record, Instant now)
 {
     const bool mine = record.data_centre().empty() || record.data_centre() == m_state.options.dataCentre;
-    if (m_state.tasks.find(record.id()) == noJob && (!mine || isTerminal(record.phase())))
+    // A job that is over is kept for a while: workers may still report its tasks.
+    if (!mine && m_state.tasks.find(record.id()) == noJob)
         return;
     const JobOrdinal ordinal = m_state.tasks.intern(record.id(), now);
     auto& job = m_state.tasks.job(ordinal);
     const bool wasClosed = job.closed;
+    const bool wasKnown = job.known;
+    const uint32_t wantedBefore = job.counts.wanted;
     m_state.tasks.apply(record, ordinal);
     job.closed = job.closed || !mine;
     if (job.closed && !wasClosed) {
@@ -39,7 +42,9 @@
         job.waiting.erase(i);
         m_lifecycle.stopTask({ ordinal, i }, now);
     }
-    enqueueTasks(job, now);
+    if (job.isGang() && wasKnown && wantedBefore != job.counts.wanted)
+        m_lifecycle.restartGang(ordinal, false, now);
+    enqueueTasks(job);
     m_state.workPending = true;
 }
 
@@ -57,7 +62,7 @@
     }
 }
 
-void JobIntake::enqueueTasks(Job& job, Instant now)
+void JobIntake::enqueueTasks(Job& job)
 {
     const uint32_t indices = std::visit([&](const auto& it) { return it.indices(job.counts.wanted); }, job.policy);
     for (uint32_t i = 0; i < indices; ++i) {
@@ -67,7 +72,6 @@
             job.waiting.insert(i);
     }
     m_state.tasks.refreshQueue(job.ordinal);
-    (void)now;
 }
 
 void JobIntake::report(std::vector<PlacementAction>& actions, Instant now)
--- a/placement/job_intake.h
+++ b/placement/job_intake.h
@@ -32,7 +32,7 @@
 private:
     void takeOne(const schema::JobRecord&, Instant now);
     void markDurable(Job&, Instant now);
-    void enqueueTasks(Job&, Instant now);
+    void enqueueTasks(Job&);
     void reportOne(Job&, std::vector<PlacementAction>&, Instant now);
     bool holdsAnything(const Job&) const;
 
--- a/placement/placement_index.cpp
+++ b/placement/placement_index.cpp
@@ -12,7 +12,7 @@
     constexpr uint32_t levelBits = 10;
     constexpr size_t memberProbes = 8;
     constexpr double acceleratorWeight = 4.0;
-    constexpr double imbalanceWeight = 1.0;
+    constexpr double imbalanceWeight = 0.3;
 
     // Position of an amount on the logarithmic scale; 0 for nothing.
     uint32_t levelOf(int64_t amount)
--- a/placement/placement_leader.cpp
+++ b/placement/placement_leader.cpp
@@ -1,11 +1,20 @@
 #include "placement/placement_leader.h"
 
+#include "core/invariant.h"
+
 #include <algorithm>
+#include <fmt/format.h>
 #include <limits>
 #include <utility>
 
 namespace teasel {
 
+namespace {
+
+    constexpr Milliseconds feasibilityInterval { 5'000 };
+
+} // namespace
+
 PlacementLeader::PlacementLeader(PlacementOptions options, NameTable& names)
     : m_state(std::move(options), names)
     , m_lifecycle(m_state)
@@ -13,6 +22,11 @@
     , m_orders(m_state)
     , m_pass(m_state, m_lifecycle)
     , m_intake(m_state, m_lifecycle)
+    , m_preemption(m_state, m_lifecycle, m_pass)
+    , m_gangs(m_state, m_lifecycle, m_pass, m_preemption)
+    , m_mover(m_state, m_lifecycle)
+    , m_guard(m_state, m_lifecycle)
+    , m_feasibility(m_state, m_lifecycle)
 {
 }
 
@@ -59,6 +73,8 @@
     ++m_state.stats.reports;
     std::vector<schema::TaskKey> acknowledged;
     m_reconciler.reconcile(id, report, acknowledged, now);
+    m_guard.review(id, now);
+    applyQuarantine(now);
     if (m_state.workPending)
         pass(now, m_state.options.jobsPerReport);
     return m_orders.write(id, acknowledged, now);
@@ -67,6 +83,27 @@
 void PlacementLeader::onDrains(std::span<const std::string> selectors, Instant)
 {
     m_drains.assign(selectors.begin(), selectors.end());
+    m_drainsLabels = 0;
+}
+
+void PlacementLeader::applyDrains()
+{
+    if (m_drainsLabels == m_state.labels.version())
+        return;
+    m_drainsLabels = m_state.labels.version();
+    std::vector<bool> drained(m_state.workers.all().size(), false);
+    for (const auto& it : m_drains) {
+        const auto& selector = m_state.selectors.lookUp(it);
+        // An empty selector would drain everything.
+        if (selector.everything || !selector.failure.empty())
+            continue;
+        for (const WorkerId id : selector.allowed)
+            drained[id] = true;
+    }
+    for (WorkerId id = 0; id < drained.size(); ++id) {
+        if (m_state.workers.contains(id))
+            m_state.workers.setDrained(id, drained[id]);
+    }
 }
 
 void PlacementLeader::onLoadSummary(const schema::LoadSummary& summary, Instant)
@@ -87,19 +124,82 @@
         m_state.workPending = true;
     if (now >= m_reviewedAt + m_state.options.upkeepInterval) {
         m_reviewedAt = now;
-        m_intake.review(now);
-        m_intake.report(m_actions, now);
+        upkeep(now);
     }
     pass(now, std::numeric_limits<size_t>::max());
 }
 
+void PlacementLeader::upkeep(Instant now)
+{
+    applyDrains();
+    applyQuarantine(now);
+    m_intake.review(now);
+    if (m_state.settled(now)) {
+        checkGangs();
+        m_mover.review(now);
+        trimExcess(now);
+        m_gangs.review(m_stuckBefore, now);
+    }
+    if (m_state.settled(now) && now >= m_checkedAt + feasibilityInterval) {
+        m_checkedAt = now;
+        m_feasibility.review(now);
+    }
+    m_intake.report(m_actions, now);
+}
+
+void PlacementLeader::checkGangs() const
+{
+    for (const auto ordinal : m_state.tasks.ordinals()) {
+        const auto& job = m_state.tasks.job(ordinal);
+        if (!job.known || job.closed || !job.isGang())
+            continue;
+        const auto& counts = job.counts;
+        checkInvariant(counts.placed == 0 || counts.placed + counts.finished == counts.wanted,
+            "a gang is placed whole or not at all",
+            [&] { return fmt::format("{}: {} and {} of {}", job.id, counts.placed, counts.finished, counts.wanted); });
+    }
+}
+
+void PlacementLeader::applyQuarantine(Instant now)
+{
+    for (const auto& it : m_state.quarantine.review(now)) {
+        if (!m_state.workers.contains(it.worker))
+            continue;
+        const bool aside = it.standing != Quarantine::Standing::Trusted;
+        const bool probing = it.standing == Quarantine::Standing::Probing;
+        m_state.workers.setQuarantined(it.worker, aside, probing);
+        m_state.stats.quarantines += it.standing == Quarantine::Standing::Quarantined ? 1 : 0;
+        m_state.stats.probes += probing ? 1 : 0;
+        m_state.workPending = true;
+    }
+}
+
+// A portion or a worker that shrank below what is committed is made good by stopping tasks.
+void PlacementLeader::trimExcess(Instant now)
+{
+    for (const TeamId team : m_state.shares.teams()) {
+        if (m_state.shares.excess(team) != ResourceVector {})
+            m_preemption.trim(team, now);
+    }
+    for (WorkerId id = 0; id < m_state.workers.all().size(); ++id) {
+        const auto& worker = m_state.workers.at(id);
+        if (worker.inUse && !worker.committed.fitsIn(worker.capacity))
+            m_preemption.trimWorker(id, now);
+    }
+}
+
 void PlacementLeader::pass(Instant now, size_t jobBudget)
 {
     if (!m_state.settled(now))
         return;
+    applyDrains();
     m_state.shares.setTotal(m_state.workers.totalCapacity());
+    m_preemption.useClaims(now);
     m_stuck.clear();
     m_pass.run(now, jobBudget, m_stuck);
+    m_gangs.backfill(m_stuck, now);
+    m_preemption.run(m_stuck, now);
+    m_stuckBefore = m_stuck;
 }
 
 std::vector<PlacementAction> PlacementLeader::takeActions() { return std::exchange(m_actions, {}); }
@@ -161,12 +261,7 @@
     return views;
 }
 
-Result<void> PlacementLeader::everPlaceable(const schema::JobSpec& spec)
-{
-    if (spec.tasks() == 0)
-        return fail(ErrorKind::BadRequest, "a job has at least one task");
-    return {};
-}
+Result<void> PlacementLeader::everPlaceable(const schema::JobSpec& spec) { return m_feasibility.check(spec); }
 
 PlacementStats PlacementLeader::stats() const
 {
--- a/placement/placement_leader.h
+++ b/placement/placement_leader.h
@@ -3,12 +3,17 @@
 
 #include "core/result.h"
 #include "peer.pb.h"
+#include "placement/feasibility.h"
+#include "placement/gang_planner.h"
 #include "placement/job_intake.h"
 #include "placement/order_writer.h"
 #include "placement/placement_pass.h"
 #include "placement/placement_state.h"
+#include "placement/preemption.h"
 #include "placement/report_reconciler.h"
 #include "placement/task_lifecycle.h"
+#include "placement/task_mover.h"
+#include "placement/usage_guard.h"
 
 #include <span>
 #include <string>
@@ -69,6 +74,11 @@
 
 private:
     void pass(Instant now, size_t jobBudget);
+    void upkeep(Instant now);
+    void applyDrains();
+    void checkGangs() const;
+    void applyQuarantine(Instant now);
+    void trimExcess(Instant now);
 
     PlacementState m_state;
     TaskLifecycle m_lifecycle;
@@ -76,10 +86,18 @@
     OrderWriter m_orders;
     PlacementPass m_pass;
     JobIntake m_intake;
+    Preemption m_preemption;
+    GangPlanner m_gangs;
+    TaskMover m_mover;
+    UsageGuard m_guard;
+    Feasibility m_feasibility;
     std::vector<PlacementAction> m_actions;
     std::vector<std::string> m_drains;
     std::vector<JobOrdinal> m_stuck;
+    std::vector<JobOrdinal> m_stuckBefore;
     Instant m_reviewedAt {};
+    Instant m_checkedAt {};
+    uint64_t m_drainsLabels = 0; // version of the labels that drains were applied to
     bool m_settledSeen = false;
 };
 
--- a/placement/placement_state.cpp
+++ b/placement/placement_state.cpp
@@ -19,8 +19,12 @@
 void PlacementState::addClaim(const Claim& claim)
 {
     workers.claim(claim.worker, claim.need * claim.tasks);
-    if (!tasks.job(claim.job).isGang())
-        ++tasks.job(claim.job).openClaims;
+    auto& job = tasks.job(claim.job);
+    // What a gang keeps is reserved as a whole.
+    if (!job.isGang()) {
+        ++job.openClaims;
+        shares.claim(job.team, claim.need * claim.tasks);
+    }
     claims.push_back(claim);
     tasks.refreshQueue(claim.job);
 }
@@ -32,8 +36,10 @@
     claims.pop_back();
     workers.unclaim(claim.worker, claim.need * claim.tasks);
     auto& job = tasks.job(claim.job);
-    if (job.openClaims > 0)
+    if (!job.isGang()) {
         --job.openClaims;
+        shares.unclaim(job.team, claim.need * claim.tasks);
+    }
     tasks.refreshQueue(claim.job);
     workPending = true;
 }
--- /dev/null
+++ b/placement/preemption.cpp
@@ -0,0 +1,226 @@
+#include "placement/preemption.h"
+
+#include <algorithm>
+
+namespace teasel {
+
+namespace {
+
+    constexpr uint32_t urgentRank = 0;
+    constexpr Milliseconds claimLife { 15'000 };
+    constexpr uint32_t losesWorkPenalty = 1;
+    constexpr uint32_t servicePenalty = 10;
+    constexpr uint32_t gangPenalty = 100;
+
+} // namespace
+
+void Preemption::useClaims(Instant now)
+{
+    for (size_t i = m_state.claims.size(); i-- > 0;) {
+        if (i >= m_state.claims.size())
+            continue;
+        const Claim claim = m_state.claims[i];
+        auto& job = m_state.tasks.job(claim.job);
+        if (job.isGang())
+            continue;
+        const auto& worker = m_state.workers.at(claim.worker);
+        const bool wanted = !job.waiting.empty() && job.wantedStarts() > 0 && worker.takesWork();
+        const bool over = now >= claim.madeAt + claimLife;
+        const bool fits = claim.need.fitsIn(worker.uncommitted());
+        if (wanted && !over && !fits)
+            continue;
+        m_state.dropClaim(i);
+        if (wanted && fits && m_state.shares.withinPortion(job.team, claim.need))
+            m_lifecycle.place({ claim.job, *job.waiting.begin() }, claim.worker, claim.need, false, now);
+    }
+}
+
+void Preemption::run(std::span<const JobOrdinal> stuck, Instant now)
+{
+    uint32_t left = m_state.options.preemptionsPerPass;
+    for (const auto ordinal : stuck) {
+        auto& job = m_state.tasks.job(ordinal);
+        if (job.isGang() || !job.known || job.closed)
+            continue;
+        const ResourceVector need = m_pass.commitmentFor(job);
+        while (left > 0 && job.queued && now >= job.notBefore) {
+            if (!m_state.shares.withinPortionAfterClaims(job.team, need))
+                break;
+            --left;
+            if (!makeRoom(job, need, need, true, now))
+                break;
+        }
+        if (left == 0)
+            return;
+    }
+}
+
+bool Preemption::isLessUrgent(const Job& of, const Job& than) const
+{
+    return of.team == than.team && than.spec.rank() == urgentRank && of.spec.rank() > urgentRank;
+}
+
+std::vector<Preemption::Victim> Preemption::candidates(const Job& job, const Worker& worker, double shareAfter) const
+{
+    std::vector<Victim> found;
+    for (const auto& it : worker.residents) {
+        const auto& other = m_state.tasks.job(it.task.job);
+        const bool stoppable = it.phase == ResidentPhase::Ordered || it.phase == ResidentPhase::Running;
+        if (!stoppable || !other.known || other.closed || other.ordinal == job.ordinal)
+            continue;
+        const bool sameTeam = other.team == job.team;
+        if (sameTeam ? !isLessUrgent(other, job) : m_state.shares.weighted(other.team) <= shareAfter)
+            continue;
+        if (other.isService() && other.counts.running <= other.spec.min_available())
+            continue;
+        found.push_back({ it.task, it.attempt, other.team, it.committed, it.placedAt, penaltyOf(other) });
+    }
+    std::sort(found.begin(), found.end(), isCheaper);
+    return found;
+}
+
+uint32_t Preemption::penaltyOf(const Job& job)
+{
+    uint32_t penalty = job.spec.can_checkpoint() ? 0 : losesWorkPenalty;
+    penalty += job.isGang() ? gangPenalty : 0;
+    penalty += job.isService() ? servicePenalty : 0;
+    return penalty;
+}
+
+bool Preemption::isCheaper(const Victim& a, const Victim& b)
+{
+    return a.penalty != b.penalty ? a.penalty < b.penalty : a.placedAt > b.placedAt;
+}
+
+std::optional<Preemption::Choice> Preemption::choose(
+    const Job& job, WorkerId id, const ResourceVector& need, double shareAfter, Instant now) const
+{
+    const auto& worker = m_state.workers.at(id);
+    ResourceVector room = worker.capacity - worker.committed - worker.claimed;
+    for (const auto& it : worker.residents) {
+        if (it.phase == ResidentPhase::Stopping)
+            room += it.committed;
+    }
+    Choice choice;
+    choice.worker = id;
+    absl::flat_hash_map<TeamId, ResourceVector> taken;
+    for (const auto& it : candidates(job, worker, shareAfter)) {
+        if (need.fitsIn(room))
+            break;
+        // Its team keeps at least the share that the other gets.
+        auto& sum = taken[it.team];
+        const ResourceVector after = ResourceVector {} - sum - it.amount;
+        if (it.team != job.team && m_state.shares.weighted(it.team, after) < shareAfter)
+            continue;
+        sum += it.amount;
+        room += it.amount;
+        choice.victims.push_back(it);
+    }
+    if (!need.fitsIn(room))
+        return std::nullopt;
+    // Of those chosen first some may not be needed any more.
+    std::erase_if(choice.victims, [&](const Victim& it) {
+        if (!need.fitsIn(room - it.amount))
+            return false;
+        room -= it.amount;
+        return true;
+    });
+    for (const auto& it : choice.victims) {
+        choice.penalty += it.penalty;
+        choice.lost += now - it.placedAt;
+    }
+    return choice;
+}
+
+bool Preemption::isBetter(const Choice& a, const Choice& b)
+{
+    return a.penalty != b.penalty ? a.penalty < b.penalty : a.lost < b.lost;
+}
+
+bool Preemption::makeRoom(
+    const Job& job, const ResourceVector& need, const ResourceVector& held, bool claim, Instant now)
+{
+    const double shareAfter = m_state.shares.weighted(job.team, held);
+    const auto& selector = m_state.selectors.lookUp(job.spec.selector());
+    if (!selector.failure.empty())
+        return false;
+    const auto workers = static_cast<WorkerId>(m_state.workers.all().size());
+    const auto start = static_cast<WorkerId>(m_state.random.below(workers));
+    uint32_t left = m_state.options.workersPerPreemption;
+    std::optional<Choice> best;
+    for (WorkerId i = 0; i < workers && left > 0; ++i) {
+        const WorkerId id = (start + i) % workers;
+        const bool allowed = selector.everything || selector.allowed.contains(id);
+        if (!allowed || !m_state.workers.at(id).takesWork())
+            continue;
+        --left;
+        auto choice = choose(job, id, need, shareAfter, now);
+        if (choice && !choice->victims.empty() && (!best || isBetter(*choice, *best)))
+            best = std::move(choice);
+    }
+    if (!best)
+        return false;
+    if (claim)
+        m_state.addClaim({ job.ordinal, best->worker, need, 1, now });
+    stopVictims(best->victims, now);
+    return true;
+}
+
+void Preemption::stopVictims(std::span<const Victim> victims, Instant now)
+{
+    for (const auto& it : victims) {
+        ++m_state.stats.preemptions;
+        if (m_state.tasks.job(it.task.job).isGang())
+            m_lifecycle.restartGang(it.task.job, false, now);
+        else
+            m_lifecycle.stopTask(it.task, now);
+    }
+}
+
+void Preemption::addTasks(std::vector<Victim>& found, const Worker& worker, std::optional<TeamId> team) const
+{
+    for (const auto& it : worker.residents) {
+        const bool stoppable = it.phase == ResidentPhase::Ordered || it.phase == ResidentPhase::Running;
+        const auto& job = m_state.tasks.job(it.task.job);
+        if (stoppable && job.known && (!team || it.team == *team))
+            found.push_back({ it.task, it.attempt, it.team, it.committed, it.placedAt, penaltyOf(job) });
+    }
+}
+
+void Preemption::stopUntilFits(std::vector<Victim>& victims, ResourceVector over, Instant now)
+{
+    std::sort(victims.begin(), victims.end(), isCheaper);
+    size_t n = 0;
+    while (n < victims.size() && !over.fitsIn({}))
+        over -= victims[n++].amount;
+    stopVictims(std::span(victims).first(n), now);
+}
+
+void Preemption::trim(TeamId team, Instant now)
+{
+    ResourceVector over = m_state.shares.used(team) - m_state.shares.portion(team);
+    std::vector<Victim> victims;
+    for (const auto& worker : m_state.workers.all()) {
+        addTasks(victims, worker, team);
+        for (const auto& it : worker.residents) {
+            if (it.team == team && it.phase == ResidentPhase::Stopping)
+                over -= it.committed;
+        }
+    }
+    stopUntilFits(victims, over, now);
+}
+
+void Preemption::trimWorker(WorkerId id, Instant now)
+{
+    const auto& worker = m_state.workers.at(id);
+    ResourceVector over = worker.committed - worker.capacity;
+    for (const auto& it : worker.residents) {
+        if (it.phase == ResidentPhase::Stopping)
+            over -= it.committed;
+    }
+    std::vector<Victim> victims;
+    addTasks(victims, worker, std::nullopt);
+    stopUntilFits(victims, over, now);
+}
+
+} // namespace teasel
--- a/placement/quarantine.cpp
+++ b/placement/quarantine.cpp
@@ -74,6 +74,8 @@
         record.standing = Standing::Probing;
         m_changes.push_back({ worker, record.standing });
     }
+    std::stable_sort(
+        m_changes.begin(), m_changes.end(), [](const Change& a, const Change& b) { return a.worker < b.worker; });
     return std::exchange(m_changes, {});
 }
 
--- a/placement/report_reconciler.cpp
+++ b/placement/report_reconciler.cpp
@@ -142,14 +142,16 @@
         m_state.quarantine.onOutcome(id, false, now);
         m_state.tasks.task(ref).failures = 0;
     }
-    if (resident->phase == ResidentPhase::Orphaned)
-        resident->phase = ResidentPhase::Running;
-    if (resident->phase != ResidentPhase::Ordered)
+    if (resident->phase == ResidentPhase::Running || resident->phase == ResidentPhase::Stopping)
         return;
     resident->phase = ResidentPhase::Running;
     auto& job = m_state.tasks.job(ref.job);
     auto& task = job.tasks[ref.index];
-    if (task.phase == TaskPhase::Placed && task.attempt == attempt && !task.running) {
+    const bool counts = task.phase == TaskPhase::Placed && task.worker == id && task.attempt == attempt;
+    // A former incarnation's task, given up meanwhile.
+    if (!counts)
+        return m_lifecycle.giveUp(id, static_cast<size_t>(resident - m_state.workers.at(id).residents.data()), now);
+    if (!task.running) {
         task.running = true;
         ++job.counts.running;
     }
@@ -206,18 +208,16 @@
         && report.orders_applied() >= resident.orderSequence;
     switch (resident.phase) {
     case ResidentPhase::Orphaned:
-        return;
     case ResidentPhase::Stopping:
-        if (heard)
-            m_lifecycle.ended(id, position, TaskOutcome::Stopped, {}, now);
+        // Being left out of a report confirms nothing; the worker says that a task has ended.
         return;
     case ResidentPhase::Ordered:
         if (!heard || ++resident.refusals < mostRefusals)
             return;
         m_state.quarantine.onOutcome(id, true, now);
-        return m_lifecycle.stop(id, position, schema::STOP_MANNER_STOP, now);
+        return m_lifecycle.giveUp(id, position, now);
     case ResidentPhase::Running:
-        return m_lifecycle.stop(id, position, schema::STOP_MANNER_STOP, now);
+        return m_lifecycle.giveUp(id, position, now);
     }
 }
 
--- a/placement/task_lifecycle.cpp
+++ b/placement/task_lifecycle.cpp
@@ -158,14 +158,19 @@
 void TaskLifecycle::stop(WorkerId worker, size_t position, schema::StopManner manner, Instant now)
 {
     auto& resident = m_state.workers.edit(worker).residents[position];
-    if (resident.phase == ResidentPhase::Stopping || resident.phase == ResidentPhase::Orphaned)
+    if (resident.phase == ResidentPhase::Stopping)
         return;
     const TaskRef ref = resident.task;
     auto& task = m_state.tasks.task(ref);
     const bool counts = task.phase == TaskPhase::Placed && task.worker == worker && task.attempt == resident.attempt;
     if (counts)
         detach(ref);
+    // Nobody is left to take the order; the lease ends it.
+    if (resident.phase == ResidentPhase::Orphaned)
+        return m_state.tasks.refreshQueue(ref.job);
     resident.phase = ResidentPhase::Stopping;
+    resident.leaving = true;
+    m_state.shares.expect(resident.team, ResourceVector {} - resident.committed);
     resident.manner = manner;
     resident.orderSequence = 0;
     resident.deadline = now + m_state.options.checkpointGrace;
@@ -175,6 +180,18 @@
         ended(worker, position, outcomeOfStop(resident), {}, now);
 }
 
+void TaskLifecycle::giveUp(WorkerId worker, size_t position, Instant now)
+{
+    const auto& resident = m_state.workers.at(worker).residents[position];
+    const auto& job = m_state.tasks.job(resident.task.job);
+    const auto& task = job.tasks[resident.task.index];
+    const bool counts = task.phase == TaskPhase::Placed && task.worker == worker && task.attempt == resident.attempt;
+    if (counts && job.isGang() && job.known && !job.closed)
+        restartGang(job.ordinal, false, now);
+    else
+        stop(worker, position, schema::STOP_MANNER_STOP, now);
+}
+
 void TaskLifecycle::stopTask(const TaskRef& ref, Instant now)
 {
     const auto& job = m_state.tasks.job(ref.job);
@@ -187,12 +204,16 @@
         if (residents[i].task == ref && residents[i].attempt == task.attempt)
             return stop(task.worker, i, checkpoint ? schema::STOP_MANNER_CHECKPOINT : schema::STOP_MANNER_STOP, now);
     }
+    checkInvariant(false, "a placed task has its attempt on its worker",
+        [&] { return fmt::format("{}/{} on {}", job.id, ref.index, m_state.workers.at(task.worker).name); });
 }
 
 void TaskLifecycle::ended(WorkerId worker, size_t position, TaskOutcome outcome, std::string_view message, Instant now)
 {
     const Resident resident = m_state.workers.release(worker, position);
     m_state.shares.subtract(resident.team, resident.committed);
+    if (resident.leaving)
+        m_state.shares.expect(resident.team, resident.committed);
     m_state.workPending = true;
     const TaskRef ref = resident.task;
     auto& job = m_state.tasks.job(ref.job);
--- a/placement/task_lifecycle.h
+++ b/placement/task_lifecycle.h
@@ -29,6 +29,8 @@
 
     // Stops an attempt. Its task waits, and is placed again once no attempt is left.
     void stop(WorkerId, size_t position, schema::StopManner, Instant now);
+    // Stops an attempt that the worker does not run as it should; a gang starts again as a whole.
+    void giveUp(WorkerId, size_t position, Instant now);
     // Stops the attempt that counts, if the task is placed; with a checkpoint if the job can.
     void stopTask(const TaskRef&, Instant now);
 
--- a/placement/task_table.cpp
+++ b/placement/task_table.cpp
@@ -78,7 +78,7 @@
     job.policy = makeJobPolicy(record.spec());
     job.counts.wanted = record.spec().tasks();
     const uint32_t indices = std::visit([&](const auto& it) { return it.indices(job.counts.wanted); }, job.policy);
-    if (job.tasks.size() < indices)
+    if (!job.closed && job.tasks.size() < indices)
         job.tasks.resize(indices);
     for (const uint32_t index : record.finished_tasks()) {
         if (index >= job.tasks.size())
--- a/placement/task_table.h
+++ b/placement/task_table.h
@@ -5,9 +5,9 @@
 #include "placement/job_policy.h"
 #include "placement/placement_types.h"
 
+#include <absl/container/btree_map.h>
 #include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
-#include <absl/container/flat_hash_set.h>
 
 #include <deque>
 #include <string>
@@ -109,8 +109,8 @@
     bool moveDelayed(Instant now);
 
     const JobQueue* queueOf(TeamId) const;
-    const absl::flat_hash_map<TeamId, JobQueue>& queues() const { return m_queues; }
-    const absl::flat_hash_set<JobOrdinal>& ordinals() const { return m_inUse; }
+    const absl::btree_map<TeamId, JobQueue>& queues() const { return m_queues; }
+    const absl::btree_set<JobOrdinal>& ordinals() const { return m_inUse; }
     size_t size() const { return m_inUse.size(); }
     size_t bytes() const;
 
@@ -127,8 +127,8 @@
     std::deque<Job> m_jobs;
     std::vector<JobOrdinal> m_free;
     absl::flat_hash_map<std::string, JobOrdinal> m_byId;
-    absl::flat_hash_set<JobOrdinal> m_inUse;
-    absl::flat_hash_map<TeamId, JobQueue> m_queues;
+    absl::btree_set<JobOrdinal> m_inUse;
+    absl::btree_map<TeamId, JobQueue> m_queues;
     absl::btree_set<Delay> m_delays;
     uint64_t m_arrivals = 0;
 };
--- a/placement/worker_agent.cpp
+++ b/placement/worker_agent.cpp
@@ -94,9 +94,11 @@
 {
     const AttemptKey key { order.job_id(), order.index(), { order.attempt_epoch(), order.attempt() } };
     auto found = m_tasks.find(key);
-    if (found == m_tasks.end() || !found->second.live())
-        return;
+    if (found == m_tasks.end())
+        return confirmUnknown(key, order);
     auto& task = found->second;
+    if (!task.live())
+        return;
     if (order.manner() == schema::STOP_MANNER_THROTTLE) {
         const bool same = task.throttled && toVector(task.throttledTo) == toVector(order.throttle_to());
         if (!same)
@@ -108,6 +110,17 @@
     end(key, task, order.manner() == schema::STOP_MANNER_CHECKPOINT ? Ending::Checkpoint : Ending::Stop);
 }
 
+// The stop of an attempt that never came here is confirmed like any other, and
+// its start is refused from here on.
+void WorkerAgent::confirmUnknown(const AttemptKey& key, const schema::StopTask& order)
+{
+    if (order.manner() == schema::STOP_MANNER_THROTTLE)
+        return;
+    Task task;
+    task.state = schema::TASK_STATE_STOPPED;
+    m_tasks.emplace(key, std::move(task));
+}
+
 void WorkerAgent::end(const AttemptKey& key, Task& task, Ending ending)
 {
     if (!task.live() || task.ending >= ending)
--- a/placement/worker_agent.h
+++ b/placement/worker_agent.h
@@ -98,6 +98,7 @@
     void stop(const schema::StopTask&);
     void start(const schema::StartTask&, Epoch);
     bool mayStart(const AttemptKey&, const schema::StartTask&) const;
+    void confirmUnknown(const AttemptKey&, const schema::StopTask&);
     void end(const AttemptKey&, Task&, Ending);
     schema::TaskReport reportOf(const AttemptKey&, const Task&) const;
 
--- a/placement/worker_table.h
+++ b/placement/worker_table.h
@@ -32,6 +32,7 @@
     std::optional<ResourceVector> throttledTo;
     ResidentPhase phase = ResidentPhase::Ordered;
     schema::StopManner manner = schema::STOP_MANNER_UNSPECIFIED;
+    bool leaving = false; // its team's share no longer counts it
     bool startSent = false; // orders with its start went out
     bool proven = false; // ran long enough to speak for its worker
     bool backfilled = false; // stands on capacity that is reserved for a gang
@@ -69,7 +70,7 @@
     // What is neither committed nor claimed, of each kind at least 0.
     ResourceVector available() const;
     // What is not committed, whether claimed or not.
-    ResourceVector unclaimedRoom() const { return capacity - committed; }
+    ResourceVector uncommitted() const { return capacity - committed; }
 };
 
 // Keeps commitments, the sum of capacity and the placement index together.
