--- /dev/null
+++ b/requests/selector_groups.cpp
@@ -0,0 +1,84 @@
+#include "requests/selector_groups.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace teasel {
+
+SelectorGroups::SelectorGroups(NameTable& names, const LabelIndex& labels)
+    : m_names(names)
+    , m_labels(labels)
+{
+}
+
+std::string SelectorGroups::keyOf(std::string_view selector, const std::vector<InstanceOrdinal>& avoid) const
+{
+    auto key = fmt::format("{}\n{}", selector, selector.empty() ? 0 : m_names.version());
+    for (const auto it : avoid)
+        key += fmt::format(" {}", it);
+    return key;
+}
+
+Result<GroupId> SelectorGroups::acquire(std::string_view selector, std::vector<InstanceOrdinal> avoid)
+{
+    std::sort(avoid.begin(), avoid.end());
+    const auto known = m_byKey.find(keyOf(selector, avoid));
+    if (known != m_byKey.end()) {
+        ++m_groups.at(known->second).users;
+        return known->second;
+    }
+    Group group;
+    if (!selector.empty()) {
+        BOOST_LEAF_ASSIGN(group.selector, compileSelector(selector, m_names));
+    }
+    group.key = keyOf(selector, avoid); // reading the selector may have brought new names
+    group.avoid = std::move(avoid);
+    group.users = 1;
+    evaluate(group);
+    if (m_groups.size() >= keptGroups)
+        forgetUnused();
+    const auto id = m_next++;
+    m_byKey.emplace(group.key, id);
+    m_groups.emplace(id, std::move(group));
+    return id;
+}
+
+void SelectorGroups::release(GroupId id)
+{
+    const auto it = m_groups.find(id);
+    if (it != m_groups.end() && it->second.users > 0)
+        --it->second.users;
+}
+
+void SelectorGroups::evaluate(Group& group) const
+{
+    group.allowed = {};
+    for (const auto it : m_labels.matching(group.selector))
+        group.allowed.insert(it);
+    for (const auto it : group.avoid)
+        group.allowed.erase(it);
+}
+
+void SelectorGroups::refresh()
+{
+    if (m_labelsVersion == m_labels.version())
+        return;
+    m_labelsVersion = m_labels.version();
+    for (auto& it : m_groups)
+        evaluate(it.second);
+}
+
+void SelectorGroups::forgetUnused()
+{
+    absl::erase_if(m_byKey, [&](const auto& it) { return m_groups.at(it.second).users == 0; });
+    absl::erase_if(m_groups, [](const auto& it) { return it.second.users == 0; });
+}
+
+void SelectorGroups::clear()
+{
+    m_groups.clear();
+    m_byKey.clear();
+}
+
+} // namespace teasel
