--- a/placement/fair_share.cpp
+++ b/placement/fair_share.cpp
@@ -112,6 +112,13 @@
         / std::max(leastShare, team->share);
 }
 
+bool FairShare::anyOtherAbove(TeamId id, double weightedShare) const
+{
+    return std::any_of(m_teams.begin(), m_teams.end(), [&](const auto& it) {
+        return it.first != id && it.second.used != ResourceVector {} && weighted(it.first) > weightedShare;
+    });
+}
+
 void FairShare::reserve(TeamId id, const ResourceVector& amount) { m_teams[id].reserved += amount; }
 
 void FairShare::unreserve(TeamId id, const ResourceVector& amount) { m_teams[id].reserved -= amount; }
--- a/placement/fair_share.h
+++ b/placement/fair_share.h
@@ -46,6 +46,9 @@
     // and expected fleet-wide.
     double weighted(TeamId, const ResourceVector& more = {}) const;
 
+    // Whether another team that holds something here is above a weighted share.
+    bool anyOtherAbove(TeamId, double weightedShare) const;
+
     // Keeps a part of the team's portion for a waiting gang.
     void reserve(TeamId, const ResourceVector&);
     void unreserve(TeamId, const ResourceVector&);
--- a/placement/placement_leader.cpp
+++ b/placement/placement_leader.cpp
@@ -58,7 +58,7 @@
 {
     m_intake.take(records, now);
     if (m_state.mayAct(now))
-        pass(now, m_state.options.jobsPerReport);
+        pass(now, m_state.options.jobsPerReport, true);
 }
 
 schema::WorkerOrders PlacementLeader::onReport(const schema::WorkerReport& report, Instant now)
@@ -76,7 +76,7 @@
     m_guard.review(id, now);
     applyQuarantine(now);
     if (m_state.workPending)
-        pass(now, m_state.options.jobsPerReport);
+        pass(now, m_state.options.jobsPerReport, false);
     return m_orders.write(id, acknowledged, now);
 }
 
@@ -108,7 +108,8 @@
 
 void PlacementLeader::onLoadSummary(const schema::LoadSummary& summary, Instant)
 {
-    m_state.shares.setElsewhere(summary);
+    if (summary.data_centre() != m_state.options.dataCentre)
+        m_state.shares.setElsewhere(summary);
 }
 
 void PlacementLeader::onTick(Instant now)
@@ -122,11 +123,13 @@
     m_reconciler.expire(now);
     if (m_state.tasks.moveDelayed(now))
         m_state.workPending = true;
-    if (now >= m_reviewedAt + m_state.options.upkeepInterval) {
+    const bool due = now >= m_reviewedAt + m_state.options.upkeepInterval;
+    if (due) {
         m_reviewedAt = now;
         upkeep(now);
     }
-    pass(now, std::numeric_limits<size_t>::max());
+    if (due || m_state.workPending)
+        pass(now, std::numeric_limits<size_t>::max(), due);
 }
 
 void PlacementLeader::upkeep(Instant now)
@@ -188,7 +191,7 @@
     }
 }
 
-void PlacementLeader::pass(Instant now, size_t jobBudget)
+void PlacementLeader::pass(Instant now, size_t jobBudget, bool mayPreempt)
 {
     if (!m_state.settled(now))
         return;
@@ -198,7 +201,8 @@
     m_stuck.clear();
     m_pass.run(now, jobBudget, m_stuck);
     m_gangs.backfill(m_stuck, now);
-    m_preemption.run(m_stuck, now);
+    if (mayPreempt)
+        m_preemption.run(m_stuck, now);
     m_stuckBefore = m_stuck;
 }
 
--- a/placement/placement_leader.h
+++ b/placement/placement_leader.h
@@ -73,7 +73,7 @@
     const PlacementState& state() const { return m_state; }
 
 private:
-    void pass(Instant now, size_t jobBudget);
+    void pass(Instant now, size_t jobBudget, bool mayPreempt);
     void upkeep(Instant now);
     void applyDrains();
     void checkGangs() const;
--- a/placement/preemption.cpp
+++ b/placement/preemption.cpp
@@ -8,6 +8,7 @@
 
     constexpr uint32_t urgentRank = 0;
     constexpr Milliseconds claimLife { 15'000 };
+    constexpr uint32_t enoughChoices = 24; // workers compared, of those where room can be made
     constexpr uint32_t losesWorkPenalty = 1;
     constexpr uint32_t servicePenalty = 10;
     constexpr uint32_t gangPenalty = 100;
@@ -141,21 +142,27 @@
     const Job& job, const ResourceVector& need, const ResourceVector& held, bool claim, Instant now)
 {
     const double shareAfter = m_state.shares.weighted(job.team, held);
+    if (job.spec.rank() != urgentRank && !m_state.shares.anyOtherAbove(job.team, shareAfter))
+        return false;
     const auto& selector = m_state.selectors.lookUp(job.spec.selector());
     if (!selector.failure.empty())
         return false;
     const auto workers = static_cast<WorkerId>(m_state.workers.all().size());
     const auto start = static_cast<WorkerId>(m_state.random.below(workers));
     uint32_t left = m_state.options.workersPerPreemption;
+    uint32_t choices = 0;
     std::optional<Choice> best;
-    for (WorkerId i = 0; i < workers && left > 0; ++i) {
+    for (WorkerId i = 0; i < workers && left > 0 && choices < enoughChoices; ++i) {
         const WorkerId id = (start + i) % workers;
         const bool allowed = selector.everything || selector.allowed.contains(id);
         if (!allowed || !m_state.workers.at(id).takesWork())
             continue;
         --left;
         auto choice = choose(job, id, need, shareAfter, now);
-        if (choice && !choice->victims.empty() && (!best || isBetter(*choice, *best)))
+        if (!choice || choice->victims.empty())
+            continue;
+        ++choices;
+        if (!best || isBetter(*choice, *best))
             best = std::move(choice);
     }
     if (!best)
--- a/tests/placement_leader_test.cpp
+++ b/tests/placement_leader_test.cpp
@@ -90,3 +90,59 @@
     CHECK(it.leader.stats().tasksPlaced == 0);
     CHECK(it.running("job-7") == 0);
 }
+
+TEST_CASE("a new incarnation of a worker does not release what the former one may still run")
+{
+    PlacementFixture it;
+    it.addWorkers(2);
+    it.settle();
+    it.submit({ .id = "one", .tasks = 1 });
+    it.run(Milliseconds(1'000));
+    const size_t holder = it.workers[0].running.empty() ? 1 : 0;
+    it.workers[holder].cutOff = true;
+    it.addWorker(it.workers[holder].name, resources(4'000, 8'192), "rack-0", 2);
+    size_t most = 0;
+    for (int i = 0; i < 150; ++i) {
+        it.run(PlacementFixture::tick);
+        most = std::max(most, it.running("one"));
+    }
+    CHECK(most == 1);
+    CHECK(it.running("one") == 1);
+    CHECK(it.workers[holder].running.empty());
+}
+
+TEST_CASE("a success that was not committed before a change of leader is not run again")
+{
+    PlacementFixture it;
+    it.addWorkers(2);
+    it.settle();
+    it.submit({ .id = "once", .tasks = 3 });
+    it.run(Milliseconds(1'000));
+    it.endAll("once", schema::TASK_STATE_SUCCEEDED);
+    for (int i = 0; i < 3; ++i) {
+        it.now += Milliseconds(500);
+        for (auto& worker : it.workers)
+            it.exchange(worker);
+    }
+    // What the leader reported is lost with it.
+    it.leader.onLostLeadership(it.now);
+    it.leader.onBecameLeader(2, it.now);
+    it.settle();
+    it.run(Milliseconds(2'000));
+    CHECK(it.records["once"].phase() == schema::JOB_PHASE_SUCCEEDED);
+    CHECK(it.workers[0].starts + it.workers[1].starts == 3);
+}
+
+TEST_CASE("a leader gives no orders beyond its lease on leadership")
+{
+    PlacementFixture it;
+    it.addWorkers(1);
+    it.settle();
+    it.leader.onAuthority(it.now + Milliseconds(100));
+    auto report = it.workers[0].agent.makeReport(it.now);
+    CHECK(it.leader.onReport(report, it.now + Milliseconds(99)).lease_ms() > 0);
+    report.set_sequence(report.sequence() + 1);
+    const auto late = it.leader.onReport(report, it.now + Milliseconds(100));
+    CHECK(late.lease_ms() == 0);
+    CHECK(late.epoch() == 0);
+}
--- a/tests/placement_random_test.cpp
+++ b/tests/placement_random_test.cpp
@@ -474,7 +474,7 @@
     {
         auto& leader = *m_leaders[to];
         if (leader.paused) {
-            leader.inbox.push_back([this, &worker, message, to, sentAt] { arrive(worker, message, to, sentAt); });
+            leader.inbox.emplace_back([this, &worker, message, to, sentAt] { arrive(worker, message, to, sentAt); });
             return;
         }
         const auto orders = leader.plane->onReport(message, m_now);
@@ -490,7 +490,7 @@
         if (!worker.alive || worker.options.incarnation != incarnation)
             return;
         if (worker.paused) {
-            worker.inbox.push_back(
+            worker.inbox.emplace_back(
                 [this, &worker, orders, sentAt, incarnation] { deliver(worker, orders, sentAt, incarnation); });
             return;
         }
