Answer what became of a change; the command line against real daemons

Cause: GET /v1/config/changes/{id} was refused for every id, and asking for an id that had not arrived recorded a refusal under it, so that the change itself was refused when it came. Found by running the commands against a fleet. A change without edits is now a query that leaves no record (fleet/fleet_state), asked under the key's own id (node/config_gateway). Ruled out: a second record of changes in the entry instance (it would not know what is in force elsewhere). Reads give up on a silent server after 5 s instead of 15.

--- a/fleet/fleet_state.cpp
+++ b/fleet/fleet_state.cpp
@@ -108,6 +108,8 @@
 void FleetState::applyChange(const schema::ConfigChange& change, schema::CommandResult& result)
 {
     schema::ChangeAnswer& answer = *result.mutable_change();
+    if (change.edits().empty())
+        return answerQuery(change, answer);
     if (answerFromLog(change, answer))
         return;
     ConfigEditor editor(m_table, m_usedKeyIds);
@@ -128,6 +130,20 @@
     record(change, answer, waiting);
 }
 
+// A change without edits asks what became of the one with its id. It leaves no record.
+void FleetState::answerQuery(const schema::ConfigChange& query, schema::ChangeAnswer& answer) const
+{
+    if (const auto* known = m_changes.find(query.made_by(), query.change_id())) {
+        answer = known->answer();
+        return;
+    }
+    answer.set_change_id(query.change_id());
+    answer.set_state(schema::CHANGE_STATE_REFUSED);
+    answer.set_revision(revision());
+    setFailure(
+        *answer.mutable_failure(), { ErrorKind::NotFound, "no change of this key with this id is remembered", {} });
+}
+
 // Whether the change was answered before; another change under its id is refused.
 bool FleetState::answerFromLog(const schema::ConfigChange& change, schema::ChangeAnswer& answer) const
 {
--- a/fleet/fleet_state.h
+++ b/fleet/fleet_state.h
@@ -70,6 +70,7 @@
 
 private:
     void applyChange(const schema::ConfigChange&, schema::CommandResult&);
+    void answerQuery(const schema::ConfigChange&, schema::ChangeAnswer&) const;
     bool answerFromLog(const schema::ConfigChange&, schema::ChangeAnswer&) const;
     Result<void> checkChange(const schema::ConfigChange&) const;
     void refuse(const schema::ConfigChange&, const Error&, schema::ChangeAnswer&);
--- a/main/teasel_http.h
+++ b/main/teasel_http.h
@@ -19,7 +19,7 @@
     std::string path;
     std::vector<HttpHeader> headers;
     std::string body;
-    std::chrono::milliseconds timeout { 15'000 }; // from sending to the whole answer
+    std::chrono::milliseconds timeout { 5'000 }; // from sending to the whole answer
 };
 
 struct HttpReply {
--- a/node/config_gateway.cpp
+++ b/node/config_gateway.cpp
@@ -100,6 +100,7 @@
     // A change without edits asks for the answer of the one with its id.
     schema::ConfigChange asked;
     asked.set_change_id(std::string(changeId));
+    asked.set_made_by(std::get<KeyIdentity>(identity).keyId);
     propose(request, std::move(asked), Milliseconds(0), now);
 }
 
