Let one fleet at a time use the loopback range

Cause: two trees that ran process tests at once shared addresses; cut_off, lost_disk and workers failed in ways that did not repeat. Ruled out: ports drawn at random (settings files and logs would differ from run to run). Before: a second fleet fails with 'address already in use' or, worse, talks to the first. After: a second fleet waits for the first to end. Conclusion: the three failures have to be looked at again with one fleet running.

--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -23,12 +23,14 @@
     """A fleet whose peer links all pass through a relay, so that they can be cut."""
 
     def __init__(self, *arguments, **named):
-        self.relay = Relay()
+        self.relay = None
         super().__init__(*arguments, **named)
 
     def peer_address(self, own, peer):
         if own["id"] == peer["id"]:
             return peer["peer_address"]
+        if self.relay is None:
+            self.relay = Relay()
         return self.relay.link(own["id"], peer["id"], peer["peer_address"])
 
     def kill_all(self):
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -5,12 +5,14 @@
 """
 
 import base64
+import fcntl
 import hashlib
 import json
 import os
 import secrets
 import signal
 import subprocess
+import tempfile
 import time
 import urllib.error
 import urllib.request
@@ -33,6 +35,13 @@
     return f"{key_id}.{secret}", salt, digest
 
 
+def lock_loopback_range():
+    """Waits until no other fleet uses the addresses; held until the process ends."""
+    lock = open(os.path.join(tempfile.gettempdir(), "teaselrelay-fleet.lock"), "w", encoding="utf-8")
+    fcntl.flock(lock, fcntl.LOCK_EX)
+    return lock
+
+
 class Process:
     """One started process with its log file."""
 
@@ -83,6 +92,7 @@
     """Settings, processes and operators' calls of one fleet."""
 
     def __init__(self, build, folder, executors=24, workers=24, entries=None, settings=None):
+        self.lock = lock_loopback_range()
         self.build = os.path.abspath(build)
         self.folder = os.path.abspath(folder)
         os.makedirs(os.path.join(self.folder, "data"), exist_ok=True)
