Remove files that an interrupted replacement left behind

Cause: a crash between the write and the rename of a whole file left its temporary copy in the data folder for good; a leader's contacts began at the epoch of the clock, which on a machine that has just started is close to now. Before: storage_log_store_test with a file hard-state.new in the folder: still there after open(). After: it is removed; the suite passes. Conclusion: the folder holds only what the store names.

--- a/consensus/leader.cpp
+++ b/consensus/leader.cpp
@@ -155,7 +155,7 @@
         if (id == m_options.id)
             contacts.push_back(now);
         else
-            contacts.push_back(std::max(atLeast, counts(id) ? m_progress.at(id).contact : Instant {}));
+            contacts.push_back(std::max(atLeast, counts(id) ? m_progress.at(id).contact : Instant::min()));
     }
     if (contacts.empty())
         return atLeast;
@@ -164,7 +164,7 @@
     return *middle;
 }
 
-Instant Leader::quorumContact(Instant now) const { return quorumContactFrom(now, Instant {}); }
+Instant Leader::quorumContact(Instant now) const { return quorumContactFrom(now, Instant::min()); }
 
 Instant Leader::quorumContactSinceBeginning(Instant now) const { return quorumContactFrom(now, m_began); }
 
--- a/consensus/leader.h
+++ b/consensus/leader.h
@@ -73,7 +73,7 @@
         uint64_t next = 1; // to be sent
         std::deque<uint64_t> inFlight; // last index of each message with records
         std::deque<std::pair<uint64_t, Instant>> sent; // sequence and time of messages not answered yet
-        Instant contact {}; // sending time of the last message that was answered
+        Instant contact = Instant::min(); // sending time of the last message that was answered
         Instant lastSent {};
         bool isDue = true; // a probe or a chunk may go out before the next heartbeat
         schema::SnapshotMeta snapshot;
--- a/storage/posix_disk.cpp
+++ b/storage/posix_disk.cpp
@@ -78,10 +78,19 @@
     if (::flock(m_lock, LOCK_EX | LOCK_NB) != 0)
         return fail(ErrorKind::StateUnavailable,
             fmt::format("the data folder {} is in use by another process; stop that one first", m_path));
+    return removeLeftovers();
+}
+
+Result<void> PosixDisk::removeLeftovers()
+{
+    BOOST_LEAF_AUTO(names, listAll());
+    for (const auto& name : names)
+        if (name.ends_with(temporarySuffix))
+            BOOST_LEAF_CHECK(remove(name));
     return {};
 }
 
-Result<std::vector<std::string>> PosixDisk::list()
+Result<std::vector<std::string>> PosixDisk::listAll()
 {
     const int copy = ::openat(m_folder, ".", O_RDONLY | O_DIRECTORY | O_CLOEXEC);
     DIR* entries = copy < 0 ? nullptr : ::fdopendir(copy);
@@ -90,7 +99,7 @@
     std::vector<std::string> names;
     while (const auto* it = ::readdir(entries)) { // NOLINT(concurrency-mt-unsafe)
         const std::string_view name = it->d_name;
-        if (name != "." && name != ".." && name != lockName && !name.ends_with(temporarySuffix))
+        if (name != "." && name != ".." && name != lockName)
             names.emplace_back(name);
     }
     ::closedir(entries);
@@ -98,6 +107,13 @@
     return names;
 }
 
+Result<std::vector<std::string>> PosixDisk::list()
+{
+    BOOST_LEAF_AUTO(names, listAll());
+    std::erase_if(names, [](const auto& it) { return it.ends_with(temporarySuffix); });
+    return names;
+}
+
 Result<std::string> PosixDisk::read(std::string_view name)
 {
     const std::string path(name);
--- a/storage/posix_disk.h
+++ b/storage/posix_disk.h
@@ -34,6 +34,8 @@
     };
 
     Result<OpenFile*> openForAppend(std::string_view name);
+    Result<std::vector<std::string>> listAll();
+    Result<void> removeLeftovers(); // of replacements that a crash cut short
     Result<void> syncFolder();
     Result<void> writeAll(int descriptor, std::string_view name, std::string_view bytes);
     void close(std::string_view name);
--- a/tests/storage_log_store_test.cpp
+++ b/tests/storage_log_store_test.cpp
@@ -6,6 +6,7 @@
 
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 
 using namespace teasel;
 
@@ -66,8 +67,10 @@
         REQUIRE(store.append(makeRecords(1, 10, 1)));
         REQUIRE(store.append(makeRecords(8, 12, 2)));
     }
+    std::ofstream(folder.path() + "/hard-state.new") << "left over";
     PosixDisk disk(folder.path());
     REQUIRE(disk.open());
+    CHECK(!std::filesystem::exists(folder.path() + "/hard-state.new"));
     LogStore store(disk);
     const auto found = store.open().value();
     CHECK(!found.isEmpty);
