Forget job records when leadership changes, and drop jobs that are gone

Cause: a leader that led before kept its old records; a job that ended and was dropped from the fleet state meanwhile would have been started again. Ruled out: keeping the records and comparing later (tasks could start before the comparison). A leader without records leaves what runs alone, as a cut-off data centre needs. Before: no test; onJobs could not say that a batch is whole. Conclusion: onJobs takes JobBatch{whole, more}; the caller should pass both flags of JobsChanged on. A gang whose record comes after the settle time is made whole too.

--- a/placement/job_intake.cpp
+++ b/placement/job_intake.cpp
@@ -10,11 +10,43 @@
 
 } // namespace
 
-void JobIntake::take(std::span<const schema::JobRecord> records, Instant now)
+void JobIntake::restart()
 {
-    m_state.jobsHeard = true;
-    for (const auto& it : records)
+    m_listed.clear();
+    m_listing = false;
+}
+
+void JobIntake::take(std::span<const schema::JobRecord> records, JobBatch batch, Instant now)
+{
+    m_listing = m_listing || batch.whole;
+    for (const auto& it : records) {
         takeOne(it, now);
+        if (m_listing)
+            m_listed.insert(it.id());
+    }
+    if (batch.more)
+        return;
+    m_state.jobsHeard = true;
+    if (m_listing)
+        dropMissing(now);
+    restart();
+}
+
+// Jobs that the fleet state no longer has.
+void JobIntake::dropMissing(Instant now)
+{
+    std::vector<JobOrdinal> gone;
+    for (const auto ordinal : m_state.tasks.ordinals()) {
+        const auto& job = m_state.tasks.job(ordinal);
+        if (job.known && !m_listed.contains(job.id))
+            gone.push_back(ordinal);
+    }
+    for (const auto ordinal : gone) {
+        m_state.tasks.job(ordinal).closed = true;
+        m_state.tasks.job(ordinal).phase = schema::JOB_PHASE_CANCELLED;
+        m_state.dropClaimsOf(ordinal);
+        m_lifecycle.stopAll(ordinal, now);
+    }
 }
 
 void JobIntake::takeOne(const schema::JobRecord& record, Instant now)
@@ -42,7 +74,8 @@
         job.waiting.erase(i);
         m_lifecycle.stopTask({ ordinal, i }, now);
     }
-    if (job.isGang() && wasKnown && wantedBefore != job.counts.wanted)
+    const bool resized = wasKnown && wantedBefore != job.counts.wanted;
+    if (job.isGang() && m_state.settled(now) && (resized || isPartialGang(job)))
         m_lifecycle.restartGang(ordinal, false, now);
     enqueueTasks(job);
     m_state.workPending = true;
@@ -133,13 +166,17 @@
     }
 }
 
+bool JobIntake::isPartialGang(const Job& job)
+{
+    return job.isGang() && job.counts.placed > 0 && job.counts.placed + job.counts.finished < job.counts.wanted;
+}
+
 void JobIntake::onSettled(Instant now)
 {
     std::vector<JobOrdinal> partial;
     for (const auto ordinal : m_state.tasks.ordinals()) {
         const auto& job = m_state.tasks.job(ordinal);
-        const bool whole = job.counts.placed == 0 || job.counts.placed + job.counts.finished >= job.counts.wanted;
-        if (job.known && !job.closed && job.isGang() && !whole)
+        if (job.known && !job.closed && isPartialGang(job))
             partial.push_back(ordinal);
     }
     for (const auto ordinal : partial)
--- a/placement/job_intake.h
+++ b/placement/job_intake.h
@@ -4,11 +4,20 @@
 #include "placement/placement_state.h"
 #include "placement/task_lifecycle.h"
 
+#include <absl/container/flat_hash_set.h>
+
 #include <span>
+#include <string>
 #include <vector>
 
 namespace teasel {
 
+// How a batch of records stands to all records of the data centre.
+struct JobBatch {
+    bool whole = false; // these and the parts that follow are all there are
+    bool more = false; // another part follows
+};
+
 class JobIntake {
 public:
     JobIntake(PlacementState& state, TaskLifecycle& lifecycle)
@@ -18,7 +27,10 @@
     }
 
     // Takes new and changed records.
-    void take(std::span<const schema::JobRecord>, Instant now);
+    void take(std::span<const schema::JobRecord>, JobBatch, Instant now);
+
+    // Forgets an unfinished whole batch.
+    void restart();
 
     // Progress that the records do not show yet.
     void report(std::vector<PlacementAction>&, Instant now);
@@ -30,6 +42,8 @@
     void onSettled(Instant now);
 
 private:
+    void dropMissing(Instant now);
+    static bool isPartialGang(const Job&);
     void takeOne(const schema::JobRecord&, Instant now);
     void markDurable(Job&, Instant now);
     void enqueueTasks(Job&);
@@ -38,6 +52,8 @@
 
     PlacementState& m_state;
     TaskLifecycle& m_lifecycle;
+    absl::flat_hash_set<std::string> m_listed; // ids in the parts of a whole batch so far
+    bool m_listing = false;
 };
 
 } // namespace teasel
--- a/placement/placement_leader.cpp
+++ b/placement/placement_leader.cpp
@@ -32,19 +32,21 @@
 
 void PlacementLeader::onBecameLeader(Epoch epoch, Instant now)
 {
-    m_state.forgetPlaces();
+    m_state.forgetAll();
     m_state.epoch = epoch;
     m_state.leading = true;
     m_state.jobsHeard = false;
     m_state.settledAt = now + m_state.options.workerLease + m_state.options.clockMargin;
     m_settledSeen = false;
+    m_stuckBefore.clear();
+    m_intake.restart();
     m_actions.clear();
 }
 
 void PlacementLeader::onLostLeadership(Instant)
 {
     m_state.leading = false;
-    m_state.forgetPlaces();
+    m_state.forgetAll();
     m_actions.clear();
 }
 
@@ -54,9 +56,9 @@
     m_state.workPending = true;
 }
 
-void PlacementLeader::onJobs(std::span<const schema::JobRecord> records, Instant now)
+void PlacementLeader::onJobs(std::span<const schema::JobRecord> records, Instant now, JobBatch batch)
 {
-    m_intake.take(records, now);
+    m_intake.take(records, batch, now);
     if (m_state.mayAct(now))
         pass(now, m_state.options.jobsPerReport, true);
 }
--- a/placement/placement_leader.h
+++ b/placement/placement_leader.h
@@ -34,6 +34,7 @@
     PlacementLeader(const PlacementLeader&) = delete;
     PlacementLeader& operator=(const PlacementLeader&) = delete;
 
+    // Forgets what it knew of workers and jobs: hand in all records again.
     void onBecameLeader(Epoch, Instant now);
     void onLostLeadership(Instant now);
     // No orders are given from `until` on, unless this is called again: the end
@@ -42,7 +43,8 @@
 
     void onTeams(std::span<const TaskTeamPolicy>, Instant now);
     // New or changed records. One in a terminal phase stops what runs of its job.
-    void onJobs(std::span<const schema::JobRecord>, Instant now);
+    // Of a batch that is marked whole, jobs that are in no part of it are gone.
+    void onJobs(std::span<const schema::JobRecord>, Instant now, JobBatch = {});
     // The reply has no lease and epoch 0 when this is not the leader or the
     // report is older than one already seen.
     schema::WorkerOrders onReport(const schema::WorkerReport&, Instant now);
--- a/placement/placement_state.cpp
+++ b/placement/placement_state.cpp
@@ -2,7 +2,7 @@
 
 namespace teasel {
 
-void PlacementState::forgetPlaces()
+void PlacementState::forgetAll()
 {
     claims.clear();
     reservation = {};
@@ -11,7 +11,7 @@
             labels.remove(id);
     }
     workers.clear();
-    tasks.forgetPlaces();
+    tasks.clear();
     shares.clearUse();
     quarantine.clear();
 }
--- a/placement/placement_state.h
+++ b/placement/placement_state.h
@@ -47,8 +47,8 @@
     // Whether every task that may run anywhere is known.
     bool settled(Instant now) const { return leading && now >= settledAt; }
 
-    // Forgets where tasks are; records, teams and usage stay.
-    void forgetPlaces();
+    // Forgets workers, jobs and tasks; teams and learned usage stay.
+    void forgetAll();
 
     void addClaim(const Claim&);
     void dropClaim(size_t position);
--- a/placement/task_table.cpp
+++ b/placement/task_table.cpp
@@ -108,37 +108,14 @@
     m_free.push_back(ordinal);
 }
 
-void TaskTable::resetTasks(Job& job)
-{
-    job.waiting.clear();
-    const uint32_t wanted = job.counts.wanted;
-    job.counts = {};
-    job.counts.wanted = wanted;
-    job.unreported = 0;
-    job.openClaims = 0;
-    job.stuckSince = {};
-    job.notBefore = {};
-    job.closed = isTerminal(job.phase);
-    job.wantedPhase = schema::JOB_PHASE_UNSPECIFIED;
-    for (auto& it : job.tasks) {
-        const bool durable = it.durable;
-        it = Task {};
-        it.durable = durable;
-    }
-}
-
-void TaskTable::forgetPlaces()
+void TaskTable::clear()
 {
+    m_jobs.clear();
+    m_free.clear();
+    m_byId.clear();
+    m_inUse.clear();
+    m_queues.clear();
     m_delays.clear();
-    std::vector<JobOrdinal> unknown;
-    for (const auto ordinal : m_inUse) {
-        resetTasks(m_jobs[ordinal]);
-        refreshQueue(ordinal);
-        if (!m_jobs[ordinal].known)
-            unknown.push_back(ordinal);
-    }
-    for (const auto ordinal : unknown)
-        erase(ordinal);
 }
 
 void TaskTable::enqueue(const TaskRef& ref, Instant notBefore, Instant now)
--- a/placement/task_table.h
+++ b/placement/task_table.h
@@ -97,8 +97,7 @@
     // Takes a record; says whether the job's specification changed.
     bool apply(const schema::JobRecord&, JobOrdinal);
     void erase(JobOrdinal);
-    // Forgets where tasks are; records stay.
-    void forgetPlaces();
+    void clear();
 
     // Puts a task that may be placed into its job's waiting set, at once or at an instant.
     void enqueue(const TaskRef&, Instant notBefore, Instant now);
@@ -121,7 +120,6 @@
         uint32_t index;
         auto operator<=>(const Delay&) const = default; // NOLINT(modernize-use-nullptr)
     };
-    void resetTasks(Job&);
     void leaveQueue(Job&);
 
     std::deque<Job> m_jobs;
--- a/tests/placement_fixture.h
+++ b/tests/placement_fixture.h
@@ -34,6 +34,7 @@
     uint32_t minAvailable = 0;
     uint32_t maxAttempts = 0;
     std::string payload {};
+    std::string selector {};
 };
 
 inline schema::JobRecord jobRecord(const JobShape& shape)
@@ -54,6 +55,7 @@
     spec.set_min_available(shape.minAvailable);
     spec.set_max_attempts(shape.maxAttempts);
     spec.set_payload(shape.payload);
+    spec.set_selector(shape.selector);
     return record;
 }
 
@@ -154,6 +156,17 @@
         leader.onJobs(std::vector { record }, now);
     }
 
+    // Another leader takes over and gets all records.
+    void changeLeader(Epoch epoch)
+    {
+        leader.onLostLeadership(now);
+        leader.onBecameLeader(epoch, now);
+        std::vector<schema::JobRecord> all;
+        for (const auto& [id, record] : records)
+            all.push_back(record);
+        leader.onJobs(all, now, { .whole = true });
+    }
+
     // Commits the progress that the leader reports.
     void commit()
     {
--- a/tests/placement_leader_test.cpp
+++ b/tests/placement_leader_test.cpp
@@ -57,8 +57,7 @@
     it.submit({ .id = "steady", .tasks = 10 });
     it.run(Milliseconds(1'000));
     REQUIRE(it.running("steady") == 10);
-    it.leader.onLostLeadership(it.now);
-    it.leader.onBecameLeader(2, it.now);
+    it.changeLeader(2);
     it.settle();
     it.run(Milliseconds(2'000));
     CHECK(it.running("steady") == 10);
@@ -125,8 +124,7 @@
             it.exchange(worker);
     }
     // What the leader reported is lost with it.
-    it.leader.onLostLeadership(it.now);
-    it.leader.onBecameLeader(2, it.now);
+    it.changeLeader(2);
     it.settle();
     it.run(Milliseconds(2'000));
     CHECK(it.records["once"].phase() == schema::JOB_PHASE_SUCCEEDED);
@@ -146,3 +144,37 @@
     CHECK(late.lease_ms() == 0);
     CHECK(late.epoch() == 0);
 }
+
+TEST_CASE("a job that the fleet state no longer has is not run again by a leader that knew it")
+{
+    PlacementFixture it;
+    it.addWorkers(2);
+    it.settle();
+    it.submit({ .id = "old", .tasks = 2 });
+    it.submit({ .id = "kept", .tasks = 2 });
+    it.run(Milliseconds(1'000));
+    it.records.erase("old");
+    it.changeLeader(2);
+    it.settle();
+    it.run(Milliseconds(12'000));
+    CHECK(it.running("old") == 0);
+    CHECK(it.running("kept") == 2);
+    // The same within one reign.
+    it.leader.onJobs({}, it.now, { .whole = true });
+    it.run(Milliseconds(1'500));
+    CHECK(it.running("kept") == 0);
+}
+
+TEST_CASE("a leader without records, as in a data centre that is cut off, leaves tasks running")
+{
+    PlacementFixture it;
+    it.addWorkers(2);
+    it.settle();
+    it.submit({ .id = "steady", .tasks = 4 });
+    it.run(Milliseconds(1'000));
+    it.leader.onLostLeadership(it.now);
+    it.leader.onBecameLeader(2, it.now);
+    it.run(Milliseconds(60'000));
+    CHECK(it.running("steady") == 4);
+    CHECK(it.workers[0].starts + it.workers[1].starts == 4);
+}
--- a/tests/placement_random_test.cpp
+++ b/tests/placement_random_test.cpp
@@ -165,7 +165,7 @@
         std::vector<schema::JobRecord> all;
         for (const auto& [id, record] : m_records)
             all.push_back(record);
-        m_leaders[who]->plane->onJobs(all, m_now);
+        m_leaders[who]->plane->onJobs(all, m_now, { .whole = true });
     }
 
     void extendAuthority(SimLeader& leader)
@@ -268,6 +268,9 @@
         shape.rank = static_cast<uint32_t>(m_random.below(3));
         shape.canCheckpoint = m_random.chance(0.5);
         shape.runMs = 2'000 + m_random.below(10'000);
+        // Some may run in two of the four racks only.
+        if (m_random.chance(0.2))
+            shape.selector = m_random.chance(0.5) ? "rack in (rack-0, rack-1)" : "not exists gpu and rack != rack-3";
         return shape;
     }
 
