Refuse the data folder of another replica

Cause: a data folder mounted at the wrong replica would have voted under two names; the hard state names its replica, and nothing compared it. Ruled out: the lock of the folder: it holds off a second process, not a wrong one. Before: consensus_replica_test, "a replica refuses the data folder of another one": it started. Conclusion: a folder serves only the replica that wrote it.

--- a/consensus/replicated_log.cpp
+++ b/consensus/replicated_log.cpp
@@ -1,5 +1,7 @@
 #include "consensus/replicated_log.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -22,6 +24,10 @@
 Result<void> ReplicatedLog::start(Instant now)
 {
     BOOST_LEAF_AUTO(found, m_store.open());
+    if (!found.isEmpty && found.hard.replica() != m_options.replica.id)
+        return fail(ErrorKind::StateUnavailable,
+            fmt::format("the data folder is that of replica {}, not of {}; correct the settings", found.hard.replica(),
+                m_options.replica.id));
     if (found.snapshot.index() != 0) {
         BOOST_LEAF_AUTO(image, m_store.readSnapshot());
         BOOST_LEAF_CHECK(m_machine.restore(image.data));
--- a/tests/consensus_replica_test.cpp
+++ b/tests/consensus_replica_test.cpp
@@ -250,6 +250,16 @@
     CHECK(!simulation.log(at.follower).replica().mayVote());
 }
 
+TEST_CASE("a replica refuses the data folder of another one")
+{
+    Simulation simulation(calm());
+    settle(simulation);
+    simulation.kill(0);
+    simulation.disk(0) = simulation.disk(1);
+    CHECK_THROWS_WITH(
+        simulation.start(0), "a does not start: the data folder is that of replica b, not of a; correct the settings");
+}
+
 TEST_CASE("a record of an earlier term is committed only by one of the leader's own")
 {
     Lone lone(Lone::logOf(2, { makeRecord(1, 1), makeRecord(2, 2) }));
