--- a/bench/config_bench.cpp
+++ b/bench/config_bench.cpp
@@ -8,7 +8,6 @@
 #include "fleet/member_session.h"
 #include "fleet/session.h"
 
-#include <CLI/CLI.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -495,9 +494,4 @@
 
 } // namespace teasel
 
-int main(int argc, char** argv)
-{
-    CLI::App app { "Distribution of configuration: times and costs" };
-    CLI11_PARSE(app, argc, argv);
-    return teasel::runAll();
-}
+int main() { return teasel::runAll(); }
