Enforce the retry budget, answer for gone callers, split the leader

Ruled out: a new action to release handles, since a final answer to a gone caller is harmless and keeps the interface.

--- a/requests/dispatch_leader.cpp
+++ b/requests/dispatch_leader.cpp
@@ -10,10 +10,10 @@
 
 DispatchLeader::DispatchLeader(DispatchOptions options, NameTable& names)
     : m_options(std::move(options))
-    , m_names(names)
+    , m_takeover(m_options.grantLife, m_options.settleMargin, m_options.longestRequest)
     , m_pool(m_options.seed)
     , m_labels(names)
-    , m_groups(names, m_labels)
+    , m_groups(names, m_labels.index())
 {
 }
 
@@ -22,7 +22,7 @@
     onLostLeadership(now);
     m_leading = true;
     m_epoch = epoch;
-    m_ledSince = now;
+    m_takeover.begin(now);
     m_links.reset(epoch);
     for (const auto& it : m_options.members)
         m_links.askForAll(m_links.idOf(it));
@@ -31,16 +31,14 @@
 void DispatchLeader::onLostLeadership(Instant)
 {
     m_leading = false;
-    m_settled = false;
+    m_takeover.end();
     m_queue.clear();
     m_queue.setReserve(0);
     m_tickets.clear();
     m_ledger.clear();
-    for (InstanceOrdinal n = 0; n < m_pool.size(); ++n)
-        m_labels.remove(n);
+    m_labels.clear(m_pool.size());
     m_pool.clear();
     m_groups.clear();
-    m_unconfirmed.clear();
     m_remote.clear();
 }
 
@@ -52,27 +50,10 @@
 
 void DispatchLeader::onClasses(std::span<const ClassPolicy> classes, Instant) { m_classes.configure(classes); }
 
-// Selectors were checked when the configuration took them; one that cannot be read drains nothing.
 void DispatchLeader::onDrains(std::span<const std::string> selectors, Instant)
 {
-    m_drains.clear();
-    for (const auto& it : selectors) {
-        auto compiled = valueOrError([&] { return compileSelector(it, m_names); });
-        if (auto* selector = std::get_if<CompiledSelector>(&compiled))
-            m_drains.push_back(std::move(*selector));
-    }
-    applyDrains();
-}
-
-void DispatchLeader::applyDrains()
-{
-    ExecutorSet drained;
-    for (const auto& selector : m_drains) {
-        for (const auto n : m_labels.matching(selector))
-            drained.insert(n);
-    }
-    for (InstanceOrdinal n = 0; n < m_pool.size(); ++n)
-        m_pool.setDrained(n, drained.contains(n));
+    m_labels.setDrains(selectors);
+    m_pool.setDrained(m_labels.drained());
 }
 
 void DispatchLeader::onKeysWithdrawn(std::span<const std::string> keyIds, Instant now)
@@ -93,30 +74,22 @@
     if (!m_leading)
         return reply;
     const auto n = m_pool.entryOf(announce.name());
-    if (!noteLabels(n, announce)) {
+    const auto labelsBefore = m_labels.version();
+    if (!m_labels.put(n, announce, m_options.dataCentre)) {
         reply.set_known(false);
         return reply;
     }
     m_pool.onAnnounce(announce, now);
-    forgetClosed(m_ledger.goneBy(n, announce, listedAttempts(announce), now), now);
-    if (!m_settled)
-        estimateUnknown(n, announce, now);
-    return reply;
-}
-
-// Returns whether the naming scheme of the announcement is known.
-bool DispatchLeader::noteLabels(InstanceOrdinal n, const schema::ExecutorAnnounce& announce)
-{
-    const auto& dataCentre = announce.data_centre().empty() ? m_options.dataCentre : announce.data_centre();
-    const InstanceLabels labels { announce.scheme(), announce.name(), "", dataCentre,
-        { announce.labels().begin(), announce.labels().end() } };
-    const auto before = m_labels.version();
-    const auto outcome = valueOrError([&] { return m_labels.put(n, labels); });
-    if (m_labels.version() != before) {
+    if (m_labels.version() != labelsBefore) {
         m_groups.refresh();
-        applyDrains();
+        m_pool.setDrained(m_labels.drained());
+    }
+    forgetClosed(m_ledger.goneBy(n, announce, listedAttempts(announce), now), now);
+    if (const auto unknown = m_takeover.unknownOn(n, announce, m_ledger, m_pool.at(n).unknownInFlight, now)) {
+        m_pool.setUnknownInFlight(n, *unknown);
+        m_queue.setReserve(m_pool.unknownInFlight());
     }
-    return !std::holds_alternative<Error>(outcome);
+    return reply;
 }
 
 absl::flat_hash_set<AttemptId> DispatchLeader::listedAttempts(const schema::ExecutorAnnounce& announce)
@@ -129,29 +102,6 @@
     return listed;
 }
 
-// Slots that the executor uses for holders which this leader has not heard. It
-// counts only attempts known for long enough to be in the announcement, so the
-// estimate errs towards too many.
-void DispatchLeader::estimateUnknown(InstanceOrdinal n, const schema::ExecutorAnnounce& announce, Instant now)
-{
-    const auto lapsed = m_ledSince + m_options.grantLife + AttemptLedger::announcementAge;
-    if (now < lapsed)
-        return;
-    const auto known = m_ledger.olderThan(n, AttemptLedger::announcementAge, now);
-    const auto seen = announce.in_flight() > known ? announce.in_flight() - known : 0;
-    const bool first = m_unconfirmed.insert(n).second;
-    m_pool.setUnknownInFlight(n, first ? seen : std::min(seen, m_pool.at(n).unknownInFlight));
-    m_queue.setReserve(m_pool.unknownInFlight());
-}
-
-void DispatchLeader::clearUnknown(Instant)
-{
-    for (size_t n = 0; n < m_pool.size(); ++n)
-        m_pool.setUnknownInFlight(static_cast<InstanceOrdinal>(n), 0);
-    m_queue.setReserve(0);
-    m_unconfirmed.clear();
-}
-
 void DispatchLeader::forgetClosed(const std::vector<AttemptId>& ids, Instant now)
 {
     for (const auto& it : ids)
@@ -250,7 +200,7 @@
     const auto most = m_classes.at(ticket.classId).maxWaitingPerTeam;
     const Arrival arrival { it.team_id(), ticket.queued.rank, ticket.queued.deadline,
         m_tickets.waitingInClass(it.team_id(), ticket.classId), most > 0 ? most : m_options.defaultMaxWaitingPerTeam };
-    const bool predictable = mayGrant(now) && m_pool.totalSlots() > 0;
+    const bool predictable = m_takeover.mayGrant(now) && m_pool.totalSlots() > 0;
     if (predictable) {
         if (const auto error = refusalFor(m_queue, arrival, m_pool.totalSlots(), now))
             return refuseArrival(holder, it, *error);
@@ -264,7 +214,7 @@
     if (const auto* error = std::get_if<Error>(&group))
         return refuseArrival(holder, it, *error);
     ticket.queued.group = std::get<0>(group);
-    if (executorsHeard(now) && !m_groups.allowed(ticket.queued.group).intersects(m_pool.live())) {
+    if (m_takeover.executorsHeard(now) && !m_groups.allowed(ticket.queued.group).intersects(m_pool.live())) {
         m_groups.release(ticket.queued.group);
         return refuseArrival(holder, it, Error { ErrorKind::NoEndpoint, "no executor that the selector allows", {} });
     }
@@ -353,38 +303,19 @@
 
 // ---- Decisions -------------------------------------------------------------
 
-bool DispatchLeader::everyMemberHeard(Instant) const
-{
-    size_t heard = 0;
-    for (size_t n = 0; n < m_links.size(); ++n) {
-        const auto& link = m_links.at(static_cast<HolderId>(n));
-        const bool isMember
-            = std::find(m_options.members.begin(), m_options.members.end(), link.name) != m_options.members.end();
-        // A former incarnation's attempts may still run when this one is young.
-        heard += isMember && link.known && link.upSince + m_options.longestRequest <= m_ledSince ? 1 : 0;
-    }
-    return heard >= m_options.members.size();
-}
-
-bool DispatchLeader::everyHolderKnown(Instant now) const
-{
-    return everyMemberHeard(now) || now >= m_ledSince + m_options.longestRequest;
-}
-
-bool DispatchLeader::mayGrant(Instant now) const
+// Nobody is unheard any more, so nothing is held back.
+void DispatchLeader::onSettled()
 {
-    if (!m_leading || now >= m_leaseUntil)
-        return false;
-    return m_settled || now >= m_ledSince + m_options.grantLife + m_options.settleMargin;
+    for (InstanceOrdinal n = 0; n < m_pool.size(); ++n)
+        m_pool.setUnknownInFlight(n, 0);
+    m_queue.setReserve(0);
 }
 
 void DispatchLeader::decide(Instant now)
 {
-    if (!m_settled && m_leading && everyHolderKnown(now)) {
-        m_settled = true;
-        clearUnknown(now);
-    }
-    if (!mayGrant(now))
+    if (m_takeover.settle(m_options.members, m_links, now))
+        onSettled();
+    if (!m_takeover.mayGrant(now))
         return;
     const auto isOpen = [&](GroupId group) { return m_pool.open().intersects(m_groups.allowed(group)); };
     while (const auto ticket = m_queue.next(isOpen)) {
@@ -456,7 +387,7 @@
 
 void DispatchLeader::refuseWithoutExecutors(Instant now)
 {
-    if (!executorsHeard(now))
+    if (!m_takeover.executorsHeard(now))
         return;
     const auto groups = m_groups.withoutAny(m_pool.live());
     if (groups.empty())
@@ -470,7 +401,7 @@
 // team with earlier deadlines, and is given the benefit of doubt.
 void DispatchLeader::refuseHopeless(Instant now)
 {
-    if (!mayGrant(now) || m_pool.totalSlots() == 0)
+    if (!m_takeover.mayGrant(now) || m_pool.totalSlots() == 0)
         return;
     std::vector<std::pair<TicketId, Duration>> hopeless;
     if (m_sweepFrom == TicketBook::DeadlinePlace {})
@@ -536,7 +467,7 @@
     stats.inFlight = m_ledger.size();
     stats.executors = m_pool.size();
     stats.unknownInFlight = m_pool.unknownInFlight();
-    stats.settled = m_settled;
+    stats.settled = m_takeover.settled();
     return stats;
 }
 
--- a/requests/dispatch_leader.h
+++ b/requests/dispatch_leader.h
@@ -6,18 +6,18 @@
 #include "core/ids.h"
 #include "core/random.h"
 #include "fleet.pb.h"
-#include "naming/label_index.h"
 #include "naming/name_table.h"
-#include "naming/selector.h"
 #include "requests.pb.h"
 #include "requests/admission.h"
 #include "requests/attempt_ledger.h"
 #include "requests/class_table.h"
+#include "requests/executor_labels.h"
 #include "requests/executor_pool.h"
 #include "requests/fair_queue.h"
 #include "requests/holder_links.h"
 #include "requests/remote_load.h"
 #include "requests/selector_groups.h"
+#include "requests/takeover.h"
 #include "requests/ticket_book.h"
 
 #include <absl/container/btree_set.h>
@@ -83,7 +83,7 @@
     void onBecameLeader(Epoch, Instant);
     void onLostLeadership(Instant);
     // No grant is made at or after `until`. Without a call there is no bound.
-    void onLeaseUntil(Instant until) { m_leaseUntil = until; }
+    void onLeaseUntil(Instant until) { m_takeover.setLeaseUntil(until); }
 
     void onTeams(std::span<const TeamPolicy>, Instant);
     void onClasses(std::span<const ClassPolicy>, Instant);
@@ -108,8 +108,6 @@
     bool leading() const { return m_leading; }
 
 private:
-    bool noteLabels(InstanceOrdinal, const schema::ExecutorAnnounce&);
-    void applyDrains();
     void takeTicket(HolderId, const schema::Ticket&, Instant);
     void takeEnd(HolderId, const schema::AttemptEnd&, Instant);
     void takeCancelled(HolderId, uint64_t sequence);
@@ -122,12 +120,7 @@
     void endAttempt(const AttemptId&, const EndedAttempt&, Instant);
     void decide(Instant);
     void grant(const QueuedTicket&, InstanceOrdinal, Instant);
-    bool mayGrant(Instant) const;
-    bool executorsHeard(Instant now) const { return now >= m_ledSince + executorsHeardAfter; }
-    bool everyHolderKnown(Instant) const;
-    bool everyMemberHeard(Instant) const;
-    void estimateUnknown(InstanceOrdinal, const schema::ExecutorAnnounce&, Instant);
-    void clearUnknown(Instant);
+    void onSettled();
     void refuseWithoutExecutors(Instant);
     void refuseHopeless(Instant);
     void forgetClosed(const std::vector<AttemptId>&, Instant);
@@ -138,30 +131,22 @@
     static constexpr Milliseconds refreshPeriod { 20 };
     static constexpr Milliseconds sweepPeriod { 100 };
     static constexpr size_t sweepTickets = 1'000; // looked at in one period
-    static constexpr Milliseconds executorsHeardAfter {
-        2'000
-    }; // of leading; all live executors have announced themselves
     static constexpr Milliseconds predictionSlack { 100 };
 
     DispatchOptions m_options;
-    NameTable& m_names;
     bool m_leading = false;
     Epoch m_epoch = 0;
-    Instant m_ledSince {};
-    Instant m_leaseUntil = Instant::max();
-    bool m_settled = false; // nothing is unknown any more
+    Takeover m_takeover;
     FairQueue m_queue;
     TicketBook m_tickets;
     AttemptLedger m_ledger;
     ExecutorPool m_pool;
-    LabelIndex m_labels;
+    ExecutorLabels m_labels;
     SelectorGroups m_groups;
     HolderLinks m_links;
     ClassTable m_classes;
     absl::flat_hash_map<std::string, Instant> m_withdrawnKeys;
-    std::vector<CompiledSelector> m_drains;
     RemoteLoad m_remote;
-    absl::flat_hash_set<InstanceOrdinal> m_unconfirmed; // executors not yet heard since grants of former leaders lapsed
     Instant m_refreshed {};
     Instant m_swept {};
     TicketBook::DeadlinePlace m_sweepFrom {}; // where refuseHopeless goes on
--- a/requests/executor_pool.cpp
+++ b/requests/executor_pool.cpp
@@ -149,10 +149,12 @@
     ++m_timesSetAside;
 }
 
-void ExecutorPool::setDrained(InstanceOrdinal n, bool drained)
+void ExecutorPool::setDrained(const ExecutorSet& drained)
 {
-    m_executors[n].drained = drained;
-    update(n);
+    for (InstanceOrdinal n = 0; n < m_executors.size(); ++n) {
+        m_executors[n].drained = drained.contains(n);
+        update(n);
+    }
 }
 
 void ExecutorPool::setUnknownInFlight(InstanceOrdinal n, uint32_t unknown)
--- a/requests/executor_pool.h
+++ b/requests/executor_pool.h
@@ -76,7 +76,8 @@
     // What an attempt says about the executor's health.
     void onEnded(InstanceOrdinal, const EndedAttempt&, Instant);
 
-    void setDrained(InstanceOrdinal, bool drained);
+    // These and no others are drained.
+    void setDrained(const ExecutorSet&);
     void setUnknownInFlight(InstanceOrdinal, uint32_t);
 
     // Notices silence and the end of pauses.
--- a/requests/holder_links.cpp
+++ b/requests/holder_links.cpp
@@ -31,6 +31,12 @@
     return it->second;
 }
 
+const HolderLink* HolderLinks::find(const std::string& holder) const
+{
+    const auto it = m_byName.find(holder);
+    return it == m_byName.end() ? nullptr : &m_links[it->second];
+}
+
 BatchPlace HolderLinks::place(HolderId id, const schema::TicketBatch& batch, Instant now)
 {
     auto& link = m_links[id];
--- a/requests/holder_links.h
+++ b/requests/holder_links.h
@@ -48,7 +48,7 @@
     HolderId idOf(std::string_view holder);
     HolderLink& at(HolderId id) { return m_links[id]; }
     const HolderLink& at(HolderId id) const { return m_links[id]; }
-    size_t size() const { return m_links.size(); }
+    const HolderLink* find(const std::string& holder) const;
 
     // Places a batch. A new incarnation starts its link over.
     BatchPlace place(HolderId, const schema::TicketBatch&, Instant);
--- a/requests/request_holder.cpp
+++ b/requests/request_holder.cpp
@@ -58,7 +58,7 @@
     queueTicket(it, now);
 }
 
-void RequestHolder::onCallerGone(uint64_t handle, Instant)
+void RequestHolder::onCallerGone(uint64_t handle, Instant now)
 {
     const auto place = m_byHandle.find(handle);
     if (place == m_byHandle.end())
@@ -71,8 +71,7 @@
     case HeldPhase::Waiting:
     case HeldPhase::BackingOff:
         m_link.addCancelled(it.sequence);
-        finishUnsent(it);
-        return drop(it);
+        return refuseNow(it, errorOf(ErrorKind::Cancelled, "the caller went away"), now);
     case HeldPhase::Beginning: // its beginning may be on record; the answer decides
     case HeldPhase::Refusing:
     case HeldPhase::Sent: // it may run; its outcome is worth recording
@@ -228,11 +227,8 @@
 {
     if (it.phase == HeldPhase::Refusing)
         return refuseNow(it, *it.refusal, now);
-    if (it.callerGone) {
-        endUnsentAttempt(it, now);
-        finishUnsent(it);
-        return drop(it);
-    }
+    if (it.callerGone)
+        return refuseUnsent(it, errorOf(ErrorKind::Cancelled, "the caller went away"), now);
     if (now >= it.submission.deadline)
         return refuseUnsent(it, errorOf(ErrorKind::DeadlinePassed, "the deadline passed before it was sent"), now);
     if (!attemptStillUsable(it, now))
@@ -264,7 +260,7 @@
 {
     it.bytesSent = true;
     const bool failed = answer.httpStatus >= serverErrorStatus;
-    const bool retry = failed && mayRetry(it, now);
+    const bool retry = failed && it.submission.idempotent && mayRetry(it, now);
     endAttempt(it, &result, retry, now);
     if (retry)
         return retryLater(it, now);
@@ -277,8 +273,7 @@
         action.finish.set_content_type(answer.contentType);
         m_actions.emplace_back(std::move(action));
     }
-    if (!it.callerGone)
-        m_actions.emplace_back(AnswerCaller { it.submission.handle, result.attemptKey });
+    m_actions.emplace_back(AnswerCaller { it.submission.handle, result.attemptKey });
     ++m_stats.answered;
     drop(it);
 }
@@ -300,9 +295,11 @@
     refuseNow(it, errorOf(ErrorKind::ExecutorFailed, "the executor failed after the request was sent"), now);
 }
 
-bool RequestHolder::mayRetry(const HeldRequest& it, Instant now) const
+// Takes the retry out of the team's budget.
+bool RequestHolder::mayRetry(const HeldRequest& it, Instant now)
 {
-    return !it.callerGone && it.retries + 1 < m_options.maxAttempts && now < it.submission.deadline;
+    const bool sensible = !it.callerGone && it.retries + 1 < m_options.maxAttempts && now < it.submission.deadline;
+    return sensible && m_retryBudget.take(it.submission.team);
 }
 
 void RequestHolder::retryLater(HeldRequest& it, Instant now)
@@ -335,12 +332,10 @@
 // "did not run" must hold for every arrival of that id.
 void RequestHolder::giveUp(HeldRequest& it, Error error, Instant now)
 {
-    const bool mustCheck = !it.submission.idempotent && !it.begun && promisesDidNotRun(error.kind)
+    const bool mustCheck = !it.callerGone && !it.submission.idempotent && !it.begun && promisesDidNotRun(error.kind)
         && error.kind != ErrorKind::Unauthenticated;
     if (!mustCheck)
         return refuseNow(it, std::move(error), now);
-    if (it.callerGone)
-        return drop(it);
     it.refusal = std::move(error);
     it.phase = HeldPhase::Refusing;
     it.beginUntil = now + m_options.beginPatience;
@@ -359,8 +354,7 @@
         error = errorOf(ErrorKind::ExecutorFailed, "an earlier attempt may have run: " + error.message);
     finishUnsent(it);
     ++m_stats.refused;
-    if (!it.callerGone)
-        m_actions.emplace_back(RefuseCaller { it.submission.handle, std::move(error) });
+    m_actions.emplace_back(RefuseCaller { it.submission.handle, std::move(error) });
     drop(it);
 }
 
--- a/requests/request_holder.h
+++ b/requests/request_holder.h
@@ -85,6 +85,8 @@
     uint64_t handle = 0;
     schema::FinishRequest outcome;
 };
+// Each handle gets exactly one of AnswerCaller, RefuseCaller and AnswerStored,
+// also when its caller went away; it is not named again after that.
 using HolderAction = std::variant<SendTickets, BeginDurably, FinishDurably, SendToExecutor, AbortAttempt, AnswerCaller,
     RefuseCaller, AnswerStored>;
 
@@ -138,7 +140,7 @@
     void returnGrant(HeldRequest&, bool wantsRetry, Instant);
     void onWholeAnswer(HeldRequest&, const WholeAnswer&, const ExecutorResult&, Instant);
     void onFailure(HeldRequest&, const ExecutorResult&, Instant);
-    bool mayRetry(const HeldRequest&, Instant) const;
+    bool mayRetry(const HeldRequest&, Instant);
     void retryLater(HeldRequest&, Instant);
     void endAttempt(HeldRequest&, const ExecutorResult*, bool wantsRetry, Instant);
     void endUnsentAttempt(HeldRequest&, Instant);
--- a/tests/requests_parts_test.cpp
+++ b/tests/requests_parts_test.cpp
@@ -290,6 +290,51 @@
     CHECK(granted(start + Milliseconds(2'100)) == 1);
 }
 
+TEST_CASE("what executors run for members not heard of is held back")
+{
+    NameTable names;
+    DispatchLeader dispatch(DispatchOptions { "dc1", { "absent" } }, names);
+    dispatch.onBecameLeader(1, start);
+    const TeamPolicy team { 1, 1.0, 3 };
+    dispatch.onTeams({ &team, 1 }, start);
+    schema::TicketBatch full;
+    full.set_epoch(1);
+    full.set_batch(1);
+    full.set_full(true);
+    full.set_holder_incarnation(1);
+    for (uint64_t sequence = 1; sequence <= 4; ++sequence) {
+        auto* ticket = full.add_tickets();
+        ticket->set_sequence(sequence);
+        ticket->set_attempt(1);
+        ticket->set_team_id(1);
+        ticket->set_deadline_left_ms(30'000);
+    }
+    dispatch.onTickets("h", full, start);
+    const auto granted = [&](Instant now, uint32_t inFlight) {
+        auto announce = announcement("x", 4);
+        announce.set_in_flight(inFlight);
+        dispatch.onAnnounce(announce, now);
+        dispatch.onTick(now);
+        dispatch.takeActions(now);
+        return dispatch.stats().granted;
+    };
+    CHECK(granted(start + Milliseconds(2'100), 3) == 0);
+    CHECK(granted(start + Milliseconds(2'600), 2) == 1);
+    CHECK(granted(start + Milliseconds(4'200), 1) == 3);
+}
+
+TEST_CASE("a leader whose lease has run out grants nothing")
+{
+    Leader leader;
+    leader.dispatch.onAnnounce(announcement("x", 4), leader.now);
+    leader.dispatch.onLeaseUntil(leader.now + Milliseconds(100));
+    leader.submit(1);
+    CHECK(leader.grants.size() == 1);
+    leader.now += Milliseconds(100);
+    leader.submit(2);
+    CHECK(leader.grants.size() == 1);
+}
+
 TEST_CASE("requests are refused at once when their key is withdrawn or no executor is left")
 {
     Leader leader;
