--- a/placement/job_intake.cpp
+++ b/placement/job_intake.cpp
@@ -10,21 +10,56 @@
 
 } // namespace
 
-void JobIntake::take(std::span<const schema::JobRecord> records, Instant now)
+void JobIntake::restart()
 {
-    m_state.jobsHeard = true;
-    for (const auto& it : records)
+    m_listed.clear();
+    m_listing = false;
+}
+
+void JobIntake::take(std::span<const schema::JobRecord> records, JobBatch batch, Instant now)
+{
+    m_listing = m_listing || batch.whole;
+    for (const auto& it : records) {
         takeOne(it, now);
+        if (m_listing)
+            m_listed.insert(it.id());
+    }
+    if (batch.more)
+        return;
+    m_state.jobsHeard = true;
+    if (m_listing)
+        dropMissing(now);
+    restart();
+}
+
+// Jobs that the fleet state no longer has.
+void JobIntake::dropMissing(Instant now)
+{
+    std::vector<JobOrdinal> gone;
+    for (const auto ordinal : m_state.tasks.ordinals()) {
+        const auto& job = m_state.tasks.job(ordinal);
+        if (job.known && !m_listed.contains(job.id))
+            gone.push_back(ordinal);
+    }
+    for (const auto ordinal : gone) {
+        m_state.tasks.job(ordinal).closed = true;
+        m_state.tasks.job(ordinal).phase = schema::JOB_PHASE_CANCELLED;
+        m_state.dropClaimsOf(ordinal);
+        m_lifecycle.stopAll(ordinal, now);
+    }
 }
 
 void JobIntake::takeOne(const schema::JobRecord& record, Instant now)
 {
     const bool mine = record.data_centre().empty() || record.data_centre() == m_state.options.dataCentre;
-    if (m_state.tasks.find(record.id()) == noJob && (!mine || isTerminal(record.phase())))
+    // A job that is over is kept for a while: workers may still report its tasks.
+    if (!mine && m_state.tasks.find(record.id()) == noJob)
         return;
     const JobOrdinal ordinal = m_state.tasks.intern(record.id(), now);
     auto& job = m_state.tasks.job(ordinal);
     const bool wasClosed = job.closed;
+    const bool wasKnown = job.known;
+    const uint32_t wantedBefore = job.counts.wanted;
     m_state.tasks.apply(record, ordinal);
     job.closed = job.closed || !mine;
     if (job.closed && !wasClosed) {
@@ -39,7 +74,10 @@
         job.waiting.erase(i);
         m_lifecycle.stopTask({ ordinal, i }, now);
     }
-    enqueueTasks(job, now);
+    const bool resized = wasKnown && wantedBefore != job.counts.wanted;
+    if (job.isGang() && m_state.settled(now) && (resized || isPartialGang(job)))
+        m_lifecycle.restartGang(ordinal, false, now);
+    enqueueTasks(job);
     m_state.workPending = true;
 }
 
@@ -57,7 +95,7 @@
     }
 }
 
-void JobIntake::enqueueTasks(Job& job, Instant now)
+void JobIntake::enqueueTasks(Job& job)
 {
     const uint32_t indices = std::visit([&](const auto& it) { return it.indices(job.counts.wanted); }, job.policy);
     for (uint32_t i = 0; i < indices; ++i) {
@@ -67,7 +105,6 @@
             job.waiting.insert(i);
     }
     m_state.tasks.refreshQueue(job.ordinal);
-    (void)now;
 }
 
 void JobIntake::report(std::vector<PlacementAction>& actions, Instant now)
@@ -129,13 +166,17 @@
     }
 }
 
+bool JobIntake::isPartialGang(const Job& job)
+{
+    return job.isGang() && job.counts.placed > 0 && job.counts.placed + job.counts.finished < job.counts.wanted;
+}
+
 void JobIntake::onSettled(Instant now)
 {
     std::vector<JobOrdinal> partial;
     for (const auto ordinal : m_state.tasks.ordinals()) {
         const auto& job = m_state.tasks.job(ordinal);
-        const bool whole = job.counts.placed == 0 || job.counts.placed + job.counts.finished >= job.counts.wanted;
-        if (job.known && !job.closed && job.isGang() && !whole)
+        if (job.known && !job.closed && isPartialGang(job))
             partial.push_back(ordinal);
     }
     for (const auto ordinal : partial)
--- a/placement/placement_leader.h
+++ b/placement/placement_leader.h
@@ -3,12 +3,17 @@
 
 #include "core/result.h"
 #include "peer.pb.h"
+#include "placement/feasibility.h"
+#include "placement/gang_planner.h"
 #include "placement/job_intake.h"
 #include "placement/order_writer.h"
 #include "placement/placement_pass.h"
 #include "placement/placement_state.h"
+#include "placement/preemption.h"
 #include "placement/report_reconciler.h"
 #include "placement/task_lifecycle.h"
+#include "placement/task_mover.h"
+#include "placement/usage_guard.h"
 
 #include <span>
 #include <string>
@@ -29,6 +34,7 @@
     PlacementLeader(const PlacementLeader&) = delete;
     PlacementLeader& operator=(const PlacementLeader&) = delete;
 
+    // Forgets what it knew of workers and jobs: hand in all records again.
     void onBecameLeader(Epoch, Instant now);
     void onLostLeadership(Instant now);
     // No orders are given from `until` on, unless this is called again: the end
@@ -37,7 +43,8 @@
 
     void onTeams(std::span<const TaskTeamPolicy>, Instant now);
     // New or changed records. One in a terminal phase stops what runs of its job.
-    void onJobs(std::span<const schema::JobRecord>, Instant now);
+    // Of a batch that is marked whole, jobs that are in no part of it are gone.
+    void onJobs(std::span<const schema::JobRecord>, Instant now, JobBatch = {});
     // The reply has no lease and epoch 0 when this is not the leader or the
     // report is older than one already seen.
     schema::WorkerOrders onReport(const schema::WorkerReport&, Instant now);
@@ -68,7 +75,12 @@
     const PlacementState& state() const { return m_state; }
 
 private:
-    void pass(Instant now, size_t jobBudget);
+    void pass(Instant now, size_t jobBudget, bool mayPreempt);
+    void upkeep(Instant now);
+    void applyDrains();
+    void checkGangs() const;
+    void applyQuarantine(Instant now);
+    void trimExcess(Instant now);
 
     PlacementState m_state;
     TaskLifecycle m_lifecycle;
@@ -76,10 +88,18 @@
     OrderWriter m_orders;
     PlacementPass m_pass;
     JobIntake m_intake;
+    Preemption m_preemption;
+    GangPlanner m_gangs;
+    TaskMover m_mover;
+    UsageGuard m_guard;
+    Feasibility m_feasibility;
     std::vector<PlacementAction> m_actions;
     std::vector<std::string> m_drains;
     std::vector<JobOrdinal> m_stuck;
+    std::vector<JobOrdinal> m_stuckBefore;
     Instant m_reviewedAt {};
+    Instant m_checkedAt {};
+    uint64_t m_drainsLabels = 0; // version of the labels that drains were applied to
     bool m_settledSeen = false;
 };
 
--- a/tests/fleet_random_test.cpp
+++ b/tests/fleet_random_test.cpp
@@ -5,11 +5,14 @@
 
 #include <doctest/doctest.h>
 
+#include <limits>
+
 namespace teasel {
 
 namespace {
 
     constexpr int s_requestIds = 40;
+    constexpr uint64_t s_firstLimit = 100; // above that of any new team
 
     // A proposal that its maker sends again until it is answered.
     struct Proposal {
@@ -26,7 +29,7 @@
             : FakeFleet(seed, counts)
         {
             for (int i = 0; i < 3; ++i)
-                proposeTeam(fmt::format("team{}", i), 40 + m_random.below(60));
+                proposeTeam(fmt::format("team{}", i), 40 + m_random.below(s_firstLimit - 40));
         }
 
         void run()
@@ -192,6 +195,10 @@
                     && std::equal(first.team_ids().begin(), first.team_ids().end(), answer.team_ids().begin(),
                         answer.team_ids().end()),
                 fmt::format("equal answers to {}", answer.change_id()));
+            const Revision base = it.message.command().config_change().base_revision();
+            if (base != 0 && answer.state() != schema::CHANGE_STATE_REFUSED)
+                require(m_winners.emplace(base, answer.change_id()).first->second == answer.change_id(),
+                    fmt::format("one winner on revision {}", base));
             const bool raced = answer.failure().kind() == static_cast<uint32_t>(ErrorKind::RevisionConflict);
             if (raced) {
                 require(!answer.winning_change_id().empty(), "the loser learns who won");
@@ -258,12 +265,34 @@
                 checkUse(team);
         }
 
+        void onCommitted(const schema::Command& command, const schema::CommandResult& result) override
+        {
+            if (result.change().state() != schema::CHANGE_STATE_PENDING
+                || result.change().revision() != m_state->revision())
+                return;
+            for (const auto& it : command.config_change().edits())
+                if (const auto* team = m_state->table().team(it.put_team().id()))
+                    m_limits[team->id()][m_state->revision()] = team->request_limit();
+        }
+
+        // At most the limit that was accepted last, or one committed after it.
+        uint64_t allowedUse(TeamId team)
+        {
+            uint64_t allowed = 0;
+            auto& limits = m_limits[team];
+            for (auto it = limits.end(); it != limits.begin();) {
+                --it;
+                allowed = std::max(allowed, it->second);
+                if (m_madeRevision.contains(it->first))
+                    return allowed;
+            }
+            return limits.empty() ? std::numeric_limits<uint64_t>::max() : std::max(allowed, s_firstLimit);
+        }
+
         void checkUse(const schema::Team& team)
         {
-            uint64_t& allowed = m_allowed[team.id()];
-            const bool lowering = m_state->changes().waitingTeams().contains(team.id());
-            allowed = lowering ? std::max<uint64_t>(allowed, team.request_limit()) : team.request_limit();
-            m_counts["limits lowered below use"] += lowering ? 1 : 0;
+            m_counts["limits lowered below use"] += m_state->changes().waitingTeams().contains(team.id()) ? 1 : 0;
+            const uint64_t allowed = allowedUse(team.id());
             uint64_t total = 0;
             for (const auto& [name, it] : m_dataCentres)
                 if (const auto use = it.use.find(team.id()); use != it.use.end())
@@ -294,9 +323,10 @@
         std::map<uint64_t, Proposal> m_proposals;
         std::set<uint64_t> m_open; // tickets of those not done
         uint64_t m_lastTicket = 0;
-        std::map<TeamId, uint64_t> m_allowed;
+        std::map<TeamId, std::map<Revision, uint64_t>> m_limits; // committed, by revision
         std::map<std::string, std::set<std::string>> m_active;
         std::map<std::string, std::string> m_outcomes;
+        std::map<Revision, std::string> m_winners; // by the revision that the change was made on
         std::set<std::string> m_accepted;
         std::map<Revision, std::string> m_madeRevision;
         Revision m_acceptedRevision = 0;
