Show that attempts of a later leader go on whatever their numbers

Before: placement_leader_test 10 cases, none on this. Conclusion: the order by (epoch, number) has a test of its own.

--- a/tests/placement_leader_test.cpp
+++ b/tests/placement_leader_test.cpp
@@ -178,3 +178,32 @@
     CHECK(it.running("steady") == 4);
     CHECK(it.workers[0].starts + it.workers[1].starts == 4);
 }
+
+TEST_CASE("of two attempts that report to run, the one of the later leader goes on whatever their numbers")
+{
+    PlacementFixture it;
+    it.addWorkers(2);
+    it.settle();
+    it.submit({ .id = "one", .tasks = 1 });
+    it.run(Milliseconds(1'000));
+    it.workers[0].cutOff = it.workers[1].cutOff = true;
+    it.changeLeader(2);
+    it.settle();
+    it.workers[0].cutOff = it.workers[1].cutOff = false;
+    it.run(Milliseconds(2'000));
+    REQUIRE(it.running("one") == 1);
+    const size_t holder = it.workers[0].running.empty() ? 1 : 0;
+    REQUIRE(it.workers[holder].running.begin()->first.attempt == Attempt { 2, 1 });
+    auto report = it.workers[1 - holder].agent.makeReport(it.now);
+    auto& claimed = *report.add_tasks();
+    claimed.set_job_id("one");
+    claimed.set_attempt(3);
+    claimed.set_attempt_epoch(1);
+    claimed.set_state(schema::TASK_STATE_RUNNING);
+    *claimed.mutable_committed() = resources(1'000, 1'024);
+    const auto orders = it.leader.onReport(report, it.now);
+    REQUIRE(orders.stops_size() == 1);
+    CHECK(orders.stops(0).attempt_epoch() == 1);
+    it.run(Milliseconds(2'000));
+    CHECK(it.workers[holder].running.size() == 1);
+}
