Stop nothing for a portion that has not arrived yet

Cause: a new leader gets a portion of nothing until the fleet state answers; once settled it stopped every running task as beyond the portion, which a cut-off data centre must not do. Found by reading how the portions are handed in. Ruled out: waiting for a time (a cut may last); taking nothing as no limit (placing still needs a portion). Before: placement_leader_test had no case with a portion of nothing. Conclusion: the caller marks a portion row that exists with portionKnown; unmarked, only a portion of nothing is ignored for stopping.

--- a/placement/fair_share.cpp
+++ b/placement/fair_share.cpp
@@ -21,11 +21,13 @@
     for (auto& [id, team] : m_teams) {
         team.share = 0;
         team.portion = {};
+        team.portionKnown = false;
     }
     for (const auto& it : policies) {
         auto& team = m_teams[it.id];
         team.share = std::max(leastShare, it.share);
         team.portion = toVector(it.portion);
+        team.portionKnown = it.portionKnown || team.portion != ResourceVector {};
     }
 }
 
@@ -85,7 +87,7 @@
 ResourceVector FairShare::excess(TeamId id) const
 {
     const auto* team = find(id);
-    ResourceVector over = team ? team->used - team->portion : ResourceVector {};
+    ResourceVector over = team && team->portionKnown ? team->used - team->portion : ResourceVector {};
     for (auto& it : over.amounts)
         it = std::max<int64_t>(0, it);
     return over;
--- a/placement/fair_share.h
+++ b/placement/fair_share.h
@@ -28,7 +28,8 @@
 
     // Whether the team may hold this much more here.
     bool withinPortion(TeamId, const ResourceVector& more) const;
-    // What the team holds here beyond its portion, of each kind at least 0.
+    // What the team holds here beyond its portion, of each kind at least 0;
+    // nothing while its portion is not known.
     ResourceVector excess(TeamId) const;
     ResourceVector used(TeamId) const;
     ResourceVector portion(TeamId) const;
@@ -59,6 +60,7 @@
     struct Team {
         double share = 0; // 0: unknown to the configuration
         ResourceVector portion;
+        bool portionKnown = false;
         ResourceVector used;
         ResourceVector reserved;
         ResourceVector claimed;
--- a/placement/placement_types.h
+++ b/placement/placement_types.h
@@ -56,6 +56,7 @@
     TeamId id = 0;
     double share = 1;
     schema::Resources portion; // of the team's fleet-wide limit
+    bool portionKnown = false; // false: a portion of nothing means that none has arrived yet
 };
 
 // What a team's tasks use here and would use if nothing were in the way.
--- a/tests/placement_leader_test.cpp
+++ b/tests/placement_leader_test.cpp
@@ -174,9 +174,17 @@
     it.run(Milliseconds(1'000));
     it.leader.onLostLeadership(it.now);
     it.leader.onBecameLeader(2, it.now);
+    // Nor have its portions arrived.
+    it.leader.onTeams(std::vector<TaskTeamPolicy> { { 1, 1.0, {} } }, it.now);
     it.run(Milliseconds(60'000));
     CHECK(it.running("steady") == 4);
+    it.leader.onJobs(std::vector { it.records["steady"] }, it.now, { .whole = true });
+    it.run(Milliseconds(5'000));
+    CHECK(it.running("steady") == 4);
     CHECK(it.workers[0].starts + it.workers[1].starts == 4);
+    it.leader.onTeams(std::vector<TaskTeamPolicy> { { 1, 1.0, {}, true } }, it.now);
+    it.run(Milliseconds(2'000));
+    CHECK(it.running("steady") == 0);
 }
 
 TEST_CASE("of two attempts that report to run, the one of the later leader goes on whatever their numbers")
