Believe no announcement that waited while the leader stood still

A paused leader took an announcement of "nothing in flight" as fresh on waking and freed a slot that was in use. Ruled out: skipping the estimate for unheard members too: requests_parts then saw 3 grants instead of 0. Conclusion: an announcement is dated by its arrival, unless the leader has not ticked for 300 ms; the daemon must run the tick after the queued messages, not before them, for this to see a pause.

--- a/requests/dispatch_leader.cpp
+++ b/requests/dispatch_leader.cpp
@@ -23,6 +23,7 @@
     m_leading = true;
     m_epoch = epoch;
     m_takeover.begin(now);
+    m_ticked = now;
     m_links.reset(epoch);
     for (const auto& it : m_options.members)
         m_links.askForAll(m_links.idOf(it));
@@ -84,7 +85,9 @@
         m_groups.refresh();
         m_pool.setDrained(m_labels.drained());
     }
-    forgetClosed(m_ledger.goneBy(n, announce, listedAttempts(announce), now), now);
+    // While this process stood still the announcement may have waited, and is older than it seems.
+    if (now < m_ticked + stallBound)
+        forgetClosed(m_ledger.goneBy(n, announce, listedAttempts(announce), now), now);
     if (const auto unknown = m_takeover.unknownOn(n, announce, m_ledger, m_pool.at(n).unknownInFlight, now)) {
         m_pool.setUnknownInFlight(n, *unknown);
         m_queue.setReserve(m_pool.unknownInFlight());
@@ -357,6 +360,7 @@
 {
     if (!m_leading)
         return;
+    m_ticked = now;
     m_pool.onTick(now);
     m_links.onTick(now);
     forgetClosed(m_ledger.expired(now), now);
--- a/requests/dispatch_leader.h
+++ b/requests/dispatch_leader.h
@@ -128,6 +128,7 @@
 
     static constexpr Milliseconds announcePeriod { 500 };
     static constexpr Milliseconds withdrawnKeysKept { 120'000 };
+    static constexpr Milliseconds stallBound { 300 }; // without a tick: the process stood still
     static constexpr Milliseconds refreshPeriod { 20 };
     static constexpr Milliseconds sweepPeriod { 100 };
     static constexpr size_t sweepTickets = 1'000; // looked at in one period
@@ -147,6 +148,7 @@
     ClassTable m_classes;
     absl::flat_hash_map<std::string, Instant> m_withdrawnKeys;
     RemoteLoad m_remote;
+    Instant m_ticked {};
     Instant m_refreshed {};
     Instant m_swept {};
     TicketBook::DeadlinePlace m_sweepFrom {}; // where refuseHopeless goes on
