Make the gang test need the end of overstaying backfills

Cause: with the stop of backfilled tasks taken out placement_policy_test still passed: the gang of 10 fitted beside them. Ruled out: a longer wait in the test; the gang now has 14 tasks and cannot fit beside the four that overstay.

--- a/tests/placement_policy_test.cpp
+++ b/tests/placement_policy_test.cpp
@@ -98,8 +98,8 @@
     it.settle();
     it.submit({ .id = "small", .tasks = 10, .runMs = 20'000 });
     it.run(Milliseconds(1'000));
-    it.submit({ .id = "gang-a", .kind = schema::JOB_KIND_GANG, .tasks = 10, .runMs = 5'000 });
-    it.submit({ .id = "gang-b", .kind = schema::JOB_KIND_GANG, .tasks = 10, .runMs = 5'000 });
+    it.submit({ .id = "gang-a", .kind = schema::JOB_KIND_GANG, .tasks = 14, .runMs = 5'000 });
+    it.submit({ .id = "gang-b", .kind = schema::JOB_KIND_GANG, .tasks = 14, .runMs = 5'000 });
     it.run(Milliseconds(1'000));
     CHECK(it.running("gang-a") == 0);
     // Small work keeps coming; what ends long before the gang can start is let in.
@@ -111,11 +111,11 @@
     it.endAll("small", schema::TASK_STATE_SUCCEEDED);
     // The short tasks run on beyond what they declared, and are stopped for the gang.
     it.run(Milliseconds(3'000));
-    CHECK(it.running("gang-a") == 10);
+    CHECK(it.running("gang-a") == 14);
     CHECK(it.running("gang-b") == 0);
     it.endAll("gang-a", schema::TASK_STATE_SUCCEEDED);
     it.run(Milliseconds(3'000));
-    CHECK(it.running("gang-b") == 10);
+    CHECK(it.running("gang-b") == 14);
     CHECK(it.records["gang-a"].phase() == schema::JOB_PHASE_SUCCEEDED);
 }
 
