Store outcomes until they are stored, drop silent members, and give a seed the same run every time

Cause: outcomes of non-idempotent requests were proposed once and given up after a minute; a member that died kept its tickets at the leader; a data centre without a grant looked like one with portions of nothing; requests_random failed once in ctest (seed 132, over portion) and passed when run again, since the order of hash tables depends on addresses. Ruled out: sorting every iteration (it costs at run time and hides nothing); a fixed hash seed (the library has none). Before: requests_random, the same seeds: one run failed, the next passed. workers: KeyError while a data centre had no leader. After: setarch -R, requests_random seeds 1 to 2000: one failing seed, 1070 (over slots, d0.x3), every time; fleet_random seeds 1 to 500: none. Conclusion: random runs repeat now; seed 1070 shows a real fault, still to be found.

--- a/fleet/session.h
+++ b/fleet/session.h
@@ -58,6 +58,9 @@
     // Whether this instance may act on its configuration: it leads and the authority lease lasts.
     bool mayServe(Instant now) const;
 
+    // Whether the portions are those of a grant under this epoch.
+    bool hasGrant() const { return leads() && !m_awaitsJobs; }
+
     // Whether the fleet state has been silent for a while.
     bool cutOff(Instant now) const;
 
--- a/node/authority.cpp
+++ b/node/authority.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+    // Outlasts a change of the data centre's leaders, so that the next one inherits what the members hold.
+    constexpr Duration memberLease = std::chrono::seconds(3);
+
     ElectionOptions electionOptions(const AuthorityOptions& options)
     {
         ElectionOptions out;
@@ -24,6 +27,7 @@
             if (it != options.instance)
                 out.members.push_back(it);
         }
+        out.memberLease = memberLease;
         return out;
     }
 
@@ -121,7 +125,7 @@
 std::vector<schema::Portion> Authority::portions() const
 {
     std::vector<schema::Portion> out;
-    if (!m_session.leads())
+    if (!m_session.hasGrant())
         return out;
     for (const auto& team : m_config.config().teams())
         out.push_back(toPortion(m_options.dataCentre, team.id(), m_session.cap(team.id())));
--- a/node/authority.h
+++ b/node/authority.h
@@ -61,7 +61,7 @@
 
     const ConfigView& config() const { return m_config; }
 
-    // This data centre's portions; empty while not leading.
+    // This data centre's portions; empty while not leading, and until the first grant.
     std::vector<schema::Portion> portions() const;
     void setNeeds(std::span<const schema::PortionNeed>, Instant now);
 
--- a/node/entry_node.cpp
+++ b/node/entry_node.cpp
@@ -131,8 +131,7 @@
               m_loop.post([this, envelope = std::move(envelope)] { onEnvelope(envelope); });
           })
     , m_http(
-          httpOptions(m_settings),
-          [this](HttpRequest request) { takeHttp(std::move(request)); },
+          httpOptions(m_settings), [this](HttpRequest request) { takeHttp(std::move(request)); },
           [this](uint64_t handle) {
               m_loop.post([this, handle] { m_requests.onCallerGone(handle, m_links.clock.now()); });
           })
@@ -150,7 +149,9 @@
           [this](schema::Envelope it) { sendToState(std::move(it)); },
           { [this](Epoch epoch) { onGained(epoch); }, [this] { onLost(); }, [this] { onConfigChanged(); },
               [this] { refreshPlanes(); },
-              [this](const JobsChanged& it) { m_planes.onJobs(it.jobs, m_links.clock.now()); } })
+              [this](const JobsChanged& it) {
+                  m_planes.onJobs(it.jobs, { it.whole, it.more }, m_links.clock.now());
+              } })
     , m_planes(
           dispatchOptions(m_settings, links.seed), placementOptions(m_settings, links.seed), m_names,
           [this](std::string_view to, const schema::GrantBatch& batch) { send(to, envelopeWith(batch)); },
@@ -177,6 +178,9 @@
 {
     for (const auto& it : m_settings.states())
         m_states.insert(it.id());
+    for (const auto& it : ownMembers(m_settings))
+        m_members.insert(it);
+    m_members.erase(m_settings.instance().id());
 }
 
 EntryNode::~EntryNode() { stop(); }
@@ -210,7 +214,10 @@
             quietSince = m_links.clock.now();
     }
     m_http.stopListening();
-    m_loop.postAlways([this] { m_authority.leave(m_links.clock.now()); });
+    m_loop.postAlways([this] {
+        m_requests.stopStoring();
+        m_authority.leave(m_links.clock.now());
+    });
     std::this_thread::sleep_for(drainCheckEvery);
     m_http.stop();
     m_client.stop();
@@ -243,6 +250,8 @@
     const bool fromState = m_states.contains(envelope.from());
     if (fromState && envelope.body_case() != schema::Envelope::kProposeAnswer)
         m_state.onHeard(envelope.from(), now);
+    if (m_members.contains(envelope.from()))
+        m_planes.onMemberHeard(envelope.from(), now);
     if (m_authority.onEnvelope(envelope, fromState, now))
         return;
     switch (envelope.body_case()) {
--- a/node/entry_node.h
+++ b/node/entry_node.h
@@ -64,6 +64,7 @@
     schema::EntrySettings m_settings;
     ProcessLinks m_links;
     absl::flat_hash_set<std::string> m_states;
+    absl::flat_hash_set<std::string> m_members; // the data centre's other entry instances
     NameTable m_names;
     ControlLoop m_loop;
     PeerNetwork m_network;
--- a/node/leader_planes.cpp
+++ b/node/leader_planes.cpp
@@ -6,6 +6,13 @@
 
 namespace teasel {
 
+namespace {
+
+    // Longer than a change of leaders; a member renews four times a second.
+    constexpr Duration memberSilence = std::chrono::seconds(3);
+
+} // namespace
+
 LeaderPlanes::LeaderPlanes(
     DispatchOptions dispatch, PlacementOptions placement, NameTable& names, SendGrantBatch sendGrants, Propose propose)
     : m_dispatch(std::move(dispatch), names)
@@ -17,6 +24,7 @@
 
 void LeaderPlanes::onGained(Epoch epoch, Instant now)
 {
+    m_heard.clear();
     m_dispatch.onBecameLeader(epoch, now);
     m_placement.onBecameLeader(epoch, now);
 }
@@ -45,7 +53,8 @@
         const auto found = byTeam.find(team.id());
         const auto* portion = found == byTeam.end() ? nullptr : found->second;
         teams.push_back({ team.id(), team.share(), portion == nullptr ? 0 : portion->requests() });
-        taskTeams.push_back({ team.id(), team.share(), portion == nullptr ? schema::Resources() : portion->tasks() });
+        const bool known = portion != nullptr;
+        taskTeams.push_back({ team.id(), team.share(), known ? portion->tasks() : schema::Resources(), known });
     }
     std::vector<ClassPolicy> classes;
     for (const auto& it : config.config().classes())
@@ -61,7 +70,25 @@
     m_placement.onDrains(drains, now);
 }
 
-void LeaderPlanes::onJobs(std::span<const schema::JobRecord> jobs, Instant now) { m_placement.onJobs(jobs, now); }
+void LeaderPlanes::onJobs(std::span<const schema::JobRecord> jobs, JobBatch batch, Instant now)
+{
+    m_placement.onJobs(jobs, now, batch);
+}
+
+void LeaderPlanes::onMemberHeard(std::string_view member, Instant now) { m_heard[std::string(member)] = now; }
+
+void LeaderPlanes::dropSilentMembers(Instant now)
+{
+    std::vector<std::string> silent;
+    for (const auto& [member, heard] : m_heard) {
+        if (now - heard > memberSilence)
+            silent.push_back(member);
+    }
+    for (const auto& it : silent) {
+        m_heard.erase(it);
+        m_dispatch.onHolderLost(it, now);
+    }
+}
 
 void LeaderPlanes::onLoadSummary(const schema::LoadSummary& summary, Instant now)
 {
@@ -112,6 +139,7 @@
 
 void LeaderPlanes::onTick(Instant now)
 {
+    dropSilentMembers(now);
     m_dispatch.onTick(now);
     m_placement.onTick(now);
 }
--- a/node/leader_planes.h
+++ b/node/leader_planes.h
@@ -10,9 +10,12 @@
 #include "placement/placement_leader.h"
 #include "requests/dispatch_leader.h"
 
+#include <absl/container/flat_hash_map.h>
+
 #include <functional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace teasel {
@@ -33,7 +36,10 @@
 
     // Teams with this data centre's portions, classes and drains.
     void onConfig(const ConfigView&, std::span<const schema::Portion>, Instant now);
-    void onJobs(std::span<const schema::JobRecord>, Instant now);
+    void onJobs(std::span<const schema::JobRecord>, JobBatch, Instant now);
+
+    // A message of a member came; one that stays silent loses what it held.
+    void onMemberHeard(std::string_view member, Instant now);
     void onLoadSummary(const schema::LoadSummary&, Instant now);
 
     // What the teams use and would like, for the portions.
@@ -50,9 +56,11 @@
 
 private:
     void carryOutPlacement();
+    void dropSilentMembers(Instant now);
 
     DispatchLeader m_dispatch;
     PlacementLeader m_placement;
+    absl::flat_hash_map<std::string, Instant> m_heard; // members, since leading
     SendGrantBatch m_sendGrants;
     Propose m_propose;
 };
--- a/node/request_gateway.cpp
+++ b/node/request_gateway.cpp
@@ -13,7 +13,7 @@
 namespace {
 
     constexpr Duration proposalLimit = std::chrono::milliseconds(2'000);
-    constexpr Duration finishLimit = std::chrono::seconds(60);
+    constexpr Duration finishLimit = std::chrono::seconds(10);
     constexpr Milliseconds connectLimit { 1'000 };
     constexpr uint64_t longestDeadlineMs = 60'000;
     constexpr size_t longestRequestId = 128;
@@ -179,10 +179,21 @@
         if (!finish.body_left_out())
             finish.set_body(it->second.body);
     }
-    m_links.state.propose(
-        std::move(command), false, finishLimit, now, [](const schema::CommandResult*, const Error*) {});
+    store(std::move(command), now);
 }
 
+void RequestGateway::store(schema::Command command, Instant now)
+{
+    auto again = command;
+    m_links.state.propose(std::move(command), false, finishLimit, now,
+        [this, again = std::move(again)](const schema::CommandResult*, const Error* error) {
+            if (error != nullptr && m_links.clock.now() < m_storesUntil)
+                store(again, m_links.clock.now());
+        });
+}
+
+void RequestGateway::stopStoring() { m_storesUntil = {}; }
+
 void RequestGateway::perform(SendToExecutor& action, Instant now)
 {
     const auto held = m_held.find(action.handle);
--- a/node/request_gateway.h
+++ b/node/request_gateway.h
@@ -46,6 +46,9 @@
     // Carries out what the holder decided.
     void carryOut(Instant now);
 
+    // Outcomes not stored yet are given up; the process ends.
+    void stopStoring();
+
 private:
     struct Held {
         std::shared_ptr<const std::string> body;
@@ -68,6 +71,7 @@
     void perform(RefuseCaller&, Instant);
     void perform(AnswerStored&, Instant);
     void onOutcome(const std::string& attemptKey, HttpOutcome, Instant now);
+    void store(schema::Command, Instant now);
     void forget(uint64_t handle);
 
     RequestGatewayLinks m_links;
@@ -75,6 +79,7 @@
     absl::flat_hash_map<uint64_t, Held> m_held; // by handle
     absl::flat_hash_map<std::string, uint64_t> m_calls; // client call by attempt
     absl::flat_hash_map<std::string, HttpOutcome> m_wholeAnswers; // by attempt, until passed on
+    Instant m_storesUntil = Instant::max();
 };
 
 } // namespace teasel
--- a/standins/executor_main.cpp
+++ b/standins/executor_main.cpp
@@ -22,6 +22,7 @@
 #include <map>
 #include <mutex>
 #include <queue>
+#include <set>
 #include <string>
 #include <thread>
 #include <unistd.h>
@@ -104,6 +105,9 @@
             }
             const std::lock_guard lock(m_mutex);
             it.set_in_flight(m_inFlight);
+            it.set_lists_attempts(true);
+            for (const auto& attempt : m_attempts)
+                it.add_attempts(attempt);
             std::string body;
             static_cast<void>(google::protobuf::util::MessageToJsonString(it, &body));
             return body;
@@ -130,6 +134,7 @@
                 R"({{"request_id":"{}","executor":"{}","body_hash":"{:016x}"}})", id, m_options.name, hash);
             const std::lock_guard lock(m_mutex);
             ++m_runs[id];
+            m_attempts.insert(std::string(request.header("teasel-attempt")));
             if (++m_inFlight > m_options.slots)
                 ++m_overSlots;
             if (m_random.chance(m_options.failRate))
@@ -156,6 +161,7 @@
                 auto due = m_due.top();
                 m_due.pop();
                 --m_inFlight;
+                m_attempts.erase(due.response.headers.front().second);
                 ++m_finished;
                 lock.unlock();
                 m_server.answer(due.handle, std::move(due.response));
@@ -196,6 +202,7 @@
         std::condition_variable m_wake;
         std::priority_queue<Due, std::vector<Due>, std::greater<>> m_due;
         std::map<std::string, uint64_t> m_runs;
+        std::set<std::string> m_attempts; // that run now
         unsigned m_inFlight = 0;
         uint64_t m_overSlots = 0;
         uint64_t m_finished = 0;
--- a/tests/consensus_random_test.cpp
+++ b/tests/consensus_random_test.cpp
@@ -252,7 +252,7 @@
             addTo(sum.work, counters.work);
         } catch (const std::exception& ex) {
             FAIL_CHECK(fmt::format(
-                "{}\n    TEASEL_FIRST_SEED={} TEASEL_SEEDS=1 build/consensus_random_test", ex.what(), seed));
+                "{}\n    TEASEL_FIRST_SEED={} TEASEL_SEEDS=1 setarch -R build/consensus_random_test", ex.what(), seed));
         }
     }
     setInvariantHandler({});
--- a/tests/fleet_random_test.cpp
+++ b/tests/fleet_random_test.cpp
@@ -364,7 +364,7 @@
         }
         failures += seen.empty() ? 0 : 1;
         if (!seen.empty() && failures <= 5)
-            FAIL_CHECK("TEASEL_SEEDS=1 TEASEL_FIRST_SEED=" << seed << " build/fleet_random_test: " << seen);
+            FAIL_CHECK("TEASEL_SEEDS=1 TEASEL_FIRST_SEED=" << seed << " setarch -R build/fleet_random_test: " << seen);
     }
     setInvariantHandler(std::move(former));
     CHECK(failures == 0);
--- a/tests/leadership_test.cpp
+++ b/tests/leadership_test.cpp
@@ -237,7 +237,7 @@
     uint64_t faults = 0;
     uint64_t elected = 0;
     for (uint64_t seed = first; seed < first + count; ++seed) {
-        INFO("TEASEL_FIRST_SEED=" << seed << " TEASEL_SEEDS=1 leadership_test -tc='seeded runs*'");
+        INFO("TEASEL_FIRST_SEED=" << seed << " TEASEL_SEEDS=1 setarch -R build/leadership_test -tc='seeded runs*'");
         Random random(seed);
         Trial trial(2 + seed % 2, seed);
         for (int round = 0; round < 25; ++round) {
--- a/tests/placement_random_test.cpp
+++ b/tests/placement_random_test.cpp
@@ -631,8 +631,8 @@
             failure = it.what();
         }
         if (!failure.empty())
-            FAIL_CHECK(
-                fmt::format("TEASEL_FIRST_SEED={} TEASEL_SEEDS=1 build/placement_random_test\n{}", seed, failure));
+            FAIL_CHECK(fmt::format(
+                "TEASEL_FIRST_SEED={} TEASEL_SEEDS=1 setarch -R build/placement_random_test\n{}", seed, failure));
     }
     setInvariantHandler(former);
     for (const auto& [what, n] : summary.counts)
--- a/tests/process/workers_test.py
+++ b/tests/process/workers_test.py
@@ -18,7 +18,10 @@
         jobs.append(answer["job_id"])
 
     def view(job):
-        return fleet.call("dc2-e1", "GET", f"/v1/jobs/{job}", key=key)[1]["jobs"][0]
+        status, answer, _ = fleet.call("dc2-e1", "GET", f"/v1/jobs/{job}", key=key)
+        if status != 200:  # the data centre has no leader for a while
+            raise ValueError(answer)
+        return answer["jobs"][0]
 
     fleet.wait_until(lambda: any(view(it)["running"] for it in jobs), 40, "tasks to run")
     fleet.processes["w1"].signal(signal.SIGSTOP)
--- a/tests/requests_random_test.cpp
+++ b/tests/requests_random_test.cpp
@@ -538,7 +538,7 @@
             World(seed, counts).run();
         } catch (const std::exception& it) {
             ++failed;
-            MESSAGE("TEASEL_FIRST_SEED=" << seed << " TEASEL_SEEDS=1 build/requests_random_test  # "
+            MESSAGE("TEASEL_FIRST_SEED=" << seed << " TEASEL_SEEDS=1 setarch -R build/requests_random_test  # "
                                          << std::string(it.what()));
         }
     }
