--- a/standins/worker_main.cpp
+++ b/standins/worker_main.cpp
@@ -22,6 +22,7 @@
 namespace {
 
     std::atomic<bool> endRequested = false;
+    constexpr Milliseconds longestGap { 500 }; // between checks, unless the process was stopped
 
     struct WorkerOptions {
         WorkerAgentOptions agent;
@@ -60,8 +61,7 @@
             while (!endRequested) {
                 std::this_thread::sleep_for(Milliseconds(10));
                 const std::lock_guard lock(m_mutex);
-                m_agent.onTick(m_clock.now());
-                carryOut();
+                checkLease();
                 endDue();
             }
             m_announcer.stop();
@@ -78,9 +78,22 @@
             Instant start;
         };
 
+        // Comes before anything else on every thread. While the process was
+        // stopped none of its tasks ran, so ends found on waking date from then.
+        void checkLease()
+        {
+            const auto now = m_clock.now();
+            m_stoppedSince = now - m_lastCheck > longestGap ? m_lastCheck : Instant {};
+            m_agent.onTick(now);
+            carryOut();
+            m_stoppedSince = {};
+            m_lastCheck = now;
+        }
+
         std::string report()
         {
             const std::lock_guard lock(m_mutex);
+            checkLease();
             const auto now = m_clock.now();
             for (const auto& [name, it] : m_running) {
                 const auto ran = std::chrono::duration_cast<Milliseconds>(now - it.start).count();
@@ -97,6 +110,7 @@
             if (!google::protobuf::util::JsonStringToMessage(body, &orders).ok())
                 return;
             const std::lock_guard lock(m_mutex);
+            checkLease();
             m_agent.onOrders(orders, sentAt, m_clock.now());
             carryOut();
         }
@@ -120,8 +134,9 @@
         {
             if (m_journal == nullptr)
                 return;
-            fmt::print(m_journal, "{} {} {} {}\n", m_clock.now().time_since_epoch().count(), what, m_options.agent.name,
-                nameOf(key));
+            const auto at = m_stoppedSince == Instant {} ? m_clock.now() : m_stoppedSince;
+            fmt::print(
+                m_journal, "{} {} {} {}\n", at.time_since_epoch().count(), what, m_options.agent.name, nameOf(key));
             std::fflush(m_journal);
         }
 
@@ -166,6 +181,8 @@
         WorkerAgent m_agent;
         std::map<std::string, Running> m_running;
         std::FILE* m_journal = nullptr;
+        Instant m_lastCheck = SystemClock().now();
+        Instant m_stoppedSince {}; // while ends are noted that a stop of the process delayed
         Announcer m_announcer;
     };
 
