Keep ended jobs for an hour at the data centre's leader

Cause: the demo's 60 s run: a gang and a batch job 'did not reach their phase' though the workers' journals show every task done 3 s after the start; the leader forgot ended jobs after 60 s, and asking for them gave not_found. Ruled out: placement (all tasks done once); portions; the kills on the way (the leaders of both data centres never changed).

--- a/placement/job_intake.cpp
+++ b/placement/job_intake.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    constexpr Milliseconds closedJobRetention { 60'000 };
+    constexpr Milliseconds closedJobRetention { 3'600'000 };
 
 } // namespace
 
