--- /dev/null
+++ b/jobs/advice_book.cpp
@@ -0,0 +1,155 @@
+#include "jobs/advice_book.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace teasel {
+
+namespace {
+
+    constexpr Milliseconds callSlack { 1'200 }; // of a call's timeout beyond its cost: lost packets and a slow instance
+    constexpr Milliseconds longestBacklog { 1'500 }; // more would make the caller's tickets stale
+    constexpr Milliseconds ticketMargin { 150 }; // a start must arrive while the ticket is valid
+    constexpr double firstShare = 0.5; // until there are answers
+    constexpr double shareWeight = 20; // executors asked that the first guess counts for
+
+} // namespace
+
+void AdviceBook::setInstances(std::vector<std::string> instances)
+{
+    absl::btree_map<std::string, Instant> next;
+    for (auto& it : instances) {
+        const auto known = m_busyUntil.find(it);
+        next.emplace(std::move(it), known == m_busyUntil.end() ? Instant() : known->second);
+    }
+    m_busyUntil = std::move(next);
+}
+
+std::string_view AdviceBook::ticketFor(const StepKey& step, uint32_t executor, Instant now) const
+{
+    const auto it = m_steps.find(step);
+    if (it == m_steps.end())
+        return {};
+    const auto ticket = it->second.granted.find(executor);
+    if (ticket == it->second.granted.end() || ticket->second.validUntil <= now)
+        return {};
+    return ticket->second.text;
+}
+
+bool AdviceBook::isGranted(const StepKey& step, uint32_t executor) const
+{
+    const auto it = m_steps.find(step);
+    return it != m_steps.end() && it->second.granted.contains(executor);
+}
+
+bool AdviceBook::wasAsked(const StepKey& step, uint32_t executor) const
+{
+    const auto it = m_steps.find(step);
+    return it != m_steps.end() && it->second.asked.contains(executor);
+}
+
+bool AdviceBook::isAsking(const StepKey& step) const
+{
+    const auto it = m_steps.find(step);
+    return it != m_steps.end() && it->second.open > 0;
+}
+
+std::optional<AdviceBook::Ask> AdviceBook::begin(
+    const StepKey& step, std::vector<uint32_t> executors, Milliseconds cost, Instant now)
+{
+    const auto least = std::min_element(m_busyUntil.begin(), m_busyUntil.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; });
+    if (least == m_busyUntil.end() || least->second > now + longestBacklog)
+        return std::nullopt;
+    const auto starts = std::max(now, least->second);
+    least->second = starts + cost;
+    Call call { step, std::move(executors), least->first, cost, now, starts + cost + callSlack };
+    ++m_steps[step].open;
+    const Ask ask { ++m_lastNumber, call.instance, std::chrono::duration_cast<Milliseconds>(call.endsBy - now) };
+    m_calls.emplace(ask.number, std::move(call));
+    return ask;
+}
+
+void AdviceBook::end(uint64_t number, bool answered,
+    std::span<const std::pair<uint32_t, std::string>> granted, Milliseconds valid, Instant now)
+{
+    const auto found = m_calls.find(number);
+    if (found == m_calls.end())
+        return;
+    const auto call = std::move(found->second);
+    m_calls.erase(found);
+    release(call, now);
+    const auto step = m_steps.find(call.step);
+    if (step == m_steps.end())
+        return;
+    if (answered) {
+        step->second.asked.insert(call.executors.begin(), call.executors.end());
+        for (const auto& [executor, ticket] : granted)
+            step->second.granted[executor] = { ticket, now + valid - ticketMargin };
+    }
+}
+
+std::optional<StepKey> AdviceBook::stepOf(uint64_t number) const
+{
+    const auto it = m_calls.find(number);
+    return it == m_calls.end() ? std::nullopt : std::optional(it->second.step);
+}
+
+size_t AdviceBook::askedIn(uint64_t number) const
+{
+    const auto it = m_calls.find(number);
+    return it == m_calls.end() ? 0 : it->second.executors.size();
+}
+
+void AdviceBook::release(const Call& call, Instant now)
+{
+    if (const auto step = m_steps.find(call.step); step != m_steps.end())
+        --step->second.open;
+    // Corrects the estimate: without other calls open there, the instance is free.
+    const bool isAlone = std::none_of(
+        m_calls.begin(), m_calls.end(), [&](const auto& it) { return it.second.instance == call.instance; });
+    const auto instance = m_busyUntil.find(call.instance);
+    if (isAlone && instance != m_busyUntil.end())
+        instance->second = std::min(instance->second, now);
+}
+
+void AdviceBook::expire(Instant now)
+{
+    for (auto it = m_calls.begin(); it != m_calls.end();) {
+        if (it->second.endsBy > now) {
+            ++it;
+            continue;
+        }
+        const auto call = std::move(it->second);
+        it = m_calls.erase(it);
+        release(call, now);
+        // An instance that did not answer is avoided for a while.
+        if (const auto instance = m_busyUntil.find(call.instance); instance != m_busyUntil.end())
+            instance->second = now + longestBacklog;
+    }
+}
+
+void AdviceBook::forgetJob(uint64_t job)
+{
+    const auto first = m_steps.lower_bound({ job, 0, 0 });
+    auto last = first;
+    while (last != m_steps.end() && last->first.job == job)
+        ++last;
+    m_steps.erase(first, last);
+}
+
+double AdviceBook::grantedShare(std::string_view queue) const
+{
+    const auto it = m_shares.find(queue);
+    const auto share = it == m_shares.end() ? Share {} : it->second;
+    return (share.granted + firstShare * shareWeight) / (share.asked + shareWeight);
+}
+
+void AdviceBook::countAnswer(std::string_view queue, size_t asked, size_t granted)
+{
+    auto& share = m_shares[std::string(queue)];
+    share.asked += static_cast<double>(asked);
+    share.granted += static_cast<double>(granted);
+}
+
+} // namespace teasel
--- /dev/null
+++ b/jobs/advice_book.h
@@ -0,0 +1,92 @@
+// Which executors the advising service lets run a step, and the tickets that
+// prove it. What was granted does not change; tickets run out.
+#pragma once
+
+#include "core/clock.h"
+#include "jobs/task_key.h"
+
+#include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
+
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace teasel {
+
+class AdviceBook {
+public:
+    struct Ask {
+        uint64_t number = 0;
+        std::string instance;
+        Milliseconds timeout { 0 };
+    };
+
+    // The instances that calls can be spread over.
+    void setInstances(std::vector<std::string> instances);
+
+    // The ticket for a step on an executor; empty if there is none that is still valid.
+    std::string_view ticketFor(const StepKey&, uint32_t executor, Instant now) const;
+
+    bool isGranted(const StepKey&, uint32_t executor) const;
+    bool wasAsked(const StepKey&, uint32_t executor) const;
+    bool isAsking(const StepKey&) const;
+
+    // Begins a call about a step. `cost` is the time that the service needs for it.
+    // Nothing when no instance is free of a backlog.
+    std::optional<Ask> begin(const StepKey&, std::vector<uint32_t> executors, Milliseconds cost, Instant now);
+
+    // Ends a call: the granted executors with their tickets, or nothing when it failed.
+    void end(uint64_t number, bool answered,
+        std::span<const std::pair<uint32_t, std::string>> granted, Milliseconds valid, Instant now);
+
+    // The step that an open call is about, and how many executors it names.
+    std::optional<StepKey> stepOf(uint64_t number) const;
+    size_t askedIn(uint64_t number) const;
+
+    // Gives up calls whose time is over.
+    void expire(Instant now);
+
+    void forgetJob(uint64_t job);
+
+    // The share of executors that were granted, of those asked for steps of one queue.
+    double grantedShare(std::string_view queue) const;
+    void countAnswer(std::string_view queue, size_t asked, size_t granted);
+
+    size_t callsOpen() const { return m_calls.size(); }
+
+private:
+    struct Ticket {
+        std::string text;
+        Instant validUntil {};
+    };
+    struct StepAdvice {
+        absl::btree_map<uint32_t, Ticket> granted;
+        absl::btree_set<uint32_t> asked;
+        unsigned open = 0;
+    };
+    struct Call {
+        StepKey step;
+        std::vector<uint32_t> executors;
+        std::string instance;
+        Milliseconds cost { 0 };
+        Instant began {};
+        Instant endsBy {};
+    };
+    struct Share {
+        double asked = 0;
+        double granted = 0;
+    };
+
+    void release(const Call&, Instant now);
+
+    uint64_t m_lastNumber = 0;
+    absl::btree_map<StepKey, StepAdvice> m_steps;
+    absl::btree_map<uint64_t, Call> m_calls;
+    absl::btree_map<std::string, Instant> m_busyUntil; // by instance
+    absl::btree_map<std::string, Share, std::less<>> m_shares; // by queue
+};
+
+} // namespace teasel
--- /dev/null
+++ b/jobs/job_calls.cpp
@@ -0,0 +1,359 @@
+// JobLeader: what callers, operators and executors ask for.
+#include "jobs/job_leader.h"
+
+#include <algorithm>
+
+namespace teasel {
+
+namespace {
+
+    constexpr Milliseconds retryWhenUnavailable { 1'000 };
+
+    CallAnswer notAllowed(CallStatus status, std::string reason) { return { status, std::move(reason) }; }
+
+    std::string millis(double it) { return std::to_string(static_cast<int64_t>(it)); }
+
+} // namespace
+
+void JobLeader::onCall(uint64_t handle, JobCall call, Instant now, WallTime wall)
+{
+    m_now = now;
+    m_wall = wall;
+    if (!isLeading()) {
+        answer(handle, { CallStatus::Unavailable, "this instance does not lead", retryWhenUnavailable });
+        return;
+    }
+    std::visit([&](auto& it) { take(handle, it); }, call);
+}
+
+// ---- Who may call what ---------------------------------------------------
+
+const schema::JobQueue* JobLeader::findQueue(std::string_view host, std::string_view path) const
+{
+    const schema::JobQueue* best = nullptr;
+    for (const auto& it : m_state.configuration().queues()) {
+        if (it.host() == host && path.starts_with(it.path_prefix())
+            && (best == nullptr || it.path_prefix().size() > best->path_prefix().size()))
+            best = &it;
+    }
+    return best;
+}
+
+std::variant<std::string, CallAnswer> JobLeader::authorize(const schema::JobQueue& queue, std::string_view key) const
+{
+    for (const auto& team : m_state.configuration().teams()) {
+        if (!key.empty() && std::find(team.keys().begin(), team.keys().end(), key) != team.keys().end())
+            return team.name();
+    }
+    if (queue.open())
+        return std::string();
+    return notAllowed(CallStatus::Unauthenticated, "the key is not known");
+}
+
+std::variant<const schema::JobQueue*, CallAnswer> JobLeader::admitCall(
+    std::string_view host, std::string_view path, std::string_view key, std::string* team) const
+{
+    if (m_state.configuration().version() == 0)
+        return CallAnswer { CallStatus::Unavailable, "there is no configuration yet", retryWhenUnavailable };
+    const auto* queue = findQueue(host, path);
+    if (queue == nullptr)
+        return notAllowed(CallStatus::NoQueue, "no queue has this host and path");
+    auto allowed = authorize(*queue, key);
+    if (auto* refusal = std::get_if<CallAnswer>(&allowed))
+        return std::move(*refusal);
+    if (team != nullptr)
+        *team = std::get<std::string>(allowed);
+    return queue;
+}
+
+// ---- Jobs ----------------------------------------------------------------
+
+std::optional<CallAnswer> JobLeader::checkRequest(
+    const schema::JobRequest& request) const
+{
+    const auto bad = [](std::string reason) { return CallAnswer { CallStatus::BadRequest, std::move(reason) }; };
+    if (request.steps().empty() || static_cast<size_t>(request.steps_size()) > m_options.maxSteps)
+        return bad("a job has 1 to " + std::to_string(m_options.maxSteps) + " steps");
+    if (request.payload().size() > m_options.maxPayloadBytes)
+        return bad("the payload is longer than " + std::to_string(m_options.maxPayloadBytes) + " bytes");
+    uint64_t tasks = 0;
+    for (int n = 0; n < request.steps_size(); ++n) {
+        const auto& step = request.steps(n);
+        tasks += step.count();
+        if (step.count() == 0 || tasks > m_options.maxTasks)
+            return bad("a job has 1 to " + std::to_string(m_options.maxTasks) + " tasks, and each step at least one");
+        for (const auto before : step.depends_on()) {
+            if (before >= static_cast<uint32_t>(n))
+                return bad("step " + std::to_string(n) + " depends on a step that is not before it");
+        }
+    }
+    return std::nullopt;
+}
+
+bool JobLeader::canEverRun(const schema::JobRequest& request, const schema::JobQueue& queue) const
+{
+    bool hasExecutors = false;
+    for (const auto& step : request.steps()) {
+        const auto need = needOf(step);
+        bool fits = false;
+        for (const auto& [number, it] : m_state.executors()) {
+            if (it.record.service() != queue.service())
+                continue;
+            hasExecutors = true;
+            const auto& labels = it.record.labels();
+            const bool hasLabel = step.required_label().empty()
+                || std::find(labels.begin(), labels.end(), step.required_label()) != labels.end();
+            fits = fits || (hasLabel && need.fitsIn(it.capacity));
+        }
+        if (hasExecutors && !fits)
+            return false;
+    }
+    return true;
+}
+
+JobDemand JobLeader::demandOf(const schema::JobRequest& request, const schema::JobQueue& queue) const
+{
+    JobDemand demand;
+    demand.team = request.team();
+    demand.priority = queue.priority();
+    for (const auto& step : request.steps())
+        demand.coreMs += static_cast<double>(step.count()) * expectedMs(request, step)
+            * static_cast<double>(step.need().milli_cpus()) / 1'000;
+    const double chain = chainFrom(request, 0);
+    demand.slackMs = (queue.slack_factor() - 1) * chain + static_cast<double>(queue.target_latency_ms());
+    return demand;
+}
+
+FleetLoad JobLeader::loadBefore(Instant latestStart) const
+{
+    FleetLoad load;
+    for (const auto& [number, it] : m_executors) {
+        const auto* state = recordOf(number);
+        if (state != nullptr && isUsable(it))
+            load.cores += static_cast<double>(state->capacity.amounts[0]) / 1'000;
+        for (const auto& [key, run] : it.runs) {
+            const auto step = m_ready.find(key.step);
+            if (step == m_ready.end())
+                continue;
+            const double ranMs = std::chrono::duration<double, std::milli>(m_now - run.startedAt).count();
+            load.runningCoreMs
+                += std::max(0.0, step->second.taskMs - ranMs) * static_cast<double>(run.need.amounts[0]) / 1'000;
+        }
+    }
+    for (const auto& [key, it] : m_ready) {
+        if (it.latestStart <= latestStart && !it.lasting)
+            load.waitingCoreMs += static_cast<double>(it.waiting.size()) * it.taskMs
+                * static_cast<double>(it.need.amounts[0]) / 1'000;
+    }
+    return load;
+}
+
+void JobLeader::take(uint64_t handle, SubmitJob& call)
+{
+    std::string team;
+    auto admitted = admitCall(call.host, call.path, call.key, &team);
+    if (auto* refusal = std::get_if<CallAnswer>(&admitted))
+        return answer(handle, std::move(*refusal));
+    const auto& queue = *std::get<const schema::JobQueue*>(admitted);
+    if (const auto* error = std::get_if<Error>(&call.request))
+        return answer(handle, { CallStatus::BadRequest, error->message });
+    auto& request = std::get<schema::JobRequest>(call.request);
+    const auto id = request.id();
+    if (m_state.find(id) != nullptr) // A resend: the job is one, and it is stored.
+        return answer(handle, { CallStatus::Accepted, {} });
+    if (m_accepting.contains(id)) {
+        m_acceptWaiters[id].push_back(handle);
+        return;
+    }
+    if (auto refusal = checkRequest(request))
+        return answer(handle, std::move(*refusal));
+    if (!canEverRun(request, queue)) {
+        log("job_rejected", { { "job", jobIdText(id) }, { "reason", "no executor is large enough or has the label" } });
+        return answer(handle, { CallStatus::BadRequest, "no executor is large enough or has the label" });
+    }
+    request.set_queue(JobState::queueKey(queue));
+    request.set_team(team);
+    request.set_accepted_at_ms(static_cast<uint64_t>(m_wall.time_since_epoch().count()));
+    request.set_occurrences(std::max(1U, request.occurrences()));
+    const auto demand = demandOf(request, queue);
+    const auto load = loadBefore(m_now + Duration(static_cast<int64_t>(demand.slackMs * 1'000)));
+    const auto verdict = m_admission.decide(demand, load, m_now);
+    log(verdict.isAccepted ? "job_accepted" : "job_refused",
+        { { "job", jobIdText(id) }, { "queue", request.queue() }, { "team", team },
+            { "configuration", std::to_string(m_state.configuration().version()) },
+            { "expected_wait_ms", millis(verdict.waitMs) }, { "slack_ms", millis(demand.slackMs) },
+            { "waiting_core_ms", millis(load.waitingCoreMs) }, { "cores", millis(load.cores) },
+            { "retry_after_ms", std::to_string(verdict.retryAfter.count()) } });
+    if (!verdict.isAccepted) {
+        ++m_counters.refused;
+        return answer(handle,
+            { CallStatus::Refused, "the job could not end in time; it has not been accepted", verdict.retryAfter });
+    }
+    ++m_counters.accepted;
+    m_accepting.insert(id);
+    *change().mutable_accepted() = std::move(request);
+    m_batchContinuations.emplace_back(AcceptedWhenCommitted { id });
+    m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, { CallStatus::Accepted, {} } });
+}
+
+void JobLeader::take(uint64_t handle, QueryJob& call)
+{
+    auto admitted = admitCall(call.host, call.path, call.key, nullptr);
+    if (auto* refusal = std::get_if<CallAnswer>(&admitted))
+        return answer(handle, std::move(*refusal));
+    const auto* job = m_state.find(call.job);
+    if (job == nullptr)
+        return answer(handle, { CallStatus::NoJob, "there is no such job" });
+    CallAnswer reply;
+    reply.phase = job->phase;
+    answer(handle, std::move(reply));
+}
+
+void JobLeader::take(uint64_t handle, CancelJob& call)
+{
+    auto admitted = admitCall(call.host, call.path, call.key, nullptr);
+    if (auto* refusal = std::get_if<CallAnswer>(&admitted))
+        return answer(handle, std::move(*refusal));
+    const auto* job = m_state.find(call.job);
+    if (job == nullptr && !m_accepting.contains(call.job))
+        return answer(handle, { CallStatus::NoJob, "there is no such job" });
+    if (job != nullptr && job->hasEnded())
+        return answer(handle, {});
+    log("job_cancelled", { { "job", jobIdText(call.job) } });
+    change().set_cancelled(call.job);
+    m_batchContinuations.emplace_back(JobStoppedWhenCommitted { call.job });
+    m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
+}
+
+void JobLeader::take(uint64_t handle, QueryQueue& call)
+{
+    auto admitted = admitCall(call.host, call.path, call.key, nullptr);
+    if (auto* refusal = std::get_if<CallAnswer>(&admitted))
+        return answer(handle, std::move(*refusal));
+    const auto key = JobState::queueKey(*std::get<const schema::JobQueue*>(admitted));
+    CallAnswer reply;
+    for (const auto& [id, job] : m_state.jobs())
+        reply.pending += job.phase == JobPhase::Queued && job.request.queue() == key ? 1 : 0;
+    answer(handle, std::move(reply));
+}
+
+// ---- Configuration -------------------------------------------------------
+
+void JobLeader::take(uint64_t handle, PutConfiguration& call)
+{
+    auto& next = call.configuration;
+    const auto& current = m_proposedConfiguration;
+    if (next.version() == current.version() && next.document() != current.document()) {
+        log("configuration_refused",
+            { { "version", std::to_string(next.version()) }, { "reason", "other content under the version in force" } });
+        return answer(handle, { CallStatus::Conflict, "this version is in force with other content" });
+    }
+    if (next.version() <= current.version()) {
+        m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
+        return;
+    }
+    log("configuration_proposed",
+        { { "version", std::to_string(next.version()) }, { "in_force", std::to_string(current.version()) },
+            { "queues", std::to_string(next.queues_size()) }, { "teams", std::to_string(next.teams_size()) } });
+    m_batchContinuations.emplace_back(ConfigurationWhenCommitted { handle });
+    m_proposedConfiguration = next;
+    *change().mutable_configuration() = std::move(next);
+}
+
+void JobLeader::carryOut(ConfigurationWhenCommitted& it)
+{
+    absl::btree_map<std::string, double> weights;
+    for (const auto& team : m_state.configuration().teams())
+        weights[team.name()] = team.weight();
+    m_admission.setWeights(std::move(weights));
+    log("configuration_in_force", { { "version", std::to_string(m_state.configuration().version()) } });
+    answer(it.handle, {});
+}
+
+void JobLeader::take(uint64_t handle, GetConfiguration&)
+{
+    if (m_state.configuration().version() == 0)
+        return answer(handle, { CallStatus::Unavailable, "there is no configuration yet", retryWhenUnavailable });
+    CallAnswer reply;
+    reply.document = m_state.configuration().document();
+    answer(handle, std::move(reply));
+}
+
+// ---- Executors -----------------------------------------------------------
+
+void JobLeader::take(uint64_t handle, ExecutorAnnouncement& call)
+{
+    auto& record = call.record;
+    LiveExecutor* known = nullptr;
+    for (auto& [number, it] : m_executors) {
+        const auto* state = recordOf(number);
+        if (state == nullptr)
+            continue;
+        const bool isSameId = state->record.id() == record.id();
+        const bool isSamePlace = state->record.address() == record.address();
+        if (!isSameId && !isSamePlace)
+            continue;
+        if (state->record.born_ms() > record.born_ms() || (isSameId && state->record.born_ms() == record.born_ms()
+                && call.sequence <= it.lastSequence)) {
+            // Delayed on its way: a later announcement or incarnation is known.
+            return answer(handle, {});
+        }
+        if (isSameId && state->record.born_ms() == record.born_ms())
+            known = &it;
+    }
+    if (const auto it = m_announcing.find(record.id()); known == nullptr && it != m_announcing.end()
+        && it->second >= record.born_ms())
+        return answer(handle, {});
+    if (known != nullptr && recordOf(known->number)->record.address() == record.address()) {
+        known->lastSequence = call.sequence;
+        known->lastAnnounced = m_now;
+        if (record.draining())
+            known->drainedBy = m_now + Milliseconds(static_cast<int64_t>(call.leavesInMs));
+        if (record.draining() == recordOf(known->number)->record.draining())
+            return answer(handle, {});
+        known->isDraining = known->isDraining || record.draining();
+        record.set_number(known->number);
+        log("executor_draining",
+            { { "executor", record.id() }, { "leaves_in_ms", std::to_string(call.leavesInMs) },
+                { "runs", std::to_string(known->runs.size()) } });
+        *change().mutable_executor() = std::move(record);
+        m_batchContinuations.emplace_back(ExecutorWhenCommitted { known->number });
+        m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
+        return;
+    }
+    // A new incarnation ends those that had its id or address before.
+    std::vector<uint32_t> replaced;
+    for (const auto& [number, it] : m_executors) {
+        const auto* state = recordOf(number);
+        if (state != nullptr && (state->record.id() == record.id() || state->record.address() == record.address()))
+            replaced.push_back(number);
+    }
+    for (const auto number : replaced)
+        replaceIncarnation(number, "a new incarnation announced itself");
+    record.set_number(++m_lastExecutor);
+    m_announcing[record.id()] = record.born_ms();
+    log("executor_registered",
+        { { "executor", record.id() }, { "number", std::to_string(record.number()) },
+            { "born", std::to_string(record.born_ms()) }, { "address", record.address() },
+            { "capacity", describe(toVector(record.capacity())) } });
+    m_batchContinuations.emplace_back(ExecutorWhenCommitted { record.number() });
+    m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
+    *change().mutable_executor() = std::move(record);
+}
+
+void JobLeader::take(uint64_t handle, ExecutorLeaves& call)
+{
+    for (const auto& [number, it] : m_executors) {
+        const auto* state = recordOf(number);
+        if (state == nullptr || state->record.id() != call.id)
+            continue;
+        if (call.bornMs != 0 && call.bornMs != state->record.born_ms())
+            continue;
+        replaceIncarnation(number, "left");
+        m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
+        return;
+    }
+    answer(handle, {});
+}
+
+} // namespace teasel
--- /dev/null
+++ b/jobs/job_executors.cpp
@@ -0,0 +1,497 @@
+// JobLeader: leases, holds, ends and stops of runs on executors.
+#include "jobs/job_leader.h"
+
+#include <algorithm>
+
+namespace teasel {
+
+namespace {
+
+    constexpr Milliseconds listingSlack { 60 }; // between the end of a run and its listing
+    constexpr Milliseconds evacuateBefore { 700 }; // the stop, its listing and the new start still fit
+    constexpr double hungFactor = 3.0; // a run that takes this many times what was expected is placed again
+    constexpr Milliseconds hungLeast { 2'500 }; // and at least this much longer
+    constexpr double slownessWeight = 0.2; // of the newest run
+    constexpr double mostSlowness = 8.0;
+    constexpr unsigned mostQuarantineDoublings = 2;
+
+    std::string millis(Duration it) { return std::to_string(std::chrono::duration_cast<Milliseconds>(it).count()); }
+
+} // namespace
+
+LiveExecutor* JobLeader::findExecutor(uint32_t number)
+{
+    const auto it = m_executors.find(number);
+    return it == m_executors.end() ? nullptr : &it->second;
+}
+
+const ExecutorState* JobLeader::recordOf(uint32_t number) const
+{
+    const auto it = m_state.executors().find(number);
+    return it == m_state.executors().end() ? nullptr : &it->second;
+}
+
+void JobLeader::adoptExecutor(const ExecutorState& state)
+{
+    auto& executor = m_executors[state.record.number()];
+    executor.number = state.record.number();
+    executor.isDraining = state.record.draining();
+    executor.lastAnnounced = m_now;
+    executor.nextHold = m_now;
+    for (const auto& [key, held] : state.assignments) {
+        LiveRun run;
+        run.run = held.run;
+        run.stage = RunStage::Inherited;
+        run.need = held.need;
+        run.assignedAt = run.startedAt = m_now;
+        run.isWhole = false;
+        const auto* job = m_state.find(key.step.job);
+        if (job != nullptr) {
+            run.team = job->request.team();
+            run.queue = job->request.queue();
+        }
+        run.mustStop = job == nullptr || job->hasEnded();
+        reserve(executor, key, std::move(run));
+    }
+}
+
+void JobLeader::reserve(LiveExecutor& executor, const TaskKey& key, LiveRun run)
+{
+    executor.committed += run.need;
+    m_teamUse[run.team] += run.need;
+    executor.runs.insert_or_assign(key, std::move(run));
+}
+
+void JobLeader::releaseRun(LiveExecutor& executor, absl::btree_map<TaskKey, LiveRun>::iterator it)
+{
+    executor.committed -= it->second.need;
+    m_teamUse[it->second.team] -= it->second.need;
+    executor.runs.erase(it);
+    m_mustPlan = true;
+}
+
+bool JobLeader::isUsable(const LiveExecutor& it) const
+{
+    return it.isTakenOver && !it.isDraining && m_now - it.lastAnswer <= m_options.suspectAfter
+        && it.quarantinedUntil <= m_now;
+}
+
+// ---- Orders --------------------------------------------------------------
+
+uint64_t JobLeader::sendOrder(
+    LiveExecutor& executor, OrderUnderWay order, ExecutorOrder body, Milliseconds timeout)
+{
+    const auto* state = recordOf(executor.number);
+    if (state == nullptr)
+        return 0;
+    order.executor = executor.number;
+    order.sentAt = m_now;
+    const auto number = ++m_lastOrder;
+    m_orders.emplace(number, std::move(order));
+    m_actions.emplace_back(SendOrder {
+        number, state->record.address(), state->record.id(), m_fence, timeout, std::move(body) });
+    return number;
+}
+
+void JobLeader::sendHold(LiveExecutor& executor)
+{
+    HoldRuns hold;
+    hold.seenEnds = executor.durableEnds;
+    const bool isNew = !executor.clock.isKnown();
+    const bool isSuspect = m_now - executor.lastAnswer > m_options.suspectAfter;
+    // Without an answer the lease is left to run out, so that its end is known.
+    if (!isNew && !isSuspect) {
+        hold.leaseUntilMs
+            = executor.clock.executorNow(m_now) + static_cast<uint64_t>(m_options.lease.count());
+        executor.clock.onLeaseSent(hold.leaseUntilMs);
+    }
+    hold.wait = isNew || isSuspect ? Milliseconds(0) : m_options.holdWait;
+    ++m_counters.holds;
+    OrderUnderWay order;
+    order.kind = OrderUnderWay::Kind::Hold;
+    order.extends = hold.leaseUntilMs != 0;
+    const auto timeout = hold.wait + m_options.holdSlack;
+    executor.holdSentAt = m_now;
+    executor.holdNumber = sendOrder(executor, std::move(order), std::move(hold), timeout);
+}
+
+void JobLeader::requestStop(LiveExecutor& executor, const TaskKey& key, LiveRun& run)
+{
+    if (run.stage == RunStage::Ending)
+        return;
+    if (std::exchange(run.mustStop, true) || run.stage == RunStage::Committing)
+        return;
+    if (executor.isTakenOver)
+        sendStop(executor, key, run);
+}
+
+void JobLeader::sendStop(LiveExecutor& executor, const TaskKey& key, LiveRun& run)
+{
+    ++m_counters.stops;
+    run.isStopUnderWay = true;
+    run.stopSentAt = m_now;
+    OrderUnderWay order;
+    order.kind = OrderUnderWay::Kind::Stop;
+    order.task = key;
+    order.run = run.run;
+    sendOrder(executor, std::move(order), StopRun { key, run.run }, m_options.orderTimeout);
+}
+
+void JobLeader::onOrderResult(uint64_t number, OrderResult result, Instant now)
+{
+    const auto found = m_orders.find(number);
+    if (found == m_orders.end())
+        return;
+    m_now = now;
+    const auto order = std::move(found->second);
+    m_orders.erase(found);
+    auto* executor = findExecutor(order.executor);
+    const auto* state = recordOf(order.executor);
+    if (executor == nullptr || state == nullptr)
+        return;
+    if (result.end == OrderEnd::OtherIncarnation
+        || (result.bornMs != 0 && state->record.born_ms() != 0 && result.bornMs != state->record.born_ms())) {
+        replaceIncarnation(order.executor, "another_incarnation_answered");
+        return;
+    }
+    if (result.clockMs != 0)
+        executor->clock.onReading(result.clockMs, now);
+    switch (order.kind) {
+    case OrderUnderWay::Kind::Hold:
+        return onHoldResult(*executor, order, result);
+    case OrderUnderWay::Kind::Start:
+        return onStartResult(*executor, order, result);
+    case OrderUnderWay::Kind::Stop:
+        return onStopResult(*executor, order, result);
+    }
+}
+
+void JobLeader::onStartResult(LiveExecutor& executor, const OrderUnderWay& order, const OrderResult& result)
+{
+    const auto it = executor.runs.find(order.task);
+    if (it == executor.runs.end() || it->second.run != order.run || it->second.stage != RunStage::Starting)
+        return;
+    auto& run = it->second;
+    if (result.end == OrderEnd::Done) {
+        run.stage = RunStage::Running;
+        run.startedAt = m_now;
+        return;
+    }
+    const auto* state = recordOf(executor.number);
+    log("start_failed",
+        { { "task", taskText(order.task) }, { "run", std::to_string(order.run) },
+            { "executor", state == nullptr ? "" : state->record.id() },
+            { "end", std::to_string(static_cast<int>(result.end)) }, { "after_ms", millis(m_now - order.sentAt) } });
+    if (result.end == OrderEnd::Unclear) {
+        ++m_counters.unclearStarts;
+        run.stage = RunStage::Unclear;
+        run.unclearSince = m_now;
+        executor.nextHold = m_now;
+        return;
+    }
+    ++m_counters.startsRefused;
+    if (result.end == OrderEnd::Refused)
+        noteFailure(executor, order.task);
+    endRun(executor, order.task, schema::RUN_OUTCOME_NEVER_RAN, {});
+}
+
+void JobLeader::onStopResult(LiveExecutor& executor, const OrderUnderWay& order, const OrderResult& result)
+{
+    const auto it = executor.runs.find(order.task);
+    if (it == executor.runs.end() || it->second.run != order.run)
+        return;
+    it->second.isStopUnderWay = false;
+    if (result.end == OrderEnd::Done) {
+        it->second.stopAnsweredAt = m_now;
+        executor.nextHold = std::min(executor.nextHold, m_now + m_options.stopTime + listingSlack);
+    }
+}
+
+// ---- Holds ---------------------------------------------------------------
+
+void JobLeader::onHoldResult(LiveExecutor& executor, const OrderUnderWay& order, OrderResult& result)
+{
+    executor.holdNumber = 0;
+    if (result.end != OrderEnd::Done) {
+        executor.nextHold = m_now + m_options.holdRetry;
+        return;
+    }
+    const auto* state = recordOf(executor.number);
+    const auto silence = m_now - executor.lastAnswer;
+    if (!std::exchange(executor.isTakenOver, true))
+        log("executor_taken_over",
+            { { "executor", state->record.id() }, { "fence", std::to_string(m_fence) },
+                { "running", std::to_string(result.running.size()) },
+                { "ended", std::to_string(result.ended.size()) },
+                { "assigned", std::to_string(executor.runs.size()) } });
+    else if (silence > m_options.suspectAfter)
+        log("executor_regained", { { "executor", state->record.id() }, { "silent_ms", millis(silence) } });
+    executor.lastAnswer = m_now;
+    executor.nextHold = m_now + m_options.holdPause;
+    if (!order.extends)
+        executor.nextHold = m_now; // begins the lease, or takes it up again
+    takeEnds(executor, result);
+    takeRunning(executor, order, result);
+    settleAbsent(executor, order, result);
+    m_mustPlan = true;
+}
+
+void JobLeader::takeEnds(LiveExecutor& executor, const OrderResult& result)
+{
+    uint64_t newest = executor.listedEnds;
+    for (const auto& it : result.ended) {
+        if (it.number <= executor.listedEnds)
+            continue;
+        newest = std::max(newest, it.number);
+        const auto run = executor.runs.find(it.task);
+        if (run == executor.runs.end() || run->second.run != it.run || run->second.stage == RunStage::Ending)
+            continue;
+        if (it.outcome == schema::RUN_OUTCOME_DONE)
+            noteRunTime(executor, it.task, run->second);
+        else if (it.outcome == schema::RUN_OUTCOME_FAILED)
+            noteFailure(executor, it.task);
+        endRun(executor, it.task, it.outcome, it.checkpoint);
+    }
+    if (newest == executor.listedEnds)
+        return;
+    executor.listedEnds = newest;
+    m_batchContinuations.emplace_back(SeenWhenCommitted { executor.number, newest });
+}
+
+void JobLeader::takeRunning(LiveExecutor& executor, const OrderUnderWay& order, const OrderResult& result)
+{
+    for (const auto& it : result.running) {
+        const auto found = executor.runs.find(it.task);
+        if (found == executor.runs.end() || found->second.run != it.run) {
+            // Not ours any more: its assignment has ended, for example by a late start of a stopped run.
+            if (found != executor.runs.end() && found->second.run > it.run && order.sentAt < found->second.assignedAt)
+                continue;
+            log("stray_run_stopped", { { "task", taskText(it.task) }, { "run", std::to_string(it.run) } });
+            OrderUnderWay stop;
+            stop.kind = OrderUnderWay::Kind::Stop;
+            stop.task = it.task;
+            stop.run = it.run;
+            sendOrder(executor, std::move(stop), StopRun { it.task, it.run }, m_options.orderTimeout);
+            continue;
+        }
+        auto& run = found->second;
+        if (!it.checkpoint.empty())
+            run.checkpoint = it.checkpoint;
+        run.percent = it.percent;
+        if (run.stage == RunStage::Unclear || run.stage == RunStage::Inherited) {
+            if (run.stage == RunStage::Unclear)
+                run.startedAt = run.unclearSince;
+            run.stage = RunStage::Running;
+            if (run.mustStop && !run.isStopUnderWay)
+                sendStop(executor, it.task, run);
+        }
+    }
+}
+
+void JobLeader::settleAbsent(LiveExecutor& executor, const OrderUnderWay& order, const OrderResult& result)
+{
+    if (!result.hasAllEnds)
+        return;
+    absl::btree_set<std::pair<TaskKey, uint32_t>> running;
+    for (const auto& it : result.running)
+        running.emplace(it.task, it.run);
+    std::vector<TaskKey> neverRan;
+    std::vector<TaskKey> lost;
+    for (auto& [key, run] : executor.runs) {
+        if (running.contains({ key, run.run }) || run.stage == RunStage::Ending
+            || run.stage == RunStage::Committing)
+            continue;
+        // A stop that was answered bars the run, and what was running has had time to end.
+        const bool isBarred
+            = run.isStopAnswered() && order.sentAt > run.stopAnsweredAt + m_options.stopTime + listingSlack;
+        if (isBarred || run.stage == RunStage::Inherited)
+            neverRan.push_back(key);
+        else if (run.stage == RunStage::Unclear && order.sentAt > run.unclearSince)
+            requestStop(executor, key, run);
+        else if (run.stage == RunStage::Running && order.sentAt > run.startedAt)
+            lost.push_back(key);
+    }
+    for (const auto& it : neverRan)
+        endRun(executor, it, schema::RUN_OUTCOME_NEVER_RAN, {});
+    for (const auto& it : lost)
+        endRun(executor, it, schema::RUN_OUTCOME_LOST, {});
+}
+
+void JobLeader::endRun(
+    LiveExecutor& executor, const TaskKey& key, schema::RunOutcome outcome, std::string checkpoint)
+{
+    auto& run = executor.runs.at(key);
+    if (checkpoint.empty() && outcome != schema::RUN_OUTCOME_DONE)
+        checkpoint = run.checkpoint;
+    ++m_counters.ends;
+    log("run_ended",
+        { { "task", taskText(key) }, { "run", std::to_string(run.run) },
+            { "executor", recordOf(executor.number) == nullptr ? "" : recordOf(executor.number)->record.id() },
+            { "outcome", schema::RunOutcome_Name(outcome) }, { "ran_ms", millis(m_now - run.startedAt) } });
+    run.stage = RunStage::Ending;
+    executor.committed -= run.need;
+    m_teamUse[run.team] -= run.need;
+    run.need = {};
+    auto& end = *change().mutable_ended();
+    fillRef(key, *end.mutable_task());
+    end.set_run(run.run);
+    end.set_executor(executor.number);
+    end.set_outcome(outcome);
+    end.set_checkpoint(std::move(checkpoint));
+    m_batchContinuations.emplace_back(EndedWhenCommitted { executor.number, key, run.run, outcome });
+    if (outcome == schema::RUN_OUTCOME_DONE)
+        return;
+    const auto* job = m_state.find(key.step.job);
+    if (job != nullptr && !job->hasEnded() && job->request.steps(static_cast<int>(key.step.step)).gang())
+        stopGang(key.step);
+}
+
+void JobLeader::stopGang(const StepKey& key)
+{
+    m_gangs.erase(key);
+    for (auto& [number, executor] : m_executors) {
+        for (auto it = executor.runs.lower_bound({ key, 0 }); it != executor.runs.end() && it->first.step == key; ++it)
+            requestStop(executor, it->first, it->second);
+    }
+}
+
+// ---- Watching ------------------------------------------------------------
+
+void JobLeader::watchExecutor(LiveExecutor& executor)
+{
+    const bool isSilent = m_now - executor.lastAnswer > m_options.suspectAfter;
+    if (isSilent && !executor.runs.empty()) {
+        const auto firstLapse = m_began
+            + std::chrono::duration_cast<Duration>(m_options.maxLease * slowestClockFactor) + lapseSlack;
+        if (m_now >= (executor.isTakenOver ? executor.clock.lapsesAt() : firstLapse))
+            lapse(executor);
+    }
+    const auto lastSign = std::max({ executor.lastAnnounced, executor.lastAnswer, m_began });
+    if (executor.runs.empty() && m_now - lastSign > m_options.forgetExecutorAfter) {
+        replaceIncarnation(executor.number, "silent");
+        return;
+    }
+    if (executor.holdNumber == 0 && m_now >= executor.nextHold)
+        sendHold(executor);
+    if (!executor.isTakenOver)
+        return;
+    for (auto& [key, run] : executor.runs) {
+        const bool isDue = run.mustStop && !run.isStopUnderWay && run.stage != RunStage::Ending
+            && run.stage != RunStage::Committing && m_now - run.stopSentAt > m_options.stopRetry;
+        if (isDue)
+            sendStop(executor, key, run);
+    }
+    if (executor.isDraining)
+        evacuate(executor);
+}
+
+void JobLeader::evacuate(LiveExecutor& executor)
+{
+    if (executor.drainedBy == Instant() || m_now + evacuateBefore < executor.drainedBy)
+        return;
+    for (auto& [key, run] : executor.runs) {
+        const auto* job = m_state.find(key.step.job);
+        if (job != nullptr && !job->hasEnded() && job->request.steps(static_cast<int>(key.step.step)).checkpoints())
+            requestStop(executor, key, run);
+    }
+}
+
+void JobLeader::watchGangs()
+{
+    std::vector<StepKey> broken;
+    for (auto it = m_gangs.begin(); it != m_gangs.end();) {
+        size_t present = 0;
+        for (const auto& [number, executor] : m_executors) {
+            for (auto run = executor.runs.lower_bound({ it->first, 0 });
+                 run != executor.runs.end() && run->first.step == it->first; ++run)
+                present += run->second.stage == RunStage::Running ? 1 : 0;
+        }
+        const auto step = m_ready.find(it->first);
+        if (step == m_ready.end() || present >= step->second.count) {
+            it = m_gangs.erase(it);
+            continue;
+        }
+        if (m_now >= it->second)
+            broken.push_back(it->first);
+        ++it;
+    }
+    for (const auto& it : broken) {
+        log("gang_stopped", { { "step", stepText(it) }, { "reason", "not assembled in time" } });
+        stopGang(it);
+    }
+}
+
+void JobLeader::lapse(LiveExecutor& executor)
+{
+    ++executor.lapses;
+    ++m_counters.lapses;
+    const auto* state = recordOf(executor.number);
+    log("executor_lapsed",
+        { { "executor", state == nullptr ? "" : state->record.id() },
+            { "silent_ms", millis(m_now - executor.lastAnswer) }, { "runs", std::to_string(executor.runs.size()) } });
+    std::vector<TaskKey> keys;
+    for (const auto& [key, run] : executor.runs) {
+        if (run.stage != RunStage::Ending && run.stage != RunStage::Committing)
+            keys.push_back(key);
+    }
+    for (const auto& it : keys)
+        endRun(executor, it, schema::RUN_OUTCOME_LAPSED, {});
+}
+
+void JobLeader::replaceIncarnation(uint32_t number, std::string_view reason)
+{
+    auto* executor = findExecutor(number);
+    const auto* state = recordOf(number);
+    if (executor == nullptr || state == nullptr)
+        return;
+    log("executor_gone",
+        { { "executor", state->record.id() }, { "born", std::to_string(state->record.born_ms()) },
+            { "reason", std::string(reason) }, { "runs", std::to_string(executor->runs.size()) } });
+    std::vector<TaskKey> keys;
+    for (const auto& [key, run] : executor->runs) {
+        if (run.stage != RunStage::Ending)
+            keys.push_back(key);
+    }
+    for (const auto& it : keys)
+        endRun(*executor, it, schema::RUN_OUTCOME_LOST, {});
+    change().set_executor_removed(number);
+    m_batchContinuations.emplace_back(ExecutorWhenCommitted { number });
+    executor->isTakenOver = false;
+    executor->isDraining = true; // Until the removal is in the log.
+    executor->nextHold = Instant::max();
+    absl::erase_if(m_orders, [&](const auto& it) { return it.second.executor == number; });
+}
+
+void JobLeader::noteRunTime(LiveExecutor& executor, const TaskKey& key, const LiveRun& run)
+{
+    executor.failuresInRow = 0;
+    executor.quarantines = 0;
+    const auto* job = m_state.find(key.step.job);
+    if (!run.isWhole || job == nullptr || job->hasEnded())
+        return;
+    const auto& spec = job->request.steps(static_cast<int>(key.step.step));
+    const double took = std::chrono::duration<double, std::milli>(m_now - run.startedAt).count();
+    const double expected = std::max(1.0, expectedMs(job->request, spec));
+    const double ratio = std::min(mostSlowness, std::max(0.3, took / expected));
+    executor.slowness += slownessWeight * (ratio - executor.slowness);
+    m_runTimes.onDone(run.queue, spec.estimate_ms(), took);
+}
+
+void JobLeader::noteFailure(LiveExecutor& executor, const TaskKey& key)
+{
+    if (executor.lastFailedJob != key.step.job || executor.failuresInRow == 0)
+        ++executor.failuresInRow;
+    executor.lastFailedJob = key.step.job;
+    if (executor.failuresInRow < m_options.quarantineFailures)
+        return;
+    const auto time = m_options.quarantineTime * (1U << std::min(executor.quarantines, mostQuarantineDoublings));
+    ++executor.quarantines;
+    executor.failuresInRow = m_options.quarantineFailures - 1; // One more failure after it, and it is back.
+    executor.quarantinedUntil = m_now + time;
+    const auto* state = recordOf(executor.number);
+    log("executor_quarantined",
+        { { "executor", state == nullptr ? "" : state->record.id() }, { "for_ms", std::to_string(time.count()) },
+            { "failures_in_row", std::to_string(m_options.quarantineFailures) } });
+}
+
+} // namespace teasel
--- /dev/null
+++ b/jobs/job_leader.cpp
@@ -0,0 +1,228 @@
+#include "jobs/job_leader.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace teasel {
+
+namespace {
+
+    constexpr Milliseconds planEvery { 10 }; // starts that become possible meanwhile are planned together
+    constexpr Milliseconds planAtLeast { 100 }; // also without news: tickets run out, failures are forgiven
+    constexpr Milliseconds watchEvery { 40 };
+
+} // namespace
+
+JobLeader::JobLeader(JobLeaderOptions options, const JobState& state)
+    : m_options(options)
+    , m_state(state)
+{
+}
+
+void JobLeader::begin(uint64_t fence, Instant now, WallTime wall)
+{
+    end();
+    m_fence = fence;
+    m_began = m_now = now;
+    m_wall = wall;
+    m_lastExecutor = m_state.lastExecutorNumber();
+    m_proposedConfiguration = m_state.configuration();
+    for (const auto& [number, it] : m_state.executors())
+        adoptExecutor(it);
+    for (const auto& [id, job] : m_state.jobs())
+        openSteps(id);
+    absl::btree_map<std::string, double> weights;
+    for (const auto& it : m_state.configuration().teams())
+        weights[it.name()] = it.weight();
+    m_admission.setWeights(std::move(weights));
+    log("leadership_began",
+        { { "fence", std::to_string(fence) }, { "executors", std::to_string(m_executors.size()) },
+            { "jobs", std::to_string(m_state.jobs().size()) }, { "waiting_tasks", std::to_string(waitingTasks()) },
+            { "configuration", std::to_string(m_proposedConfiguration.version()) } });
+}
+
+void JobLeader::end()
+{
+    if (m_fence != 0)
+        log("leadership_ended", { { "fence", std::to_string(m_fence) } });
+    m_fence = 0;
+    m_executors.clear();
+    m_ready.clear();
+    m_gangs.clear();
+    m_teamUse.clear();
+    m_accepting.clear();
+    m_acceptWaiters.clear();
+    m_timedJobs.clear();
+    m_announcing.clear();
+    m_advice = AdviceBook();
+    m_batch.Clear();
+    m_batchContinuations.clear();
+    m_proposed.clear();
+    m_orders.clear();
+    std::erase_if(m_actions, [](const auto& it) {
+        return std::holds_alternative<SendOrder>(it) || std::holds_alternative<ProposeJobs>(it)
+            || std::holds_alternative<AskAdvice>(it);
+    });
+}
+
+void JobLeader::onTick(Instant now, WallTime wall)
+{
+    m_now = now;
+    m_wall = wall;
+    if (!isLeading() || now < m_nextWatch)
+        return;
+    m_nextWatch = now + watchEvery;
+    m_advice.expire(now);
+    openDueOccurrences();
+    std::vector<uint32_t> numbers;
+    for (const auto& [number, it] : m_executors)
+        numbers.push_back(number);
+    for (const auto number : numbers) {
+        if (auto* it = findExecutor(number))
+            watchExecutor(*it);
+    }
+    watchGangs();
+}
+
+void JobLeader::finishBatch(Instant now, WallTime wall)
+{
+    if (!isLeading())
+        return;
+    m_now = now;
+    m_wall = wall;
+    if ((m_mustPlan && now >= m_nextPlan) || now >= m_nextPlan + planAtLeast) {
+        m_mustPlan = false;
+        m_nextPlan = now + planEvery;
+        planStarts();
+    }
+    if (m_batchContinuations.empty() && m_batch.changes().empty())
+        return;
+    if (m_batch.changes().empty() && !m_proposed.empty()) {
+        // What was decided on the state that these proposals lead to waits for them.
+        auto& last = m_proposed.rbegin()->second;
+        std::move(m_batchContinuations.begin(), m_batchContinuations.end(), std::back_inserter(last));
+        m_batchContinuations.clear();
+        return;
+    }
+    if (m_batch.changes().empty()) {
+        auto continuations = std::exchange(m_batchContinuations, {});
+        for (auto& it : continuations)
+            std::visit([this](auto& c) { carryOut(c); }, it);
+        return;
+    }
+    if (m_proposed.size() >= m_options.maxProposalsInFlight)
+        return;
+    m_batch.set_wall_ms(static_cast<uint64_t>(wall.time_since_epoch().count()));
+    const auto ticket = ++m_lastTicket;
+    m_proposed.emplace(ticket, std::exchange(m_batchContinuations, {}));
+    m_actions.emplace_back(ProposeJobs { ticket, std::exchange(m_batch, {}) });
+}
+
+void JobLeader::onCommitted(uint64_t ticket, Instant now)
+{
+    const auto found = m_proposed.find(ticket);
+    if (found == m_proposed.end())
+        return;
+    m_now = now;
+    auto continuations = std::move(found->second);
+    m_proposed.erase(found);
+    for (auto& it : continuations)
+        std::visit([this](auto& c) { carryOut(c); }, it);
+    m_mustPlan = true;
+}
+
+void JobLeader::carryOut(AnswerWhenCommitted& it) { answer(it.handle, std::move(it.answer)); }
+
+void JobLeader::carryOut(LaunchWhenCommitted& it) { launch(it); }
+
+void JobLeader::carryOut(SeenWhenCommitted& it)
+{
+    if (auto* executor = findExecutor(it.executor))
+        executor->durableEnds = std::max(executor->durableEnds, it.ends);
+}
+
+void JobLeader::carryOut(AcceptedWhenCommitted& it)
+{
+    m_accepting.erase(it.job);
+    openSteps(it.job);
+    const auto waiters = m_acceptWaiters.find(it.job);
+    if (waiters == m_acceptWaiters.end())
+        return;
+    for (const auto handle : waiters->second)
+        answer(handle, { CallStatus::Accepted, {} });
+    m_acceptWaiters.erase(waiters);
+}
+
+void JobLeader::carryOut(JobStoppedWhenCommitted& it) { onJobEnded(it.job); }
+
+void JobLeader::carryOut(ExecutorWhenCommitted& it)
+{
+    const auto* state = recordOf(it.number);
+    if (state == nullptr) {
+        m_executors.erase(it.number);
+        return;
+    }
+    m_announcing.erase(state->record.id());
+    if (auto* known = findExecutor(it.number)) {
+        known->isDraining = state->record.draining();
+        return;
+    }
+    adoptExecutor(*state);
+    // A new incarnation holds nothing, so nobody else can have placed on it.
+    auto& executor = m_executors[it.number];
+    executor.lastAnnounced = m_now;
+    sendHold(executor);
+}
+
+void JobLeader::carryOut(EndedWhenCommitted& it)
+{
+    if (auto* executor = findExecutor(it.executor)) {
+        const auto run = executor->runs.find(it.task);
+        if (run != executor->runs.end() && run->second.run == it.run)
+            releaseRun(*executor, run);
+    }
+    const auto* job = m_state.find(it.task.step.job);
+    if (job == nullptr)
+        return;
+    if (job->hasEnded()) {
+        onJobEnded(it.task.step.job);
+        return;
+    }
+    addWaiting(it.task);
+    if (it.outcome == schema::RUN_OUTCOME_DONE)
+        openReadySteps(it.task.step.job, it.task.step.occurrence);
+}
+
+void JobLeader::answer(uint64_t handle, CallAnswer reply)
+{
+    m_actions.emplace_back(AnswerCall { handle, std::move(reply) });
+}
+
+void JobLeader::log(std::string_view event, std::vector<std::pair<std::string_view, std::string>> fields)
+{
+    m_actions.emplace_back(JobLogLine { event, std::move(fields) });
+}
+
+size_t JobLeader::executorsUsable(Instant) const
+{
+    return static_cast<size_t>(std::count_if(
+        m_executors.begin(), m_executors.end(), [&](const auto& it) { return isUsable(it.second); }));
+}
+
+size_t JobLeader::waitingTasks() const
+{
+    size_t n = 0;
+    for (const auto& [key, it] : m_ready)
+        n += it.waiting.size();
+    return n;
+}
+
+size_t JobLeader::runningTasks() const
+{
+    size_t n = 0;
+    for (const auto& [number, it] : m_executors)
+        n += it.runs.size();
+    return n;
+}
+
+} // namespace teasel
--- /dev/null
+++ b/jobs/job_leader_options.h
@@ -0,0 +1,40 @@
+// Times and limits of the job plane's leader.
+#pragma once
+
+#include "core/clock.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace teasel {
+
+struct JobLeaderOptions {
+    Milliseconds maxLease { 6'000 }; // the longest lease that executors grant; from the platform's contract
+    Milliseconds lease { 5'000 }; // asked for; long enough for a change of leaders, short enough to place again soon
+    Milliseconds stopTime { 200 }; // an executor stops a task within this time; from the platform's contract
+    Milliseconds gangWait { 3'000 }; // a member waits this long for the others; from the platform's contract
+    double remoteFactor = 1.5; // how much longer a task takes away from its data; from the platform's contract
+    Milliseconds restoreTime { 100 }; // what resuming from a checkpoint costs; from the platform's contract
+    Milliseconds keepEnded { 150'000 }; // the outcome of a job can be asked for this long
+
+    Milliseconds holdWait { 1'000 }; // an executor delays its answer by at most this, for an end
+    Milliseconds holdPause { 40 }; // between two holds of one executor, so that ends are listed together
+    Milliseconds holdRetry { 150 }; // after a hold that failed
+    Milliseconds orderTimeout { 600 }; // of starts and stops; several round trips between regions
+    Milliseconds holdSlack { 700 }; // a hold's timeout beyond its wait
+    Milliseconds suspectAfter { 2'200 }; // without an answer: no new starts, no more extensions (wait + slack + a retry)
+    Milliseconds stopRetry { 400 }; // between two stops of one run
+    Milliseconds forgetExecutorAfter { 12'000 }; // silent, nothing on it: several announcements were missed
+
+    size_t maxProposalsInFlight = 2; // further changes join the next proposal
+    size_t maxRefusals = 20'000; // refused calls remembered, so that a copy that arrives late is refused, too
+
+    unsigned quarantineFailures = 3; // failed ends in a row, of different jobs
+    Milliseconds quarantineTime { 4'000 }; // doubled each time up to four times
+
+    uint64_t maxTasks = 20'000; // of one job
+    size_t maxSteps = 64;
+    size_t maxPayloadBytes = 4'000; // from the platform's contract
+};
+
+} // namespace teasel
--- /dev/null
+++ b/jobs/job_starts.cpp
@@ -0,0 +1,255 @@
+// JobLeader: which tasks start next, where, and with which ticket.
+#include "jobs/job_leader.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace teasel {
+
+namespace {
+
+    constexpr double gangAssemblyPart = 0.7; // of the time that members wait; the rest is for stopping them
+    constexpr size_t leastAsked = 8; // executors named in one call for advice
+    constexpr size_t mostAsked = 100; // from the platform's contract
+    constexpr double askedMargin = 1.6; // more than the granted share says, since rooms change
+    constexpr Milliseconds retryAfterRefusal { 60 };
+    constexpr int64_t unboundedTasks = 1'000'000;
+
+} // namespace
+
+std::vector<ExecutorRoom> JobLeader::rooms() const
+{
+    std::vector<ExecutorRoom> out;
+    for (const auto& [number, it] : m_executors) {
+        const auto* state = recordOf(number);
+        if (state == nullptr || !isUsable(it))
+            continue;
+        ExecutorRoom room;
+        room.number = number;
+        room.capacity = state->capacity;
+        room.free = state->capacity - it.committed;
+        room.service = state->record.service();
+        room.rack = state->record.rack();
+        room.labels = &state->record.labels();
+        room.slowness = it.slowness;
+        room.isDegraded = it.failuresInRow > 0;
+        out.push_back(room);
+    }
+    return out;
+}
+
+int64_t JobLeader::leftOfCap(std::string_view team, const ResourceVector& need) const
+{
+    const auto& teams = m_state.configuration().teams();
+    const auto found = std::find_if(teams.begin(), teams.end(), [&](const auto& it) { return it.name() == team; });
+    if (found == teams.end() || !found->has_cap())
+        return unboundedTasks;
+    const auto cap = toVector(found->cap());
+    const auto use = m_teamUse.find(std::string(team));
+    int64_t left = unboundedTasks;
+    for (size_t n = 0; n < ResourceVector::kinds; ++n) {
+        if (cap.amounts[n] <= 0 || need.amounts[n] <= 0)
+            continue;
+        const auto used = use == m_teamUse.end() ? 0 : use->second.amounts[n];
+        left = std::min(left, std::max<int64_t>(0, cap.amounts[n] - used) / need.amounts[n]);
+    }
+    return left;
+}
+
+void JobLeader::planStarts()
+{
+    if (m_ready.empty())
+        return;
+    auto room = rooms();
+    std::vector<const ReadyStep*> steps;
+    for (const auto& [key, it] : m_ready) {
+        if (it.waiting.empty())
+            continue;
+        if (it.needsTicket)
+            askForAdvice(it, room);
+        steps.push_back(&it);
+    }
+    if (room.empty() || steps.empty())
+        return;
+    StartConstraints constraints;
+    constraints.mayRunOn = [this](const ReadyStep& step, uint32_t executor) {
+        return !step.needsTicket || !m_advice.ticketFor(step.key, executor, m_now).empty();
+    };
+    constraints.countOn = [this](const StepKey& step, uint32_t number) {
+        const auto& runs = m_executors.at(number).runs;
+        uint32_t n = 0;
+        for (auto it = runs.lower_bound({ step, 0 }); it != runs.end() && it->first.step == step; ++it)
+            n += it->second.stage != RunStage::Ending ? 1 : 0;
+        return n;
+    };
+    constraints.leftOfCap = [this](std::string_view team, const ResourceVector& need) { return leftOfCap(team, need); };
+    StartPlanner planner(room, constraints);
+    for (const auto& it : planner.plan(std::move(steps), m_now))
+        assign(it);
+}
+
+void JobLeader::assign(const PlannedStart& start)
+{
+    auto& step = m_ready.at(start.task.step);
+    auto& executor = m_executors.at(start.executor);
+    const auto* job = m_state.find(start.task.step.job);
+    uint32_t last = 0;
+    if (const auto open = job->open.find(start.task.step.occurrence); open != job->open.end()) {
+        const auto& tasks = open->second.steps[start.task.step.step].tasks;
+        last = tasks[start.task.index].run;
+        if (step.gang) {
+            for (const auto& it : tasks)
+                last = std::max(last, it.run);
+        }
+    }
+    LiveRun run;
+    run.run = last + 1;
+    run.need = step.need;
+    run.team = step.team;
+    run.queue = step.queue;
+    run.assignedAt = run.startedAt = m_now;
+    step.waiting.erase(start.task.index);
+    auto& assignment = *change().mutable_assigned();
+    fillRef(start.task, *assignment.mutable_task());
+    assignment.set_run(run.run);
+    assignment.set_executor(start.executor);
+    m_batchContinuations.emplace_back(LaunchWhenCommitted { start.executor, start.task, run.run });
+    reserve(executor, start.task, std::move(run));
+}
+
+void JobLeader::launch(const LaunchWhenCommitted& it)
+{
+    auto* executor = findExecutor(it.executor);
+    if (executor == nullptr)
+        return;
+    const auto found = executor->runs.find(it.task);
+    if (found == executor->runs.end() || found->second.run != it.run || found->second.stage != RunStage::Committing)
+        return;
+    auto& run = found->second;
+    const auto* job = m_state.find(it.task.step.job);
+    const auto* task = m_state.find(it.task);
+    const auto step = m_ready.find(it.task.step);
+    const bool isWanted = job != nullptr && !job->hasEnded() && task != nullptr && !task->done && task->run == it.run
+        && step != m_ready.end() && !run.mustStop && isUsable(*executor);
+    const auto ticket = m_advice.ticketFor(it.task.step, it.executor, m_now);
+    if (!isWanted || (step->second.needsTicket && ticket.empty())) {
+        endRun(*executor, it.task, schema::RUN_OUTCOME_NEVER_RAN, {});
+        return;
+    }
+    StartRun start;
+    start.task = it.task;
+    start.run = it.run;
+    start.payload = job->request.payload();
+    start.checkpoint = task->checkpoint;
+    start.ticket = std::string(ticket);
+    start.leaseUntilMs
+        = executor->clock.executorNow(m_now) + static_cast<uint64_t>(m_options.lease.count());
+    executor->clock.onLeaseSent(start.leaseUntilMs);
+    run.stage = RunStage::Starting;
+    run.startedAt = m_now;
+    run.isWhole = start.checkpoint.empty();
+    ++m_counters.starts;
+    log("run_started",
+        { { "task", taskText(it.task) }, { "run", std::to_string(it.run) },
+            { "executor", recordOf(it.executor)->record.id() },
+            { "waited_ms",
+                std::to_string(std::chrono::duration_cast<Milliseconds>(m_now - step->second.readySince).count()) },
+            { "slack_ms",
+                std::to_string(
+                    std::chrono::duration_cast<Milliseconds>(step->second.latestStart - m_now).count()) } });
+    if (step->second.gang && !m_gangs.contains(it.task.step))
+        m_gangs[it.task.step]
+            = m_now + std::chrono::duration_cast<Duration>(m_options.gangWait * gangAssemblyPart);
+    OrderUnderWay order;
+    order.kind = OrderUnderWay::Kind::Start;
+    order.task = it.task;
+    order.run = it.run;
+    sendOrder(*executor, std::move(order), std::move(start), m_options.orderTimeout);
+}
+
+void JobLeader::askForAdvice(const ReadyStep& step, const std::vector<ExecutorRoom>& room)
+{
+    if (m_advice.isAsking(step.key))
+        return;
+    const auto* queue = m_state.queueOf(step.queue);
+    if (queue == nullptr || !queue->has_advice())
+        return;
+    int64_t placeable = 0;
+    int64_t renewable = 0;
+    std::vector<uint32_t> expired;
+    std::vector<std::pair<int64_t, uint32_t>> unknown; // by room
+    for (const auto& it : room) {
+        const auto fits = std::min<int64_t>(step.need.timesIn(it.free, unboundedTasks),
+            step.maxPerExecutor > 0 ? step.maxPerExecutor : unboundedTasks);
+        if (!m_advice.ticketFor(step.key, it.number, m_now).empty()) {
+            placeable += fits;
+        } else if (m_advice.isGranted(step.key, it.number)) {
+            renewable += fits;
+            if (fits > 0)
+                expired.push_back(it.number);
+        } else if (!m_advice.wasAsked(step.key, it.number) && step.need.fitsIn(it.capacity)) {
+            unknown.emplace_back(fits, it.number);
+        }
+    }
+    const auto missing = static_cast<int64_t>(step.waiting.size()) - placeable;
+    if (missing <= 0)
+        return;
+    std::vector<uint32_t> asked = std::move(expired);
+    if (missing > renewable && !unknown.empty()) {
+        std::sort(unknown.rbegin(), unknown.rend());
+        const auto each = std::max<int64_t>(1, std::min<int64_t>(unknown.front().first, missing));
+        const double wanted = static_cast<double>(missing - renewable) / static_cast<double>(each)
+            / m_advice.grantedShare(step.queue) * askedMargin;
+        const auto n = std::min(unknown.size(), std::max(leastAsked, static_cast<size_t>(std::ceil(wanted))));
+        for (size_t k = 0; k < n; ++k)
+            asked.push_back(unknown[k].second);
+    }
+    if (asked.size() > mostAsked)
+        asked.resize(mostAsked);
+    if (asked.empty())
+        return;
+    const auto cost = Milliseconds(static_cast<int64_t>(queue->advice().base_ms()
+        + queue->advice().per_executor_ms() * static_cast<double>(asked.size())));
+    const auto ask = m_advice.begin(step.key, asked, cost, m_now);
+    if (!ask)
+        return;
+    ++m_counters.adviceCalls;
+    AskAdvice action;
+    action.number = ask->number;
+    action.instance = ask->instance;
+    action.step = step.key;
+    action.timeout = ask->timeout;
+    for (const auto number : asked)
+        action.executors.push_back(recordOf(number)->record.id());
+    m_actions.emplace_back(std::move(action));
+}
+
+void JobLeader::onAdvice(
+    uint64_t number, bool answered, std::vector<std::pair<std::string, std::string>> granted, Instant now)
+{
+    if (!isLeading())
+        return;
+    m_now = now;
+    absl::flat_hash_map<std::string_view, uint32_t> byId;
+    for (const auto& [executor, it] : m_executors) {
+        if (const auto* state = recordOf(executor))
+            byId[state->record.id()] = executor;
+    }
+    std::vector<std::pair<uint32_t, std::string>> rows;
+    for (auto& [id, ticket] : granted) {
+        if (const auto it = byId.find(id); it != byId.end())
+            rows.emplace_back(it->second, std::move(ticket));
+    }
+    const auto asked = m_advice.askedIn(number);
+    const auto step = m_advice.stepOf(number);
+    const auto ready = step ? m_ready.find(*step) : m_ready.end();
+    const auto* queue = ready == m_ready.end() ? nullptr : m_state.queueOf(ready->second.queue);
+    const Milliseconds valid(
+        queue == nullptr || !queue->has_advice() ? 0 : static_cast<int64_t>(queue->advice().ticket_valid_ms()));
+    m_advice.end(number, answered, rows, valid, now);
+    if (queue != nullptr && answered)
+        m_advice.countAnswer(ready->second.queue, asked, rows.size());
+    m_mustPlan = true;
+}
+
+} // namespace teasel
--- /dev/null
+++ b/jobs/job_state.h
@@ -0,0 +1,129 @@
+// The replicated state of the job plane: configuration, jobs with the outcome
+// of their tasks, and what may be running on which executor. An assignment is
+// committed before the start is sent, so a new leader knows of every run that
+// an executor may hold.
+#pragma once
+
+#include "consensus/state_machine.h"
+#include "core/clock.h"
+#include "jobs.pb.h"
+#include "jobs/task_key.h"
+#include "placement/resource_vector.h"
+
+#include <absl/container/btree_map.h>
+
+#include <deque>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace teasel {
+
+enum class JobPhase : uint8_t {
+    Queued = 1,
+    Running = 2,
+    Completed = 3,
+    Failed = 4,
+    Cancelled = 5,
+};
+
+struct TaskRecord {
+    uint32_t run = 0; // of the last assignment
+    uint32_t executor = 0; // 0: not assigned
+    uint32_t failures = 0;
+    bool done = false;
+    std::string checkpoint;
+};
+
+struct StepRecord {
+    std::vector<TaskRecord> tasks;
+    uint32_t doneTasks = 0;
+    uint32_t assignedTasks = 0;
+    uint32_t gangFailures = 0;
+    uint32_t lastFailedRun = 0; // of the gang
+
+    bool isDone() const { return doneTasks == tasks.size(); }
+};
+
+struct OccurrenceRecord {
+    std::vector<StepRecord> steps;
+    uint32_t doneSteps = 0;
+};
+
+struct JobRecord {
+    schema::JobRequest request; // steps and payload are dropped when the job has ended
+    JobPhase phase = JobPhase::Queued;
+    uint64_t endedAtMs = 0;
+    uint32_t occurrencesDone = 0;
+    absl::btree_map<uint32_t, OccurrenceRecord> open; // occurrences that have begun and not ended
+
+    bool hasEnded() const { return phase >= JobPhase::Completed; }
+};
+
+struct AssignmentState {
+    uint32_t run = 0;
+    ResourceVector need; // also when the job has ended
+};
+
+struct ExecutorState {
+    schema::ExecutorRecord record; // without assignments
+    ResourceVector capacity;
+    absl::btree_map<TaskKey, AssignmentState> assignments;
+};
+
+// What one task takes of an executor's capacity.
+ResourceVector needOf(const schema::JobStep&);
+
+class JobState final : public StateMachine {
+public:
+    // `keepEnded`: how long the outcome of a job is remembered.
+    explicit JobState(Milliseconds keepEnded)
+        : m_keepEnded(keepEnded)
+    {
+    }
+
+    std::string apply(uint64_t index, std::string_view command) override;
+    std::string snapshot() const override;
+    Result<void> restore(std::string_view) override;
+
+    const schema::JobConfiguration& configuration() const { return m_configuration; }
+
+    // A queue by its key, also one that the configuration in force no longer has; nullptr if there never was one.
+    const schema::JobQueue* queueOf(std::string_view key) const;
+
+    const absl::btree_map<uint64_t, JobRecord>& jobs() const { return m_jobs; }
+    const JobRecord* find(uint64_t job) const;
+    const TaskRecord* find(const TaskKey&) const;
+    const absl::btree_map<uint32_t, ExecutorState>& executors() const { return m_executors; }
+    uint32_t lastExecutorNumber() const { return m_lastExecutor; }
+
+    // The key of a queue in jobs and tables.
+    static std::string queueKey(const schema::JobQueue& it) { return it.host() + it.path_prefix(); }
+
+private:
+    void applyChange(const schema::JobChange&);
+    void applyConfiguration(const schema::JobConfiguration&);
+    void applyAccepted(const schema::JobRequest&);
+    void applyCancelled(uint64_t job);
+    void applyAssigned(const schema::TaskAssignment&);
+    void applyEnded(const schema::RunEnd&);
+    void applyExecutor(const schema::ExecutorRecord&);
+    void noteDone(JobRecord&, const TaskKey&);
+    void noteFailed(JobRecord&, const TaskKey&, uint32_t run);
+    void finishStep(JobRecord&, const StepKey&);
+    void endJob(JobRecord&, JobPhase);
+    void forgetOldJobs();
+    TaskRecord* mutableTask(const TaskKey&);
+    static OccurrenceRecord& openOccurrence(JobRecord&, uint32_t occurrence);
+
+    Milliseconds m_keepEnded;
+    schema::JobConfiguration m_configuration;
+    absl::btree_map<std::string, schema::JobQueue> m_queues; // by key; never removed
+    absl::btree_map<uint64_t, JobRecord> m_jobs;
+    absl::btree_map<uint32_t, ExecutorState> m_executors;
+    std::deque<std::pair<uint64_t, uint64_t>> m_ended; // time in ms and job, in order
+    uint32_t m_lastExecutor = 0;
+    uint64_t m_wallMs = 0;
+};
+
+} // namespace teasel
--- /dev/null
+++ b/jobs/job_steps.cpp
@@ -0,0 +1,183 @@
+// JobLeader: jobs, their steps, and which tasks wait.
+#include "jobs/job_leader.h"
+
+#include <algorithm>
+
+namespace teasel {
+
+namespace {
+
+    constexpr uint32_t mostOpenOccurrences = 64; // of one job; later ones wait for these to end
+    constexpr double adviceExecutors = 30; // named in one call, for the latency objective
+
+    Instant instantOf(uint64_t wallMs, Instant now, WallTime wall)
+    {
+        return now + (WallTime(Milliseconds(wallMs)) - wall);
+    }
+
+} // namespace
+
+double JobLeader::expectedMs(const schema::JobRequest& request, const schema::JobStep& step) const
+{
+    return m_runTimes.expectedMs(request.queue(), step.estimate_ms());
+}
+
+double JobLeader::chainFrom(const schema::JobRequest& request, uint32_t step) const
+{
+    // Steps depend on earlier ones only, so one pass from the end finds the longest way.
+    std::vector<double> longest(static_cast<size_t>(request.steps_size()), 0);
+    const auto* queue = m_state.queueOf(request.queue());
+    const double adviceMs = queue != nullptr && queue->has_advice()
+        ? queue->advice().base_ms() + adviceExecutors * queue->advice().per_executor_ms()
+        : 0;
+    for (int n = request.steps_size() - 1; n >= static_cast<int>(step); --n) {
+        longest[n] += expectedMs(request, request.steps(n)) + adviceMs;
+        for (const auto before : request.steps(n).depends_on())
+            longest[before] = std::max(longest[before], longest[n]);
+    }
+    return longest[step];
+}
+
+void JobLeader::openSteps(uint64_t id)
+{
+    const auto* job = m_state.find(id);
+    if (job == nullptr || job->hasEnded())
+        return;
+    const auto all = std::max(1U, job->request.occurrences());
+    if (job->occurrencesDone + job->open.size() < all)
+        m_timedJobs.insert(id);
+    for (const auto& [occurrence, it] : job->open)
+        openReadySteps(id, occurrence);
+}
+
+void JobLeader::openDueOccurrences()
+{
+    for (auto it = m_timedJobs.begin(); it != m_timedJobs.end();) {
+        const auto id = *it;
+        const auto* job = m_state.find(id);
+        if (job == nullptr || job->hasEnded()) {
+            it = m_timedJobs.erase(it);
+            continue;
+        }
+        ++it;
+        const auto& request = job->request;
+        const auto nowMs = static_cast<uint64_t>(m_wall.time_since_epoch().count());
+        for (uint32_t n = job->occurrencesDone; n < request.occurrences(); ++n) {
+            const auto dueMs = request.first_at_ms() + n * request.period_ms();
+            if (dueMs > nowMs || job->open.size() > mostOpenOccurrences)
+                break;
+            if (!m_ready.contains({ id, n, 0 }) && !job->open.contains(n))
+                openReadySteps(id, n);
+        }
+    }
+}
+
+void JobLeader::openReadySteps(uint64_t id, uint32_t occurrence)
+{
+    const auto* job = m_state.find(id);
+    if (job == nullptr || job->hasEnded())
+        return;
+    const auto* queue = m_state.queueOf(job->request.queue());
+    if (queue == nullptr)
+        return;
+    const auto open = job->open.find(occurrence);
+    for (int n = 0; n < job->request.steps_size(); ++n) {
+        const StepKey key { id, occurrence, static_cast<uint32_t>(n) };
+        if (m_ready.contains(key))
+            continue;
+        const auto& dependsOn = job->request.steps(n).depends_on();
+        const bool canStart = std::all_of(dependsOn.begin(), dependsOn.end(),
+            [&](uint32_t before) { return open != job->open.end() && open->second.steps[before].isDone(); });
+        if (canStart && (open == job->open.end() || !open->second.steps[n].isDone()))
+            addReadyStep(*job, *queue, key);
+    }
+}
+
+void JobLeader::addReadyStep(const JobRecord& job, const schema::JobQueue& queue, const StepKey& key)
+{
+    const auto& request = job.request;
+    const auto& spec = request.steps(static_cast<int>(key.step));
+    ReadyStep step;
+    step.key = key;
+    step.count = spec.count();
+    step.need = needOf(spec);
+    step.queue = request.queue();
+    step.team = request.team();
+    step.service = queue.service();
+    step.requiredLabel = spec.required_label();
+    step.dataRack = spec.data_rack();
+    step.priority = queue.priority();
+    step.maxPerExecutor = spec.max_per_executor();
+    step.gang = spec.gang();
+    step.sameRack = spec.same_rack();
+    step.lasting = spec.lasting();
+    step.needsTicket = queue.has_advice();
+    step.taskMs = expectedMs(request, spec);
+    const auto beganMs = request.first_at_ms() == 0 ? request.accepted_at_ms()
+                                                    : request.first_at_ms() + key.occurrence * request.period_ms();
+    const double objectiveMs
+        = queue.slack_factor() * chainFrom(request, 0) + static_cast<double>(queue.target_latency_ms());
+    step.dueAt = instantOf(beganMs, m_now, m_wall) + Duration(static_cast<int64_t>(objectiveMs * 1'000));
+    step.latestStart = step.dueAt - Duration(static_cast<int64_t>(chainFrom(request, key.step) * 1'000));
+    step.readySince = m_now;
+    const auto open = job.open.find(key.occurrence);
+    for (uint32_t n = 0; n < spec.count(); ++n) {
+        if (open == job.open.end()) {
+            step.waiting.insert(n);
+            continue;
+        }
+        const auto& task = open->second.steps[key.step].tasks[n];
+        if (!task.done && task.executor == 0)
+            step.waiting.insert(n);
+    }
+    m_ready.emplace(key, std::move(step));
+    m_mustPlan = true;
+}
+
+void JobLeader::addWaiting(const TaskKey& key)
+{
+    const auto* task = m_state.find(key);
+    const auto step = m_ready.find(key.step);
+    if (step == m_ready.end())
+        return;
+    if (task == nullptr || (task->done && m_state.find(key.step.job) != nullptr)) {
+        step->second.waiting.erase(key.index);
+        const auto* job = m_state.find(key.step.job);
+        const auto open = job->open.find(key.step.occurrence);
+        if (open == job->open.end() || open->second.steps[key.step.step].isDone()) {
+            m_ready.erase(step);
+            m_gangs.erase(key.step);
+        }
+        return;
+    }
+    if (task->executor == 0) {
+        step->second.waiting.insert(key.index);
+        m_mustPlan = true;
+    }
+}
+
+void JobLeader::onJobEnded(uint64_t id)
+{
+    m_timedJobs.erase(id);
+    m_advice.forgetJob(id);
+    const StepKey first { id, 0, 0 };
+    const auto belongs = [&](const auto& it) { return it->first.job == id; };
+    const bool isNews = m_ready.lower_bound(first) != m_ready.end() && belongs(m_ready.lower_bound(first));
+    for (auto it = m_ready.lower_bound(first); it != m_ready.end() && belongs(it);)
+        it = m_ready.erase(it);
+    for (auto it = m_gangs.lower_bound(first); it != m_gangs.end() && belongs(it);)
+        it = m_gangs.erase(it);
+    for (auto& [number, executor] : m_executors) {
+        for (auto it = executor.runs.lower_bound({ first, 0 });
+             it != executor.runs.end() && it->first.step.job == id; ++it)
+            requestStop(executor, it->first, it->second);
+    }
+    const auto* job = m_state.find(id);
+    if (isNews && job != nullptr)
+        log("job_ended",
+            { { "job", jobIdText(id) }, { "phase", std::to_string(static_cast<int>(job->phase)) },
+                { "queue", job->request.queue() }, { "team", job->request.team() },
+                { "age_ms", std::to_string(job->endedAtMs - std::min(job->endedAtMs, job->request.accepted_at_ms())) } });
+}
+
+} // namespace teasel
--- /dev/null
+++ b/jobs/lease_clock.h
@@ -0,0 +1,60 @@
+// When everything that runs on an executor has certainly ended. Leases are
+// times on the executor's own clock, of which we know one reading and a bound
+// on its rate.
+#pragma once
+
+#include "core/clock.h"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace teasel {
+
+// How much slower than ours an executor's clock may run, from the platform's contract (2 %), and as much again.
+constexpr double slowestClockFactor = 1.04;
+
+// Covers the time between an executor's reading of its clock and the end of what it kills.
+constexpr Duration lapseSlack = std::chrono::milliseconds(300);
+
+class LeaseClock {
+public:
+    // An answer that arrived now carried this reading.
+    void onReading(uint64_t executorMs, Instant arrived)
+    {
+        if (executorMs < m_readingMs)
+            return;
+        m_readingMs = executorMs;
+        m_readAt = arrived;
+        m_isKnown = true;
+    }
+
+    bool isKnown() const { return m_isKnown; }
+    Instant readAt() const { return m_readAt; }
+
+    // The executor's time now, or somewhat before it; a lease counted from here is not too long.
+    uint64_t executorNow(Instant now) const
+    {
+        const auto passed = std::max(Duration(0), now - m_readAt);
+        return m_readingMs + static_cast<uint64_t>(static_cast<double>(passed.count()) / 1'000.0);
+    }
+
+    // A lease up to this time of the executor's may be in force.
+    void onLeaseSent(uint64_t untilMs) { m_leaseUntilMs = std::max(m_leaseUntilMs, untilMs); }
+    uint64_t leaseUntilMs() const { return m_leaseUntilMs; }
+
+    // From when on no lease that was sent can be in force.
+    Instant lapsesAt() const
+    {
+        const auto leftMs = m_leaseUntilMs > m_readingMs ? m_leaseUntilMs - m_readingMs : 0;
+        return m_readAt + Duration(static_cast<int64_t>(static_cast<double>(leftMs) * 1'000.0 * slowestClockFactor))
+            + lapseSlack;
+    }
+
+private:
+    bool m_isKnown = false;
+    uint64_t m_readingMs = 0;
+    Instant m_readAt {};
+    uint64_t m_leaseUntilMs = 0;
+};
+
+} // namespace teasel
--- /dev/null
+++ b/jobs/start_planner.cpp
@@ -0,0 +1,160 @@
+#include "jobs/start_planner.h"
+
+#include <algorithm>
+
+namespace teasel {
+
+namespace {
+
+    constexpr Milliseconds reserveWithin { 1'500 }; // a step whose latest start is nearer than this may reserve
+    constexpr int64_t unboundedTasks = 1'000'000;
+
+    bool isLate(const ReadyStep& it, Instant now) { return it.latestStart < now; }
+
+    // Whether `a` goes before `b`.
+    bool goesBefore(const ReadyStep& a, const ReadyStep& b, Instant now)
+    {
+        if (isLate(a, now) != isLate(b, now))
+            return isLate(b, now);
+        if (isLate(a, now) && a.priority != b.priority)
+            return a.priority < b.priority;
+        if (a.latestStart != b.latestStart)
+            return a.latestStart < b.latestStart;
+        return a.key < b.key;
+    }
+
+} // namespace
+
+std::vector<PlannedStart> StartPlanner::plan(std::vector<const ReadyStep*> steps, Instant now)
+{
+    std::sort(steps.begin(), steps.end(), [&](const auto* a, const auto* b) { return goesBefore(*a, *b, now); });
+    std::vector<PlannedStart> out;
+    for (const auto* it : steps) {
+        if (it->notBefore <= now && !it->waiting.empty())
+            planStep(*it, now, out);
+    }
+    return out;
+}
+
+bool StartPlanner::suits(const ReadyStep& step, const ExecutorRoom& room) const
+{
+    if (room.service != step.service || !step.need.fitsIn(room.capacity))
+        return false;
+    return step.requiredLabel.empty()
+        || std::find(room.labels->begin(), room.labels->end(), step.requiredLabel) != room.labels->end();
+}
+
+std::vector<StartPlanner::Place> StartPlanner::placesFor(const ReadyStep& step, Instant now) const
+{
+    std::vector<Place> out;
+    for (size_t n = 0; n < m_rooms.size(); ++n) {
+        const auto& room = m_rooms[n];
+        if (!step.need.fitsIn(room.free) || !suits(step, room) || !m_constraints.mayRunOn(step, room.number))
+            continue;
+        const auto reserved = m_reserved.find(room.number);
+        if (reserved != m_reserved.end() && reserved->second < step.latestStart)
+            continue;
+        auto most = step.need.timesIn(room.free, unboundedTasks);
+        if (step.maxPerExecutor > 0)
+            most = std::min<int64_t>(
+                most, int64_t(step.maxPerExecutor) - m_constraints.countOn(step.key, room.number));
+        if (most > 0)
+            out.push_back({ n, most });
+    }
+    std::sort(out.begin(), out.end(), [&](const Place& a, const Place& b) {
+        const auto x = scoreOf(step, m_rooms[a.room], now);
+        const auto y = scoreOf(step, m_rooms[b.room], now);
+        return x != y ? x > y : m_rooms[a.room].number < m_rooms[b.room].number;
+    });
+    return out;
+}
+
+double StartPlanner::scoreOf(const ReadyStep& step, const ExecutorRoom& room, Instant now) const
+{
+    // Fast and near the data first, the more so the less time is left; then the
+    // fullest, which keeps large holes for wide tasks.
+    double slowness = room.slowness;
+    if (!step.dataRack.empty() && step.dataRack != room.rack)
+        slowness *= 1.5;
+    const double leftMs
+        = std::chrono::duration<double, std::milli>(step.latestStart - now).count() + step.taskMs;
+    const bool endsInTime = step.taskMs * slowness <= leftMs;
+    const double fill = 1 - (room.free - step.need).dominantShareOf(room.capacity);
+    return (endsInTime ? 4.0 : 0.0) - slowness + fill - (room.isDegraded ? 8.0 : 0.0);
+}
+
+void StartPlanner::keepWholeOnOneRack(const ReadyStep& step, size_t wanted, std::vector<Place>& places) const
+{
+    if (!step.sameRack)
+        return;
+    absl::flat_hash_map<std::string_view, int64_t> room;
+    for (const auto& it : places)
+        room[m_rooms[it.room].rack] += it.most;
+    for (const auto& it : places) {
+        const auto rack = m_rooms[it.room].rack;
+        if (room[rack] < static_cast<int64_t>(wanted))
+            continue;
+        std::erase_if(places, [&](const Place& other) { return m_rooms[other.room].rack != rack; });
+        return;
+    }
+}
+
+void StartPlanner::planStep(const ReadyStep& step, Instant now, std::vector<PlannedStart>& out)
+{
+    const auto planned = m_plannedOfTeam[step.team];
+    int64_t allowed = m_constraints.leftOfCap(step.team, step.need);
+    for (size_t n = 0; n < ResourceVector::kinds; ++n) {
+        if (step.need.amounts[n] > 0 && planned.amounts[n] > 0)
+            allowed -= (planned.amounts[n] + step.need.amounts[n] - 1) / step.need.amounts[n];
+    }
+    auto wanted = std::min<int64_t>(allowed, static_cast<int64_t>(step.waiting.size()));
+    if (wanted <= 0 || (step.gang && wanted < static_cast<int64_t>(step.count)))
+        return;
+    auto places = placesFor(step, now);
+    keepWholeOnOneRack(step, static_cast<size_t>(wanted), places);
+    int64_t fits = 0;
+    for (const auto& it : places)
+        fits += it.most;
+    if (step.gang && fits < wanted) {
+        reserveFor(step, now);
+        return;
+    }
+    auto index = step.waiting.begin();
+    for (const auto& place : places) {
+        auto& room = m_rooms[place.room];
+        for (int64_t n = 0; n < place.most && wanted > 0; ++n, --wanted, ++index) {
+            out.push_back({ { step.key, *index }, room.number });
+            room.free -= step.need;
+            m_plannedOfTeam[step.team] += step.need;
+        }
+        if (wanted == 0)
+            break;
+    }
+    if (wanted > 0 && !step.lasting)
+        reserveFor(step, now);
+}
+
+void StartPlanner::reserveFor(const ReadyStep& step, Instant now)
+{
+    if (step.latestStart > now + reserveWithin || isLate(step, now) || m_reserved.size() >= m_rooms.size() / 2)
+        return;
+    std::vector<size_t> candidates;
+    for (size_t n = 0; n < m_rooms.size(); ++n) {
+        if (suits(step, m_rooms[n]) && m_constraints.mayRunOn(step, m_rooms[n].number)
+            && !m_reserved.contains(m_rooms[n].number))
+            candidates.push_back(n);
+    }
+    // Those with the most room will soonest have enough.
+    std::sort(candidates.begin(), candidates.end(), [&](size_t a, size_t b) {
+        return m_rooms[a].free.amounts[0] > m_rooms[b].free.amounts[0];
+    });
+    auto wanted = static_cast<int64_t>(step.waiting.size());
+    for (const auto n : candidates) {
+        if (wanted <= 0)
+            return;
+        m_reserved[m_rooms[n].number] = step.latestStart;
+        wanted -= step.need.timesIn(m_rooms[n].capacity, unboundedTasks);
+    }
+}
+
+} // namespace teasel
--- /dev/null
+++ b/jobs/start_planner.h
@@ -0,0 +1,81 @@
+// Chooses which waiting tasks start next and where, for a fleet that is wanted
+// to more than it has: on most days the demand is four fifths of the fleet with
+// bursts of twice that.
+//
+// Order: steps that can still meet their objective by the latest moment at
+// which they must start; then those that are late. Gangs are placed whole or
+// not at all. A gang or wide step that is urgent and does not fit keeps the
+// executors that will soonest have room for it from less urgent steps.
+#pragma once
+
+#include "core/clock.h"
+#include "jobs/ready_step.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <google/protobuf/repeated_ptr_field.h>
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace teasel {
+
+// What the round knows of one executor.
+struct ExecutorRoom {
+    uint32_t number = 0;
+    ResourceVector capacity;
+    ResourceVector free;
+    std::string_view service;
+    std::string_view rack;
+    const google::protobuf::RepeatedPtrField<std::string>* labels = nullptr;
+    double slowness = 1; // times the run time of a sound executor
+    bool isDegraded = false; // recently failed or slow: taken last
+};
+
+struct PlannedStart {
+    TaskKey task;
+    uint32_t executor = 0;
+};
+
+// What may be started by the rules that the planner does not know itself.
+struct StartConstraints {
+    // A valid ticket, or none needed.
+    std::function<bool(const ReadyStep&, uint32_t executor)> mayRunOn;
+    // Tasks of the step that are on the executor.
+    std::function<uint32_t(const StepKey&, uint32_t executor)> countOn;
+    // How many more tasks with this need the team's cap allows.
+    std::function<int64_t(std::string_view team, const ResourceVector& need)> leftOfCap;
+};
+
+class StartPlanner {
+public:
+    StartPlanner(std::vector<ExecutorRoom>& rooms, const StartConstraints& constraints)
+        : m_rooms(rooms)
+        , m_constraints(constraints)
+    {
+    }
+
+    // Plans the starts of one round and takes their room.
+    std::vector<PlannedStart> plan(std::vector<const ReadyStep*> steps, Instant now);
+
+private:
+    struct Place {
+        size_t room = 0; // index into m_rooms
+        int64_t most = 0; // tasks that fit
+    };
+
+    std::vector<Place> placesFor(const ReadyStep&, Instant now) const;
+    bool suits(const ReadyStep&, const ExecutorRoom&) const;
+    void planStep(const ReadyStep&, Instant now, std::vector<PlannedStart>& out);
+    void keepWholeOnOneRack(const ReadyStep&, size_t wanted, std::vector<Place>&) const;
+    void reserveFor(const ReadyStep&, Instant now);
+    double scoreOf(const ReadyStep&, const ExecutorRoom&, Instant now) const;
+
+    std::vector<ExecutorRoom>& m_rooms;
+    const StartConstraints& m_constraints;
+    absl::flat_hash_map<uint32_t, Instant> m_reserved; // executor to the latest start of the step that waits for it
+    absl::flat_hash_map<std::string, ResourceVector> m_plannedOfTeam;
+};
+
+} // namespace teasel
--- /dev/null
+++ b/jobs/task_key.h
@@ -0,0 +1,53 @@
+// Names one task of one job.
+#pragma once
+
+#include "jobs.pb.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+#include <fmt/format.h>
+
+namespace teasel {
+
+// One run through all steps of a job, in an ordered container of which each job has at least one.
+struct StepKey {
+    uint64_t job = 0;
+    uint32_t occurrence = 0;
+    uint32_t step = 0;
+
+    auto operator<=>(const StepKey&) const = default;
+};
+
+struct TaskKey {
+    StepKey step;
+    uint32_t index = 0;
+
+    auto operator<=>(const TaskKey&) const = default;
+};
+
+// A job's id as it is written: 16 hexadecimal digits.
+inline std::string jobIdText(uint64_t id) { return fmt::format("{:016x}", id); }
+
+inline std::string stepText(const StepKey& it)
+{
+    return fmt::format("{:016x}.{}.{}", it.job, it.occurrence, it.step);
+}
+
+inline std::string taskText(const TaskKey& it) { return fmt::format("{}.{}", stepText(it.step), it.index); }
+
+inline TaskKey toKey(const schema::TaskRef& it)
+{
+    return { { it.job(), it.occurrence(), it.step() }, it.index() };
+}
+
+inline void fillRef(const TaskKey& key, schema::TaskRef& out)
+{
+    out.set_job(key.step.job);
+    out.set_occurrence(key.step.occurrence);
+    out.set_step(key.step.step);
+    out.set_index(key.index);
+}
+
+} // namespace teasel
--- a/main/daemon.cpp
+++ b/main/daemon.cpp
@@ -4,6 +4,8 @@
 #include <fmt/format.h>
 
 #include <csignal>
+#include <fstream>
+#include <iterator>
 #include <thread>
 
 #include <unistd.h>
@@ -12,8 +14,10 @@
 
 namespace {
 
-    constexpr Milliseconds stopCheckEvery { 20 };
+    constexpr Milliseconds stopCheckEvery { 40 };
+    constexpr Milliseconds settingsCheckEvery { 2'000 }; // the file may change without a signal
     std::atomic<int> stopSignals = 0;
+    std::atomic<bool> reloadOrdered = false;
 
     void onStopSignal(int)
     {
@@ -21,6 +25,8 @@
             _exit(exitFailed);
     }
 
+    void onReloadSignal(int) { reloadOrdered = true; }
+
 } // namespace
 
 std::optional<int> parseArguments(int argc, char** argv, const std::string& description, DaemonArguments& arguments)
@@ -41,15 +47,40 @@
 {
     std::signal(SIGTERM, onStopSignal);
     std::signal(SIGINT, onStopSignal);
+    std::signal(SIGHUP, onReloadSignal);
     std::signal(SIGPIPE, SIG_IGN);
 }
 
 bool stopOrdered() { return stopSignals > 0; }
 
-void waitForStop(const std::function<bool()>& failed)
+namespace {
+
+    std::string contentsOf(const std::string& path)
+    {
+        std::ifstream in(path);
+        return { std::istreambuf_iterator<char>(in), {} };
+    }
+
+} // namespace
+
+void waitForStop(const std::function<bool()>& failed, const std::function<void()>& reload,
+    const std::string& settingsPath, LineWriter& lines)
 {
-    while (!stopOrdered() && !failed())
+    auto known = contentsOf(settingsPath);
+    Milliseconds sinceCheck { 0 };
+    while (!stopOrdered() && !failed()) {
         std::this_thread::sleep_for(stopCheckEvery);
+        lines.flush();
+        sinceCheck += stopCheckEvery;
+        if (!reloadOrdered.exchange(false) && sinceCheck < settingsCheckEvery)
+            continue;
+        sinceCheck = Milliseconds(0);
+        auto current = contentsOf(settingsPath);
+        if (current == known)
+            continue;
+        known = std::move(current);
+        reload();
+    }
 }
 
 uint64_t incarnationNow(const Clock& clock)
--- /dev/null
+++ b/main/front_main.cpp
@@ -0,0 +1,10 @@
+// teasel-front: an instance that faces the job plane's callers.
+#include "main/daemon.h"
+#include "node/front_node.h"
+#include "settings/job_settings.h"
+
+int main(int argc, char** argv)
+{
+    return teasel::runDaemon<teasel::FrontNode>(
+        argc, argv, "An instance that faces callers of the job plane.", teasel::loadFrontSettings);
+}
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-    constexpr int pollMs = 50;
+    constexpr int pollMs = 1'000; // new calls wake the thread
     constexpr size_t keptHandles = 256;
 
     // One call in flight.
@@ -77,7 +77,7 @@
 
     CallEnd endOf(CURLcode code, const Transfer& it)
     {
-        curl_off_t connectTime = 0;
+        long sentBytes = 0;
         switch (code) {
         case CURLE_OK:
             return it.lengthKnown || it.chunked ? CallEnd::Answered : CallEnd::CutShort;
@@ -89,9 +89,9 @@
         case CURLE_WRITE_ERROR:
             return CallEnd::CutShort;
         case CURLE_OPERATION_TIMEDOUT:
-            // Zero means that the connection was never made, so nothing was sent.
-            curl_easy_getinfo(it.easy, CURLINFO_CONNECT_TIME_T, &connectTime);
-            return connectTime == 0 ? CallEnd::ConnectFailed : CallEnd::Overdue;
+            // The time of connecting would not tell: it is zero on a kept connection, too.
+            curl_easy_getinfo(it.easy, CURLINFO_REQUEST_SIZE, &sentBytes);
+            return sentBytes == 0 ? CallEnd::ConnectFailed : CallEnd::Overdue;
         default:
             return CallEnd::FailedAfterSending;
         }
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -86,7 +86,8 @@
     if (m_daemon == nullptr)
         return fail(
             ErrorKind::BadRequest, fmt::format("can't listen on {}: {}", m_options.address, std::strerror(errno)));
-    m_watcher = std::thread([this] { watchCallers(); });
+    if (m_callerGone)
+        m_watcher = std::thread([this] { watchCallers(); });
     return {};
 }
 
@@ -111,7 +112,8 @@
             left.push_back(handle);
     }
     m_wakeWatcher.notify_all();
-    m_watcher.join();
+    if (m_watcher.joinable())
+        m_watcher.join();
     for (const auto handle : left)
         answer(handle,
             { 503, "application/json", { { "Retry-After", "1" } },
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -56,7 +56,7 @@
 class HttpServer {
 public:
     using Handler = std::function<void(HttpRequest)>; // on an HTTP thread; must not block
-    using CallerGone = std::function<void(uint64_t)>; // the caller of a handle closed its connection
+    using CallerGone = std::function<void(uint64_t)>; // the caller of a handle closed its connection; may be empty
 
     HttpServer(HttpServerOptions, Handler, CallerGone);
     ~HttpServer();
--- a/net/peer_network.cpp
+++ b/net/peer_network.cpp
@@ -19,7 +19,7 @@
 namespace {
 
     constexpr int listenBacklog = 256;
-    constexpr int pollMs = 20;
+    constexpr int pollMs = 50;
 
     void setNoDelay(int fd)
     {
@@ -85,8 +85,7 @@
 
 void PeerNetwork::send(std::string_view to, schema::Envelope envelope)
 {
-    const auto found = m_outboundById.find(std::string(to));
-    if (found == m_outboundById.end()) {
+    if (!m_options.idsAreAddresses && !m_outboundById.contains(std::string(to))) {
         ++m_messagesDropped;
         return;
     }
@@ -97,7 +96,7 @@
     {
         const std::lock_guard lock(m_mutex);
         wasEmpty = m_outbox.empty();
-        m_outbox.emplace_back(found->second, std::move(framed));
+        m_outbox.emplace_back(std::string(to), std::move(framed));
     }
     if (wasEmpty) {
         const uint64_t one = 1;
@@ -137,7 +136,7 @@
                 handleInbound(fd, events[k].events, now);
             }
         }
-        takeOutbox();
+        takeOutbox(now);
         maintain(now);
     }
 }
@@ -172,23 +171,43 @@
     watch(fd, session.wantsWrite() ? EPOLLIN | EPOLLOUT : EPOLLIN, false);
 }
 
-void PeerNetwork::takeOutbox()
+PeerNetwork::Outbound* PeerNetwork::findOutbound(const std::string& id)
 {
-    std::vector<std::pair<size_t, std::string>> taken;
+    if (const auto found = m_outboundById.find(id); found != m_outboundById.end())
+        return &m_outbound[found->second];
+    if (!m_options.idsAreAddresses || id.empty() || id == m_options.id)
+        return nullptr;
+    m_outboundById.emplace(id, m_outbound.size());
+    Outbound outbound;
+    outbound.endpoint = { id, id };
+    outbound.backoff = m_options.firstReconnect;
+    outbound.isListed = false;
+    m_outbound.push_back(std::move(outbound));
+    return &m_outbound.back();
+}
+
+void PeerNetwork::takeOutbox(Instant now)
+{
+    std::vector<std::pair<std::string, std::string>> taken;
     {
         const std::lock_guard lock(m_mutex);
         taken.swap(m_outbox);
     }
-    for (auto& [place, framed] : taken) {
-        auto& outbound = m_outbound[place];
-        const auto queued = outbound.waiting.size() + (outbound.session ? outbound.session->queuedBytes() : 0);
+    for (auto& [id, framed] : taken) {
+        auto* outbound = findOutbound(id);
+        if (outbound == nullptr) {
+            ++m_messagesDropped;
+            continue;
+        }
+        const auto queued = outbound->waiting.size() + (outbound->session ? outbound->session->queuedBytes() : 0);
         if (queued + framed.size() > m_options.maxQueuedBytes) {
             ++m_messagesDropped;
             continue;
         }
         ++m_messagesSent;
         m_bytesSent += framed.size();
-        outbound.waiting += framed;
+        outbound->waiting += framed;
+        outbound->lastUsed = now;
     }
 }
 
@@ -196,10 +215,14 @@
 {
     for (auto& it : m_outbound) {
         if (!it.session) {
-            if (now >= it.nextConnect)
+            if (now >= it.nextConnect && (it.isListed || !it.waiting.empty()))
                 connectPeer(it, now);
             continue;
         }
+        if (!it.isListed && it.waiting.empty() && now - it.lastUsed > m_options.forgetUnusedAfter) {
+            dropOutbound(it, now);
+            continue;
+        }
         if (now - it.session->lastHeard() > m_options.silenceLimit) {
             dropOutbound(it, now);
             continue;
--- a/net/peer_network.h
+++ b/net/peer_network.h
@@ -12,6 +12,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -35,6 +36,8 @@
     Milliseconds silenceLimit { 4'000 }; // a connection not heard for this long is made anew
     Milliseconds firstReconnect { 50 };
     Milliseconds longestReconnect { 1'000 };
+    bool idsAreAddresses = false; // a peer that is not listed is reached at its id, while there is something to send
+    Milliseconds forgetUnusedAfter { 20'000 }; // closes the connection to an unlisted peer
 };
 
 // Counters since the start.
@@ -72,11 +75,14 @@
         Instant nextPing {};
         Milliseconds backoff { 0 };
         std::string waiting; // framed messages not yet handed to the session
+        bool isListed = true;
+        Instant lastUsed {};
     };
 
     void run();
     void acceptConnections();
-    void takeOutbox();
+    void takeOutbox(Instant);
+    Outbound* findOutbound(const std::string& id);
     void maintain(Instant);
     void connectPeer(Outbound&, Instant);
     void dropOutbound(Outbound&, Instant);
@@ -89,7 +95,7 @@
     PeerNetworkOptions m_options;
     const Clock& m_clock;
     PeerSession::Receiver m_receiver;
-    std::vector<Outbound> m_outbound;
+    std::deque<Outbound> m_outbound;
     absl::flat_hash_map<std::string, size_t> m_outboundById;
     absl::flat_hash_map<int, size_t> m_outboundByFd;
     absl::flat_hash_map<int, std::unique_ptr<PeerSession>> m_inbound;
@@ -100,7 +106,7 @@
     std::atomic<bool> m_stopping = false;
 
     std::mutex m_mutex;
-    std::vector<std::pair<size_t, std::string>> m_outbox; // guarded by m_mutex
+    std::vector<std::pair<std::string, std::string>> m_outbox; // peer and framed message; guarded by m_mutex
 
     std::atomic<uint64_t> m_messagesSent = 0;
     std::atomic<uint64_t> m_bytesSent = 0;
--- /dev/null
+++ b/node/core_node.cpp
@@ -0,0 +1,546 @@
+#include "node/core_node.h"
+
+#include "node/http_answers.h"
+#include "platform/call_codec.h"
+#include "platform/order_codec.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <future>
+#include <thread>
+#include <utility>
+
+namespace teasel {
+
+namespace {
+
+    constexpr Milliseconds tickEvery { 10 };
+    constexpr size_t maxQueuedTasks = 100'000;
+    constexpr Milliseconds votersEvery { 250 };
+    constexpr Milliseconds instancesEvery { 500 };
+    constexpr Milliseconds metricsEvery { 1'000 };
+    constexpr Milliseconds instanceLasts { 1'500 }; // without a hello; several were missed
+    constexpr Milliseconds handOverTime { 600 };
+    constexpr Milliseconds answerTime { 1'500 }; // what is held is answered by the next leader
+    constexpr size_t maxRefusals = 20'000;
+    constexpr uint64_t keepLogRecords = 2'000; // behind a snapshot, for replicas that were away for seconds
+    constexpr Milliseconds peerPing { 500 };
+    constexpr Milliseconds peerSilence { 1'500 }; // three pings; a silent connection is made anew
+    constexpr Milliseconds announcementTime { 900 }; // an executor waits a second for the answer
+    constexpr Milliseconds operatorTime { 2'500 };
+
+    // The seeds name control addresses; the own processes meet at the same port everywhere.
+    std::vector<std::string> peersOf(const schema::CoreSettings& settings)
+    {
+        const auto& own = settings.instance().peer_address();
+        const auto port = own.substr(own.rfind(':'));
+        std::vector<std::string> out;
+        for (const auto& it : settings.seeds())
+            out.push_back(it.substr(0, it.rfind(':')) + port);
+        return out;
+    }
+
+    ReplicatedLogOptions logOptions(const schema::CoreSettings& settings, uint64_t seed)
+    {
+        ReplicatedLogOptions out;
+        out.replica.id = settings.instance().peer_address();
+        out.replica.seed = seed;
+        out.replica.keepRecords = keepLogRecords;
+        // Only the first start of the whole system says who the voters are; later they are in the log.
+        if (settings.first_start()) {
+            for (const auto& it : peersOf(settings))
+                out.replica.bootstrap.add_voters(it);
+        }
+        out.replica.replacement = !settings.first_start();
+        out.snapshotEveryRecords = settings.snapshot_every_records();
+        return out;
+    }
+
+    JobLeaderOptions leaderOptions(const schema::JobPlaneSettings& settings)
+    {
+        JobLeaderOptions out;
+        out.maxLease = Milliseconds(static_cast<int64_t>(settings.max_lease_ms()));
+        out.lease = std::min(out.lease, out.maxLease);
+        out.stopTime = Milliseconds(static_cast<int64_t>(settings.stop_ms()));
+        out.gangWait = Milliseconds(static_cast<int64_t>(settings.gang_wait_ms()));
+        out.remoteFactor = settings.remote_factor();
+        out.restoreTime = Milliseconds(static_cast<int64_t>(settings.restore_ms()));
+        out.keepEnded = Milliseconds(static_cast<int64_t>(settings.keep_ended_ms()));
+        return out;
+    }
+
+    PeerNetworkOptions networkOptions(const std::string& address, uint64_t incarnation)
+    {
+        PeerNetworkOptions out;
+        out.id = address;
+        out.incarnation = incarnation;
+        out.listenAddress = address;
+        out.idsAreAddresses = true;
+        out.pingEvery = peerPing;
+        out.silenceLimit = peerSilence;
+        return out;
+    }
+
+    LeaderRelayOptions relayOptions(const schema::CoreSettings& settings)
+    {
+        LeaderRelayOptions out;
+        out.self = settings.instance().peer_address();
+        out.isCore = true;
+        out.seeds = peersOf(settings);
+        return out;
+    }
+
+    VoterPlannerOptions voterOptions(const schema::CoreSettings& settings)
+    {
+        VoterPlannerOptions out;
+        out.toleratedLosses = settings.tolerated_losses();
+        return out;
+    }
+
+} // namespace
+
+CoreNode::CoreNode(schema::CoreSettings settings, ProcessLinks links)
+    : m_settings(std::move(settings))
+    , m_links(links)
+    , m_self(m_settings.instance().peer_address())
+    , m_state(Milliseconds(static_cast<int64_t>(m_settings.jobs().keep_ended_ms())))
+    , m_leader(leaderOptions(m_settings.jobs()), m_state)
+    , m_voters(voterOptions(m_settings))
+    , m_disk(m_settings.data_folder())
+    , m_loop(tickEvery, maxQueuedTasks, [this] { onTick(); })
+    , m_network(networkOptions(m_self, links.incarnation), {}, links.clock,
+          [this](schema::Envelope envelope) {
+              m_loop.post([this, envelope = std::move(envelope)] { onEnvelope(envelope); });
+          })
+    , m_control(
+          { m_settings.control_address(), 1, 1'024 },
+          [this](HttpRequest request) {
+              m_loop.postAlways([this, request = std::move(request)]() mutable { onHttp(std::move(request)); });
+          },
+          {})
+    , m_metrics({ m_settings.metrics_address(), 1, 16 }, [this](const HttpRequest& request) { onMetrics(request); }, {})
+    , m_client({ 1, 4, 4 << 20 })
+    , m_relay(
+          relayOptions(m_settings),
+          [this](std::string_view to, schema::Envelope envelope) {
+              if (to == m_self) {
+                  envelope.set_from(m_self);
+                  envelope.set_incarnation(m_links.incarnation);
+                  m_loop.postAlways([this, envelope = std::move(envelope)] { onEnvelope(envelope); });
+              } else {
+                  m_network.send(to, std::move(envelope));
+              }
+          },
+          [this](const std::string& leader, uint64_t term) {
+              m_links.log.info("leader_found", { { "leader", leader }, { "term", term } });
+          })
+{
+}
+
+CoreNode::~CoreNode() { stop(); }
+
+Result<void> CoreNode::start()
+{
+    BOOST_LEAF_CHECK(m_disk.open());
+    m_log.emplace(
+        logOptions(m_settings, m_links.seed), m_links.clock, m_disk, m_state,
+        [this](std::string_view to, const schema::ConsensusMessage& message) {
+            schema::Envelope envelope;
+            *envelope.mutable_consensus() = message;
+            m_network.send(to, std::move(envelope));
+        },
+        [this](std::function<void()> task) { m_loop.postAlways(std::move(task)); },
+        ReplicatedLogEvents { [this](uint64_t ticket, const std::string&) {
+                                 m_leader.onCommitted(ticket, m_links.clock.now());
+                             },
+            [](uint64_t) {}, // The leadership is lost with it, and with that all that waits.
+            [this](bool serving) { onServingChanged(serving); },
+            [this](const Error& error) {
+                m_failed = true;
+                m_links.log.error("storage_failed", { { "reason", error.message } });
+            } });
+    const auto now = m_links.clock.now();
+    BOOST_LEAF_CHECK(m_log->start(now));
+    BOOST_LEAF_CHECK(m_network.start());
+    BOOST_LEAF_CHECK(m_control.start());
+    BOOST_LEAF_CHECK(m_metrics.start());
+    m_loop.start();
+    m_links.log.info("core_started",
+        { { "id", m_settings.instance().id() }, { "address", m_self },
+            { "data_centre", m_settings.instance().data_centre() }, { "first_start", m_settings.first_start() },
+            { "may_vote", m_log->replica().mayVote() }, { "records", m_log->replica().log().lastIndex() },
+            { "configuration", m_state.configuration().version() }, { "jobs", m_state.jobs().size() } });
+    return {};
+}
+
+void CoreNode::reload(const schema::CoreSettings& settings)
+{
+    m_loop.postAlways([this, seeds = peersOf(settings)] { m_relay.addSeeds(seeds); });
+    m_links.log.info("settings_reloaded", { { "seeds", settings.seeds_size() } });
+}
+
+void CoreNode::stop()
+{
+    if (std::exchange(m_isStopping, true))
+        return;
+    m_loop.postAlways([this] {
+        m_relay.setStopping();
+        if (m_log)
+            m_log->stepDown(m_links.clock.now());
+    });
+    std::this_thread::sleep_for(handOverTime);
+    const auto end = m_links.clock.now() + answerTime;
+    while (m_control.waiting() > 0 && m_links.clock.now() < end)
+        std::this_thread::sleep_for(tickEvery);
+    m_control.stop();
+    m_metrics.stop();
+    m_client.stop();
+    m_network.stop();
+    m_loop.stop();
+}
+
+// ---- Leadership ----------------------------------------------------------
+
+void CoreNode::onServingChanged(bool serving)
+{
+    const auto now = m_links.clock.now();
+    m_links.log.info(serving ? "core_leadership_gained" : "core_leadership_lost",
+        { { "id", m_settings.instance().id() }, { "term", m_log->replica().term() },
+            { "applied", m_log->replica().appliedIndex() } });
+    m_links.metrics.counter(ProcessCounter::LeaderChanges).Increment();
+    if (serving) {
+        lead(now);
+        return;
+    }
+    m_leader.end();
+    // Whoever passed these calls on finds the next leader.
+    for (const auto& [handle, it] : m_calls) {
+        schema::RoutedAnswer answer;
+        answer.set_number(it.number);
+        sendRouted(it.from, std::move(answer));
+    }
+    m_calls.clear();
+}
+
+void CoreNode::lead(Instant now)
+{
+    m_instances.clear();
+    m_voters.begin(m_log->replica().voters(), now);
+    m_leader.begin(m_log->replica().term(), now, m_links.clock.wallNow());
+    m_leader.setAdviceInstances({ m_self });
+    carryOut(now);
+    schema::CoreView view = viewFor(now);
+    m_relay.onView(m_self, view, now);
+    // The instances learn of the leader when they next look for one; those of the core at once.
+    for (const auto& it : m_relay.core()) {
+        if (it == m_self)
+            continue;
+        schema::Envelope envelope;
+        *envelope.mutable_core_view() = view;
+        m_network.send(it, std::move(envelope));
+    }
+}
+
+schema::CoreView CoreNode::viewFor(Instant now) const
+{
+    schema::CoreView view;
+    view.set_is_leader(m_log && m_leader.isLeading() && m_log->holdsLease(now));
+    view.set_term(m_log ? m_log->replica().term() : 0);
+    view.set_leader(std::string(m_log ? m_log->leaderHint() : std::string_view()));
+    if (view.is_leader()) {
+        for (const auto& it : m_log->replica().voters().voters())
+            view.add_core(it);
+        for (const auto& it : m_log->replica().voters().learners())
+            view.add_core(it);
+    } else {
+        for (const auto& it : m_relay.core())
+            view.add_core(it);
+    }
+    return view;
+}
+
+void CoreNode::planVoters(Instant now)
+{
+    m_nextVoters = now + votersEvery;
+    const auto change = m_voters.next(m_log->replica().voters(), m_self, now);
+    if (!change)
+        return;
+    const auto outcome = valueOrError([&] { return m_log->changeVoters(*change, now); });
+    const auto* error = std::get_if<Error>(&outcome);
+    m_links.log.info("voters_change",
+        { { "instance", change->replica }, { "kind", static_cast<int>(change->kind) },
+            { "voters", m_log->replica().voters().voters_size() },
+            { "outcome", error == nullptr ? "proposed" : error->message } });
+}
+
+void CoreNode::updateInstances(Instant now)
+{
+    m_nextInstances = now + instancesEvery;
+    std::vector<std::string> advisers { m_self };
+    for (auto it = m_instances.begin(); it != m_instances.end();) {
+        if (now - it->second.heard > instanceLasts) {
+            m_links.log.info("instance_silent", { { "instance", it->first } });
+            it = m_instances.erase(it);
+            continue;
+        }
+        advisers.push_back(it->first);
+        ++it;
+    }
+    m_leader.setAdviceInstances(std::move(advisers));
+}
+
+// ---- Messages ------------------------------------------------------------
+
+void CoreNode::onEnvelope(const schema::Envelope& envelope)
+{
+    const auto now = m_links.clock.now();
+    switch (envelope.body_case()) {
+    case schema::Envelope::kConsensus:
+        m_log->onMessage(envelope.from(), envelope.consensus(), now);
+        return;
+    case schema::Envelope::kCoreHello:
+        return onHello(envelope.from(), envelope.core_hello(), now);
+    case schema::Envelope::kCoreView:
+        return m_relay.onView(envelope.from(), envelope.core_view(), now);
+    case schema::Envelope::kRoutedCall:
+        return onRoutedCall(envelope, now);
+    case schema::Envelope::kRoutedAnswer:
+        return m_relay.onAnswer(envelope.routed_answer(), now);
+    case schema::Envelope::kAdviceCall:
+        callAdvice(envelope.advice_call(), [this, from = envelope.from()](schema::AdviceResult result) {
+            schema::Envelope out;
+            *out.mutable_advice_result() = std::move(result);
+            m_network.send(from, std::move(out));
+        });
+        return;
+    case schema::Envelope::kAdviceResult:
+        return onAdvice(envelope.advice_result(), now);
+    default:
+        return;
+    }
+}
+
+void CoreNode::onHello(const std::string& from, const schema::CoreHello& hello, Instant now)
+{
+    if (hello.is_core()) {
+        if (hello.is_stopping())
+            m_voters.onStopping(from);
+        else
+            m_voters.onHello(from, now);
+    }
+    auto& instance = m_instances[from];
+    if (now - instance.heard > instanceLasts && m_leader.isLeading())
+        m_links.log.info("instance_heard", { { "instance", from }, { "is_core", hello.is_core() } });
+    instance = { now, hello.is_core() };
+    schema::Envelope out;
+    *out.mutable_core_view() = viewFor(now);
+    m_network.send(from, std::move(out));
+}
+
+void CoreNode::sendRouted(const std::string& to, schema::RoutedAnswer answer)
+{
+    if (to == m_self) {
+        m_loop.postAlways([this, answer = std::move(answer)] { m_relay.onAnswer(answer, m_links.clock.now()); });
+        return;
+    }
+    schema::Envelope out;
+    *out.mutable_routed_answer() = std::move(answer);
+    m_network.send(to, std::move(out));
+}
+
+void CoreNode::onRoutedCall(const schema::Envelope& envelope, Instant now)
+{
+    const auto& call = envelope.routed_call();
+    if (!m_leader.isLeading() || !m_log->holdsLease(now) || call.term() != m_log->replica().term()) {
+        schema::RoutedAnswer answer;
+        answer.set_number(call.number());
+        answer.set_leader(std::string(m_log->leaderHint()));
+        sendRouted(envelope.from(), std::move(answer));
+        return;
+    }
+    const CallName name { envelope.from(), envelope.incarnation(), call.number() };
+    if (const auto it = m_refused.find(name); it != m_refused.end()) {
+        sendRouted(envelope.from(), it->second);
+        return;
+    }
+    auto decoded = platform::decodeCall(call);
+    if (auto* answer = std::get_if<schema::RoutedAnswer>(&decoded)) {
+        m_links.log.info("call_invalid",
+            { { "path", call.path() }, { "status", answer->status() }, { "reason", answer->body() } });
+        answer->set_number(call.number());
+        sendRouted(envelope.from(), std::move(*answer));
+        return;
+    }
+    const auto handle = ++m_lastHandle;
+    auto& jobCall = std::get<JobCall>(decoded);
+    CallUnderWay underWay { JobCall(GetConfiguration {}), envelope.from(), envelope.incarnation(), call.number(), now };
+    // The answer depends on the kind of call only; its contents go to the leader.
+    underWay.call = std::visit([](const auto& it) { return JobCall(std::decay_t<decltype(it)> {}); }, jobCall);
+    m_calls.emplace(handle, std::move(underWay));
+    m_leader.onCall(handle, std::move(jobCall), now, m_links.clock.wallNow());
+}
+
+void CoreNode::onHttp(HttpRequest request)
+{
+    schema::RoutedCall call;
+    call.set_surface(schema::RoutedCall::CONTROL);
+    call.set_method(request.method);
+    call.set_path(request.path);
+    call.set_body(std::move(request.body));
+    const bool isAnnouncement = call.path().starts_with("/instances/");
+    call.set_time_left_ms(static_cast<uint64_t>((isAnnouncement ? announcementTime : operatorTime).count()));
+    const auto handle = request.handle;
+    m_relay.call(
+        std::move(call),
+        [this, handle](schema::RoutedAnswer answer) {
+            HttpResponse response { answer.status(), "application/json", {}, std::move(*answer.mutable_body()) };
+            if (answer.retry_after_s() > 0)
+                response.headers.emplace_back("Retry-After", std::to_string(answer.retry_after_s()));
+            m_control.answer(handle, std::move(response));
+        },
+        m_links.clock.now());
+}
+
+void CoreNode::onMetrics(const HttpRequest& request)
+{
+    if (request.path == "/metrics")
+        m_metrics.answer(request.handle, { 200, "text/plain; version=0.0.4", {}, m_links.metrics.renderMetrics() });
+    else
+        m_metrics.answer(request.handle, { 404, "text/plain", {}, "only /metrics\n" });
+}
+
+// ---- Actions -------------------------------------------------------------
+
+void CoreNode::onTick()
+{
+    const auto now = m_links.clock.now();
+    m_log->onTick(now);
+    m_relay.setHasState(m_log->replica().mayVote());
+    m_relay.onTick(now);
+    if (m_leader.isLeading()) {
+        m_leader.onTick(now, m_links.clock.wallNow());
+        m_leader.finishBatch(now, m_links.clock.wallNow());
+        if (now >= m_nextVoters)
+            planVoters(now);
+        if (now >= m_nextInstances)
+            updateInstances(now);
+    }
+    carryOut(now);
+    if (now >= m_nextMetrics)
+        updateMetrics(now);
+}
+
+void CoreNode::carryOut(Instant now)
+{
+    for (auto actions = m_leader.takeActions(); !actions.empty(); actions = m_leader.takeActions()) {
+        for (auto& it : actions)
+            std::visit([&](auto& action) { perform(action, now); }, it);
+    }
+}
+
+void CoreNode::perform(ProposeJobs& action, Instant now)
+{
+    if (!m_log->propose(action.command.SerializeAsString(), action.ticket, now))
+        m_links.log.warning("proposal_not_taken", { { "ticket", action.ticket } });
+}
+
+void CoreNode::perform(AnswerCall& action, Instant now)
+{
+    const auto found = m_calls.find(action.handle);
+    if (found == m_calls.end())
+        return;
+    auto underWay = std::move(found->second);
+    m_calls.erase(found);
+    // Everything that is said rests on the state being the newest.
+    if (!m_log->holdsLease(now) && !platform::isRefusal(action.answer)) {
+        schema::RoutedAnswer answer;
+        answer.set_number(underWay.number);
+        sendRouted(underWay.from, std::move(answer));
+        return;
+    }
+    auto answer = platform::encodeAnswer(underWay.call, action.answer);
+    answer.set_number(underWay.number);
+    if (platform::isRefusal(action.answer) && std::holds_alternative<SubmitJob>(underWay.call)) {
+        const CallName name { underWay.from, underWay.incarnation, underWay.number };
+        m_refused[name] = answer;
+        m_refusedOrder.push_back(name);
+        if (m_refusedOrder.size() > maxRefusals) {
+            m_refused.erase(m_refusedOrder.front());
+            m_refusedOrder.pop_front();
+        }
+    }
+    sendRouted(underWay.from, std::move(answer));
+}
+
+void CoreNode::perform(SendOrder& action, Instant now)
+{
+    const auto number = action.number;
+    // A paused process must not send what another leader may have decided against.
+    if (!m_log->holdsLease(now)) {
+        m_leader.onOrderResult(number, { OrderEnd::NotSent }, now);
+        return;
+    }
+    auto call = platform::encodeOrder(action);
+    m_client.start(std::move(call), [this, number, order = std::move(action.order)](const HttpOutcome& outcome) {
+        auto result = platform::decodeOrderOutcome(order, outcome);
+        m_loop.postAlways([this, number, result = std::move(result)]() mutable {
+            m_leader.onOrderResult(number, std::move(result), m_links.clock.now());
+        });
+    });
+}
+
+void CoreNode::perform(AskAdvice& action, Instant)
+{
+    schema::AdviceCall call;
+    call.set_number(action.number);
+    call.set_address(m_settings.jobs().advice_address());
+    call.set_step(stepText(action.step));
+    for (auto& it : action.executors)
+        call.add_executors(std::move(it));
+    call.set_timeout_ms(static_cast<uint64_t>(action.timeout.count()));
+    if (action.instance == m_self) {
+        callAdvice(call, [this](schema::AdviceResult result) {
+            m_loop.postAlways([this, result = std::move(result)] { onAdvice(result, m_links.clock.now()); });
+        });
+        return;
+    }
+    schema::Envelope out;
+    *out.mutable_advice_call() = std::move(call);
+    m_network.send(action.instance, std::move(out));
+}
+
+void CoreNode::perform(JobLogLine& action, Instant)
+{
+    m_links.log.infoOf(action.event, action.fields);
+}
+
+void CoreNode::callAdvice(const schema::AdviceCall& call, std::function<void(schema::AdviceResult)> done)
+{
+    const auto number = call.number();
+    m_client.start(platform::encodeAdviceCall(call), [number, done = std::move(done)](const HttpOutcome& outcome) {
+        done(platform::decodeAdviceOutcome(number, outcome));
+    });
+}
+
+void CoreNode::onAdvice(const schema::AdviceResult& result, Instant now)
+{
+    std::vector<std::pair<std::string, std::string>> granted;
+    for (const auto& it : result.granted())
+        granted.emplace_back(it.executor(), it.ticket());
+    m_leader.onAdvice(result.number(), result.answered(), std::move(granted), now);
+}
+
+void CoreNode::updateMetrics(Instant now)
+{
+    m_nextMetrics = now + metricsEvery;
+    m_links.metrics.gauge(ProcessGauge::IsLeader).Set(m_leader.isLeading() ? 1 : 0);
+    m_links.metrics.gauge(ProcessGauge::Revision).Set(static_cast<double>(m_state.configuration().version()));
+    m_links.metrics.gauge(ProcessGauge::Epoch).Set(static_cast<double>(m_log->replica().term()));
+    m_links.metrics.gauge(ProcessGauge::Executors).Set(static_cast<double>(m_leader.executorsUsable(now)));
+    m_links.metrics.gauge(ProcessGauge::WaitingTasks).Set(static_cast<double>(m_leader.waitingTasks()));
+    m_links.metrics.gauge(ProcessGauge::RunningTasks).Set(static_cast<double>(m_leader.runningTasks()));
+    m_links.metrics.gauge(ProcessGauge::HeldRequests).Set(static_cast<double>(m_relay.open()));
+}
+
+} // namespace teasel
--- /dev/null
+++ b/node/front_node.cpp
@@ -0,0 +1,201 @@
+#include "node/front_node.h"
+
+#include "node/http_answers.h"
+#include "platform/order_codec.h"
+
+#include <charconv>
+#include <thread>
+#include <utility>
+
+namespace teasel {
+
+namespace {
+
+    constexpr Milliseconds tickEvery { 50 };
+    constexpr size_t maxQueuedTasks = 50'000;
+    constexpr Milliseconds leaveRotationTime { 2'600 }; // the balancer asks once a second and goes by two answers
+    constexpr Milliseconds stopCheckEvery { 20 };
+    constexpr Milliseconds peerPing { 500 };
+    constexpr Milliseconds peerSilence { 1'500 }; // three pings; a silent connection is made anew
+
+    std::vector<std::string> peersOf(const schema::FrontSettings& settings)
+    {
+        const auto& own = settings.instance().peer_address();
+        const auto port = own.substr(own.rfind(':'));
+        std::vector<std::string> out;
+        for (const auto& it : settings.seeds())
+            out.push_back(it.substr(0, it.rfind(':')) + port);
+        return out;
+    }
+
+    PeerNetworkOptions networkOptions(const std::string& address, uint64_t incarnation)
+    {
+        PeerNetworkOptions out;
+        out.id = address;
+        out.incarnation = incarnation;
+        out.listenAddress = address;
+        out.idsAreAddresses = true;
+        out.pingEvery = peerPing;
+        out.silenceLimit = peerSilence;
+        return out;
+    }
+
+    LeaderRelayOptions relayOptions(const schema::FrontSettings& settings)
+    {
+        LeaderRelayOptions out;
+        out.self = settings.instance().peer_address();
+        out.seeds = peersOf(settings);
+        return out;
+    }
+
+    uint64_t milliseconds(std::string_view text)
+    {
+        uint64_t out = 0;
+        std::from_chars(text.data(), text.data() + text.size(), out);
+        return out;
+    }
+
+} // namespace
+
+FrontNode::FrontNode(schema::FrontSettings settings, ProcessLinks links)
+    : m_settings(std::move(settings))
+    , m_links(links)
+    , m_self(m_settings.instance().peer_address())
+    , m_loop(tickEvery, maxQueuedTasks, [this] { onTick(); })
+    , m_network(networkOptions(m_self, links.incarnation), {}, links.clock,
+          [this](schema::Envelope envelope) {
+              m_loop.post([this, envelope = std::move(envelope)] { onEnvelope(envelope); });
+          })
+    , m_callers(
+          { m_settings.callers_address(), 1, m_settings.max_connections(), m_settings.max_body_bytes() },
+          [this](HttpRequest request) {
+              m_loop.postAlways([this, request = std::move(request)]() mutable { onHttp(std::move(request)); });
+          },
+          {})
+    , m_ready({ m_settings.ready_address(), 1, 32 }, [this](const HttpRequest& request) { onReady(request); }, {})
+    , m_metrics({ m_settings.metrics_address(), 1, 16 }, [this](const HttpRequest& request) { onMetrics(request); }, {})
+    , m_client({ 1, 2, 1 << 20 })
+    , m_relay(
+          relayOptions(m_settings),
+          [this](std::string_view to, schema::Envelope envelope) { m_network.send(to, std::move(envelope)); },
+          [this](const std::string& leader, uint64_t term) {
+              m_links.log.info("leader_found", { { "leader", leader }, { "term", term } });
+          })
+{
+}
+
+FrontNode::~FrontNode() { stop(); }
+
+Result<void> FrontNode::start()
+{
+    BOOST_LEAF_CHECK(m_network.start());
+    BOOST_LEAF_CHECK(m_callers.start());
+    BOOST_LEAF_CHECK(m_ready.start());
+    BOOST_LEAF_CHECK(m_metrics.start());
+    m_loop.start();
+    m_links.log.info("front_started",
+        { { "id", m_settings.instance().id() }, { "address", m_self },
+            { "data_centre", m_settings.instance().data_centre() }, { "seeds", m_settings.seeds_size() } });
+    return {};
+}
+
+void FrontNode::reload(const schema::FrontSettings& settings)
+{
+    m_loop.postAlways([this, seeds = peersOf(settings)] { m_relay.addSeeds(seeds); });
+    m_links.log.info("settings_reloaded", { { "seeds", settings.seeds_size() } });
+}
+
+void FrontNode::stop()
+{
+    if (m_isStopping.exchange(true))
+        return;
+    const auto end = m_links.clock.now() + Milliseconds(static_cast<int64_t>(m_settings.stop_grace_ms()));
+    std::this_thread::sleep_for(leaveRotationTime);
+    m_callers.stopListening();
+    while (m_callers.waiting() > 0 && m_links.clock.now() < end)
+        std::this_thread::sleep_for(stopCheckEvery);
+    m_callers.stop();
+    m_ready.stop();
+    m_metrics.stop();
+    m_client.stop();
+    m_network.stop();
+    m_loop.stop();
+}
+
+void FrontNode::onTick()
+{
+    const auto now = m_links.clock.now();
+    m_relay.onTick(now);
+    const bool hasLeader = m_relay.hasLeader(now);
+    if (std::exchange(m_hadLeader, hasLeader) != hasLeader)
+        m_links.log.info(hasLeader ? "leader_regained" : "leader_lost",
+            { { "leader", m_relay.leader() }, { "open_calls", m_relay.open() } });
+    m_isReady = hasLeader;
+}
+
+void FrontNode::onEnvelope(const schema::Envelope& envelope)
+{
+    const auto now = m_links.clock.now();
+    switch (envelope.body_case()) {
+    case schema::Envelope::kCoreView:
+        return m_relay.onView(envelope.from(), envelope.core_view(), now);
+    case schema::Envelope::kRoutedAnswer:
+        return m_relay.onAnswer(envelope.routed_answer(), now);
+    case schema::Envelope::kAdviceCall:
+        return callAdvice(envelope);
+    default:
+        return;
+    }
+}
+
+void FrontNode::callAdvice(const schema::Envelope& envelope)
+{
+    const auto number = envelope.advice_call().number();
+    m_client.start(platform::encodeAdviceCall(envelope.advice_call()),
+        [this, number, from = envelope.from()](const HttpOutcome& outcome) {
+            schema::Envelope out;
+            *out.mutable_advice_result() = platform::decodeAdviceOutcome(number, outcome);
+            m_network.send(from, std::move(out));
+        });
+}
+
+void FrontNode::onHttp(HttpRequest request)
+{
+    schema::RoutedCall call;
+    call.set_surface(schema::RoutedCall::CALLERS);
+    call.set_method(request.method);
+    call.set_path(request.path);
+    const auto host = request.header("host");
+    call.set_host(std::string(host.substr(0, host.find(':'))));
+    call.set_key(std::string(bearerToken(request)));
+    call.set_time_left_ms(milliseconds(request.header("deadline-ms")));
+    call.set_body(std::move(request.body));
+    const auto handle = request.handle;
+    m_relay.call(
+        std::move(call),
+        [this, handle](schema::RoutedAnswer answer) {
+            HttpResponse response { answer.status(), "application/json", {}, std::move(*answer.mutable_body()) };
+            if (answer.retry_after_s() > 0)
+                response.headers.emplace_back("Retry-After", std::to_string(answer.retry_after_s()));
+            if (m_isStopping)
+                response.headers.emplace_back("Connection", "close");
+            m_callers.answer(handle, std::move(response));
+        },
+        m_links.clock.now());
+}
+
+void FrontNode::onReady(const HttpRequest& request)
+{
+    const bool isReady = m_isReady && !m_isStopping;
+    m_ready.answer(request.handle, { isReady ? 200U : 503U, "text/plain", {}, isReady ? "ready\n" : "not ready\n" });
+}
+
+void FrontNode::onMetrics(const HttpRequest& request)
+{
+    if (request.path == "/metrics")
+        m_metrics.answer(request.handle, { 200, "text/plain; version=0.0.4", {}, m_links.metrics.renderMetrics() });
+    else
+        m_metrics.answer(request.handle, { 404, "text/plain", {}, "only /metrics\n" });
+}
+
+} // namespace teasel
--- a/observability/log.cpp
+++ b/observability/log.cpp
@@ -66,11 +66,27 @@
 {
 }
 
+std::string Log::head(LogLevel level, std::string_view event) const
+{
+    return fmt::format("level={} event={} time={}", nameOf(level), event, timeOf(m_clock.wallNow()));
+}
+
+void Log::infoOf(std::string_view event, const std::vector<std::pair<std::string_view, std::string>>& fields) const
+{
+    if (!isOn(LogLevel::Info))
+        return;
+    auto line = head(LogLevel::Info, event);
+    for (const auto& [key, value] : fields)
+        line += fmt::format(" {}={}", key, quoteLogValue(value));
+    line += '\n';
+    m_sink(line);
+}
+
 void Log::write(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) const
 {
     if (!isOn(level))
         return;
-    auto line = fmt::format("level={} event={} time={}", nameOf(level), event, timeOf(m_clock.wallNow()));
+    auto line = head(level, event);
     for (const auto& it : fields)
         line += fmt::format(" {}={}", it.key, quoteLogValue(it.value));
     line += '\n';
--- a/observability/log.h
+++ b/observability/log.h
@@ -12,6 +12,8 @@
 #include <initializer_list>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace teasel {
 
@@ -53,6 +55,9 @@
 
     void write(LogLevel, std::string_view event, std::initializer_list<LogField> = {}) const;
 
+    // The same for fields that are not known where the line is written.
+    void infoOf(std::string_view event, const std::vector<std::pair<std::string_view, std::string>>& fields) const;
+
     void debug(std::string_view event, std::initializer_list<LogField> fields = {}) const
     {
         write(LogLevel::Debug, event, fields);
@@ -74,6 +79,8 @@
     void setLevel(LogLevel least) { m_least.store(least, std::memory_order_relaxed); }
 
 private:
+    std::string head(LogLevel, std::string_view event) const;
+
     std::atomic<LogLevel> m_least;
     const Clock& m_clock;
     LogSink m_sink;
