--- a/jobs/admission.cpp
+++ b/jobs/admission.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-    constexpr double packedShare = 0.88; // of the cores that can be in use at once with tasks of unlike sizes
+    constexpr double packedShare = 0.92; // of the fleet that can be in use at once with tasks of unlike sizes
+    constexpr double leastFreedShare = 0.05; // of the fleet a second, where little runs
     constexpr double burstSeconds = 4; // of its fair rate that a team may save up
     constexpr double beyondShareFactor = 0.6; // of the slack that a job beyond its team's fair rate may wait
     constexpr double leastRetryMs = 1'000; // Retry-After counts in whole seconds
@@ -43,18 +44,29 @@
     return true;
 }
 
+double Admission::expectedWaitMs(const JobDemand& demand, const FleetLoad& load)
+{
+    double waitMs = 0;
+    for (size_t n = 0; n < ResourceVector::kinds; ++n) {
+        const auto total = static_cast<double>(load.total.amounts[n]);
+        if (total <= 0 || demand.firstTasks.amounts[n] <= 0)
+            continue;
+        const double unusable = total * (1 - packedShare);
+        const double free = std::max(0.0, static_cast<double>(load.free.amounts[n]) - unusable);
+        const double missing = static_cast<double>(load.ahead.amounts[n] + demand.firstTasks.amounts[n]) - free;
+        const double rate = std::max(load.freedPerSecond[n], total * leastFreedShare);
+        waitMs = std::max(waitMs, missing / rate * 1'000);
+    }
+    return waitMs;
+}
+
 AdmissionVerdict Admission::decide(const JobDemand& demand, const FleetLoad& load, Instant now)
 {
     AdmissionVerdict verdict;
-    const double usable = load.cores * packedShare;
-    if (usable <= 0) // Executors announce themselves within moments of a start; until then there is nothing to go by.
-        return verdict;
-    // What runs frees cores evenly over its remaining time; what waits takes them in turn.
-    const double freeCores = std::max(0.0, usable - load.runningCoreMs / 2'000);
-    verdict.waitMs = std::max(0.0, load.waitingCoreMs - freeCores * 1'000) / usable;
+    verdict.waitMs = expectedWaitMs(demand, load);
     const bool withinShare = takeToken(demand.team, now);
-    const double bearable = demand.slackMs * (withinShare ? 1.0 : beyondShareFactor);
-    if (verdict.waitMs <= std::max(0.0, bearable))
+    const double bearable = std::max(0.0, demand.slackMs * (withinShare ? 1.0 : beyondShareFactor));
+    if (verdict.waitMs <= bearable)
         return verdict;
     verdict.isAccepted = false;
     verdict.retryAfter = Milliseconds(
--- a/jobs/admission.h
+++ b/jobs/admission.h
@@ -5,9 +5,11 @@
 #pragma once
 
 #include "core/clock.h"
+#include "placement/resource_vector.h"
 
 #include <absl/container/btree_map.h>
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -16,17 +18,20 @@
 
 // What a job wants of the fleet.
 struct JobDemand {
-    double coreMs = 0; // of all its tasks, as expected
-    double slackMs = 0; // how long its first tasks may wait for the job to meet its objective
-    uint32_t priority = 0;
+    ResourceVector firstTasks; // of the tasks that can start at once
+    double slackMs = 0; // how long these may wait for the job to meet its objective
     std::string team;
 };
 
+// An amount of each resource, in the units of ResourceVector.
+using ResourceRate = std::array<double, ResourceVector::kinds>;
+
 // What the fleet holds when a job arrives.
 struct FleetLoad {
-    double cores = 0; // usable
-    double runningCoreMs = 0; // left of what runs
-    double waitingCoreMs = 0; // of accepted work that must start before the job's last moment
+    ResourceVector total; // of usable executors
+    ResourceVector free;
+    ResourceVector ahead; // of waiting tasks that go before the job's
+    ResourceRate freedPerSecond {}; // by the ends of what runs, as expected
 };
 
 struct AdmissionVerdict {
@@ -49,6 +54,9 @@
         Instant filledAt {};
     };
 
+    // How long the job's first tasks are likely to wait for room.
+    static double expectedWaitMs(const JobDemand&, const FleetLoad&);
+
     // Whether the team keeps to its fair rate with this job; takes a token if so.
     bool takeToken(const std::string& team, Instant now);
 
--- a/jobs/job_calls.cpp
+++ b/jobs/job_calls.cpp
@@ -8,6 +8,7 @@
 namespace {
 
     constexpr Milliseconds retryWhenUnavailable { 1'000 };
+    constexpr double leastTaskMs = 100; // shorter tasks are no sign that room comes so soon
 
     CallAnswer notAllowed(CallStatus status, std::string reason) { return { status, std::move(reason) }; }
 
@@ -115,10 +116,10 @@
 {
     JobDemand demand;
     demand.team = request.team();
-    demand.priority = queue.priority();
-    for (const auto& step : request.steps())
-        demand.coreMs += static_cast<double>(step.count()) * expectedMs(request, step)
-            * static_cast<double>(step.need().milli_cpus()) / 1'000;
+    for (const auto& step : request.steps()) {
+        if (step.depends_on().empty())
+            demand.firstTasks += needOf(step) * static_cast<int64_t>(step.count());
+    }
     const double chain = chainFrom(request, 0);
     demand.slackMs = (queue.slack_factor() - 1) * chain + static_cast<double>(queue.target_latency_ms());
     return demand;
@@ -129,21 +130,25 @@
     FleetLoad load;
     for (const auto& [number, it] : m_executors) {
         const auto* state = recordOf(number);
-        if (state != nullptr && isUsable(it))
-            load.cores += static_cast<double>(state->capacity.amounts[0]) / 1'000;
+        if (state == nullptr || !isUsable(it))
+            continue;
+        load.total += state->capacity;
+        load.free += state->capacity - it.committed;
         for (const auto& [key, run] : it.runs) {
             const auto step = m_ready.find(key.step);
             if (step == m_ready.end())
                 continue;
-            const double ranMs = std::chrono::duration<double, std::milli>(m_now - run.startedAt).count();
-            load.runningCoreMs
-                += std::max(0.0, step->second.taskMs - ranMs) * static_cast<double>(run.need.amounts[0]) / 1'000;
+            for (size_t n = 0; n < ResourceVector::kinds; ++n)
+                load.freedPerSecond[n] += static_cast<double>(run.need.amounts[n]) * 1'000
+                    / std::max(leastTaskMs, step->second.taskMs * it.slowness);
         }
     }
+    // Late steps go after all that can still be in time; a team at its cap takes nothing from others.
     for (const auto& [key, it] : m_ready) {
-        if (it.latestStart <= latestStart && !it.lasting)
-            load.waitingCoreMs += static_cast<double>(it.waiting.size()) * it.taskMs
-                * static_cast<double>(it.need.amounts[0]) / 1'000;
+        if (it.latestStart < m_now || it.latestStart > latestStart || it.lasting)
+            continue;
+        const auto tasks = std::min<int64_t>(static_cast<int64_t>(it.waiting.size()), leftOfCap(it.team, it.need));
+        load.ahead += it.need * tasks;
     }
     return load;
 }
@@ -182,7 +187,8 @@
         { { "job", jobIdText(id) }, { "queue", request.queue() }, { "team", team },
             { "configuration", std::to_string(m_state.configuration().version()) },
             { "expected_wait_ms", millis(verdict.waitMs) }, { "slack_ms", millis(demand.slackMs) },
-            { "waiting_core_ms", millis(load.waitingCoreMs) }, { "cores", millis(load.cores) },
+            { "ahead_mcpu", std::to_string(load.ahead.amounts[0]) }, { "free_mcpu", std::to_string(load.free.amounts[0]) },
+            { "free_mib", std::to_string(load.free.amounts[1]) }, { "total_mcpu", std::to_string(load.total.amounts[0]) },
             { "retry_after_ms", std::to_string(verdict.retryAfter.count()) } });
     if (!verdict.isAccepted) {
         ++m_counters.refused;
