--- a/jobs/advice_book.cpp
+++ b/jobs/advice_book.cpp
@@ -138,6 +138,15 @@
     m_steps.erase(first, last);
 }
 
+void AdviceBook::forgetAll()
+{
+    m_steps.clear();
+    m_calls.clear();
+    m_shares.clear();
+    for (auto& [instance, busyUntil] : m_busyUntil)
+        busyUntil = Instant();
+}
+
 double AdviceBook::grantedShare(std::string_view queue) const
 {
     const auto it = m_shares.find(queue);
--- a/jobs/advice_book.h
+++ b/jobs/advice_book.h
@@ -51,6 +51,9 @@
 
     void forgetJob(uint64_t job);
 
+    // Forgets everything but the instances.
+    void forgetAll();
+
     // The share of executors that were granted, of those asked for steps of one queue.
     double grantedShare(std::string_view queue) const;
     void countAnswer(std::string_view queue, size_t asked, size_t granted);
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -54,7 +54,7 @@
     m_acceptWaiters.clear();
     m_timedJobs.clear();
     m_announcing.clear();
-    m_advice = AdviceBook();
+    m_advice.forgetAll();
     m_batch.Clear();
     m_batchContinuations.clear();
     m_proposed.clear();
--- /dev/null
+++ b/tests/jobs_random_test.cpp
@@ -0,0 +1,37 @@
+// Seeded runs of the job plane under faults. TEASEL_SEEDS and
+// TEASEL_FIRST_SEED choose how many and which.
+#include "jobs_world.h"
+
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+
+using namespace teasel;
+
+namespace {
+
+uint64_t fromEnvironment(const char* name, uint64_t otherwise)
+{
+    const char* text = std::getenv(name);
+    return text ? std::strtoull(text, nullptr, 10) : otherwise;
+}
+
+} // namespace
+
+TEST_CASE("no seed breaks a rule of the platform, and every accepted job ends")
+{
+    const uint64_t first = fromEnvironment("TEASEL_FIRST_SEED", 1);
+    const uint64_t seeds = fromEnvironment("TEASEL_SEEDS", 200);
+    size_t completed = 0;
+    for (uint64_t seed = first; seed < first + seeds; ++seed) {
+        JobsWorldOptions options;
+        options.seed = seed;
+        JobsWorld world(options);
+        for (const auto& it : world.run())
+            FAIL_CHECK(fmt::format(
+                "TEASEL_FIRST_SEED={} TEASEL_SEEDS=1 build/jobs_random_test\n{}", seed, it));
+        completed += world.completed();
+    }
+    fmt::print("jobs ended: {}\n", completed);
+    CHECK(completed > seeds * 50);
+}
--- /dev/null
+++ b/tests/jobs_world.h
@@ -0,0 +1,654 @@
+// A seeded emulator of the platform around the job plane's decision modules:
+// executors with leases on their own clocks, orders that are lost, late or
+// doubled, an advising service, callers that resend and cancel, and leaders
+// that follow one another on one replicated state. The platform's rules are
+// checked after each event, from what executors and callers see.
+#pragma once
+
+#include "core/clock.h"
+#include "core/random.h"
+#include "jobs/job_leader.h"
+#include "jobs/job_state.h"
+
+#include <fmt/format.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace teasel {
+
+struct JobsWorldOptions {
+    uint64_t seed = 1;
+    size_t executors = 6;
+    double jobsPerSecond = 6;
+    double lateOrders = 0.02; // share of orders without an answer that are carried out 2 to 12 s later
+    double lostAnswers = 0.02;
+    double executorCrashesPerSecond = 0.05;
+    double silencesPerSecond = 0.05; // an executor is cut off for seconds
+    double leaderChangesPerSecond = 0.1;
+    double cancels = 0.05;
+    double failures = 0.02; // share of runs that fail
+    bool needsTickets = true;
+    Milliseconds faultsFor { 20'000 };
+    Milliseconds drainFor { 60'000 };
+};
+
+class JobsWorld {
+public:
+    explicit JobsWorld(JobsWorldOptions options)
+        : m_options(options)
+        , m_random(options.seed)
+        , m_state(Milliseconds(600'000))
+    {
+        for (size_t n = 0; n < options.executors; ++n)
+            m_executors.push_back(bornExecutor(n));
+        schema::JobCommand command;
+        *command.add_changes()->mutable_configuration() = configuration();
+        m_state.apply(0, command.SerializeAsString());
+        startLeader();
+    }
+
+    // Runs the whole mix and gives what was broken; empty if nothing was.
+    std::vector<std::string> run()
+    {
+        const auto faultsEnd = m_clock.now() + m_options.faultsFor;
+        while (m_clock.now() < faultsEnd && m_broken.empty()) {
+            injectFaults();
+            callersAct();
+            step();
+        }
+        for (auto& it : m_executors)
+            it.silentUntil = Instant();
+        const auto end = m_clock.now() + m_options.drainFor;
+        while (m_clock.now() < end && m_broken.empty() && hasOpenJobs()) {
+            callersRepeat();
+            step();
+        }
+        if (m_broken.empty() && hasOpenJobs())
+            reportOpenJobs();
+        return m_broken;
+    }
+
+    size_t completed() const { return m_completed.size(); }
+    size_t accepted() const { return m_acceptedJobs.size(); }
+
+private:
+    struct Run {
+        uint32_t run = 0;
+        std::string payload;
+        double leftMs = 0;
+        bool fails = false;
+        ResourceVector need;
+    };
+    struct Executor {
+        std::string id;
+        uint64_t bornMs = 0;
+        double clockRate = 1;
+        Instant bornAt {};
+        ResourceVector capacity;
+        std::map<TaskKey, Run> runs;
+        std::map<TaskKey, uint32_t> barred; // runs up to this number
+        std::vector<EndedTask> ended;
+        uint64_t lastEnd = 0;
+        uint64_t fence = 0;
+        uint64_t leaseUntilMs = 0;
+        uint64_t sequence = 0;
+        Instant silentUntil {};
+        Instant nextAnnouncement {};
+    };
+    struct Event {
+        Instant at {};
+        std::function<void()> action;
+    };
+    struct Caller {
+        schema::JobRequest request;
+        bool isAccepted = false;
+        bool isRefused = false;
+        bool isCancelled = false;
+        Instant nextTry {};
+        unsigned tries = 0;
+    };
+
+    static schema::JobConfiguration configuration()
+    {
+        schema::JobConfiguration out;
+        out.set_version(1);
+        auto& queue = *out.add_queues();
+        queue.set_name("blend");
+        queue.set_host("farm.example");
+        queue.set_path_prefix("/blend/");
+        queue.set_service("filling");
+        queue.set_timeout_ms(3'000);
+        queue.set_target_latency_ms(1'000);
+        queue.set_max_attempts(3);
+        queue.set_slack_factor(40);
+        queue.mutable_advice()->set_base_ms(20);
+        queue.mutable_advice()->set_per_executor_ms(1);
+        queue.mutable_advice()->set_ticket_valid_ms(2'000);
+        out.add_services()->set_name("filling");
+        auto& team = *out.add_teams();
+        team.set_name("orchard");
+        team.add_keys("key");
+        team.set_weight(100);
+        team.mutable_cap()->set_milli_cpus(40'000);
+        return out;
+    }
+
+    Executor bornExecutor(size_t n)
+    {
+        Executor it;
+        it.id = fmt::format("x{}", n);
+        it.bornMs = ++m_lastBorn;
+        it.bornAt = m_clock.now();
+        it.clockRate = 0.98 + m_random.unit() * 0.02;
+        it.capacity = { { 8'000, 16'384, 0 } };
+        it.nextAnnouncement = m_clock.now();
+        return it;
+    }
+
+    WallTime wall() const { return m_clock.wallNow(); }
+    void later(Duration delay, std::function<void()> action)
+    {
+        m_events.push_back({ m_clock.now() + delay, std::move(action) });
+    }
+    void breaks(std::string what) { m_broken.push_back(fmt::format("seed {}: {}", m_options.seed, std::move(what))); }
+
+    // ---- Leaders -----------------------------------------------------------
+
+    void startLeader()
+    {
+        ++m_term;
+        // Proposals of the former leader that were on their way are in the log, or never will be.
+        for (auto& [ticket, command] : m_proposed) {
+            if (!m_random.chance(0.5))
+                break;
+            m_state.apply(0, command);
+            noteCommittedEnds(command);
+        }
+        m_proposed.clear();
+        m_leader = std::make_unique<JobLeader>(JobLeaderOptions {}, m_state);
+        m_leader->setAdviceInstances({ "front-1", "front-2" });
+        m_leader->begin(m_term, m_clock.now(), wall());
+    }
+
+    void perform(ProposeJobs& action)
+    {
+        m_proposed.emplace_back(action.ticket, action.command.SerializeAsString());
+        later(std::chrono::milliseconds(5 + m_random.below(15)), [this, term = m_term] { commitNext(term); });
+    }
+
+    void commitNext(uint64_t term)
+    {
+        if (term != m_term || m_proposed.empty())
+            return;
+        auto [ticket, command] = std::move(m_proposed.front());
+        m_proposed.pop_front();
+        m_state.apply(0, command);
+        noteCommittedEnds(command);
+        m_leader->onCommitted(ticket, m_clock.now());
+    }
+
+    void noteCommittedEnds(const std::string& command)
+    {
+        schema::JobCommand parsed;
+        parsed.ParseFromString(command);
+        for (const auto& it : parsed.changes()) {
+            if (it.has_ended() && it.ended().outcome() == schema::RUN_OUTCOME_DONE)
+                noteDone(toKey(it.ended().task()));
+            if (it.has_ended() && it.ended().outcome() == schema::RUN_OUTCOME_FAILED)
+                ++m_failures[toKey(it.ended().task())];
+        }
+    }
+
+    const schema::JobStep& specOf(const StepKey& key)
+    {
+        return m_callers[key.job].request.steps(static_cast<int>(key.step));
+    }
+
+    void noteDone(const TaskKey& key)
+    {
+        m_done.insert(key);
+        for (uint32_t n = 0; specOf(key.step).gang() && n < specOf(key.step).count(); ++n)
+            m_done.insert({ key.step, n });
+    }
+
+    void perform(AnswerCall& action)
+    {
+        const auto it = m_calls.find(action.handle);
+        if (it == m_calls.end())
+            return;
+        const auto id = it->second;
+        m_calls.erase(it);
+        auto& caller = m_callers[id];
+        if (m_random.chance(m_options.lostAnswers))
+            return;
+        if (action.answer.status == CallStatus::Accepted) {
+            caller.isAccepted = true;
+            m_acceptedJobs.insert(id);
+        } else if (action.answer.status == CallStatus::Refused && caller.tries == 1) {
+            caller.isRefused = true;
+        }
+    }
+
+    void perform(JobLogLine&) { }
+
+    void perform(AskAdvice& action)
+    {
+        std::vector<std::pair<std::string, std::string>> granted;
+        for (const auto& it : action.executors) {
+            if (isAllowed(action.step, it))
+                granted.emplace_back(it, "ticket");
+        }
+        later(std::chrono::milliseconds(30), [this, term = m_term, number = action.number, granted] {
+            if (term == m_term)
+                m_leader->onAdvice(number, true, granted, m_clock.now());
+        });
+    }
+
+    static bool isAllowed(const StepKey& step, const std::string& executor)
+    {
+        // Two of three executors, so that every step has room somewhere.
+        return (step.job + step.step + std::stoul(executor.substr(1))) % 3 != 0;
+    }
+
+    // ---- Orders ------------------------------------------------------------
+
+    Executor* findExecutor(const std::string& id)
+    {
+        for (auto& it : m_executors) {
+            if (it.id == id)
+                return &it;
+        }
+        return nullptr;
+    }
+
+    void perform(SendOrder& action)
+    {
+        auto* executor = findExecutor(action.executorId);
+        const auto term = m_term;
+        const auto number = action.number;
+        const auto timeout = [this, term, number, after = action.timeout] {
+            later(after, [this, term, number] {
+                if (term == m_term)
+                    m_leader->onOrderResult(number, { OrderEnd::Unclear }, m_clock.now());
+            });
+        };
+        if (executor == nullptr || executor->silentUntil > m_clock.now()) {
+            timeout();
+            return;
+        }
+        const auto born = executor->bornMs;
+        const auto deliver = [this, order = action, born] {
+            auto* it = findExecutor(order.executorId);
+            return it != nullptr && it->bornMs == born && it->silentUntil <= m_clock.now()
+                ? std::optional(carryOut(*it, order))
+                : std::nullopt;
+        };
+        if (m_random.chance(m_options.lateOrders)) {
+            later(std::chrono::milliseconds(2'000 + m_random.below(10'000)), [deliver] { deliver(); });
+            timeout();
+            return;
+        }
+        const bool isAnswerLost = m_random.chance(m_options.lostAnswers);
+        later(std::chrono::milliseconds(1 + m_random.below(5)), [this, deliver, timeout, isAnswerLost, term, number] {
+            auto result = deliver();
+            if (!result || isAnswerLost) {
+                timeout();
+                return;
+            }
+            later(std::chrono::milliseconds(1 + m_random.below(5)), [this, term, number, result] {
+                if (term == m_term)
+                    m_leader->onOrderResult(number, *result, m_clock.now());
+            });
+        });
+    }
+
+    uint64_t clockOf(const Executor& it) const
+    {
+        const auto lived = std::chrono::duration<double, std::milli>(m_clock.now() - it.bornAt).count();
+        return 1'000 + static_cast<uint64_t>(lived * it.clockRate);
+    }
+
+    OrderResult carryOut(Executor& executor, const SendOrder& order)
+    {
+        OrderResult out;
+        out.clockMs = clockOf(executor);
+        out.bornMs = executor.bornMs;
+        if (order.fence < executor.fence) {
+            out.end = OrderEnd::StaleFence;
+            return out;
+        }
+        executor.fence = order.fence;
+        out.end = OrderEnd::Done;
+        if (const auto* start = std::get_if<StartRun>(&order.order))
+            out.end = begin(executor, *start);
+        else if (const auto* stop = std::get_if<StopRun>(&order.order))
+            stopRun(executor, *stop);
+        else if (const auto* hold = std::get_if<HoldRuns>(&order.order))
+            holdRuns(executor, *hold, out);
+        return out;
+    }
+
+    OrderEnd begin(Executor& executor, const StartRun& start)
+    {
+        if (const auto it = executor.runs.find(start.task); it != executor.runs.end() && it->second.run == start.run)
+            return OrderEnd::Done;
+        if (const auto it = executor.barred.find(start.task); it != executor.barred.end() && start.run <= it->second)
+            return OrderEnd::RunTooOld;
+        if (start.leaseUntilMs <= clockOf(executor))
+            return OrderEnd::TooLate;
+        checkStart(executor, start);
+        executor.leaseUntilMs = std::max(executor.leaseUntilMs, start.leaseUntilMs);
+        const auto& caller = m_callers[start.task.step.job];
+        const auto& spec = caller.request.steps(static_cast<int>(start.task.step.step));
+        Run run { start.run, start.payload, 100.0 + static_cast<double>(m_random.below(1'500)),
+            m_random.chance(m_options.failures), needOf(spec) };
+        executor.runs[start.task] = std::move(run);
+        checkCapacity(executor);
+        return OrderEnd::Done;
+    }
+
+    void endRun(Executor& executor, const TaskKey& key, schema::RunOutcome outcome)
+    {
+        const auto run = executor.runs.at(key).run;
+        executor.runs.erase(key);
+        executor.barred[key] = std::max(executor.barred[key], run);
+        executor.ended.push_back({ ++executor.lastEnd, key, run, outcome, {} });
+        if (specOf(key.step).gang() && outcome != schema::RUN_OUTCOME_BROKEN)
+            endOthersOfGang(key.step, run, outcome);
+    }
+
+    // The members of a gang end done together, or break when one of them ends otherwise.
+    void endOthersOfGang(const StepKey& step, uint32_t run, schema::RunOutcome outcome)
+    {
+        const auto others = outcome == schema::RUN_OUTCOME_DONE ? outcome : schema::RUN_OUTCOME_BROKEN;
+        for (auto& executor : m_executors) {
+            std::vector<TaskKey> keys;
+            for (const auto& [key, it] : executor.runs) {
+                if (key.step == step && it.run == run)
+                    keys.push_back(key);
+            }
+            for (const auto& key : keys) {
+                if (executor.runs.contains(key))
+                    endRun(executor, key, others);
+            }
+        }
+    }
+
+    bool isPresent(const StepKey& step, uint32_t run)
+    {
+        size_t n = 0;
+        for (const auto& executor : m_executors) {
+            for (const auto& [key, it] : executor.runs)
+                n += key.step == step && it.run == run ? 1 : 0;
+        }
+        return n == specOf(step).count();
+    }
+
+    void stopRun(Executor& executor, const StopRun& stop)
+    {
+        executor.barred[stop.task] = std::max(executor.barred[stop.task], stop.run);
+        const auto it = executor.runs.find(stop.task);
+        if (it != executor.runs.end() && it->second.run <= stop.run)
+            endRun(executor, stop.task, schema::RUN_OUTCOME_STOPPED);
+    }
+
+    void holdRuns(Executor& executor, const HoldRuns& hold, OrderResult& out)
+    {
+        executor.leaseUntilMs = std::max(executor.leaseUntilMs, hold.leaseUntilMs);
+        std::erase_if(executor.ended, [&](const auto& it) { return it.number <= hold.seenEnds; });
+        for (const auto& [key, run] : executor.runs)
+            out.running.push_back({ key, run.run, {}, 100, -1 });
+        out.ended = executor.ended;
+    }
+
+    // ---- Rules -------------------------------------------------------------
+
+    void checkStart(const Executor& executor, const StartRun& start)
+    {
+        const auto task = taskText(start.task);
+        const auto caller = m_callers.find(start.task.step.job);
+        if (caller == m_callers.end() || caller->second.request.payload() != start.payload)
+            return breaks(fmt::format("UNASKED: {} on {}", task, executor.id));
+        if (caller->second.isRefused)
+            breaks(fmt::format("REFUSED: {} starts though its job was refused", task));
+        for (const auto& other : m_executors) {
+            if (other.runs.contains(start.task))
+                breaks(fmt::format("TWICE: {} runs on {} and starts on {}", task, other.id, executor.id));
+        }
+        if (m_done.contains(start.task))
+            breaks(fmt::format("TWICE: {} starts on {} after its end was taken note of", task, executor.id));
+        const auto& step = caller->second.request.steps(static_cast<int>(start.task.step.step));
+        for (const auto before : step.depends_on()) {
+            for (uint32_t n = 0; n < caller->second.request.steps(static_cast<int>(before)).count(); ++n) {
+                const TaskKey needed { { start.task.step.job, start.task.step.occurrence, before }, n };
+                if (!m_done.contains(needed))
+                    breaks(fmt::format("ORDER: {} starts before {}", task, taskText(needed)));
+            }
+        }
+        if (m_failures[start.task] >= 3)
+            breaks(fmt::format("BUDGET: {} starts after {} failures", task, m_failures[start.task]));
+        if (m_options.needsTickets && !isAllowed(start.task.step, executor.id))
+            breaks(fmt::format("ROUTE: {} starts on {} without advice", task, executor.id));
+    }
+
+    void checkCapacity(const Executor& executor)
+    {
+        ResourceVector used;
+        ResourceVector all;
+        for (const auto& [key, run] : executor.runs)
+            used += run.need;
+        for (const auto& it : m_executors) {
+            for (const auto& [key, run] : it.runs)
+                all += run.need;
+        }
+        if (!used.fitsIn(executor.capacity))
+            breaks(fmt::format("LIMIT: {} holds {}", executor.id, describe(used)));
+        if (all.amounts[0] > 44'000)
+            breaks(fmt::format("QUOTA: the team holds {}", describe(all)));
+    }
+
+    // ---- Time and faults -----------------------------------------------------
+
+    void step()
+    {
+        constexpr std::chrono::milliseconds stepTime { 5 };
+        m_clock.advance(stepTime);
+        const auto now = m_clock.now();
+        for (size_t n = 0; n < m_events.size();) {
+            if (m_events[n].at > now) {
+                ++n;
+                continue;
+            }
+            auto action = std::move(m_events[n].action);
+            m_events.erase(m_events.begin() + static_cast<std::ptrdiff_t>(n));
+            action();
+            drain();
+        }
+        for (auto& it : m_executors)
+            work(it, 5.0);
+        m_leader->onTick(now, wall());
+        m_leader->finishBatch(now, wall());
+        drain();
+    }
+
+    void drain()
+    {
+        for (auto actions = m_leader->takeActions(); !actions.empty(); actions = m_leader->takeActions()) {
+            for (auto& it : actions)
+                std::visit([this](auto& action) { perform(action); }, it);
+        }
+    }
+
+    void work(Executor& executor, double ms)
+    {
+        std::vector<TaskKey> over;
+        const bool hasLapsed = clockOf(executor) > executor.leaseUntilMs;
+        for (auto& [key, run] : executor.runs) {
+            if (!specOf(key.step).gang() || isPresent(key.step, run.run))
+                run.leftMs -= ms;
+            if (hasLapsed || run.leftMs <= 0)
+                over.push_back(key);
+        }
+        for (const auto& key : over) {
+            if (!executor.runs.contains(key)) // ended with its gang
+                continue;
+            const bool fails = executor.runs.at(key).fails;
+            if (hasLapsed) {
+                endRun(executor, key, schema::RUN_OUTCOME_LAPSED);
+            } else {
+                endRun(executor, key, fails ? schema::RUN_OUTCOME_FAILED : schema::RUN_OUTCOME_DONE);
+            }
+        }
+        if (m_clock.now() < executor.nextAnnouncement || executor.silentUntil > m_clock.now())
+            return;
+        executor.nextAnnouncement = m_clock.now() + std::chrono::milliseconds(1'500);
+        ExecutorAnnouncement it;
+        it.record.set_id(executor.id);
+        it.record.set_born_ms(executor.bornMs);
+        it.record.set_address(executor.id);
+        it.record.set_service("filling");
+        *it.record.mutable_capacity() = toMessage(executor.capacity);
+        it.sequence = ++executor.sequence;
+        m_leader->onCall(++m_lastHandle, std::move(it), m_clock.now(), wall());
+    }
+
+    void injectFaults()
+    {
+        constexpr double stepsPerSecond = 200;
+        auto& executor = m_executors[m_random.below(m_executors.size())];
+        if (m_random.chance(m_options.executorCrashesPerSecond / stepsPerSecond)) {
+            const auto number = static_cast<size_t>(&executor - m_executors.data());
+            executor = bornExecutor(number);
+            executor.silentUntil = m_clock.now() + std::chrono::milliseconds(m_random.below(3'000));
+        } else if (m_random.chance(m_options.silencesPerSecond / stepsPerSecond)) {
+            executor.silentUntil = m_clock.now() + std::chrono::milliseconds(1'000 + m_random.below(8'000));
+        }
+        if (m_random.chance(m_options.leaderChangesPerSecond / stepsPerSecond))
+            startLeader();
+    }
+
+    void callersAct()
+    {
+        constexpr double stepsPerSecond = 200;
+        if (m_random.chance(m_options.jobsPerSecond / stepsPerSecond)) {
+            const auto id = ++m_lastJob;
+            m_callers[id].request = drawRequest(id);
+        }
+        callersRepeat();
+        for (auto& [id, it] : m_callers) {
+            if (it.isAccepted && !it.isCancelled && m_random.chance(m_options.cancels / stepsPerSecond)) {
+                it.isCancelled = true;
+                m_leader->onCall(++m_lastHandle, CancelJob { "farm.example", path(id), "key", id }, m_clock.now(), wall());
+            }
+        }
+    }
+
+    void callersRepeat()
+    {
+        for (auto& [id, it] : m_callers) {
+            if (it.isAccepted || it.isRefused || m_clock.now() < it.nextTry)
+                continue;
+            it.nextTry = m_clock.now() + std::chrono::milliseconds(700);
+            ++it.tries;
+            const auto handle = ++m_lastHandle;
+            m_calls[handle] = id;
+            SubmitJob call { "farm.example", path(id), "key", it.request };
+            m_leader->onCall(handle, std::move(call), m_clock.now(), wall());
+        }
+    }
+
+    static std::string path(uint64_t id) { return "/blend/" + jobIdText(id); }
+
+    schema::JobRequest drawRequest(uint64_t id)
+    {
+        schema::JobRequest out;
+        out.set_id(id);
+        out.set_payload(fmt::format("payload {}", id));
+        const auto steps = 1 + m_random.below(3);
+        for (uint64_t n = 0; n < steps; ++n) {
+            auto& step = *out.add_steps();
+            step.set_count(static_cast<uint32_t>(1 + m_random.below(4)));
+            step.set_gang(m_random.chance(0.3));
+            step.set_estimate_ms(300 + m_random.below(1'000));
+            step.mutable_need()->set_milli_cpus(500 + m_random.below(2'000));
+            step.mutable_need()->set_memory_mib(500 + m_random.below(2'000));
+            if (n > 0 && m_random.chance(0.7))
+                step.add_depends_on(static_cast<uint32_t>(m_random.below(n)));
+        }
+        return out;
+    }
+
+    bool isOpen(uint64_t id, const Caller& it) const
+    {
+        if (it.isRefused)
+            return false;
+        const auto* job = m_state.find(id);
+        return job == nullptr || !job->hasEnded();
+    }
+
+    bool hasOpenJobs()
+    {
+        bool open = false;
+        for (const auto& [id, it] : m_callers) {
+            if (isOpen(id, it))
+                open = true;
+            else
+                m_completed.insert(id);
+        }
+        return open;
+    }
+
+    std::string describeOpen(uint64_t id) const
+    {
+        std::string out;
+        const auto* job = m_state.find(id);
+        if (job == nullptr)
+            return ", unknown to the state";
+        for (const auto& [occurrence, open] : job->open) {
+            for (size_t n = 0; n < open.steps.size(); ++n) {
+                const auto& step = open.steps[n];
+                out += fmt::format("; step {}{}: {} of {} done, {} assigned", n,
+                    job->request.steps(static_cast<int>(n)).gang() ? " (gang)" : "", step.doneTasks,
+                    step.tasks.size(), step.assignedTasks);
+            }
+        }
+        return out + fmt::format("; usable {} waiting {} running {}", m_leader->executorsUsable(m_clock.now()), m_leader->waitingTasks(), m_leader->runningTasks());
+    }
+
+    void reportOpenJobs()
+    {
+        for (const auto& [id, it] : m_callers) {
+            if (isOpen(id, it))
+                breaks(fmt::format("LOST: job {} has not ended (accepted {}, cancelled {}){}", id, it.isAccepted,
+                    it.isCancelled, describeOpen(id)));
+        }
+    }
+
+    JobsWorldOptions m_options;
+    Random m_random;
+    ManualClock m_clock;
+    JobState m_state;
+    std::unique_ptr<JobLeader> m_leader;
+    uint64_t m_term = 0;
+    std::deque<std::pair<uint64_t, std::string>> m_proposed;
+    std::vector<Executor> m_executors;
+    std::vector<Event> m_events;
+    std::map<uint64_t, Caller> m_callers;
+    std::map<uint64_t, uint64_t> m_calls; // handle to job
+    std::set<uint64_t> m_acceptedJobs;
+    std::set<uint64_t> m_completed;
+    std::set<TaskKey> m_done;
+    std::map<TaskKey, uint32_t> m_failures;
+    std::vector<std::string> m_broken;
+    uint64_t m_lastHandle = 0;
+    uint64_t m_lastJob = 0;
+    uint64_t m_lastBorn = 0;
+};
+
+} // namespace teasel
