Settle starts without an answer within a second and a half

Ruled out: a lost hold (the executor answered all the while), the stop itself. Before: jobs_leader_test 'a start without an answer ...' fails. Conclusion: an unclear start is looked at beside the hold that waits.

--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -93,6 +93,18 @@
     return number;
 }
 
+void JobLeader::sendLook(LiveExecutor& executor)
+{
+    executor.lookAt = Instant::max();
+    ++m_counters.holds;
+    HoldRuns look;
+    look.seenEnds = executor.durableEnds;
+    OrderUnderWay order;
+    order.kind = OrderUnderWay::Kind::Hold;
+    order.isLook = true;
+    sendOrder(executor, std::move(order), std::move(look), m_options.holdSlack);
+}
+
 void JobLeader::sendHold(LiveExecutor& executor)
 {
     HoldRuns hold;
@@ -186,7 +198,7 @@
         ++m_counters.unclearStarts;
         run.stage = RunStage::Unclear;
         run.unclearSince = m_now;
-        executor.nextHold = m_now;
+        executor.lookAt = m_now;
         return;
     }
     ++m_counters.startsRefused;
@@ -200,10 +212,11 @@
     const auto it = executor.runs.find(order.task);
     if (it == executor.runs.end() || it->second.run != order.run)
         return;
-    it->second.isStopUnderWay = false;
-    if (result.end == OrderEnd::Done) {
-        it->second.stopAnsweredAt = m_now;
-        executor.nextHold = std::min(executor.nextHold, m_now + m_options.stopTime + listingSlack);
+    auto& run = it->second;
+    run.isStopUnderWay = false;
+    if (result.end == OrderEnd::Done && !run.isStopAnswered()) {
+        run.stopAnsweredAt = m_now;
+        executor.lookAt = std::min(executor.lookAt, m_now + m_options.stopTime + listingSlack + listingSlack);
     }
 }
 
@@ -211,7 +224,8 @@
 
 void JobLeader::onHoldResult(LiveExecutor& executor, const OrderUnderWay& order, OrderResult& result)
 {
-    executor.holdNumber = 0;
+    if (!order.isLook)
+        executor.holdNumber = 0;
     if (result.end != OrderEnd::Done) {
         executor.nextHold = m_now + m_options.holdRetry;
         return;
@@ -227,9 +241,8 @@
     else if (silence > m_options.suspectAfter)
         log("executor_regained", { { "executor", state->record.id() }, { "silent_ms", millis(silence) } });
     executor.lastAnswer = m_now;
-    executor.nextHold = m_now + m_options.holdPause;
-    if (!order.extends)
-        executor.nextHold = m_now; // begins the lease, or takes it up again
+    if (!order.isLook)
+        executor.nextHold = m_now + (order.extends ? m_options.holdPause : Milliseconds(0));
     takeEnds(executor, result);
     takeRunning(executor, order, result);
     settleAbsent(executor, order, result);
@@ -278,6 +291,9 @@
         if (!it.checkpoint.empty())
             run.checkpoint = it.checkpoint;
         run.percent = it.percent;
+        // A stop that was answered and had no effect is sent again.
+        if (run.isStopAnswered() && order.sentAt > run.stopAnsweredAt + m_options.stopTime + m_options.stopRetry)
+            run.stopAnsweredAt = Instant();
         if (run.stage == RunStage::Unclear || run.stage == RunStage::Inherited) {
             if (run.stage == RunStage::Unclear)
                 run.startedAt = run.unclearSince;
@@ -373,11 +389,14 @@
     }
     if (executor.holdNumber == 0 && m_now >= executor.nextHold)
         sendHold(executor);
+    if (m_now >= executor.lookAt)
+        sendLook(executor);
     if (!executor.isTakenOver)
         return;
     for (auto& [key, run] : executor.runs) {
-        const bool isDue = run.mustStop && !run.isStopUnderWay && run.stage != RunStage::Ending
-            && run.stage != RunStage::Committing && m_now - run.stopSentAt > m_options.stopRetry;
+        const bool isDue = run.mustStop && !run.isStopUnderWay && !run.isStopAnswered()
+            && run.stage != RunStage::Ending && run.stage != RunStage::Committing
+            && m_now - run.stopSentAt > m_options.stopRetry;
         if (isDue)
             sendStop(executor, key, run);
     }
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -126,6 +126,7 @@
         } kind = Kind::Hold;
         Instant sentAt {};
         bool extends = false;
+        bool isLook = false; // beside the hold under way
     };
 
     // Calls (job_calls.cpp).
@@ -164,6 +165,7 @@
     const ExecutorState* recordOf(uint32_t number) const;
     void replaceIncarnation(uint32_t number, std::string_view reason);
     void sendHold(LiveExecutor&);
+    void sendLook(LiveExecutor&);
     void sendStop(LiveExecutor&, const TaskKey&, LiveRun&);
     uint64_t sendOrder(LiveExecutor&, OrderUnderWay, ExecutorOrder, Milliseconds timeout);
     void onHoldResult(LiveExecutor&, const OrderUnderWay&, OrderResult&);
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -58,6 +58,7 @@
     uint64_t holdNumber = 0; // of the hold under way; 0: none
     Instant holdSentAt {};
     Instant nextHold {};
+    Instant lookAt = Instant::max(); // for a hold beside the one under way, that does not wait
     uint64_t durableEnds = 0; // ends up to this number are in the log
     uint64_t listedEnds = 0; // ends up to this number were taken
     uint64_t lapses = 0; // times that its leases lapsed
--- /dev/null
+++ b/tests/jobs_fixture.h
@@ -0,0 +1,183 @@
+// A leader of the job plane with a log that commits at once, for tests that
+// answer its orders by hand.
+#pragma once
+
+#include "jobs/job_leader.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace teasel {
+
+class JobsFixture {
+public:
+    explicit JobsFixture(bool needsTickets = false)
+    {
+        schema::JobCommand command;
+        auto& configuration = *command.add_changes()->mutable_configuration();
+        configuration.set_version(1);
+        auto& queue = *configuration.add_queues();
+        queue.set_name("blend");
+        queue.set_host("farm.example");
+        queue.set_path_prefix("/blend/");
+        queue.set_service("filling");
+        queue.set_timeout_ms(3'000);
+        queue.set_target_latency_ms(1'000);
+        queue.set_max_attempts(2);
+        queue.set_slack_factor(10);
+        if (needsTickets) {
+            queue.mutable_advice()->set_base_ms(20);
+            queue.mutable_advice()->set_ticket_valid_ms(2'000);
+        }
+        configuration.add_services()->set_name("filling");
+        auto& team = *configuration.add_teams();
+        team.set_name("orchard");
+        team.add_keys("key");
+        team.set_weight(100);
+        state.apply(0, command.SerializeAsString());
+        leader.setAdviceInstances({ "front-1" });
+        leader.begin(1, clock.now(), clock.wallNow());
+        settle();
+    }
+
+    // Carries out what needs no decision of the test: commits, and keeps the rest.
+    void settle()
+    {
+        leader.finishBatch(clock.now(), clock.wallNow());
+        for (auto actions = leader.takeActions(); !actions.empty(); actions = leader.takeActions()) {
+            for (auto& it : actions) {
+                if (auto* propose = std::get_if<ProposeJobs>(&it)) {
+                    state.apply(0, propose->command.SerializeAsString());
+                    leader.onCommitted(propose->ticket, clock.now());
+                } else if (auto* order = std::get_if<SendOrder>(&it)) {
+                    sentAt[order->number] = clock.now();
+                    orders.push_back(std::move(*order));
+                } else if (auto* answer = std::get_if<AnswerCall>(&it)) {
+                    answers.push_back(std::move(*answer));
+                } else if (auto* ask = std::get_if<AskAdvice>(&it)) {
+                    asks.push_back(std::move(*ask));
+                }
+            }
+            leader.finishBatch(clock.now(), clock.wallNow());
+        }
+    }
+
+    // Lets time pass in the steps of a control loop.
+    void pass(Milliseconds time)
+    {
+        constexpr Milliseconds step { 10 };
+        for (Milliseconds n { 0 }; n < time; n += step) {
+            clock.advance(step);
+            leader.onTick(clock.now(), clock.wallNow());
+            settle();
+        }
+    }
+
+    void announce(const std::string& id, uint64_t born = 1, uint64_t sequence = 1, bool draining = false)
+    {
+        ExecutorAnnouncement it;
+        it.record.set_id(id);
+        it.record.set_born_ms(born);
+        it.record.set_address(id);
+        it.record.set_service("filling");
+        it.record.set_draining(draining);
+        it.record.mutable_capacity()->set_milli_cpus(8'000);
+        it.record.mutable_capacity()->set_memory_mib(16'000);
+        it.sequence = sequence;
+        it.leavesInMs = draining ? 2'000 : 0;
+        leader.onCall(++lastHandle, std::move(it), clock.now(), clock.wallNow());
+        settle();
+    }
+
+    static schema::JobRequest request(uint64_t id, uint32_t tasks, bool gang = false)
+    {
+        schema::JobRequest out;
+        out.set_id(id);
+        out.set_payload("lot");
+        auto& step = *out.add_steps();
+        step.set_count(tasks);
+        step.set_gang(gang);
+        step.set_estimate_ms(1'000);
+        step.mutable_need()->set_milli_cpus(2'000);
+        step.mutable_need()->set_memory_mib(1'000);
+        return out;
+    }
+
+    uint64_t submit(schema::JobRequest request)
+    {
+        SubmitJob call { "farm.example", "/blend/" + jobIdText(request.id()), "key", std::move(request) };
+        leader.onCall(++lastHandle, std::move(call), clock.now(), clock.wallNow());
+        settle();
+        return lastHandle;
+    }
+
+    // The oldest order of a kind that was not taken yet.
+    template <class Order> std::optional<SendOrder> take(const std::string& executor = {})
+    {
+        const auto it = std::find_if(orders.begin(), orders.end(), [&](const auto& order) {
+            return std::holds_alternative<Order>(order.order) && (executor.empty() || order.executorId == executor);
+        });
+        if (it == orders.end())
+            return std::nullopt;
+        auto out = std::move(*it);
+        orders.erase(it);
+        return out;
+    }
+
+    void answer(const SendOrder& order, OrderResult result)
+    {
+        if (result.end != OrderEnd::Unclear && result.end != OrderEnd::NotSent)
+            result.clockMs = static_cast<uint64_t>(
+                std::chrono::duration_cast<Milliseconds>(clock.now().time_since_epoch()).count());
+        leader.onOrderResult(order.number, std::move(result), clock.now());
+        settle();
+    }
+
+    // Answers every hold that is open with these lists.
+    void answerHolds(const std::vector<RunningTask>& running, const std::vector<EndedTask>& ended = {})
+    {
+        while (auto hold = take<HoldRuns>())
+            answer(*hold, { OrderEnd::Done, 0, 0, running, ended, true });
+    }
+
+    // Lets time pass; executors answer each hold with these lists when its wait is over.
+    void passHolding(Milliseconds time, const std::vector<RunningTask>& running = {})
+    {
+        constexpr Milliseconds step { 20 };
+        for (Milliseconds n { 0 }; n < time; n += step) {
+            pass(step);
+            std::vector<SendOrder> due;
+            std::erase_if(orders, [&](const auto& it) {
+                const auto* hold = std::get_if<HoldRuns>(&it.order);
+                const bool isDue = hold != nullptr && clock.now() - sentAt[it.number] >= hold->wait;
+                if (isDue)
+                    due.push_back(it);
+                return isDue;
+            });
+            for (const auto& it : due)
+                answer(it, { OrderEnd::Done, 0, 0, running, {}, true });
+        }
+    }
+
+    std::optional<CallAnswer> answerTo(uint64_t handle) const
+    {
+        const auto it = std::find_if(answers.begin(), answers.end(), [&](const auto& a) { return a.handle == handle; });
+        return it == answers.end() ? std::nullopt : std::optional(it->answer);
+    }
+
+    ManualClock clock;
+    JobState state { Milliseconds(600'000) };
+    JobLeader leader { JobLeaderOptions {}, state };
+    std::vector<SendOrder> orders;
+    std::map<uint64_t, Instant> sentAt; // by number of the order
+    std::vector<AnswerCall> answers;
+    std::vector<AskAdvice> asks;
+    uint64_t lastHandle = 0;
+};
+
+} // namespace teasel
--- /dev/null
+++ b/tests/jobs_leader_test.cpp
@@ -0,0 +1,187 @@
+#include "jobs_fixture.h"
+
+using namespace teasel;
+
+namespace {
+
+const TaskKey firstTask { { 7, 0, 0 }, 0 };
+
+} // namespace
+
+TEST_CASE("a job is accepted once it is stored, and starts under the leader's fence and a lease")
+{
+    JobsFixture it;
+    it.announce("x1");
+    it.answerHolds({});
+    const auto handle = it.submit(JobsFixture::request(7, 1));
+    REQUIRE(it.answerTo(handle));
+    CHECK(it.answerTo(handle)->status == CallStatus::Accepted);
+    REQUIRE(it.state.find(7) != nullptr);
+    it.pass(Milliseconds(20));
+    const auto start = it.take<StartRun>();
+    REQUIRE(start);
+    CHECK(start->fence == 1);
+    const auto& run = std::get<StartRun>(start->order);
+    CHECK(run.run == 1);
+    CHECK(run.payload == "lot");
+    CHECK(run.leaseUntilMs > 0);
+    CHECK(it.state.executors().begin()->second.assignments.contains(firstTask));
+}
+
+TEST_CASE("a start without an answer that the executor does not list is settled and placed again within 1.5 s")
+{
+    JobsFixture it;
+    it.announce("x1");
+    it.answerHolds({});
+    it.submit(JobsFixture::request(7, 1));
+    it.pass(Milliseconds(20));
+    const auto start = it.take<StartRun>();
+    REQUIRE(start);
+    it.answer(*start, { OrderEnd::Unclear });
+    for (int n = 0; n < 75; ++n) {
+        it.passHolding(Milliseconds(20));
+        while (auto stop = it.take<StopRun>())
+            it.answer(*stop, { OrderEnd::Done });
+    }
+    const auto again = it.take<StartRun>();
+    REQUIRE(again);
+    CHECK(std::get<StartRun>(again->order).run == 2);
+}
+
+TEST_CASE("a start without an answer that the executor lists is taken as running")
+{
+    JobsFixture it;
+    it.announce("x1");
+    it.answerHolds({});
+    it.submit(JobsFixture::request(7, 1));
+    it.pass(Milliseconds(20));
+    const auto start = it.take<StartRun>();
+    REQUIRE(start);
+    it.answer(*start, { OrderEnd::Unclear });
+    it.passHolding(Milliseconds(1'500), { { firstTask, 1, {}, 100, -1 } });
+    CHECK(!it.take<StopRun>());
+    CHECK(!it.take<StartRun>());
+}
+
+TEST_CASE("an end is durable before the executor may forget it")
+{
+    JobsFixture it;
+    it.announce("x1");
+    it.answerHolds({});
+    it.submit(JobsFixture::request(7, 1));
+    it.pass(Milliseconds(20));
+    it.answer(*it.take<StartRun>(), { OrderEnd::Done });
+    it.pass(Milliseconds(100));
+    auto hold = it.take<HoldRuns>();
+    REQUIRE(hold);
+    CHECK(std::get<HoldRuns>(hold->order).seenEnds == 0);
+    it.answer(*hold, { OrderEnd::Done, 0, 0, {}, { { 4, firstTask, 1, schema::RUN_OUTCOME_DONE, {} } }, true });
+    CHECK(it.state.find(7)->phase == JobPhase::Completed);
+    it.pass(Milliseconds(100));
+    hold = it.take<HoldRuns>();
+    REQUIRE(hold);
+    CHECK(std::get<HoldRuns>(hold->order).seenEnds == 4);
+}
+
+TEST_CASE("tasks of a silent executor start elsewhere only after its lease has certainly ended")
+{
+    JobsFixture it;
+    it.announce("x1");
+    it.answerHolds({});
+    it.submit(JobsFixture::request(7, 1));
+    it.pass(Milliseconds(20));
+    it.answer(*it.take<StartRun>(), { OrderEnd::Done });
+    it.announce("x2");
+    while (auto hold = it.take<HoldRuns>("x2"))
+        it.answer(*hold, { OrderEnd::Done });
+    const auto silentSince = it.clock.now();
+    std::optional<SendOrder> again;
+    while (!again && it.clock.now() - silentSince < std::chrono::seconds(12)) {
+        it.pass(Milliseconds(20));
+        while (auto hold = it.take<HoldRuns>("x2"))
+            it.answer(*hold, { OrderEnd::Done });
+        while (auto hold = it.take<HoldRuns>("x1")) {
+            // Nothing that is sent to an executor without an answer may extend its lease for long.
+            if (it.clock.now() - silentSince > std::chrono::seconds(4))
+                CHECK(std::get<HoldRuns>(hold->order).leaseUntilMs == 0);
+            it.answer(*hold, { OrderEnd::Unclear });
+        }
+        again = it.take<StartRun>();
+    }
+    REQUIRE(again);
+    CHECK(again->executorId == "x2");
+    CHECK(it.clock.now() - silentSince > std::chrono::seconds(5));
+}
+
+TEST_CASE("a refused job is refused at once with a time to come back")
+{
+    JobsFixture it;
+    it.announce("x1");
+    it.answerHolds({});
+    uint64_t refused = 0;
+    for (uint64_t id = 1; id < 60 && refused == 0; ++id) {
+        const auto handle = it.submit(JobsFixture::request(id, 4));
+        REQUIRE(it.answerTo(handle));
+        if (it.answerTo(handle)->status == CallStatus::Refused)
+            refused = handle;
+    }
+    REQUIRE(refused != 0);
+    CHECK(it.answerTo(refused)->retryAfter >= Milliseconds(1'000));
+}
+
+TEST_CASE("a draining executor gets no new start once its announcement was acknowledged")
+{
+    JobsFixture it;
+    it.announce("x1");
+    it.answerHolds({});
+    it.announce("x1", 1, 2, true);
+    REQUIRE(it.answerTo(it.lastHandle));
+    it.submit(JobsFixture::request(7, 1));
+    it.passHolding(Milliseconds(1'000));
+    CHECK(!it.take<StartRun>());
+}
+
+TEST_CASE("a delayed announcement of an earlier incarnation changes nothing")
+{
+    JobsFixture it;
+    it.announce("x1", 5, 1);
+    it.announce("x1", 3, 9);
+    REQUIRE(it.state.executors().size() == 1);
+    CHECK(it.state.executors().begin()->second.record.born_ms() == 5);
+}
+
+TEST_CASE("a cancelled job that arrives again does not run")
+{
+    JobsFixture it;
+    it.submit(JobsFixture::request(7, 1));
+    it.leader.onCall(100, CancelJob { "farm.example", "/blend/x", "key", 7 }, it.clock.now(), it.clock.wallNow());
+    it.settle();
+    it.submit(JobsFixture::request(7, 1));
+    it.announce("x1");
+    it.passHolding(Milliseconds(500));
+    CHECK(it.state.find(7)->phase == JobPhase::Cancelled);
+    CHECK(!it.take<StartRun>());
+}
+
+TEST_CASE("a configuration of the version in force with other content is refused, and a lower one changes nothing")
+{
+    JobsFixture it;
+    const auto put = [&](uint64_t version, const std::string& document) {
+        schema::JobConfiguration next = it.state.configuration();
+        next.set_version(version);
+        next.set_document(document);
+        it.leader.onCall(++it.lastHandle, PutConfiguration { next }, it.clock.now(), it.clock.wallNow());
+        // Both of a race may come before either is stored.
+        return it.lastHandle;
+    };
+    const auto first = put(5, "a");
+    const auto second = put(5, "b");
+    const auto resent = put(5, "a");
+    const auto lower = put(4, "c");
+    it.settle();
+    CHECK(it.answerTo(first)->status == CallStatus::Ok);
+    CHECK(it.answerTo(second)->status == CallStatus::Conflict);
+    CHECK(it.answerTo(resent)->status == CallStatus::Ok);
+    CHECK(it.answerTo(lower)->status == CallStatus::Ok);
+    CHECK(it.state.configuration().document() == "a");
+}
