--- a/jobs/advice_book.cpp
+++ b/jobs/advice_book.cpp
@@ -1,6 +1,7 @@
 #include "jobs/advice_book.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace teasel {
@@ -8,7 +9,10 @@
 namespace {
 
     constexpr Milliseconds callSlack { 1'200 }; // of a call's timeout beyond its cost: lost packets and a slow instance
-    constexpr Milliseconds longestBacklog { 1'500 }; // more would make the caller's tickets stale
+    constexpr Milliseconds longestBacklog { 60 }; // further calls wait here, where the most urgent goes first
+    constexpr Milliseconds longCall { 150 }; // such calls leave some instances to short ones
+    constexpr size_t instancesPerReserved = 4;
+    constexpr Milliseconds avoidUnanswering { 1'500 }; // an instance that did not answer
     constexpr Milliseconds ticketMargin { 150 }; // a start must arrive while the ticket is valid
     constexpr double firstShare = 0.5; // until there are answers
     constexpr double shareWeight = 20; // executors asked that the first guess counts for
@@ -57,8 +61,11 @@
 std::optional<AdviceBook::Ask> AdviceBook::begin(
     const StepKey& step, std::vector<uint32_t> executors, Milliseconds cost, Instant now)
 {
-    const auto least = std::min_element(m_busyUntil.begin(), m_busyUntil.end(),
-        [](const auto& a, const auto& b) { return a.second < b.second; });
+    const auto reserved = cost > longCall && m_busyUntil.size() > 1
+        ? std::max<size_t>(1, m_busyUntil.size() / instancesPerReserved)
+        : 0;
+    const auto least = std::min_element(std::next(m_busyUntil.begin(), static_cast<std::ptrdiff_t>(reserved)),
+        m_busyUntil.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
     if (least == m_busyUntil.end() || least->second > now + longestBacklog)
         return std::nullopt;
     const auto starts = std::max(now, least->second);
@@ -125,7 +132,7 @@
         release(call, now);
         // An instance that did not answer is avoided for a while.
         if (const auto instance = m_busyUntil.find(call.instance); instance != m_busyUntil.end())
-            instance->second = now + longestBacklog;
+            instance->second = now + avoidUnanswering;
     }
 }
 
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -63,14 +63,16 @@
     auto room = rooms();
     std::vector<const ReadyStep*> steps;
     for (const auto& [key, it] : m_ready) {
-        if (it.waiting.empty())
-            continue;
-        if (it.needsTicket)
-            askForAdvice(it, room);
-        steps.push_back(&it);
+        if (!it.waiting.empty())
+            steps.push_back(&it);
     }
     if (room.empty() || steps.empty())
         return;
+    sortByUrgency(steps, m_now);
+    for (const auto* it : steps) {
+        if (it->needsTicket)
+            askForAdvice(*it, room);
+    }
     StartConstraints constraints;
     constraints.mayRunOn = [this](const ReadyStep& step, uint32_t executor) {
         return !step.needsTicket || !m_advice.ticketFor(step.key, executor, m_now).empty();
@@ -84,7 +86,7 @@
     };
     constraints.leftOfCap = [this](std::string_view team, const ResourceVector& need) { return leftOfCap(team, need); };
     StartPlanner planner(room, constraints);
-    for (const auto& it : planner.plan(std::move(steps), m_now))
+    for (const auto& it : planner.plan(steps, m_now))
         assign(it);
 }
 
@@ -194,7 +196,10 @@
     const auto missing = static_cast<int64_t>(step.waiting.size()) - placeable;
     if (missing <= 0)
         return;
-    std::vector<uint32_t> asked = std::move(expired);
+    // Tickets are renewed only where they let the step start: all of a gang, or something.
+    std::vector<uint32_t> asked;
+    if (renewable >= missing || (!step.gang && renewable > 0))
+        asked = std::move(expired);
     if (missing > renewable && !unknown.empty()) {
         std::sort(unknown.rbegin(), unknown.rend());
         const auto each = std::max<int64_t>(1, std::min<int64_t>(unknown.front().first, missing));
--- a/jobs/start_planner.cpp
+++ b/jobs/start_planner.cpp
@@ -25,9 +25,13 @@
 
 } // namespace
 
-std::vector<PlannedStart> StartPlanner::plan(std::vector<const ReadyStep*> steps, Instant now)
+void sortByUrgency(std::vector<const ReadyStep*>& steps, Instant now)
 {
     std::sort(steps.begin(), steps.end(), [&](const auto* a, const auto* b) { return goesBefore(*a, *b, now); });
+}
+
+std::vector<PlannedStart> StartPlanner::plan(const std::vector<const ReadyStep*>& steps, Instant now)
+{
     std::vector<PlannedStart> out;
     for (const auto* it : steps) {
         if (it->notBefore <= now && !it->waiting.empty())
--- a/jobs/start_planner.h
+++ b/jobs/start_planner.h
@@ -48,6 +48,9 @@
     std::function<int64_t(std::string_view team, const ResourceVector& need)> leftOfCap;
 };
 
+// Puts steps into the order in which they are served.
+void sortByUrgency(std::vector<const ReadyStep*>&, Instant now);
+
 class StartPlanner {
 public:
     StartPlanner(std::vector<ExecutorRoom>& rooms, const StartConstraints& constraints)
@@ -56,8 +59,8 @@
     {
     }
 
-    // Plans the starts of one round and takes their room.
-    std::vector<PlannedStart> plan(std::vector<const ReadyStep*> steps, Instant now);
+    // Plans the starts of one round for steps in order, and takes their room.
+    std::vector<PlannedStart> plan(const std::vector<const ReadyStep*>& steps, Instant now);
 
 private:
     struct Place {
