Hold executors back for gangs by what comes free soon

Cause: gangs of wide tasks did not fit while smaller steps took each hole. Ruled out: advice (asked for at once).

--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -14,6 +14,7 @@
     constexpr double askedMargin = 1.6; // more than the granted share says, since rooms change
     constexpr Milliseconds retryAfterRefusal { 60 };
     constexpr int64_t unboundedTasks = 1'000'000;
+    constexpr double soonMs = 1'500; // within which a gang may wait for room; half of a large task
 
 } // namespace
 
@@ -28,6 +29,12 @@
         room.number = number;
         room.capacity = state->capacity;
         room.free = state->capacity - it.committed;
+        for (const auto& [key, run] : it.runs) {
+            const auto step = m_ready.find(key.step);
+            const auto ranMs = std::chrono::duration<double, std::milli>(m_now - run.startedAt).count();
+            if (step != m_ready.end() && step->second.taskMs * it.slowness - ranMs < soonMs)
+                room.soon += run.need;
+        }
         room.service = state->record.service();
         room.rack = state->record.rack();
         room.labels = &state->record.labels();
@@ -77,6 +84,9 @@
     constraints.mayRunOn = [this](const ReadyStep& step, uint32_t executor) {
         return !step.needsTicket || !m_advice.ticketFor(step.key, executor, m_now).empty();
     };
+    constraints.mayRunOnLater = [this](const ReadyStep& step, uint32_t executor) {
+        return !step.needsTicket || m_advice.isGranted(step.key, executor);
+    };
     constraints.countOn = [this](const StepKey& step, uint32_t number) {
         const auto& runs = m_executors.at(number).runs;
         uint32_t n = 0;
--- a/jobs/start_planner.cpp
+++ b/jobs/start_planner.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    constexpr Milliseconds reserveWithin { 1'500 }; // a step whose latest start is nearer than this may reserve
+    constexpr double mostReservedShare = 0.4; // of the executors, held back for gangs at once
     constexpr int64_t unboundedTasks = 1'000'000;
 
     bool isLate(const ReadyStep& it, Instant now) { return it.latestStart < now; }
@@ -134,30 +134,37 @@
         if (wanted == 0)
             break;
     }
-    if (wanted > 0 && !step.lasting)
-        reserveFor(step, now);
 }
 
 void StartPlanner::reserveFor(const ReadyStep& step, Instant now)
 {
-    if (step.latestStart > now + reserveWithin || isLate(step, now) || m_reserved.size() >= m_rooms.size() / 2)
+    if (!step.gang || isLate(step, now))
         return;
-    std::vector<size_t> candidates;
+    struct Candidate {
+        size_t room = 0;
+        int64_t fits = 0; // tasks, soon
+    };
+    std::vector<Candidate> candidates;
     for (size_t n = 0; n < m_rooms.size(); ++n) {
-        if (suits(step, m_rooms[n]) && m_constraints.mayRunOn(step, m_rooms[n].number)
-            && !m_reserved.contains(m_rooms[n].number))
-            candidates.push_back(n);
+        const auto& room = m_rooms[n];
+        if (m_reserved.contains(room.number) || !suits(step, room) || !m_constraints.mayRunOnLater(step, room.number))
+            continue;
+        auto fits = step.need.timesIn(room.free + room.soon, unboundedTasks);
+        if (step.maxPerExecutor > 0)
+            fits = std::min<int64_t>(fits, step.maxPerExecutor);
+        if (fits > 0)
+            candidates.push_back({ n, fits });
     }
-    // Those with the most room will soonest have enough.
-    std::sort(candidates.begin(), candidates.end(), [&](size_t a, size_t b) {
-        return m_rooms[a].free.amounts[0] > m_rooms[b].free.amounts[0];
-    });
+    // Those that hold most of the gang first, so that few executors wait.
+    std::stable_sort(candidates.begin(), candidates.end(),
+        [](const Candidate& a, const Candidate& b) { return a.fits > b.fits; });
+    const auto most = static_cast<size_t>(static_cast<double>(m_rooms.size()) * mostReservedShare);
     auto wanted = static_cast<int64_t>(step.waiting.size());
-    for (const auto n : candidates) {
-        if (wanted <= 0)
+    for (const auto& it : candidates) {
+        if (wanted <= 0 || m_reserved.size() >= most)
             return;
-        m_reserved[m_rooms[n].number] = step.latestStart;
-        wanted -= step.need.timesIn(m_rooms[n].capacity, unboundedTasks);
+        m_reserved[m_rooms[it.room].number] = step.latestStart;
+        wanted -= it.fits;
     }
 }
 
--- a/jobs/start_planner.h
+++ b/jobs/start_planner.h
@@ -4,8 +4,8 @@
 //
 // Order: steps that can still meet their objective by the latest moment at
 // which they must start; then those that are late. Gangs are placed whole or
-// not at all. A gang or wide step that is urgent and does not fit keeps the
-// executors that will soonest have room for it from less urgent steps.
+// not at all. A gang that does not fit keeps the executors that will soonest
+// have room for it from less urgent steps.
 #pragma once
 
 #include "core/clock.h"
@@ -26,6 +26,7 @@
     uint32_t number = 0;
     ResourceVector capacity;
     ResourceVector free;
+    ResourceVector soon; // expected to come free within a gang's patience
     std::string_view service;
     std::string_view rack;
     const google::protobuf::RepeatedPtrField<std::string>* labels = nullptr;
@@ -42,6 +43,8 @@
 struct StartConstraints {
     // A valid ticket, or none needed.
     std::function<bool(const ReadyStep&, uint32_t executor)> mayRunOn;
+    // The same once tickets are renewed.
+    std::function<bool(const ReadyStep&, uint32_t executor)> mayRunOnLater;
     // Tasks of the step that are on the executor.
     std::function<uint32_t(const StepKey&, uint32_t executor)> countOn;
     // How many more tasks with this need the team's cap allows.
