Ask for more executors for wide gangs

Cause: gangs of four tasks were granted two or three executors and waited 10 to 20 s for room there.

--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -12,6 +12,9 @@
     constexpr size_t leastAsked = 8; // executors named in one call for advice
     constexpr size_t mostAsked = 100; // from the platform's contract
     constexpr double askedMargin = 1.6; // more than the granted share says, since rooms change
+    constexpr double gangAskedMargin = 4.0; // a gang needs room at several granted executors at once
+    constexpr size_t leastAskedForGang = 24;
+    constexpr size_t smallGang = 3; // tasks; so few fit nearly anywhere
     constexpr Milliseconds retryAfterRefusal { 60 };
     constexpr int64_t unboundedTasks = 1'000'000;
     constexpr double soonMs = 1'500; // within which a gang may wait for room; half of a large task
@@ -212,10 +215,12 @@
         asked = std::move(expired);
     if (missing > renewable && !unknown.empty()) {
         std::sort(unknown.rbegin(), unknown.rend());
+        const bool isWideGang = step.gang && step.waiting.size() > smallGang;
         const auto each = std::max<int64_t>(1, std::min<int64_t>(unknown.front().first, missing));
         const double wanted = static_cast<double>(missing - renewable) / static_cast<double>(each)
-            / m_advice.grantedShare(step.queue) * askedMargin;
-        const auto n = std::min(unknown.size(), std::max(leastAsked, static_cast<size_t>(std::ceil(wanted))));
+            / m_advice.grantedShare(step.queue) * (isWideGang ? gangAskedMargin : askedMargin);
+        const auto least = isWideGang ? leastAskedForGang : leastAsked;
+        const auto n = std::min(unknown.size(), std::max(least, static_cast<size_t>(std::ceil(wanted))));
         for (size_t k = 0; k < n; ++k)
             asked.push_back(unknown[k].second);
     }
