--- /dev/null
+++ b/bench/jobs_bench.cpp
@@ -0,0 +1,44 @@
+// Processor time of the job plane's leader against executors and load, on the
+// seeded emulator. Usage: bench-jobs [--executors N] [--jobs-per-second N]
+#include "../tests/jobs_world.h"
+
+#include <CLI/CLI.hpp>
+#include <fmt/format.h>
+
+#include <ctime>
+
+namespace {
+
+double processorSeconds()
+{
+    timespec it {};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &it);
+    return static_cast<double>(it.tv_sec) + static_cast<double>(it.tv_nsec) / 1e9;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    teasel::JobsWorldOptions options;
+    options.executors = 350;
+    options.jobsPerSecond = 120;
+    options.lateOrders = options.lostAnswers = options.executorCrashesPerSecond = options.silencesPerSecond
+        = options.leaderChangesPerSecond = options.cancels = 0;
+    options.faultsFor = teasel::Milliseconds(10'000);
+    options.callersGiveUp = true;
+    options.teamCap = 0;
+    CLI::App app("Processor time of the job plane's leader");
+    app.add_option("--executors", options.executors);
+    app.add_option("--jobs-per-second", options.jobsPerSecond);
+    CLI11_PARSE(app, argc, argv);
+    teasel::JobsWorld world(options);
+    const double before = processorSeconds();
+    const auto broken = world.run();
+    fmt::print("executors {} jobs/s {}: {} jobs ended, {:.2f} s of processor time with the emulator, {:.2f} s in the leader, broken {}\n",
+        options.executors, options.jobsPerSecond, world.completed(), processorSeconds() - before,
+        world.leaderSeconds(), broken.size());
+    for (size_t n = 0; n < broken.size() && n < 3; ++n)
+        fmt::print("{}\n", broken[n]);
+    return broken.empty() ? 0 : 1;
+}
--- a/jobs/advice_book.cpp
+++ b/jobs/advice_book.cpp
@@ -40,16 +40,34 @@
     return ticket->second.text;
 }
 
-bool AdviceBook::isGranted(const StepKey& step, uint32_t executor) const
+std::vector<uint32_t> AdviceBook::withTicket(const StepKey& step, Instant now) const
 {
+    std::vector<uint32_t> out;
     const auto it = m_steps.find(step);
-    return it != m_steps.end() && it->second.granted.contains(executor);
+    if (it == m_steps.end())
+        return out;
+    for (const auto& [executor, ticket] : it->second.granted) {
+        if (ticket.validUntil > now)
+            out.push_back(executor);
+    }
+    return out;
+}
+
+std::vector<uint32_t> AdviceBook::granted(const StepKey& step) const
+{
+    std::vector<uint32_t> out;
+    const auto it = m_steps.find(step);
+    if (it == m_steps.end())
+        return out;
+    for (const auto& [executor, ticket] : it->second.granted)
+        out.push_back(executor);
+    return out;
 }
 
-bool AdviceBook::wasAsked(const StepKey& step, uint32_t executor) const
+const absl::btree_set<uint32_t>* AdviceBook::asked(const StepKey& step) const
 {
     const auto it = m_steps.find(step);
-    return it != m_steps.end() && it->second.asked.contains(executor);
+    return it == m_steps.end() ? nullptr : &it->second.asked;
 }
 
 bool AdviceBook::isAsking(const StepKey& step) const
@@ -58,6 +76,12 @@
     return it != m_steps.end() && it->second.open > 0;
 }
 
+bool AdviceBook::hasFreeInstance(Instant now) const
+{
+    return std::any_of(m_busyUntil.begin(), m_busyUntil.end(),
+        [&](const auto& it) { return it.second <= now + longestBacklog; });
+}
+
 std::optional<AdviceBook::Ask> AdviceBook::begin(
     const StepKey& step, std::vector<uint32_t> executors, Milliseconds cost, Instant now)
 {
--- a/jobs/advice_book.h
+++ b/jobs/advice_book.h
@@ -30,10 +30,17 @@
     // The ticket for a step on an executor; empty if there is none that is still valid.
     std::string_view ticketFor(const StepKey&, uint32_t executor, Instant now) const;
 
-    bool isGranted(const StepKey&, uint32_t executor) const;
-    bool wasAsked(const StepKey&, uint32_t executor) const;
+    // The executors that a step may run on: with a ticket that is valid now, or with any.
+    std::vector<uint32_t> withTicket(const StepKey&, Instant now) const;
+    std::vector<uint32_t> granted(const StepKey&) const;
+
+    // Those that were asked about; nullptr for none.
+    const absl::btree_set<uint32_t>* asked(const StepKey&) const;
     bool isAsking(const StepKey&) const;
 
+    // Whether any call could begin now.
+    bool hasFreeInstance(Instant now) const;
+
     // Begins a call about a step. `cost` is the time that the service needs for it.
     // Nothing when no instance is free of a backlog.
     std::optional<Ask> begin(const StepKey&, std::vector<uint32_t> executors, Milliseconds cost, Instant now);
--- a/jobs/job_calls.cpp
+++ b/jobs/job_calls.cpp
@@ -8,7 +8,6 @@
 namespace {
 
     constexpr Milliseconds retryWhenUnavailable { 1'000 };
-    constexpr double leastTaskMs = 100; // shorter tasks are no sign that room comes so soon
 
     CallAnswer notAllowed(CallStatus status, std::string reason) { return { status, std::move(reason) }; }
 
@@ -134,14 +133,8 @@
             continue;
         load.total += state->capacity;
         load.free += state->capacity - it.committed;
-        for (const auto& [key, run] : it.runs) {
-            const auto step = m_ready.find(key.step);
-            if (step == m_ready.end())
-                continue;
-            for (size_t n = 0; n < ResourceVector::kinds; ++n)
-                load.freedPerSecond[n] += static_cast<double>(run.need.amounts[n]) * 1'000
-                    / std::max(leastTaskMs, step->second.taskMs * it.slowness);
-        }
+        for (size_t n = 0; n < ResourceVector::kinds; ++n)
+            load.freedPerSecond[n] += it.freedPerSecond[n];
     }
     // Late steps go after all that can still be in time; a team at its cap takes nothing from others.
     for (const auto& [key, it] : m_ready) {
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -11,6 +11,9 @@
     constexpr Milliseconds evacuateBefore { 700 }; // the stop, its listing and the new start still fit
     constexpr double hungFactor = 3.0; // a run that takes this many times what was expected is placed again
     constexpr Milliseconds hungLeast { 2'500 }; // and at least this much longer
+    constexpr Milliseconds forecastEvery { 150 };
+    constexpr double soonMs = 1'500; // within which a gang may wait for room; half of a large task
+    constexpr double leastTaskMs = 100; // shorter tasks are no sign that room comes so soon
     constexpr double slownessWeight = 0.2; // of the newest run
     constexpr double mostSlowness = 8.0;
     constexpr unsigned mostQuarantineDoublings = 2;
@@ -402,6 +405,26 @@
     }
     if (executor.isDraining)
         evacuate(executor);
+    if (m_now - executor.forecastAt >= forecastEvery)
+        forecast(executor);
+}
+
+void JobLeader::forecast(LiveExecutor& executor)
+{
+    executor.forecastAt = m_now;
+    executor.freedSoon = {};
+    executor.freedPerSecond = {};
+    for (const auto& [key, run] : executor.runs) {
+        const auto step = m_ready.find(key.step);
+        if (step == m_ready.end() || run.stage == RunStage::Ending)
+            continue;
+        const double taskMs = std::max(leastTaskMs, step->second.taskMs * executor.slowness);
+        const double ranMs = std::chrono::duration<double, std::milli>(m_now - run.startedAt).count();
+        if (taskMs - ranMs < soonMs)
+            executor.freedSoon += run.need;
+        for (size_t n = 0; n < ResourceVector::kinds; ++n)
+            executor.freedPerSecond[n] += static_cast<double>(run.need.amounts[n]) * 1'000 / taskMs;
+    }
 }
 
 void JobLeader::evacuate(LiveExecutor& executor)
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -180,6 +180,7 @@
     void watchExecutor(LiveExecutor&);
     void watchGangs();
     void evacuate(LiveExecutor&);
+    void forecast(LiveExecutor&);
     void lapse(LiveExecutor&);
     bool isUsable(const LiveExecutor&) const;
     void noteRunTime(LiveExecutor&, const TaskKey&, const LiveRun&);
@@ -191,6 +192,7 @@
     void assign(const PlannedStart&);
     void launch(const LaunchWhenCommitted&);
     void askForAdvice(const ReadyStep&, const std::vector<ExecutorRoom>&);
+    std::vector<uint32_t> executorsToAsk(const ReadyStep&, const std::vector<ExecutorRoom>&) const;
     int64_t leftOfCap(std::string_view team, const ResourceVector& need) const;
     void reserve(LiveExecutor&, const TaskKey&, LiveRun);
     void releaseRun(LiveExecutor&, absl::btree_map<TaskKey, LiveRun>::iterator);
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -17,7 +17,6 @@
     constexpr size_t smallGang = 3; // tasks; so few fit nearly anywhere
     constexpr Milliseconds retryAfterRefusal { 60 };
     constexpr int64_t unboundedTasks = 1'000'000;
-    constexpr double soonMs = 1'500; // within which a gang may wait for room; half of a large task
 
 } // namespace
 
@@ -32,12 +31,7 @@
         room.number = number;
         room.capacity = state->capacity;
         room.free = state->capacity - it.committed;
-        for (const auto& [key, run] : it.runs) {
-            const auto step = m_ready.find(key.step);
-            const auto ranMs = std::chrono::duration<double, std::milli>(m_now - run.startedAt).count();
-            if (step != m_ready.end() && step->second.taskMs * it.slowness - ranMs < soonMs)
-                room.soon += run.need;
-        }
+        room.soon = it.freedSoon;
         room.service = state->record.service();
         room.rack = state->record.rack();
         room.labels = &state->record.labels();
@@ -84,11 +78,12 @@
             askForAdvice(*it, room);
     }
     StartConstraints constraints;
-    constraints.mayRunOn = [this](const ReadyStep& step, uint32_t executor) {
-        return !step.needsTicket || !m_advice.ticketFor(step.key, executor, m_now).empty();
+    using Allowed = std::optional<std::vector<uint32_t>>;
+    constraints.allowedNow = [this](const ReadyStep& step) {
+        return step.needsTicket ? Allowed(m_advice.withTicket(step.key, m_now)) : std::nullopt;
     };
-    constraints.mayRunOnLater = [this](const ReadyStep& step, uint32_t executor) {
-        return !step.needsTicket || m_advice.isGranted(step.key, executor);
+    constraints.allowedLater = [this](const ReadyStep& step) {
+        return step.needsTicket ? Allowed(m_advice.granted(step.key)) : std::nullopt;
     };
     constraints.countOn = [this](const StepKey& step, uint32_t number) {
         const auto& runs = m_executors.at(number).runs;
@@ -182,48 +177,68 @@
     sendOrder(*executor, std::move(order), std::move(start), m_options.orderTimeout);
 }
 
-void JobLeader::askForAdvice(const ReadyStep& step, const std::vector<ExecutorRoom>& room)
+std::vector<uint32_t> JobLeader::executorsToAsk(const ReadyStep& step, const std::vector<ExecutorRoom>& room) const
 {
-    if (m_advice.isAsking(step.key))
-        return;
-    const auto* queue = m_state.queueOf(step.queue);
-    if (queue == nullptr || !queue->has_advice())
-        return;
+    const auto fitsOf = [&](const ExecutorRoom& it) {
+        const auto fits = step.need.timesIn(it.free, unboundedTasks);
+        return step.maxPerExecutor > 0 ? std::min<int64_t>(fits, step.maxPerExecutor) : fits;
+    };
+    const auto roomOf = [&](uint32_t number) {
+        return std::lower_bound(
+            room.begin(), room.end(), number, [](const ExecutorRoom& it, uint32_t n) { return it.number < n; });
+    };
     int64_t placeable = 0;
     int64_t renewable = 0;
     std::vector<uint32_t> expired;
-    std::vector<std::pair<int64_t, uint32_t>> unknown; // by room
-    for (const auto& it : room) {
-        const auto fits = std::min<int64_t>(step.need.timesIn(it.free, unboundedTasks),
-            step.maxPerExecutor > 0 ? step.maxPerExecutor : unboundedTasks);
-        if (!m_advice.ticketFor(step.key, it.number, m_now).empty()) {
+    for (const auto number : m_advice.granted(step.key)) {
+        const auto it = roomOf(number);
+        if (it == room.end() || it->number != number)
+            continue;
+        const auto fits = fitsOf(*it);
+        if (!m_advice.ticketFor(step.key, number, m_now).empty()) {
             placeable += fits;
-        } else if (m_advice.isGranted(step.key, it.number)) {
+        } else if (fits > 0) {
             renewable += fits;
-            if (fits > 0)
-                expired.push_back(it.number);
-        } else if (!m_advice.wasAsked(step.key, it.number) && step.need.fitsIn(it.capacity)) {
-            unknown.emplace_back(fits, it.number);
+            expired.push_back(number);
         }
     }
     const auto missing = static_cast<int64_t>(step.waiting.size()) - placeable;
     if (missing <= 0)
-        return;
+        return {};
     // Tickets are renewed only where they let the step start: all of a gang, or something.
     std::vector<uint32_t> asked;
     if (renewable >= missing || (!step.gang && renewable > 0))
         asked = std::move(expired);
-    if (missing > renewable && !unknown.empty()) {
-        std::sort(unknown.rbegin(), unknown.rend());
-        const bool isWideGang = step.gang && step.waiting.size() > smallGang;
-        const auto each = std::max<int64_t>(1, std::min<int64_t>(unknown.front().first, missing));
-        const double wanted = static_cast<double>(missing - renewable) / static_cast<double>(each)
-            / m_advice.grantedShare(step.queue) * (isWideGang ? gangAskedMargin : askedMargin);
-        const auto least = isWideGang ? leastAskedForGang : leastAsked;
-        const auto n = std::min(unknown.size(), std::max(least, static_cast<size_t>(std::ceil(wanted))));
-        for (size_t k = 0; k < n; ++k)
-            asked.push_back(unknown[k].second);
+    if (missing <= renewable)
+        return asked;
+    std::vector<std::pair<int64_t, uint32_t>> unknown; // by room
+    const auto* known = m_advice.asked(step.key);
+    for (const auto& it : room) {
+        if ((known == nullptr || !known->contains(it.number)) && step.need.fitsIn(it.capacity))
+            unknown.emplace_back(fitsOf(it), it.number);
     }
+    if (unknown.empty())
+        return asked;
+    std::sort(unknown.rbegin(), unknown.rend());
+    const bool isWideGang = step.gang && step.waiting.size() > smallGang;
+    const auto each = std::max<int64_t>(1, std::min<int64_t>(unknown.front().first, missing));
+    const double wanted = static_cast<double>(missing - renewable) / static_cast<double>(each)
+        / m_advice.grantedShare(step.queue) * (isWideGang ? gangAskedMargin : askedMargin);
+    const auto least = isWideGang ? leastAskedForGang : leastAsked;
+    const auto n = std::min(unknown.size(), std::max(least, static_cast<size_t>(std::ceil(wanted))));
+    for (size_t k = 0; k < n; ++k)
+        asked.push_back(unknown[k].second);
+    return asked;
+}
+
+void JobLeader::askForAdvice(const ReadyStep& step, const std::vector<ExecutorRoom>& room)
+{
+    if (m_advice.isAsking(step.key) || !m_advice.hasFreeInstance(m_now))
+        return;
+    const auto* queue = m_state.queueOf(step.queue);
+    if (queue == nullptr || !queue->has_advice())
+        return;
+    auto asked = executorsToAsk(step, room);
     if (asked.size() > mostAsked)
         asked.resize(mostAsked);
     if (asked.empty())
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "jobs/admission.h"
 #include "jobs/lease_clock.h"
 #include "jobs/task_key.h"
 #include "placement/resource_vector.h"
@@ -63,6 +64,11 @@
     uint64_t listedEnds = 0; // ends up to this number were taken
     uint64_t lapses = 0; // times that its leases lapsed
 
+    // What its runs are expected to free, renewed now and then.
+    Instant forecastAt {};
+    ResourceVector freedSoon;
+    ResourceRate freedPerSecond {};
+
     unsigned failuresInRow = 0;
     uint64_t lastFailedJob = 0;
     unsigned quarantines = 0;
--- a/jobs/start_planner.cpp
+++ b/jobs/start_planner.cpp
@@ -1,6 +1,7 @@
 #include "jobs/start_planner.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace teasel {
 
@@ -40,6 +41,32 @@
     return out;
 }
 
+StartPlanner::StartPlanner(std::vector<ExecutorRoom>& rooms, const StartConstraints& constraints)
+    : m_rooms(rooms)
+    , m_constraints(constraints)
+{
+    for (size_t n = 0; n < rooms.size(); ++n) {
+        m_roomOf[rooms[n].number] = n;
+        for (size_t kind = 0; kind < ResourceVector::kinds; ++kind)
+            m_largestFree.amounts[kind] = std::max(m_largestFree.amounts[kind], rooms[n].free.amounts[kind]);
+    }
+}
+
+std::vector<size_t> StartPlanner::roomsOf(const std::optional<std::vector<uint32_t>>& executors) const
+{
+    std::vector<size_t> out;
+    if (!executors) {
+        out.resize(m_rooms.size());
+        std::iota(out.begin(), out.end(), 0);
+        return out;
+    }
+    for (const auto number : *executors) {
+        if (const auto it = m_roomOf.find(number); it != m_roomOf.end())
+            out.push_back(it->second);
+    }
+    return out;
+}
+
 bool StartPlanner::suits(const ReadyStep& step, const ExecutorRoom& room) const
 {
     if (room.service != step.service || !step.need.fitsIn(room.capacity))
@@ -51,9 +78,11 @@
 std::vector<StartPlanner::Place> StartPlanner::placesFor(const ReadyStep& step, Instant now) const
 {
     std::vector<Place> out;
-    for (size_t n = 0; n < m_rooms.size(); ++n) {
+    if (!step.need.fitsIn(m_largestFree))
+        return out;
+    for (const auto n : roomsOf(m_constraints.allowedNow(step))) {
         const auto& room = m_rooms[n];
-        if (!step.need.fitsIn(room.free) || !suits(step, room) || !m_constraints.mayRunOn(step, room.number))
+        if (!step.need.fitsIn(room.free) || !suits(step, room))
             continue;
         const auto reserved = m_reserved.find(room.number);
         if (reserved != m_reserved.end() && reserved->second < step.latestStart)
@@ -63,12 +92,10 @@
             most = std::min<int64_t>(
                 most, int64_t(step.maxPerExecutor) - m_constraints.countOn(step.key, room.number));
         if (most > 0)
-            out.push_back({ n, most });
+            out.push_back({ n, most, scoreOf(step, room, now) });
     }
     std::sort(out.begin(), out.end(), [&](const Place& a, const Place& b) {
-        const auto x = scoreOf(step, m_rooms[a.room], now);
-        const auto y = scoreOf(step, m_rooms[b.room], now);
-        return x != y ? x > y : m_rooms[a.room].number < m_rooms[b.room].number;
+        return a.score != b.score ? a.score > b.score : m_rooms[a.room].number < m_rooms[b.room].number;
     });
     return out;
 }
@@ -145,9 +172,12 @@
         int64_t fits = 0; // tasks, soon
     };
     std::vector<Candidate> candidates;
-    for (size_t n = 0; n < m_rooms.size(); ++n) {
+    const auto most = static_cast<size_t>(static_cast<double>(m_rooms.size()) * mostReservedShare);
+    if (m_reserved.size() >= most)
+        return;
+    for (const auto n : roomsOf(m_constraints.allowedLater(step))) {
         const auto& room = m_rooms[n];
-        if (m_reserved.contains(room.number) || !suits(step, room) || !m_constraints.mayRunOnLater(step, room.number))
+        if (m_reserved.contains(room.number) || !suits(step, room))
             continue;
         auto fits = step.need.timesIn(room.free + room.soon, unboundedTasks);
         if (step.maxPerExecutor > 0)
@@ -158,7 +188,6 @@
     // Those that hold most of the gang first, so that few executors wait.
     std::stable_sort(candidates.begin(), candidates.end(),
         [](const Candidate& a, const Candidate& b) { return a.fits > b.fits; });
-    const auto most = static_cast<size_t>(static_cast<double>(m_rooms.size()) * mostReservedShare);
     auto wanted = static_cast<int64_t>(step.waiting.size());
     for (const auto& it : candidates) {
         if (wanted <= 0 || m_reserved.size() >= most)
--- a/jobs/start_planner.h
+++ b/jobs/start_planner.h
@@ -15,6 +15,7 @@
 #include <google/protobuf/repeated_ptr_field.h>
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,10 +42,10 @@
 
 // What may be started by the rules that the planner does not know itself.
 struct StartConstraints {
-    // A valid ticket, or none needed.
-    std::function<bool(const ReadyStep&, uint32_t executor)> mayRunOn;
+    // The executors that the step may run on now, in any order; nothing if it may run on all.
+    std::function<std::optional<std::vector<uint32_t>>(const ReadyStep&)> allowedNow;
     // The same once tickets are renewed.
-    std::function<bool(const ReadyStep&, uint32_t executor)> mayRunOnLater;
+    std::function<std::optional<std::vector<uint32_t>>(const ReadyStep&)> allowedLater;
     // Tasks of the step that are on the executor.
     std::function<uint32_t(const StepKey&, uint32_t executor)> countOn;
     // How many more tasks with this need the team's cap allows.
@@ -56,11 +57,7 @@
 
 class StartPlanner {
 public:
-    StartPlanner(std::vector<ExecutorRoom>& rooms, const StartConstraints& constraints)
-        : m_rooms(rooms)
-        , m_constraints(constraints)
-    {
-    }
+    StartPlanner(std::vector<ExecutorRoom>& rooms, const StartConstraints&);
 
     // Plans the starts of one round for steps in order, and takes their room.
     std::vector<PlannedStart> plan(const std::vector<const ReadyStep*>& steps, Instant now);
@@ -69,8 +66,10 @@
     struct Place {
         size_t room = 0; // index into m_rooms
         int64_t most = 0; // tasks that fit
+        double score = 0; // higher is better
     };
 
+    std::vector<size_t> roomsOf(const std::optional<std::vector<uint32_t>>& executors) const;
     std::vector<Place> placesFor(const ReadyStep&, Instant now) const;
     bool suits(const ReadyStep&, const ExecutorRoom&) const;
     void planStep(const ReadyStep&, Instant now, std::vector<PlannedStart>& out);
@@ -80,6 +79,8 @@
 
     std::vector<ExecutorRoom>& m_rooms;
     const StartConstraints& m_constraints;
+    absl::flat_hash_map<uint32_t, size_t> m_roomOf; // executor to its place in m_rooms
+    ResourceVector m_largestFree; // of each resource, at the begin of the round
     absl::flat_hash_map<uint32_t, Instant> m_reserved; // executor to the latest start of the step that waits for it
     absl::flat_hash_map<std::string, ResourceVector> m_plannedOfTeam;
 };
--- a/tests/jobs_world.h
+++ b/tests/jobs_world.h
@@ -12,6 +12,7 @@
 
 #include <fmt/format.h>
 
+#include <ctime>
 #include <deque>
 #include <functional>
 #include <map>
@@ -34,6 +35,8 @@
     double cancels = 0.05;
     double failures = 0.02; // share of runs that fail
     bool needsTickets = true;
+    bool callersGiveUp = false; // a refused caller does not come again
+    uint64_t teamCap = 40'000; // in thousandths of a core; 0: none
     Milliseconds faultsFor { 20'000 };
     Milliseconds drainFor { 60'000 };
 };
@@ -74,6 +77,8 @@
         return m_broken;
     }
 
+    // Processor time spent in the leader.
+    double leaderSeconds() const { return m_leaderSeconds; }
     size_t completed() const { return m_completed.size(); }
     size_t accepted() const { return m_acceptedJobs.size(); }
 
@@ -114,7 +119,7 @@
         unsigned tries = 0;
     };
 
-    static schema::JobConfiguration configuration()
+    schema::JobConfiguration configuration() const
     {
         schema::JobConfiguration out;
         out.set_version(1);
@@ -135,7 +140,7 @@
         team.set_name("orchard");
         team.add_keys("key");
         team.set_weight(100);
-        team.mutable_cap()->set_milli_cpus(40'000);
+        team.mutable_cap()->set_milli_cpus(m_options.teamCap);
         return out;
     }
 
@@ -230,7 +235,7 @@
         if (action.answer.status == CallStatus::Accepted) {
             caller.isAccepted = true;
             m_acceptedJobs.insert(id);
-        } else if (action.answer.status == CallStatus::Refused && caller.tries == 1) {
+        } else if (action.answer.status == CallStatus::Refused && (caller.tries == 1 || m_options.callersGiveUp)) {
             caller.isRefused = true;
         }
     }
@@ -449,7 +454,7 @@
         }
         if (!used.fitsIn(executor.capacity))
             breaks(fmt::format("LIMIT: {} holds {}", executor.id, describe(used)));
-        if (all.amounts[0] > 44'000)
+        if (m_options.teamCap > 0 && all.amounts[0] > static_cast<int64_t>(m_options.teamCap) * 11 / 10)
             breaks(fmt::format("QUOTA: the team holds {}", describe(all)));
     }
 
@@ -472,8 +477,10 @@
         }
         for (auto& it : m_executors)
             work(it, 5.0);
+        const auto before = std::clock();
         m_leader->onTick(now, wall());
         m_leader->finishBatch(now, wall());
+        m_leaderSeconds += static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC;
         drain();
     }
 
@@ -646,6 +653,7 @@
     std::set<TaskKey> m_done;
     std::map<TaskKey, uint32_t> m_failures;
     std::vector<std::string> m_broken;
+    double m_leaderSeconds = 0;
     uint64_t m_lastHandle = 0;
     uint64_t m_lastJob = 0;
     uint64_t m_lastBorn = 0;
