--- a/jobs/advice_book.cpp
+++ b/jobs/advice_book.cpp
@@ -14,6 +14,8 @@
     constexpr size_t instancesPerReserved = 4;
     constexpr Milliseconds avoidUnanswering { 1'500 }; // an instance that did not answer
     constexpr Milliseconds ticketMargin { 150 }; // a start must arrive while the ticket is valid
+    constexpr Milliseconds firstRetry { 100 }; // of a call that failed; doubled each time
+    constexpr unsigned mostRetryDoublings = 4;
     constexpr double firstShare = 0.5; // until there are answers
     constexpr double shareWeight = 20; // executors asked that the first guess counts for
 
@@ -70,10 +72,10 @@
     return it == m_steps.end() ? nullptr : &it->second.asked;
 }
 
-bool AdviceBook::isAsking(const StepKey& step) const
+bool AdviceBook::isAsking(const StepKey& step, Instant now) const
 {
     const auto it = m_steps.find(step);
-    return it != m_steps.end() && it->second.open > 0;
+    return it != m_steps.end() && (it->second.open > 0 || it->second.nextAsk > now);
 }
 
 bool AdviceBook::hasFreeInstance(Instant now) const
@@ -109,7 +111,7 @@
         return;
     const auto call = std::move(found->second);
     m_calls.erase(found);
-    release(call, now);
+    release(call, answered, now);
     const auto step = m_steps.find(call.step);
     if (step == m_steps.end())
         return;
@@ -132,10 +134,15 @@
     return it == m_calls.end() ? 0 : it->second.executors.size();
 }
 
-void AdviceBook::release(const Call& call, Instant now)
+void AdviceBook::release(const Call& call, bool answered, Instant now)
 {
-    if (const auto step = m_steps.find(call.step); step != m_steps.end())
-        --step->second.open;
+    if (const auto step = m_steps.find(call.step); step != m_steps.end()) {
+        auto& it = step->second;
+        --it.open;
+        it.failures = answered ? 0 : it.failures + 1;
+        if (!answered)
+            it.nextAsk = now + firstRetry * (1U << std::min(it.failures - 1, mostRetryDoublings));
+    }
     // Corrects the estimate: without other calls open there, the instance is free.
     const bool isAlone = std::none_of(
         m_calls.begin(), m_calls.end(), [&](const auto& it) { return it.second.instance == call.instance; });
@@ -153,7 +160,7 @@
         }
         const auto call = std::move(it->second);
         it = m_calls.erase(it);
-        release(call, now);
+        release(call, false, now);
         // An instance that did not answer is avoided for a while.
         if (const auto instance = m_busyUntil.find(call.instance); instance != m_busyUntil.end())
             instance->second = now + avoidUnanswering;
--- a/jobs/advice_book.h
+++ b/jobs/advice_book.h
@@ -36,7 +36,8 @@
 
     // Those that were asked about; nullptr for none.
     const absl::btree_set<uint32_t>* asked(const StepKey&) const;
-    bool isAsking(const StepKey&) const;
+    // Whether a call about the step is open, or one has just failed.
+    bool isAsking(const StepKey&, Instant now) const;
 
     // Whether any call could begin now.
     bool hasFreeInstance(Instant now) const;
@@ -76,6 +77,8 @@
         absl::btree_map<uint32_t, Ticket> granted;
         absl::btree_set<uint32_t> asked;
         unsigned open = 0;
+        Instant nextAsk {}; // after calls that failed
+        unsigned failures = 0; // in a row
     };
     struct Call {
         StepKey step;
@@ -90,7 +93,7 @@
         double granted = 0;
     };
 
-    void release(const Call&, Instant now);
+    void release(const Call&, bool answered, Instant now);
 
     uint64_t m_lastNumber = 0;
     absl::btree_map<StepKey, StepAdvice> m_steps;
--- a/jobs/job_events.h
+++ b/jobs/job_events.h
@@ -183,6 +183,8 @@
     uint64_t fence = 0;
     Milliseconds timeout { 0 };
     ExecutorOrder order;
+    uint32_t executorNumber = 0;
+    std::string dataCentre {}; // of the executor
 };
 
 // Asks on which executors a step may run, by way of one instance: the advising
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 
+    constexpr Milliseconds orderSlack { 500 }; // beyond an order's timeout its result counts as lost
     constexpr Milliseconds listingSlack { 60 }; // between the end of a run and its listing
     constexpr Milliseconds evacuateBefore { 700 }; // the stop, its listing and the new start still fit
     constexpr double hungFactor = 3.0; // a run that takes this many times what was expected is placed again
@@ -89,10 +90,12 @@
         return 0;
     order.executor = executor.number;
     order.sentAt = m_now;
+    order.overAt = m_now + timeout + orderSlack;
     const auto number = ++m_lastOrder;
     m_orders.emplace(number, std::move(order));
     m_actions.emplace_back(SendOrder {
-        number, state->record.address(), state->record.id(), m_fence, timeout, std::move(body) });
+        number, state->record.address(), state->record.id(), m_fence, timeout, std::move(body),
+        executor.number, state->record.zone() });
     return number;
 }
 
@@ -374,6 +377,17 @@
     }
 }
 
+void JobLeader::expireOrders()
+{
+    std::vector<uint64_t> over;
+    for (const auto& [number, it] : m_orders) {
+        if (m_now >= it.overAt)
+            over.push_back(number);
+    }
+    for (const auto number : over)
+        onOrderResult(number, {}, m_now);
+}
+
 // ---- Watching ------------------------------------------------------------
 
 void JobLeader::watchExecutor(LiveExecutor& executor)
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -73,6 +73,7 @@
         return;
     m_nextWatch = now + watchEvery;
     m_advice.expire(now);
+    expireOrders();
     openDueOccurrences();
     std::vector<uint32_t> numbers;
     for (const auto& [number, it] : m_executors)
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -125,6 +125,7 @@
             Hold = 2,
         } kind = Kind::Hold;
         Instant sentAt {};
+        Instant overAt {};
         bool extends = false;
         bool isLook = false; // beside the hold under way
     };
@@ -177,6 +178,7 @@
     void endRun(LiveExecutor&, const TaskKey&, schema::RunOutcome, std::string checkpoint);
     void requestStop(LiveExecutor&, const TaskKey&, LiveRun&);
     void stopGang(const StepKey&);
+    void expireOrders();
     void watchExecutor(LiveExecutor&);
     void watchGangs();
     void evacuate(LiveExecutor&);
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -233,7 +233,7 @@
 
 void JobLeader::askForAdvice(const ReadyStep& step, const std::vector<ExecutorRoom>& room)
 {
-    if (m_advice.isAsking(step.key) || !m_advice.hasFreeInstance(m_now))
+    if (m_advice.isAsking(step.key, m_now) || !m_advice.hasFreeInstance(m_now))
         return;
     const auto* queue = m_state.queueOf(step.queue);
     if (queue == nullptr || !queue->has_advice())
--- /dev/null
+++ b/jobs/order_messages.cpp
@@ -0,0 +1,128 @@
+#include "jobs/order_messages.h"
+
+#include <utility>
+
+namespace teasel {
+
+namespace {
+
+    void fillTask(const TaskKey& task, uint32_t run, schema::RelayedOrder& out)
+    {
+        fillRef(task, *out.mutable_task());
+        out.set_run(run);
+    }
+
+    void fill(const StartRun& it, schema::RelayedOrder& out)
+    {
+        fillTask(it.task, it.run, out);
+        auto& start = *out.mutable_start();
+        start.set_payload(it.payload);
+        start.set_checkpoint(it.checkpoint);
+        start.set_ticket(it.ticket);
+        start.set_lease_until_ms(it.leaseUntilMs);
+    }
+
+    void fill(const StopRun& it, schema::RelayedOrder& out)
+    {
+        fillTask(it.task, it.run, out);
+        out.set_stop(true);
+    }
+
+    void fill(const HoldRuns& it, schema::RelayedOrder& out)
+    {
+        auto& hold = *out.mutable_hold();
+        hold.set_lease_until_ms(it.leaseUntilMs);
+        hold.set_seen_ends(it.seenEnds);
+        hold.set_wait_ms(static_cast<uint64_t>(it.wait.count()));
+    }
+
+    void fill(const PaceRun& it, schema::RelayedOrder& out)
+    {
+        fillTask(it.task, it.run, out);
+        out.set_pace_percent(it.percent);
+    }
+
+    Milliseconds milliseconds(uint64_t n) { return Milliseconds(static_cast<int64_t>(n)); }
+
+} // namespace
+
+schema::RelayedOrder toMessage(const SendOrder& order)
+{
+    schema::RelayedOrder out;
+    out.set_number(order.number);
+    out.set_address(order.address);
+    out.set_executor(order.executorId);
+    out.set_fence(order.fence);
+    out.set_timeout_ms(static_cast<uint64_t>(order.timeout.count()));
+    std::visit([&](const auto& it) { fill(it, out); }, order.order);
+    return out;
+}
+
+SendOrder fromMessage(const schema::RelayedOrder& order)
+{
+    SendOrder out { order.number(), order.address(), order.executor(), order.fence(),
+        milliseconds(order.timeout_ms()), StopRun {} };
+    const auto task = toKey(order.task());
+    switch (order.body_case()) {
+    case schema::RelayedOrder::kStart:
+        out.order = StartRun { task, order.run(), order.start().payload(), order.start().checkpoint(),
+            order.start().ticket(), order.start().lease_until_ms() };
+        break;
+    case schema::RelayedOrder::kHold:
+        out.order = HoldRuns { order.hold().lease_until_ms(), order.hold().seen_ends(),
+            milliseconds(order.hold().wait_ms()) };
+        break;
+    case schema::RelayedOrder::kPacePercent:
+        out.order = PaceRun { task, order.run(), order.pace_percent() };
+        break;
+    case schema::RelayedOrder::kStop:
+    case schema::RelayedOrder::BODY_NOT_SET:
+        out.order = StopRun { task, order.run() };
+        break;
+    }
+    return out;
+}
+
+schema::RelayedResult toMessage(uint64_t number, const OrderResult& result)
+{
+    schema::RelayedResult out;
+    out.set_number(number);
+    out.set_end(static_cast<uint32_t>(result.end));
+    out.set_clock_ms(result.clockMs);
+    out.set_born_ms(result.bornMs);
+    out.set_cut(!result.hasAllEnds);
+    for (const auto& it : result.running) {
+        auto& row = *out.add_running();
+        fillRef(it.task, *row.mutable_task());
+        row.set_run(it.run);
+        row.set_checkpoint(it.checkpoint);
+        row.set_percent(it.percent);
+        row.set_figure(it.figure);
+    }
+    for (const auto& it : result.ended) {
+        auto& row = *out.add_ended();
+        fillRef(it.task, *row.mutable_task());
+        row.set_run(it.run);
+        row.set_checkpoint(it.checkpoint);
+        row.set_end_number(it.number);
+        row.set_outcome(it.outcome);
+    }
+    return out;
+}
+
+OrderResult fromMessage(const schema::RelayedResult& result)
+{
+    OrderResult out;
+    out.end = result.end() <= static_cast<uint32_t>(OrderEnd::Unclear) ? static_cast<OrderEnd>(result.end())
+                                                                       : OrderEnd::Unclear;
+    out.clockMs = result.clock_ms();
+    out.bornMs = result.born_ms();
+    out.hasAllEnds = !result.cut();
+    for (const auto& it : result.running())
+        out.running.push_back({ toKey(it.task()), it.run(), it.checkpoint(), it.percent(), it.figure() });
+    for (const auto& it : result.ended())
+        out.ended.push_back({ it.end_number(), toKey(it.task()), it.run(), it.outcome(), it.checkpoint() });
+    return out;
+}
+
+} // namespace teasel
--- a/jobs/start_planner.cpp
+++ b/jobs/start_planner.cpp
@@ -17,8 +17,9 @@
     {
         if (isLate(a, now) != isLate(b, now))
             return isLate(b, now);
-        if (isLate(a, now) && a.priority != b.priority)
-            return a.priority < b.priority;
+        // The most urgent queue wants little of the fleet and can wait least.
+        if ((a.priority == 0) != (b.priority == 0))
+            return a.priority == 0;
         if (a.latestStart != b.latestStart)
             return a.latestStart < b.latestStart;
         return a.key < b.key;
--- a/node/core_node.cpp
+++ b/node/core_node.cpp
@@ -1,5 +1,6 @@
 #include "node/core_node.h"
 
+#include "jobs/order_messages.h"
 #include "node/http_answers.h"
 #include "platform/call_codec.h"
 #include "platform/order_codec.h"
@@ -21,6 +22,7 @@
     constexpr Milliseconds instancesEvery { 500 };
     constexpr Milliseconds metricsEvery { 1'000 };
     constexpr Milliseconds instanceLasts { 1'500 }; // without a hello; several were missed
+    constexpr Milliseconds senderLasts { 900 }; // without a hello; orders through it would wait
     constexpr Milliseconds handOverTime { 600 };
     constexpr Milliseconds answerTime { 1'500 }; // what is held is answered by the next leader
     constexpr size_t maxRefusals = 20'000;
@@ -87,6 +89,7 @@
         LeaderRelayOptions out;
         out.self = settings.instance().peer_address();
         out.isCore = true;
+        out.dataCentre = settings.instance().data_centre();
         out.seeds = peersOf(settings);
         return out;
     }
@@ -226,6 +229,8 @@
 void CoreNode::lead(Instant now)
 {
     m_instances.clear();
+    m_senders.clear();
+    m_orderBatches.clear();
     m_voters.begin(m_log->replica().voters(), now);
     m_leader.begin(m_log->replica().term(), now, m_links.clock.wallNow());
     m_leader.setAdviceInstances({ m_self });
@@ -278,6 +283,8 @@
 {
     m_nextInstances = now + instancesEvery;
     std::vector<std::string> advisers { m_self };
+    m_senders.clear();
+    m_senders[m_settings.instance().data_centre()].push_back(m_self);
     for (auto it = m_instances.begin(); it != m_instances.end();) {
         if (now - it->second.heard > instanceLasts) {
             m_links.log.info("instance_silent", { { "instance", it->first } });
@@ -285,6 +292,8 @@
             continue;
         }
         advisers.push_back(it->first);
+        if (it->second.isCore && now - it->second.heard <= senderLasts)
+            m_senders[it->second.dataCentre].push_back(it->first);
         ++it;
     }
     m_leader.setAdviceInstances(std::move(advisers));
@@ -316,6 +325,10 @@
         return;
     case schema::Envelope::kAdviceResult:
         return onAdvice(envelope.advice_result(), now);
+    case schema::Envelope::kOrderBatch:
+        return onOrderBatch(envelope.from(), envelope.order_batch());
+    case schema::Envelope::kResultBatch:
+        return onResultBatch(envelope.result_batch(), now);
     default:
         return;
     }
@@ -332,7 +345,7 @@
     auto& instance = m_instances[from];
     if (now - instance.heard > instanceLasts && m_leader.isLeading())
         m_links.log.info("instance_heard", { { "instance", from }, { "is_core", hello.is_core() } });
-    instance = { now, hello.is_core() };
+    instance = { now, hello.is_core(), hello.data_centre() };
     schema::Envelope out;
     *out.mutable_core_view() = viewFor(now);
     m_network.send(from, std::move(out));
@@ -427,6 +440,7 @@
             updateInstances(now);
     }
     carryOut(now);
+    flushOrders();
     if (now >= m_nextMetrics)
         updateMetrics(now);
 }
@@ -473,23 +487,82 @@
     sendRouted(underWay.from, std::move(answer));
 }
 
+const std::string& CoreNode::senderFor(const std::string& dataCentre, uint64_t executor) const
+{
+    static const std::string own;
+    const auto found = m_senders.find(dataCentre);
+    if (found == m_senders.end())
+        return own;
+    return found->second[executor % found->second.size()];
+}
+
 void CoreNode::perform(SendOrder& action, Instant now)
 {
-    const auto number = action.number;
     // A paused process must not send what another leader may have decided against.
     if (!m_log->holdsLease(now)) {
-        m_leader.onOrderResult(number, { OrderEnd::NotSent }, now);
+        m_leader.onOrderResult(action.number, { OrderEnd::NotSent }, now);
         return;
     }
-    auto call = platform::encodeOrder(action);
-    m_client.start(std::move(call), [this, number, order = std::move(action.order)](const HttpOutcome& outcome) {
-        auto result = platform::decodeOrderOutcome(order, outcome);
+    const auto& sender = senderFor(action.dataCentre, action.executorNumber);
+    if (!sender.empty() && sender != m_self) {
+        auto& batch = m_orderBatches[sender];
+        batch.set_term(m_log->replica().term());
+        *batch.add_orders() = toMessage(action);
+        return;
+    }
+    sendOrder(std::move(action), [this, number = action.number](OrderResult result) mutable {
         m_loop.postAlways([this, number, result = std::move(result)]() mutable {
             m_leader.onOrderResult(number, std::move(result), m_links.clock.now());
         });
     });
 }
 
+void CoreNode::sendOrder(SendOrder order, std::function<void(OrderResult)> done)
+{
+    auto call = platform::encodeOrder(order);
+    m_client.start(std::move(call), [order = std::move(order.order), done = std::move(done)](const HttpOutcome& outcome) {
+        done(platform::decodeOrderOutcome(order, outcome));
+    });
+}
+
+void CoreNode::flushOrders()
+{
+    for (auto& [sender, batch] : m_orderBatches) {
+        schema::Envelope out;
+        *out.mutable_order_batch() = std::move(batch);
+        m_network.send(sender, std::move(out));
+    }
+    m_orderBatches.clear();
+    for (auto& [leader, batch] : m_resultBatches) {
+        schema::Envelope out;
+        *out.mutable_result_batch() = std::move(batch);
+        m_network.send(leader.first, std::move(out));
+    }
+    m_resultBatches.clear();
+}
+
+void CoreNode::onOrderBatch(const std::string& from, const schema::OrderBatch& batch)
+{
+    for (const auto& it : batch.orders()) {
+        const auto number = it.number();
+        sendOrder(fromMessage(it), [this, number, from, term = batch.term()](const OrderResult& result) {
+            m_loop.postAlways([this, from, term, message = toMessage(number, result)]() mutable {
+                auto& results = m_resultBatches[{ from, term }];
+                results.set_term(term);
+                *results.add_results() = std::move(message);
+            });
+        });
+    }
+}
+
+void CoreNode::onResultBatch(const schema::ResultBatch& batch, Instant now)
+{
+    if (!m_leader.isLeading() || batch.term() != m_log->replica().term())
+        return;
+    for (const auto& it : batch.results())
+        m_leader.onOrderResult(it.number(), fromMessage(it), now);
+}
+
 void CoreNode::perform(AskAdvice& action, Instant)
 {
     schema::AdviceCall call;
--- a/node/core_node.h
+++ b/node/core_node.h
@@ -58,6 +58,7 @@
     struct Instance {
         Instant heard {};
         bool isCore = false;
+        std::string dataCentre;
     };
 
     void onEnvelope(const schema::Envelope&);
@@ -75,6 +76,12 @@
     void perform(ProposeJobs&, Instant now);
     void perform(AnswerCall&, Instant now);
     void perform(SendOrder&, Instant now);
+    // The core instance that sends orders to executors of a data centre; empty: this one.
+    const std::string& senderFor(const std::string& dataCentre, uint64_t executor) const;
+    void sendOrder(SendOrder, std::function<void(OrderResult)> done);
+    void flushOrders();
+    void onOrderBatch(const std::string& from, const schema::OrderBatch&);
+    void onResultBatch(const schema::ResultBatch&, Instant now);
     void perform(AskAdvice&, Instant now);
     void perform(JobLogLine&, Instant now);
     void callAdvice(const schema::AdviceCall&, std::function<void(schema::AdviceResult)>);
@@ -101,6 +108,9 @@
     absl::btree_map<CallName, schema::RoutedAnswer> m_refused; // answers that hold for every copy of the call
     std::deque<CallName> m_refusedOrder;
     absl::btree_map<std::string, Instance> m_instances; // that said hello to this leader
+    absl::btree_map<std::string, schema::OrderBatch> m_orderBatches; // to be sent, by core instance
+    absl::btree_map<std::pair<std::string, uint64_t>, schema::ResultBatch> m_resultBatches; // by leader and term
+    absl::btree_map<std::string, std::vector<std::string>> m_senders; // core instances by data centre
     Instant m_nextVoters {};
     Instant m_nextInstances {};
     Instant m_nextMetrics {};
--- a/node/front_node.cpp
+++ b/node/front_node.cpp
@@ -171,9 +171,11 @@
     call.set_time_left_ms(milliseconds(request.header("deadline-ms")));
     call.set_body(std::move(request.body));
     const auto handle = request.handle;
+    const auto began = m_links.clock.now();
     m_relay.call(
         std::move(call),
-        [this, handle](schema::RoutedAnswer answer) {
+        [this, handle, began, method = request.method, path = request.path](schema::RoutedAnswer answer) {
+            logAnswer(method, path, answer, began);
             HttpResponse response { answer.status(), "application/json", {}, std::move(*answer.mutable_body()) };
             if (answer.retry_after_s() > 0)
                 response.headers.emplace_back("Retry-After", std::to_string(answer.retry_after_s()));
@@ -184,6 +186,21 @@
         m_links.clock.now());
 }
 
+void FrontNode::logAnswer(
+    std::string_view method, std::string_view path, const schema::RoutedAnswer& answer, Instant began)
+{
+    constexpr uint32_t firstFailure = 400;
+    const auto now = m_links.clock.now();
+    const auto took = std::chrono::duration_cast<Milliseconds>(now - began);
+    m_links.metrics.waitingTime("all", method).Observe(std::chrono::duration<double>(now - began).count());
+    if (answer.status() < firstFailure)
+        return;
+    m_links.log.info("call_failed",
+        { { "method", method }, { "path", path }, { "status", answer.status() }, { "reason", answer.body() },
+            { "took_ms", took.count() }, { "leader", m_relay.leader() }, { "has_leader", m_relay.hasLeader(now) },
+            { "open_calls", m_relay.open() } });
+}
+
 void FrontNode::onReady(const HttpRequest& request)
 {
     const bool isReady = m_isReady && !m_isStopping;
--- a/node/front_node.h
+++ b/node/front_node.h
@@ -37,6 +37,7 @@
 private:
     void onEnvelope(const schema::Envelope&);
     void onHttp(HttpRequest);
+    void logAnswer(std::string_view method, std::string_view path, const schema::RoutedAnswer&, Instant began);
     void onReady(const HttpRequest&);
     void onMetrics(const HttpRequest&);
     void onTick();
--- a/node/leader_relay.cpp
+++ b/node/leader_relay.cpp
@@ -92,6 +92,7 @@
             m_core.insert(view.leader());
             schema::Envelope envelope;
             envelope.mutable_core_hello()->set_is_core(m_options.isCore);
+            envelope.mutable_core_hello()->set_data_centre(m_options.dataCentre);
             m_send(view.leader(), std::move(envelope));
         }
         return;
@@ -123,6 +124,7 @@
     envelope.mutable_core_hello()->set_is_core(m_options.isCore);
     envelope.mutable_core_hello()->set_is_stopping(m_isStopping);
     envelope.mutable_core_hello()->set_has_state(m_hasState);
+    envelope.mutable_core_hello()->set_data_centre(m_options.dataCentre);
     if (hasLeader(now)) {
         m_send(m_leader, std::move(envelope));
         return;
--- a/node/leader_relay.h
+++ b/node/leader_relay.h
@@ -22,6 +22,7 @@
 struct LeaderRelayOptions {
     std::string self; // address of this instance
     bool isCore = false;
+    std::string dataCentre;
     std::vector<std::string> seeds; // addresses of core instances
     Milliseconds helloEvery { 300 }; // to the leader; to all known instances while there is none
     Milliseconds viewLasts { 1'200 }; // a leader that has not been heard of for this long is looked for anew
--- /dev/null
+++ b/tests/jobs_planner_test.cpp
@@ -0,0 +1,220 @@
+#include "jobs/admission.h"
+#include "jobs/advice_book.h"
+#include "jobs/lease_clock.h"
+#include "jobs/run_times.h"
+#include "jobs/start_planner.h"
+
+#include <doctest/doctest.h>
+
+using namespace teasel;
+
+namespace {
+
+struct PlannerFixture {
+    Instant now { std::chrono::seconds(100) };
+    google::protobuf::RepeatedPtrField<std::string> labels;
+    std::vector<ExecutorRoom> rooms;
+    StartConstraints constraints;
+
+    PlannerFixture()
+    {
+        constraints.allowedNow = [](const ReadyStep&) { return std::nullopt; };
+        constraints.allowedLater = constraints.allowedNow;
+        constraints.countOn = [](const StepKey&, uint32_t) { return 0U; };
+        constraints.leftOfCap = [](std::string_view, const ResourceVector&) { return int64_t(1'000); };
+    }
+    void add(uint32_t number, int64_t free, int64_t soon = 0)
+    {
+        ExecutorRoom it;
+        it.number = number;
+        it.capacity = { { 8'000, 8'000, 0 } };
+        it.free = { { free, 8'000, 0 } };
+        it.soon = { { soon, 0, 0 } };
+        it.service = "filling";
+        it.labels = &labels;
+        rooms.push_back(it);
+    }
+    ReadyStep step(uint64_t job, uint32_t tasks, int64_t cpu, Milliseconds slack) const
+    {
+        ReadyStep it;
+        it.key = { job, 0, 0 };
+        it.count = tasks;
+        for (uint32_t n = 0; n < tasks; ++n)
+            it.waiting.insert(n);
+        it.need = { { cpu, 100, 0 } };
+        it.service = "filling";
+        it.priority = 1;
+        it.taskMs = 1'000;
+        it.latestStart = now + slack;
+        return it;
+    }
+    std::vector<PlannedStart> plan(std::vector<const ReadyStep*> steps)
+    {
+        sortByUrgency(steps, now);
+        StartPlanner planner(rooms, constraints);
+        return planner.plan(steps, now);
+    }
+};
+
+} // namespace
+
+TEST_CASE("a gang starts whole or not at all")
+{
+    PlannerFixture it;
+    it.add(1, 4'000);
+    it.add(2, 2'000);
+    auto gang = it.step(1, 4, 2'000, Milliseconds(500));
+    gang.gang = true;
+    CHECK(it.plan({ &gang }).empty());
+    it.rooms.clear();
+    it.add(1, 4'000);
+    it.add(2, 4'000);
+    CHECK(it.plan({ &gang }).size() == 4);
+}
+
+TEST_CASE("a gang that waits keeps executors from steps that are less urgent, not from more urgent ones")
+{
+    PlannerFixture it;
+    it.add(1, 2'000, 6'000);
+    it.add(2, 1'000, 0);
+    it.add(3, 1'000, 0);
+    auto gang = it.step(1, 4, 2'000, Milliseconds(500));
+    gang.gang = true;
+    const auto patient = it.step(2, 1, 2'000, Milliseconds(5'000));
+    CHECK(it.plan({ &gang, &patient }).empty());
+    const auto urgent = it.step(3, 1, 2'000, Milliseconds(100));
+    REQUIRE(it.plan({ &gang, &urgent }).size() == 1);
+}
+
+TEST_CASE("steps that can still be in time go before late ones, and the most urgent queue first")
+{
+    PlannerFixture it;
+    it.add(1, 2'000);
+    const auto late = it.step(1, 1, 2'000, Milliseconds(-100));
+    const auto soon = it.step(2, 1, 2'000, Milliseconds(300));
+    auto first = it.step(3, 1, 2'000, Milliseconds(2'000));
+    first.priority = 0;
+    auto planned = it.plan({ &late, &soon });
+    REQUIRE(planned.size() == 1);
+    CHECK(planned[0].task.step.job == 2);
+    it.rooms.clear();
+    it.add(1, 2'000);
+    planned = it.plan({ &late, &soon, &first });
+    REQUIRE(planned.size() == 1);
+    CHECK(planned[0].task.step.job == 3);
+}
+
+TEST_CASE("a team's cap bounds what one round starts for all its steps together")
+{
+    PlannerFixture it;
+    it.add(1, 8'000);
+    it.constraints.leftOfCap = [](std::string_view, const ResourceVector& need) { return 5'000 / need.amounts[0]; };
+    const auto one = it.step(1, 2, 2'000, Milliseconds(500));
+    const auto two = it.step(2, 2, 2'000, Milliseconds(600));
+    CHECK(it.plan({ &one, &two }).size() == 2);
+}
+
+TEST_CASE("work waits by what is ahead of it and by how fast room comes free")
+{
+    const Instant now { std::chrono::seconds(100) };
+    Admission admission;
+    FleetLoad load;
+    load.total = { { 100'000, 100'000, 0 } };
+    load.free = { { 0, 50'000, 0 } };
+    load.ahead = { { 20'000, 0, 0 } };
+    load.freedPerSecond = { 40'000, 0, 0 };
+    JobDemand demand;
+    demand.firstTasks = { { 4'000, 0, 0 } };
+    demand.slackMs = 700;
+    CHECK(admission.decide(demand, load, now).isAccepted);
+    load.ahead = { { 60'000, 0, 0 } };
+    const auto refused = admission.decide(demand, load, now);
+    CHECK(!refused.isAccepted);
+    CHECK(refused.waitMs == doctest::Approx(1'600));
+    CHECK(refused.retryAfter == Milliseconds(1'000));
+    load.free = { { 90'000, 50'000, 0 } };
+    CHECK(admission.decide(demand, load, now).isAccepted);
+}
+
+TEST_CASE("a team beyond its fair rate is refused before one within it")
+{
+    const Instant now { std::chrono::seconds(100) };
+    Admission admission;
+    admission.setWeights({ { "large", 1.0 }, { "small", 10.0 } });
+    FleetLoad load;
+    load.total = { { 100'000, 0, 0 } };
+    load.ahead = { { 28'000, 0, 0 } };
+    load.freedPerSecond = { 40'000, 0, 0 };
+    JobDemand demand;
+    demand.firstTasks = { { 4'000, 0, 0 } };
+    demand.slackMs = 900;
+    demand.team = "large";
+    for (int n = 0; n < 4; ++n)
+        CHECK(admission.decide(demand, load, now).isAccepted);
+    CHECK(!admission.decide(demand, load, now).isAccepted);
+    demand.team = "small";
+    CHECK(admission.decide(demand, load, now).isAccepted);
+}
+
+TEST_CASE("a lease has certainly ended only when a clock that is 2 % slow has passed it")
+{
+    LeaseClock clock;
+    const Instant now { std::chrono::seconds(100) };
+    clock.onReading(1'000, now);
+    clock.onLeaseSent(6'000);
+    CHECK(clock.lapsesAt() > now + Milliseconds(5'100));
+    clock.onLeaseSent(3'000);
+    CHECK(clock.leaseUntilMs() == 6'000);
+    // An answer that was overtaken does not turn the clock back.
+    clock.onReading(500, now + Milliseconds(10));
+    CHECK(clock.executorNow(now + Milliseconds(100)) == 1'100);
+}
+
+TEST_CASE("grants stay, tickets run out, and long calls leave instances to short ones")
+{
+    const Instant now { std::chrono::seconds(100) };
+    AdviceBook book;
+    book.setInstances({ "a", "b", "c", "d" });
+    const StepKey step { 1, 0, 0 };
+    const auto ask = book.begin(step, { 1, 2, 3 }, Milliseconds(20), now);
+    REQUIRE(ask);
+    CHECK(book.isAsking(step, now));
+    const std::vector<std::pair<uint32_t, std::string>> granted { { 2, "t" } };
+    book.end(ask->number, true, granted, Milliseconds(2'000), now);
+    CHECK(book.ticketFor(step, 2, now) == "t");
+    CHECK(book.ticketFor(step, 2, now + Milliseconds(1'990)).empty());
+    CHECK(book.granted(step) == std::vector<uint32_t> { 2 });
+    CHECK(book.asked(step)->size() == 3);
+    for (uint64_t n = 2; n < 5; ++n)
+        CHECK(book.begin({ n, 0, 0 }, { 1 }, Milliseconds(600), now));
+    CHECK(!book.begin({ 9, 0, 0 }, { 1 }, Milliseconds(600), now));
+    CHECK(book.begin({ 10, 0, 0 }, { 1 }, Milliseconds(10), now));
+}
+
+TEST_CASE("a call for advice that fails is made again after a pause that grows")
+{
+    Instant now { std::chrono::seconds(100) };
+    AdviceBook book;
+    book.setInstances({ "a" });
+    const StepKey step { 1, 0, 0 };
+    Duration last { 0 };
+    for (int n = 0; n < 4; ++n) {
+        const auto ask = book.begin(step, { 1 }, Milliseconds(20), now);
+        REQUIRE(ask);
+        book.end(ask->number, false, {}, Milliseconds(0), now);
+        const auto since = now;
+        while (book.isAsking(step, now))
+            now += Milliseconds(10);
+        CHECK(now - since > last);
+        last = now - since;
+    }
+}
+
+TEST_CASE("estimates are corrected by what was seen")
+{
+    RunTimes times;
+    CHECK(times.expectedMs("q", 1'000) == doctest::Approx(1'000));
+    for (int n = 0; n < 100; ++n)
+        times.onDone("q", 1'000, 3'000);
+    CHECK(times.expectedMs("q", 1'000) == doctest::Approx(3'000).epsilon(0.05));
+}
--- /dev/null
+++ b/tests/membership_test.cpp
@@ -0,0 +1,162 @@
+#include "membership/voter_planner.h"
+#include "node/leader_relay.h"
+
+#include <doctest/doctest.h>
+
+using namespace teasel;
+using Kind = VoterChange::Kind;
+
+namespace {
+
+schema::VoterSet setOf(std::initializer_list<const char*> voters, std::initializer_list<const char*> learners = {})
+{
+    schema::VoterSet out;
+    for (const auto* it : voters)
+        out.add_voters(it);
+    for (const auto* it : learners)
+        out.add_learners(it);
+    return out;
+}
+
+struct RelayFixture {
+    ManualClock clock;
+    std::vector<std::pair<std::string, schema::Envelope>> sent;
+    std::vector<schema::RoutedAnswer> answers;
+    LeaderRelay relay { options(),
+        [this](std::string_view to, schema::Envelope it) { sent.emplace_back(std::string(to), std::move(it)); },
+        [](const std::string&, uint64_t) {} };
+
+    static LeaderRelayOptions options()
+    {
+        LeaderRelayOptions out;
+        out.self = "front";
+        out.seeds = { "a", "b" };
+        return out;
+    }
+    void call(uint64_t timeLeft = 3'000)
+    {
+        schema::RoutedCall it;
+        it.set_time_left_ms(timeLeft);
+        relay.call(std::move(it), [this](schema::RoutedAnswer answer) { answers.push_back(std::move(answer)); },
+            clock.now());
+    }
+    void lead(const std::string& who, uint64_t term)
+    {
+        schema::CoreView view;
+        view.set_is_leader(true);
+        view.set_term(term);
+        relay.onView(who, view, clock.now());
+    }
+    void pass(Milliseconds time)
+    {
+        for (Milliseconds n { 0 }; n < time; n += Milliseconds(50)) {
+            clock.advance(Milliseconds(50));
+            relay.onTick(clock.now());
+        }
+    }
+    size_t calls(std::string_view to) const
+    {
+        size_t n = 0;
+        for (const auto& [who, it] : sent)
+            n += who == to && it.has_routed_call() ? 1 : 0;
+        return n;
+    }
+};
+
+} // namespace
+
+TEST_CASE("an instance that says hello becomes a learner, and a voter where one is missing")
+{
+    ManualClock clock;
+    VoterPlanner planner({});
+    planner.begin({}, clock.now());
+    for (const char* it : { "a", "b", "c", "d" })
+        planner.onHello(it, clock.now());
+    auto change = planner.next(setOf({ "a", "b", "c" }), "a", clock.now());
+    REQUIRE(change);
+    CHECK(change->kind == Kind::AddLearner);
+    CHECK(change->replica == "d");
+    CHECK(!planner.next(setOf({ "a", "b", "c" }, { "d" }), "a", clock.now()));
+    VoterPlanner few({});
+    few.begin({}, clock.now());
+    few.onHello("d", clock.now());
+    change = few.next(setOf({ "a", "b" }, { "d" }), "a", clock.now());
+    REQUIRE(change);
+    CHECK(change->kind == Kind::Promote);
+}
+
+TEST_CASE("a silent voter is replaced by a learner before it is removed")
+{
+    ManualClock clock;
+    VoterPlanner planner({});
+    planner.begin({}, clock.now());
+    clock.advance(std::chrono::seconds(6));
+    for (const char* it : { "a", "b", "d" })
+        planner.onHello(it, clock.now());
+    auto change = planner.next(setOf({ "a", "b", "c" }, { "d" }), "a", clock.now());
+    REQUIRE(change);
+    CHECK(change->kind == Kind::Promote);
+    CHECK(change->replica == "d");
+    change = planner.next(setOf({ "a", "b", "c", "d" }), "a", clock.now());
+    REQUIRE(change);
+    CHECK(change->kind == Kind::Remove);
+    CHECK(change->replica == "c");
+    CHECK(!planner.next(setOf({ "a", "b", "d" }), "a", clock.now()));
+}
+
+TEST_CASE("without a learner to take its place a silent voter stays")
+{
+    ManualClock clock;
+    VoterPlanner planner({});
+    planner.begin({}, clock.now());
+    clock.advance(std::chrono::seconds(30));
+    planner.onHello("a", clock.now());
+    planner.onHello("b", clock.now());
+    CHECK(!planner.next(setOf({ "a", "b", "c" }), "a", clock.now()));
+}
+
+TEST_CASE("a call that was never passed on is turned away as without effect, one that was as unknown")
+{
+    RelayFixture it;
+    it.call();
+    it.pass(Milliseconds(1'700));
+    REQUIRE(it.answers.size() == 1);
+    CHECK(it.answers[0].status() == 503);
+    it.lead("a", 4);
+    it.call();
+    CHECK(it.calls("a") == 1);
+    it.pass(Milliseconds(3'000));
+    REQUIRE(it.answers.size() == 2);
+    CHECK(it.answers[1].status() == 504);
+}
+
+TEST_CASE("open calls follow the leader, and name its term")
+{
+    RelayFixture it;
+    it.lead("a", 4);
+    it.call();
+    it.lead("b", 5);
+    REQUIRE(it.calls("b") == 1);
+    CHECK(it.sent.back().second.routed_call().term() == 5);
+    // A view of an earlier term is out of date.
+    it.lead("a", 4);
+    CHECK(it.relay.leader() == "b");
+    schema::RoutedAnswer answer;
+    answer.set_number(it.sent.back().second.routed_call().number());
+    answer.set_status(200);
+    it.relay.onAnswer(answer, it.clock.now());
+    it.relay.onAnswer(answer, it.clock.now());
+    CHECK(it.answers.size() == 1);
+}
+
+TEST_CASE("a leader that is silent is looked for among all known instances")
+{
+    RelayFixture it;
+    it.lead("a", 4);
+    it.sent.clear();
+    it.pass(Milliseconds(2'000));
+    CHECK(!it.relay.hasLeader(it.clock.now()));
+    const auto asked = std::any_of(it.sent.begin(), it.sent.end(),
+        [](const auto& message) { return message.first == "b" && message.second.has_core_hello(); });
+    CHECK(asked);
+}
--- /dev/null
+++ b/tests/platform_codec_test.cpp
@@ -0,0 +1,197 @@
+#include "platform/call_codec.h"
+#include "platform/order_codec.h"
+
+#include "jobs/order_messages.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace teasel;
+using namespace teasel::platform;
+
+namespace {
+
+constexpr std::string_view goodConfiguration
+    = R"({"version":7,"routes":[{"name":"r","host":"a.example","pathPrefix":"/p/","timeoutMs":3000,"targetLatencyMs":250,"priority":0,"service":"s","maxAttempts":3,"slackFactor":1.5,"recommendation":{"decideMs":9.3,"intervalMs":0.13,"validityMs":2500}}],"services":[{"name":"s"}],"tenants":[{"name":"t","apiKeys":["k1","k2"],"weight":33,"cap":{"cpu":870867}}]})";
+
+template <class Function> std::string failureOf(Function&& function)
+{
+    const auto outcome = valueOrError(std::forward<Function>(function));
+    const auto* error = std::get_if<Error>(&outcome);
+    return error == nullptr ? std::string() : error->message;
+}
+
+std::string replaced(std::string_view text, std::string_view what, std::string_view with)
+{
+    std::string out(text);
+    const auto at = out.find(what);
+    REQUIRE(at != std::string::npos);
+    return out.replace(at, what.size(), with);
+}
+
+schema::RoutedCall callersCall(std::string method, std::string path, std::string body = {})
+{
+    schema::RoutedCall call;
+    call.set_method(std::move(method));
+    call.set_host("a.example");
+    call.set_path(std::move(path));
+    call.set_key("k1");
+    call.set_body(std::move(body));
+    return call;
+}
+
+HttpOutcome answered(unsigned status, std::string body)
+{
+    HttpOutcome out;
+    out.end = CallEnd::Answered;
+    out.status = status;
+    out.body = std::move(body);
+    return out;
+}
+
+const TaskKey task { { 0x5c0e7a21d94b36f8, 0, 1 }, 17 };
+
+} // namespace
+
+TEST_CASE("a configuration is decoded into queues, services and teams")
+{
+    const auto decoded = valueOrError([] { return decodeConfiguration(goodConfiguration); });
+    REQUIRE(std::holds_alternative<schema::JobConfiguration>(decoded));
+    const auto& it = std::get<schema::JobConfiguration>(decoded);
+    CHECK(it.version() == 7);
+    CHECK(it.queues(0).advice().per_executor_ms() == doctest::Approx(0.13));
+    CHECK(it.queues(0).target_latency_ms() == 250);
+    CHECK(it.teams(0).keys_size() == 2);
+    CHECK(it.teams(0).cap().milli_cpus() == 870'867);
+    CHECK(it.document() == goodConfiguration);
+}
+
+TEST_CASE("each way in which a configuration can be invalid is refused")
+{
+    const auto refused = [](std::string_view text) {
+        return !failureOf([&] { return decodeConfiguration(text); }).empty();
+    };
+    CHECK(refused(goodConfiguration.substr(0, goodConfiguration.size() - 20)));
+    CHECK(refused(replaced(goodConfiguration, R"("service":"s")", R"("service":"other")")));
+    CHECK(refused(replaced(goodConfiguration, R"("timeoutMs":3000)", R"("timeoutMs":0)")));
+    CHECK(refused(replaced(goodConfiguration, R"("timeoutMs":3000,)", "")));
+    CHECK(refused(replaced(goodConfiguration, R"("weight":33)", R"("weight":0)")));
+    CHECK(refused(replaced(goodConfiguration, R"("version":7)", R"("version":"7")")));
+    CHECK(refused(replaced(goodConfiguration, R"("tenants":[)", R"("tenants":[{"name":"u","apiKeys":["k2"],"weight":1},)")));
+    CHECK(refused(replaced(goodConfiguration, R"("routes":[)",
+        R"("routes":[{"name":"q","host":"a.example","pathPrefix":"/p/","timeoutMs":1,"service":"s"},)")));
+}
+
+TEST_CASE("calls of callers are told apart by method and path")
+{
+    const auto kind = [](const schema::RoutedCall& call) { return std::get<JobCall>(decodeCall(call)).index(); };
+    CHECK(kind(callersCall("GET", "/p/")) == JobCall(QueryQueue {}).index());
+    CHECK(kind(callersCall("GET", "/p/5c0e7a21d94b36f8")) == JobCall(QueryJob {}).index());
+    CHECK(kind(callersCall("DELETE", "/p/5c0e7a21d94b36f8")) == JobCall(CancelJob {}).index());
+    CHECK(std::get<schema::RoutedAnswer>(decodeCall(callersCall("PATCH", "/p/x"))).status() == 405);
+}
+
+TEST_CASE("a job that can't be read is an error of the caller, never a crash")
+{
+    const auto problem = [](std::string_view id, std::string_view body) {
+        return failureOf([&] { return decodeJob(id, body); });
+    };
+    CHECK(problem("5c0e7a21d94b36f8", R"({"spec":"x","steps":[{"count":4,"cpu":500}]})").empty());
+    CHECK(!problem("5C0E7A21D94B36F8", R"({"steps":[]})").empty());
+    CHECK(!problem("5c0e", R"({"steps":[]})").empty());
+    for (const char* body : { "", "[", "[]", "null", R"({"steps":7})", R"({"steps":[7]})", R"({"steps":[{"count":"4"}]})",
+             R"({"steps":[{"count":-4}]})", R"({"spec":7,"steps":[]})", R"({"steps":[{"dependsOn":[-1]}]})" })
+        CHECK_MESSAGE(!problem("5c0e7a21d94b36f8", body).empty(), body);
+}
+
+TEST_CASE("an announcement with missing or wrong fields names no executor")
+{
+    const std::string good
+        = R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"ready","capacity":{"cpu":16000,"memMb":32768},"labels":["a","r1-3"],"sequence":4,"born":12})";
+    const auto problem = [](std::string_view body) { return failureOf([&] { return decodeAnnouncement("i-1", body); }); };
+    CHECK(problem(good).empty());
+    const auto decoded = valueOrError([&] { return decodeAnnouncement("i-1", good); });
+    CHECK(std::get<ExecutorAnnouncement>(decoded).record.rack() == "r1-3");
+    CHECK(std::get<ExecutorAnnouncement>(decoded).record.born_ms() == 12);
+    CHECK(!problem(replaced(good, R"("state":"ready")", R"("state":"asleep")")).empty());
+    CHECK(!problem(replaced(good, R"("sequence":4,)", "")).empty());
+    CHECK(!problem(replaced(good, R"("address":"10.0.0.1:80")", R"("address":80)")).empty());
+    CHECK(!problem("\xff\xfe").empty());
+}
+
+TEST_CASE("a hold carries fence, seen ends and lease, and its lists are read")
+{
+    SendOrder order { 3, "10.0.0.1:80", "i-1", 7, Milliseconds(500), HoldRuns { 486'000, 57, Milliseconds(1'000) }, 1, "z" };
+    const auto call = encodeOrder(order);
+    CHECK(call.url == "http://10.0.0.1:80/hold");
+    const auto body = nlohmann::json::parse(*call.body);
+    CHECK(body["fencingToken"] == 7);
+    CHECK(body["lastSeen"] == 57);
+    CHECK(body["deadlineMs"] == 486'000);
+    CHECK(body["waitMs"] == 1'000);
+    const auto result = decodeOrderOutcome(order.order,
+        answered(200,
+            R"({"clockMs":482113,"born":9,"running":[["5c0e7a21d94b36f8.0.1.17",2,"00000bb87a21d94b",41,800]],"finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})"));
+    CHECK(result.end == OrderEnd::Done);
+    CHECK(result.clockMs == 482'113);
+    CHECK(result.bornMs == 9);
+    REQUIRE(result.running.size() == 1);
+    CHECK(result.running[0].task == task);
+    CHECK(result.running[0].figure == 800);
+    REQUIRE(result.ended.size() == 1);
+    CHECK(result.ended[0].number == 58);
+    CHECK(result.ended[0].outcome == schema::RUN_OUTCOME_DONE);
+}
+
+TEST_CASE("answers of executors say whether an order may have been carried out")
+{
+    const ExecutorOrder order = StopRun { task, 2 };
+    const auto end = [&](const HttpOutcome& it) { return decodeOrderOutcome(order, it).end; };
+    CHECK(end(answered(409, R"({"reason":"fence"})")) == OrderEnd::StaleFence);
+    CHECK(end(answered(409, R"({"reason":"late"})")) == OrderEnd::TooLate);
+    CHECK(end(answered(409, R"({"reason":"room"})")) == OrderEnd::NoRoom);
+    CHECK(end(answered(409, R"({"reason":"ticket"})")) == OrderEnd::NoTicket);
+    CHECK(end(answered(421, "")) == OrderEnd::OtherIncarnation);
+    CHECK(end(answered(503, "")) == OrderEnd::Refused);
+    CHECK(end(answered(504, "")) == OrderEnd::Unclear);
+    HttpOutcome outcome;
+    outcome.end = CallEnd::ConnectFailed;
+    CHECK(end(outcome) == OrderEnd::NotSent);
+    outcome.end = CallEnd::Overdue;
+    CHECK(end(outcome) == OrderEnd::Unclear);
+}
+
+TEST_CASE("a list that is cut off is no listing")
+{
+    const ExecutorOrder order = HoldRuns {};
+    CHECK(decodeOrderOutcome(order, answered(200, R"({"clockMs":1,"running":[["x")")).end == OrderEnd::Unclear);
+    CHECK(decodeOrderOutcome(order, answered(200, R"({"clockMs":1,"running":[]})")).end == OrderEnd::Unclear);
+    CHECK(decodeOrderOutcome(order, answered(200, R"({"clockMs":1,"running":[["a.b.c.d",1]],"finished":[]})")).end
+        == OrderEnd::Unclear);
+}
+
+TEST_CASE("orders and results survive the way over another core instance")
+{
+    const SendOrder order { 3, "10.0.0.1:80", "i-1", 7, Milliseconds(500),
+        StartRun { task, 2, "lot", "cp", "ticket", 486'000 }, 0, {} };
+    const auto back = fromMessage(toMessage(order));
+    CHECK(back.number == 3);
+    CHECK(back.fence == 7);
+    CHECK(back.timeout == Milliseconds(500));
+    const auto& start = std::get<StartRun>(back.order);
+    CHECK(start.task == task);
+    CHECK(start.run == 2);
+    CHECK(start.checkpoint == "cp");
+    CHECK(start.leaseUntilMs == 486'000);
+    OrderResult result;
+    result.end = OrderEnd::Done;
+    result.clockMs = 5;
+    result.running.push_back({ task, 2, "cp", 100, -1 });
+    result.ended.push_back({ 4, task, 1, schema::RUN_OUTCOME_FAILED, "" });
+    result.hasAllEnds = false;
+    const auto same = fromMessage(toMessage(9, result));
+    CHECK(same.end == OrderEnd::Done);
+    CHECK(same.running[0].figure == -1);
+    CHECK(same.ended[0].outcome == schema::RUN_OUTCOME_FAILED);
+    CHECK(!same.hasAllEnds);
+}
