--- /dev/null
+++ b/tests/net_http_client_test.cpp
@@ -0,0 +1,56 @@
+// The HTTP client against our own server on loopback. No time is asserted.
+#include "net/http_client.h"
+#include "net/http_server.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <atomic>
+#include <future>
+
+using namespace teasel;
+
+namespace {
+
+HttpOutcome callOnce(HttpClient& client, const std::string& url)
+{
+    std::promise<HttpOutcome> done;
+    HttpCall call;
+    call.url = url;
+    call.body = std::make_shared<const std::string>("{}");
+    call.timeout = Milliseconds(400);
+    client.start(std::move(call), [&](HttpOutcome outcome) { done.set_value(std::move(outcome)); });
+    return done.get_future().get();
+}
+
+} // namespace
+
+TEST_CASE("a call without an answer on a kept connection was sent")
+{
+    std::atomic<int> taken = 0;
+    HttpServer* self = nullptr;
+    HttpServer server(
+        { "127.0.0.1:18977", 1, 8 },
+        [&](const HttpRequest& request) {
+            if (++taken == 1)
+                self->answer(request.handle, { 200, "application/json", {}, "{}" });
+        },
+        {});
+    self = &server;
+    REQUIRE(std::holds_alternative<std::monostate>(valueOrError([&] { return server.start(); })));
+    HttpClient client({ 1, 2, 1 << 20 });
+    const std::string url = "http://127.0.0.1:18977/";
+    CHECK(callOnce(client, url).end == CallEnd::Answered);
+    const auto second = callOnce(client, url);
+    CHECK(taken == 2);
+    CHECK(second.end == CallEnd::Overdue);
+    client.stop();
+    server.stop();
+}
+
+TEST_CASE("a call to a port without a listener was not sent")
+{
+    HttpClient client({ 1, 2, 1 << 20 });
+    CHECK(callOnce(client, "http://127.0.0.1:18978/").end == CallEnd::ConnectFailed);
+    client.stop();
+}
