--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -172,8 +172,12 @@
         replaceIncarnation(order.executor, "another_incarnation_answered");
         return;
     }
-    if (result.clockMs != 0)
+    if (result.clockMs != 0) {
+        // A former leader may have extended the lease until just before.
+        if (!executor->clock.isKnown())
+            executor->clock.onLeaseSent(result.clockMs + static_cast<uint64_t>(m_options.maxLease.count()));
         executor->clock.onReading(result.clockMs, now);
+    }
     switch (order.kind) {
     case OrderUnderWay::Kind::Hold:
         return onHoldResult(*executor, order, result);
@@ -192,7 +196,7 @@
     auto& run = it->second;
     if (result.end == OrderEnd::Done) {
         run.stage = RunStage::Running;
-        run.startedAt = m_now;
+        run.startedAt = run.seenAt = m_now;
         return;
     }
     const auto* state = recordOf(executor.number);
@@ -297,6 +301,7 @@
         if (!it.checkpoint.empty())
             run.checkpoint = it.checkpoint;
         run.percent = it.percent;
+        run.seenAt = m_now;
         // A stop that was answered and had no effect is sent again.
         if (run.isStopAnswered() && order.sentAt > run.stopAnsweredAt + m_options.stopTime + m_options.stopRetry)
             run.stopAnsweredAt = Instant();
@@ -330,7 +335,7 @@
             neverRan.push_back(key);
         else if (run.stage == RunStage::Unclear && order.sentAt > run.unclearSince)
             requestStop(executor, key, run);
-        else if (run.stage == RunStage::Running && order.sentAt > run.startedAt)
+        else if (run.stage == RunStage::Running && order.sentAt > run.seenAt) // Listings may overtake each other.
             lost.push_back(key);
     }
     for (const auto& it : neverRan)
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -30,6 +30,7 @@
     std::string queue;
     Instant assignedAt {};
     Instant startedAt {};
+    Instant seenAt {}; // when it was last known to be there: a start that was answered, or a listing
     Instant unclearSince {};
     bool isWhole = true; // started from the beginning, not from a checkpoint
     std::string checkpoint; // the latest that was listed
--- a/tests/jobs_fixture.h
+++ b/tests/jobs_fixture.h
@@ -16,7 +16,8 @@
 
 class JobsFixture {
 public:
-    explicit JobsFixture(bool needsTickets = false)
+    explicit JobsFixture(bool needsTickets = false, JobLeaderOptions options = {})
+        : leader(options, state)
     {
         schema::JobCommand command;
         auto& configuration = *command.add_changes()->mutable_configuration();
@@ -172,7 +173,7 @@
 
     ManualClock clock;
     JobState state { Milliseconds(600'000) };
-    JobLeader leader { JobLeaderOptions {}, state };
+    JobLeader leader;
     std::vector<SendOrder> orders;
     std::map<uint64_t, Instant> sentAt; // by number of the order
     std::vector<AnswerCall> answers;
--- a/tests/jobs_leader_test.cpp
+++ b/tests/jobs_leader_test.cpp
@@ -113,6 +113,59 @@
     CHECK(it.clock.now() - silentSince > std::chrono::seconds(5));
 }
 
+TEST_CASE("a listing that was overtaken by one that shows the run does not lose it")
+{
+    JobsFixture it;
+    it.announce("x1");
+    it.answerHolds({});
+    it.submit(JobsFixture::request(7, 1));
+    it.pass(Milliseconds(20));
+    it.answer(*it.take<StartRun>(), { OrderEnd::Unclear });
+    it.pass(Milliseconds(20));
+    it.answer(*it.take<HoldRuns>(), { OrderEnd::Done }); // sent before the start was in doubt
+    it.pass(Milliseconds(100));
+    const auto early = it.take<HoldRuns>();
+    const auto late = it.take<HoldRuns>();
+    REQUIRE(early);
+    REQUIRE(late);
+    // The start takes effect between the making of these two lists.
+    it.answer(*late, { OrderEnd::Done, 0, 0, { { firstTask, 1, {}, 100, -1 } }, {}, true });
+    it.answer(*early, { OrderEnd::Done });
+    it.passHolding(Milliseconds(500), { { firstTask, 1, {}, 100, -1 } });
+    CHECK(!it.take<StartRun>());
+    CHECK(it.state.executors().begin()->second.assignments.contains(firstTask));
+}
+
+TEST_CASE("a new leader counts on the lease that its predecessor may have given")
+{
+    JobLeaderOptions options;
+    options.lease = Milliseconds(1'000);
+    JobsFixture it(false, options);
+    it.announce("x1");
+    it.answerHolds({});
+    it.submit(JobsFixture::request(7, 1));
+    it.pass(Milliseconds(20));
+    it.answer(*it.take<StartRun>(), { OrderEnd::Done });
+    it.orders.clear();
+    it.leader.begin(2, it.clock.now(), it.clock.wallNow());
+    it.pass(Milliseconds(60));
+    auto hold = it.take<HoldRuns>();
+    REQUIRE(hold);
+    it.answer(*hold, { OrderEnd::Done, 0, 0, { { firstTask, 1, {}, 100, -1 } }, {}, true });
+    const auto silentSince = it.clock.now();
+    it.announce("x2");
+    // The next hold never leaves; the executor is silent.
+    while (it.state.executors().begin()->second.assignments.contains(firstTask)
+        && it.clock.now() - silentSince < std::chrono::seconds(20)) {
+        it.pass(Milliseconds(20));
+        while (auto lost = it.take<HoldRuns>("x1"))
+            it.answer(*lost, { OrderEnd::NotSent });
+        while (auto other = it.take<HoldRuns>("x2"))
+            it.answer(*other, { OrderEnd::Done });
+    }
+    CHECK(it.clock.now() - silentSince > std::chrono::seconds(6));
+}
+
 TEST_CASE("a refused job is refused at once with a time to come back")
 {
     JobsFixture it;
