--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -11,13 +11,12 @@
     constexpr Milliseconds listingSlack { 60 }; // between the end of a run and its listing
     constexpr Milliseconds evacuateBefore { 700 }; // the stop, its listing and the new start still fit
     constexpr double hungFactor = 3.0; // a run that takes this many times what was expected is placed again
-    constexpr Milliseconds hungLeast { 1'500 }; // and at least this much longer; several looks
+    constexpr Milliseconds hungLeast { 2'500 }; // and at least this much longer
     constexpr Milliseconds forecastEvery { 150 };
     constexpr double soonMs = 1'500; // within which a gang may wait for room; half of a large task
     constexpr double leastTaskMs = 100; // shorter tasks are no sign that room comes so soon
     constexpr double slownessWeight = 0.2; // of the newest run
     constexpr double mostSlowness = 8.0;
-    constexpr double mostTrustedSlowness = 1.5; // more is a fault, not a property of the executor
     constexpr unsigned mostQuarantineDoublings = 2;
 
     std::string millis(Duration it) { return std::to_string(std::chrono::duration_cast<Milliseconds>(it).count()); }
@@ -423,32 +422,12 @@
         if (isDue)
             sendStop(executor, key, run);
     }
-    for (auto& [key, run] : executor.runs) {
-        if (!isHung(executor, key, run))
-            continue;
-        log("run_hung",
-            { { "task", taskText(key) }, { "run", std::to_string(run.run) },
-                { "executor", recordOf(executor.number)->record.id() }, { "ran_ms", millis(m_now - run.startedAt) } });
-        noteFailure(executor, key);
-        requestStop(executor, key, run);
-    }
     if (executor.isDraining)
         evacuate(executor);
     if (m_now - executor.forecastAt >= forecastEvery)
         forecast(executor);
 }
 
-bool JobLeader::isHung(const LiveExecutor& executor, const TaskKey& key, const LiveRun& run) const
-{
-    const auto step = m_ready.find(key.step);
-    if (run.stage != RunStage::Running || run.mustStop || step == m_ready.end() || step->second.lasting)
-        return false;
-    const double slowness = std::min(executor.slowness, mostTrustedSlowness);
-    const double taskMs = std::max(leastTaskMs, step->second.taskMs * slowness);
-    const double ranMs = std::chrono::duration<double, std::milli>(m_now - run.startedAt).count();
-    return ranMs > std::max(taskMs * hungFactor, taskMs + static_cast<double>(hungLeast.count()));
-}
-
 void JobLeader::forecast(LiveExecutor& executor)
 {
     executor.forecastAt = m_now;
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -182,7 +182,6 @@
     void watchExecutor(LiveExecutor&);
     void watchGangs();
     void evacuate(LiveExecutor&);
-    bool isHung(const LiveExecutor&, const TaskKey&, const LiveRun&) const;
     void forecast(LiveExecutor&);
     void lapse(LiveExecutor&);
     bool isUsable(const LiveExecutor&) const;
--- a/tests/jobs_leader_test.cpp
+++ b/tests/jobs_leader_test.cpp
@@ -166,32 +166,6 @@
     CHECK(it.clock.now() - silentSince > std::chrono::seconds(6));
 }
 
-TEST_CASE("a run that stands still is stopped and started elsewhere")
-{
-    JobsFixture it;
-    it.announce("x1");
-    it.answerHolds({});
-    it.submit(JobsFixture::request(7, 1));
-    it.pass(Milliseconds(20));
-    it.answer(*it.take<StartRun>(), { OrderEnd::Done });
-    std::optional<SendOrder> stop;
-    for (int n = 0; n < 200 && !stop; ++n) {
-        it.passHolding(Milliseconds(20), { { firstTask, 1, {}, 100, 0 } });
-        stop = it.take<StopRun>();
-    }
-    REQUIRE(stop);
-    it.answer(*stop, { OrderEnd::Done });
-    it.announce("x2");
-    std::optional<SendOrder> again;
-    for (int n = 0; n < 100 && !again; ++n) {
-        it.pass(Milliseconds(20));
-        it.answerHolds({}, { { 1, firstTask, 1, schema::RUN_OUTCOME_STOPPED, {} } });
-        again = it.take<StartRun>();
-    }
-    REQUIRE(again);
-    CHECK(again->executorId == "x2");
-}
-
 TEST_CASE("a refused job is refused at once with a time to come back")
 {
     JobsFixture it;
