--- a/bench/jobs_bench.cpp
+++ b/bench/jobs_bench.cpp
@@ -35,9 +35,10 @@
     teasel::JobsWorld world(options);
     const double before = processorSeconds();
     const auto broken = world.run();
-    fmt::print("executors {} jobs/s {}: {} jobs ended, {:.2f} s of processor time with the emulator, {:.2f} s in the leader, broken {}\n",
-        options.executors, options.jobsPerSecond, world.completed(), processorSeconds() - before,
-        world.leaderSeconds(), broken.size());
+    fmt::print("executors {} jobs/s {}: {} jobs ended, {:.2f} s of processor time with the emulator, {:.2f} s in the "
+               "leader, broken {}\n",
+        options.executors, options.jobsPerSecond, world.completed(), processorSeconds() - before, world.leaderSeconds(),
+        broken.size());
     for (size_t n = 0; n < broken.size() && n < 3; ++n)
         fmt::print("{}\n", broken[n]);
     return broken.empty() ? 0 : 1;
--- a/jobs/admission.cpp
+++ b/jobs/admission.cpp
@@ -15,7 +15,7 @@
 
 } // namespace
 
-void Admission::setWeights(absl::btree_map<std::string, double> weights)
+void Admission::setWeights(const absl::btree_map<std::string, double>& weights)
 {
     absl::btree_map<std::string, Bucket> next;
     for (const auto& [team, weight] : weights) {
--- a/jobs/admission.h
+++ b/jobs/admission.h
@@ -43,7 +43,7 @@
 class Admission {
 public:
     // Teams' fair rates in jobs a second.
-    void setWeights(absl::btree_map<std::string, double> weights);
+    void setWeights(const absl::btree_map<std::string, double>& weights);
 
     AdmissionVerdict decide(const JobDemand&, const FleetLoad&, Instant now);
 
--- a/jobs/advice_book.cpp
+++ b/jobs/advice_book.cpp
@@ -80,8 +80,8 @@
 
 bool AdviceBook::hasFreeInstance(Instant now) const
 {
-    return std::any_of(m_busyUntil.begin(), m_busyUntil.end(),
-        [&](const auto& it) { return it.second <= now + longestBacklog; });
+    return std::any_of(
+        m_busyUntil.begin(), m_busyUntil.end(), [&](const auto& it) { return it.second <= now + longestBacklog; });
 }
 
 std::optional<AdviceBook::Ask> AdviceBook::begin(
@@ -103,8 +103,8 @@
     return ask;
 }
 
-void AdviceBook::end(uint64_t number, bool answered,
-    std::span<const std::pair<uint32_t, std::string>> granted, Milliseconds valid, Instant now)
+void AdviceBook::end(uint64_t number, bool answered, std::span<const std::pair<uint32_t, std::string>> granted,
+    Milliseconds valid, Instant now)
 {
     const auto found = m_calls.find(number);
     if (found == m_calls.end())
--- a/jobs/advice_book.h
+++ b/jobs/advice_book.h
@@ -47,8 +47,8 @@
     std::optional<Ask> begin(const StepKey&, std::vector<uint32_t> executors, Milliseconds cost, Instant now);
 
     // Ends a call: the granted executors with their tickets, or nothing when it failed.
-    void end(uint64_t number, bool answered,
-        std::span<const std::pair<uint32_t, std::string>> granted, Milliseconds valid, Instant now);
+    void end(uint64_t number, bool answered, std::span<const std::pair<uint32_t, std::string>> granted,
+        Milliseconds valid, Instant now);
 
     // The step that an open call is about, and how many executors it names.
     std::optional<StepKey> stepOf(uint64_t number) const;
--- a/jobs/job_calls.cpp
+++ b/jobs/job_calls.cpp
@@ -68,8 +68,7 @@
 
 // ---- Jobs ----------------------------------------------------------------
 
-std::optional<CallAnswer> JobLeader::checkRequest(
-    const schema::JobRequest& request) const
+std::optional<CallAnswer> JobLeader::checkRequest(const schema::JobRequest& request) const
 {
     const auto bad = [](std::string reason) { return CallAnswer { CallStatus::BadRequest, std::move(reason) }; };
     if (request.steps().empty() || static_cast<size_t>(request.steps_size()) > m_options.maxSteps)
@@ -180,8 +179,9 @@
         { { "job", jobIdText(id) }, { "queue", request.queue() }, { "team", team },
             { "configuration", std::to_string(m_state.configuration().version()) },
             { "expected_wait_ms", millis(verdict.waitMs) }, { "slack_ms", millis(demand.slackMs) },
-            { "ahead_mcpu", std::to_string(load.ahead.amounts[0]) }, { "free_mcpu", std::to_string(load.free.amounts[0]) },
-            { "free_mib", std::to_string(load.free.amounts[1]) }, { "total_mcpu", std::to_string(load.total.amounts[0]) },
+            { "ahead_mcpu", std::to_string(load.ahead.amounts[0]) },
+            { "free_mcpu", std::to_string(load.free.amounts[0]) }, { "free_mib", std::to_string(load.free.amounts[1]) },
+            { "total_mcpu", std::to_string(load.total.amounts[0]) },
             { "retry_after_ms", std::to_string(verdict.retryAfter.count()) } });
     if (!verdict.isAccepted) {
         ++m_counters.refused;
@@ -244,7 +244,8 @@
     const auto& current = m_proposedConfiguration;
     if (next.version() == current.version() && next.document() != current.document()) {
         log("configuration_refused",
-            { { "version", std::to_string(next.version()) }, { "reason", "other content under the version in force" } });
+            { { "version", std::to_string(next.version()) },
+                { "reason", "other content under the version in force" } });
         return answer(handle, { CallStatus::Conflict, "this version is in force with other content" });
     }
     if (next.version() <= current.version()) {
@@ -264,7 +265,7 @@
     absl::btree_map<std::string, double> weights;
     for (const auto& team : m_state.configuration().teams())
         weights[team.name()] = team.weight();
-    m_admission.setWeights(std::move(weights));
+    m_admission.setWeights(weights);
     log("configuration_in_force", { { "version", std::to_string(m_state.configuration().version()) } });
     answer(it.handle, {});
 }
@@ -292,16 +293,16 @@
         const bool isSamePlace = state->record.address() == record.address();
         if (!isSameId && !isSamePlace)
             continue;
-        if (state->record.born_ms() > record.born_ms() || (isSameId && state->record.born_ms() == record.born_ms()
-                && call.sequence <= it.lastSequence)) {
+        if (state->record.born_ms() > record.born_ms()
+            || (isSameId && state->record.born_ms() == record.born_ms() && call.sequence <= it.lastSequence)) {
             // Delayed on its way: a later announcement or incarnation is known.
             return answer(handle, {});
         }
         if (isSameId && state->record.born_ms() == record.born_ms())
             known = &it;
     }
-    if (const auto it = m_announcing.find(record.id()); known == nullptr && it != m_announcing.end()
-        && it->second >= record.born_ms())
+    if (const auto it = m_announcing.find(record.id());
+        known == nullptr && it != m_announcing.end() && it->second >= record.born_ms())
         return answer(handle, {});
     if (known != nullptr && recordOf(known->number)->record.address() == record.address()) {
         known->lastSequence = call.sequence;
--- a/jobs/job_events.h
+++ b/jobs/job_events.h
@@ -49,8 +49,7 @@
     schema::JobConfiguration configuration;
 };
 
-struct GetConfiguration {
-};
+struct GetConfiguration { };
 
 // An executor says that it lives.
 struct ExecutorAnnouncement {
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -10,8 +10,6 @@
     constexpr Milliseconds orderSlack { 500 }; // beyond an order's timeout its result counts as lost
     constexpr Milliseconds listingSlack { 60 }; // between the end of a run and its listing
     constexpr Milliseconds evacuateBefore { 700 }; // the stop, its listing and the new start still fit
-    constexpr double hungFactor = 3.0; // a run that takes this many times what was expected is placed again
-    constexpr Milliseconds hungLeast { 2'500 }; // and at least this much longer
     constexpr Milliseconds forecastEvery { 150 };
     constexpr double soonMs = 1'500; // within which a gang may wait for room; half of a large task
     constexpr double leastTaskMs = 100; // shorter tasks are no sign that room comes so soon
@@ -82,8 +80,7 @@
 
 // ---- Orders --------------------------------------------------------------
 
-uint64_t JobLeader::sendOrder(
-    LiveExecutor& executor, OrderUnderWay order, ExecutorOrder body, Milliseconds timeout)
+uint64_t JobLeader::sendOrder(LiveExecutor& executor, OrderUnderWay order, ExecutorOrder body, Milliseconds timeout)
 {
     const auto* state = recordOf(executor.number);
     if (state == nullptr)
@@ -92,10 +89,9 @@
     order.sentAt = m_now;
     order.overAt = m_now + timeout + orderSlack;
     const auto number = ++m_lastOrder;
-    m_orders.emplace(number, std::move(order));
-    m_actions.emplace_back(SendOrder {
-        number, state->record.address(), state->record.id(), m_fence, timeout, std::move(body),
-        executor.number, state->record.zone() });
+    m_orders.emplace(number, order);
+    m_actions.emplace_back(SendOrder { number, state->record.address(), state->record.id(), m_fence, timeout,
+        std::move(body), executor.number, state->record.zone() });
     return number;
 }
 
@@ -108,7 +104,7 @@
     OrderUnderWay order;
     order.kind = OrderUnderWay::Kind::Hold;
     order.isLook = true;
-    sendOrder(executor, std::move(order), std::move(look), m_options.holdSlack);
+    sendOrder(executor, order, look, m_options.holdSlack);
 }
 
 void JobLeader::sendHold(LiveExecutor& executor)
@@ -119,8 +115,7 @@
     const bool isSuspect = m_now - executor.lastAnswer > m_options.suspectAfter;
     // Without an answer the lease is left to run out, so that its end is known.
     if (!isNew && !isSuspect) {
-        hold.leaseUntilMs
-            = executor.clock.executorNow(m_now) + static_cast<uint64_t>(m_options.lease.count());
+        hold.leaseUntilMs = executor.clock.executorNow(m_now) + static_cast<uint64_t>(m_options.lease.count());
         executor.clock.onLeaseSent(hold.leaseUntilMs);
     }
     hold.wait = isNew || isSuspect ? Milliseconds(0) : m_options.holdWait;
@@ -130,7 +125,7 @@
     order.extends = hold.leaseUntilMs != 0;
     const auto timeout = hold.wait + m_options.holdSlack;
     executor.holdSentAt = m_now;
-    executor.holdNumber = sendOrder(executor, std::move(order), std::move(hold), timeout);
+    executor.holdNumber = sendOrder(executor, order, hold, timeout);
 }
 
 void JobLeader::requestStop(LiveExecutor& executor, const TaskKey& key, LiveRun& run)
@@ -152,7 +147,7 @@
     order.kind = OrderUnderWay::Kind::Stop;
     order.task = key;
     order.run = run.run;
-    sendOrder(executor, std::move(order), StopRun { key, run.run }, m_options.orderTimeout);
+    sendOrder(executor, order, StopRun { key, run.run }, m_options.orderTimeout);
 }
 
 void JobLeader::onOrderResult(uint64_t number, OrderResult result, Instant now)
@@ -161,7 +156,7 @@
     if (found == m_orders.end())
         return;
     m_now = now;
-    const auto order = std::move(found->second);
+    const auto order = found->second;
     m_orders.erase(found);
     auto* executor = findExecutor(order.executor);
     const auto* state = recordOf(order.executor);
@@ -245,8 +240,7 @@
     if (!std::exchange(executor.isTakenOver, true))
         log("executor_taken_over",
             { { "executor", state->record.id() }, { "fence", std::to_string(m_fence) },
-                { "running", std::to_string(result.running.size()) },
-                { "ended", std::to_string(result.ended.size()) },
+                { "running", std::to_string(result.running.size()) }, { "ended", std::to_string(result.ended.size()) },
                 { "assigned", std::to_string(executor.runs.size()) } });
     else if (silence > m_options.suspectAfter)
         log("executor_regained", { { "executor", state->record.id() }, { "silent_ms", millis(silence) } });
@@ -294,7 +288,7 @@
             stop.kind = OrderUnderWay::Kind::Stop;
             stop.task = it.task;
             stop.run = it.run;
-            sendOrder(executor, std::move(stop), StopRun { it.task, it.run }, m_options.orderTimeout);
+            sendOrder(executor, stop, StopRun { it.task, it.run }, m_options.orderTimeout);
             continue;
         }
         auto& run = found->second;
@@ -325,8 +319,7 @@
     std::vector<TaskKey> neverRan;
     std::vector<TaskKey> lost;
     for (auto& [key, run] : executor.runs) {
-        if (running.contains({ key, run.run }) || run.stage == RunStage::Ending
-            || run.stage == RunStage::Committing)
+        if (running.contains({ key, run.run }) || run.stage == RunStage::Ending || run.stage == RunStage::Committing)
             continue;
         // A stop that was answered bars the run, and what was running has had time to end.
         const bool isBarred
@@ -344,8 +337,7 @@
         endRun(executor, it, schema::RUN_OUTCOME_LOST, {});
 }
 
-void JobLeader::endRun(
-    LiveExecutor& executor, const TaskKey& key, schema::RunOutcome outcome, std::string checkpoint)
+void JobLeader::endRun(LiveExecutor& executor, const TaskKey& key, schema::RunOutcome outcome, std::string checkpoint)
 {
     auto& run = executor.runs.at(key);
     if (checkpoint.empty() && outcome != schema::RUN_OUTCOME_DONE)
@@ -399,8 +391,8 @@
 {
     const bool isSilent = m_now - executor.lastAnswer > m_options.suspectAfter;
     if (isSilent && !executor.runs.empty()) {
-        const auto firstLapse = m_began
-            + std::chrono::duration_cast<Duration>(m_options.maxLease * slowestClockFactor) + lapseSlack;
+        const auto firstLapse
+            = m_began + std::chrono::duration_cast<Duration>(m_options.maxLease * slowestClockFactor) + lapseSlack;
         if (m_now >= (executor.isTakenOver ? executor.clock.lapsesAt() : firstLapse))
             lapse(executor);
     }
@@ -416,9 +408,8 @@
     if (!executor.isTakenOver)
         return;
     for (auto& [key, run] : executor.runs) {
-        const bool isDue = run.mustStop && !run.isStopUnderWay && !run.isStopAnswered()
-            && run.stage != RunStage::Ending && run.stage != RunStage::Committing
-            && m_now - run.stopSentAt > m_options.stopRetry;
+        const bool isDue = run.mustStop && !run.isStopUnderWay && !run.isStopAnswered() && run.stage != RunStage::Ending
+            && run.stage != RunStage::Committing && m_now - run.stopSentAt > m_options.stopRetry;
         if (isDue)
             sendStop(executor, key, run);
     }
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -34,7 +34,7 @@
     absl::btree_map<std::string, double> weights;
     for (const auto& it : m_state.configuration().teams())
         weights[it.name()] = it.weight();
-    m_admission.setWeights(std::move(weights));
+    m_admission.setWeights(weights);
     log("leadership_began",
         { { "fence", std::to_string(fence) }, { "executors", std::to_string(m_executors.size()) },
             { "jobs", std::to_string(m_state.jobs().size()) }, { "waiting_tasks", std::to_string(waitingTasks()) },
@@ -206,8 +206,8 @@
 
 size_t JobLeader::executorsUsable(Instant) const
 {
-    return static_cast<size_t>(std::count_if(
-        m_executors.begin(), m_executors.end(), [&](const auto& it) { return isUsable(it.second); }));
+    return static_cast<size_t>(
+        std::count_if(m_executors.begin(), m_executors.end(), [&](const auto& it) { return isUsable(it.second); }));
 }
 
 size_t JobLeader::waitingTasks() const
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -63,7 +63,8 @@
     // A call; its answer comes by an AnswerCall with the same handle.
     void onCall(uint64_t handle, JobCall, Instant now, WallTime wall);
     void onOrderResult(uint64_t number, OrderResult, Instant now);
-    void onAdvice(uint64_t number, bool answered, std::vector<std::pair<std::string, std::string>> granted, Instant now);
+    void onAdvice(
+        uint64_t number, bool answered, const std::vector<std::pair<std::string, std::string>>& granted, Instant now);
 
     // A proposal was applied to the state.
     void onCommitted(uint64_t ticket, Instant now);
@@ -112,8 +113,8 @@
     struct ConfigurationWhenCommitted {
         uint64_t handle = 0;
     };
-    using Continuation = std::variant<ConfigurationWhenCommitted, AnswerWhenCommitted, LaunchWhenCommitted, EndedWhenCommitted, SeenWhenCommitted,
-        AcceptedWhenCommitted, JobStoppedWhenCommitted, ExecutorWhenCommitted>;
+    using Continuation = std::variant<ConfigurationWhenCommitted, AnswerWhenCommitted, LaunchWhenCommitted,
+        EndedWhenCommitted, SeenWhenCommitted, AcceptedWhenCommitted, JobStoppedWhenCommitted, ExecutorWhenCommitted>;
 
     struct OrderUnderWay {
         uint32_t executor = 0;
--- a/jobs/job_leader_options.h
+++ b/jobs/job_leader_options.h
@@ -22,7 +22,9 @@
     Milliseconds holdRetry { 150 }; // after a hold that failed
     Milliseconds orderTimeout { 600 }; // of starts and stops; several round trips between regions
     Milliseconds holdSlack { 700 }; // a hold's timeout beyond its wait
-    Milliseconds suspectAfter { 2'200 }; // without an answer: no new starts, no more extensions (wait + slack + a retry)
+    Milliseconds suspectAfter {
+        2'200
+    }; // without an answer: no new starts, no more extensions (wait + slack + a retry)
     Milliseconds stopRetry { 400 }; // between two stops of one run
     Milliseconds forgetExecutorAfter { 12'000 }; // silent, nothing on it: several announcements were missed
 
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -15,7 +15,6 @@
     constexpr double gangAskedMargin = 4.0; // a gang needs room at several granted executors at once
     constexpr size_t leastAskedForGang = 24;
     constexpr size_t smallGang = 3; // tasks; so few fit nearly anywhere
-    constexpr Milliseconds retryAfterRefusal { 60 };
     constexpr int64_t unboundedTasks = 1'000'000;
 
 } // namespace
@@ -152,8 +151,7 @@
     start.payload = job->request.payload();
     start.checkpoint = task->checkpoint;
     start.ticket = std::string(ticket);
-    start.leaseUntilMs
-        = executor->clock.executorNow(m_now) + static_cast<uint64_t>(m_options.lease.count());
+    start.leaseUntilMs = executor->clock.executorNow(m_now) + static_cast<uint64_t>(m_options.lease.count());
     executor->clock.onLeaseSent(start.leaseUntilMs);
     run.stage = RunStage::Starting;
     run.startedAt = m_now;
@@ -165,16 +163,14 @@
             { "waited_ms",
                 std::to_string(std::chrono::duration_cast<Milliseconds>(m_now - step->second.readySince).count()) },
             { "slack_ms",
-                std::to_string(
-                    std::chrono::duration_cast<Milliseconds>(step->second.latestStart - m_now).count()) } });
+                std::to_string(std::chrono::duration_cast<Milliseconds>(step->second.latestStart - m_now).count()) } });
     if (step->second.gang && !m_gangs.contains(it.task.step))
-        m_gangs[it.task.step]
-            = m_now + std::chrono::duration_cast<Duration>(m_options.gangWait * gangAssemblyPart);
+        m_gangs[it.task.step] = m_now + std::chrono::duration_cast<Duration>(m_options.gangWait * gangAssemblyPart);
     OrderUnderWay order;
     order.kind = OrderUnderWay::Kind::Start;
     order.task = it.task;
     order.run = it.run;
-    sendOrder(*executor, std::move(order), std::move(start), m_options.orderTimeout);
+    sendOrder(*executor, order, std::move(start), m_options.orderTimeout);
 }
 
 std::vector<uint32_t> JobLeader::executorsToAsk(const ReadyStep& step, const std::vector<ExecutorRoom>& room) const
@@ -243,8 +239,8 @@
         asked.resize(mostAsked);
     if (asked.empty())
         return;
-    const auto cost = Milliseconds(static_cast<int64_t>(queue->advice().base_ms()
-        + queue->advice().per_executor_ms() * static_cast<double>(asked.size())));
+    const auto cost = Milliseconds(static_cast<int64_t>(
+        queue->advice().base_ms() + queue->advice().per_executor_ms() * static_cast<double>(asked.size())));
     const auto ask = m_advice.begin(step.key, asked, cost, m_now);
     if (!ask)
         return;
@@ -260,7 +256,7 @@
 }
 
 void JobLeader::onAdvice(
-    uint64_t number, bool answered, std::vector<std::pair<std::string, std::string>> granted, Instant now)
+    uint64_t number, bool answered, const std::vector<std::pair<std::string, std::string>>& granted, Instant now)
 {
     if (!isLeading())
         return;
@@ -271,9 +267,9 @@
             byId[state->record.id()] = executor;
     }
     std::vector<std::pair<uint32_t, std::string>> rows;
-    for (auto& [id, ticket] : granted) {
+    for (const auto& [id, ticket] : granted) {
         if (const auto it = byId.find(id); it != byId.end())
-            rows.emplace_back(it->second, std::move(ticket));
+            rows.emplace_back(it->second, ticket);
     }
     const auto asked = m_advice.askedIn(number);
     const auto step = m_advice.stepOf(number);
--- a/jobs/job_state.cpp
+++ b/jobs/job_state.cpp
@@ -143,8 +143,8 @@
 void JobState::finishStep(JobRecord& job, const StepKey& key)
 {
     auto& occurrence = job.open[key.occurrence];
-    occurrence.doneSteps = static_cast<uint32_t>(std::count_if(
-        occurrence.steps.begin(), occurrence.steps.end(), [](const auto& it) { return it.isDone(); }));
+    occurrence.doneSteps = static_cast<uint32_t>(
+        std::count_if(occurrence.steps.begin(), occurrence.steps.end(), [](const auto& it) { return it.isDone(); }));
     if (occurrence.doneSteps < occurrence.steps.size())
         return;
     ++job.occurrencesDone;
--- a/jobs/job_steps.cpp
+++ b/jobs/job_steps.cpp
@@ -168,8 +168,8 @@
     for (auto it = m_gangs.lower_bound(first); it != m_gangs.end() && belongs(it);)
         it = m_gangs.erase(it);
     for (auto& [number, executor] : m_executors) {
-        for (auto it = executor.runs.lower_bound({ first, 0 });
-             it != executor.runs.end() && it->first.step.job == id; ++it)
+        for (auto it = executor.runs.lower_bound({ first, 0 }); it != executor.runs.end() && it->first.step.job == id;
+             ++it)
             requestStop(executor, it->first, it->second);
     }
     const auto* job = m_state.find(id);
@@ -177,7 +177,8 @@
         log("job_ended",
             { { "job", jobIdText(id) }, { "phase", std::to_string(static_cast<int>(job->phase)) },
                 { "queue", job->request.queue() }, { "team", job->request.team() },
-                { "age_ms", std::to_string(job->endedAtMs - std::min(job->endedAtMs, job->request.accepted_at_ms())) } });
+                { "age_ms",
+                    std::to_string(job->endedAtMs - std::min(job->endedAtMs, job->request.accepted_at_ms())) } });
 }
 
 } // namespace teasel
--- a/jobs/order_messages.cpp
+++ b/jobs/order_messages.cpp
@@ -60,8 +60,8 @@
 
 SendOrder fromMessage(const schema::RelayedOrder& order)
 {
-    SendOrder out { order.number(), order.address(), order.executor(), order.fence(),
-        milliseconds(order.timeout_ms()), StopRun {} };
+    SendOrder out { order.number(), order.address(), order.executor(), order.fence(), milliseconds(order.timeout_ms()),
+        StopRun {} };
     const auto task = toKey(order.task());
     switch (order.body_case()) {
     case schema::RelayedOrder::kStart:
--- a/jobs/start_planner.cpp
+++ b/jobs/start_planner.cpp
@@ -90,8 +90,7 @@
             continue;
         auto most = step.need.timesIn(room.free, unboundedTasks);
         if (step.maxPerExecutor > 0)
-            most = std::min<int64_t>(
-                most, int64_t(step.maxPerExecutor) - m_constraints.countOn(step.key, room.number));
+            most = std::min<int64_t>(most, int64_t(step.maxPerExecutor) - m_constraints.countOn(step.key, room.number));
         if (most > 0)
             out.push_back({ n, most, scoreOf(step, room, now) });
     }
@@ -108,8 +107,7 @@
     double slowness = room.slowness;
     if (!step.dataRack.empty() && step.dataRack != room.rack)
         slowness *= 1.5;
-    const double leftMs
-        = std::chrono::duration<double, std::milli>(step.latestStart - now).count() + step.taskMs;
+    const double leftMs = std::chrono::duration<double, std::milli>(step.latestStart - now).count() + step.taskMs;
     const bool endsInTime = step.taskMs * slowness <= leftMs;
     const double fill = 1 - (room.free - step.need).dominantShareOf(room.capacity);
     return (endsInTime ? 4.0 : 0.0) - slowness + fill - (room.isDegraded ? 8.0 : 0.0);
@@ -187,8 +185,8 @@
             candidates.push_back({ n, fits });
     }
     // Those that hold most of the gang first, so that few executors wait.
-    std::stable_sort(candidates.begin(), candidates.end(),
-        [](const Candidate& a, const Candidate& b) { return a.fits > b.fits; });
+    std::stable_sort(
+        candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) { return a.fits > b.fits; });
     auto wanted = static_cast<int64_t>(step.waiting.size());
     for (const auto& it : candidates) {
         if (wanted <= 0 || m_reserved.size() >= most)
--- a/jobs/task_key.h
+++ b/jobs/task_key.h
@@ -3,9 +3,9 @@
 
 #include "jobs.pb.h"
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 #include <fmt/format.h>
 
@@ -17,30 +17,29 @@
     uint32_t occurrence = 0;
     uint32_t step = 0;
 
-    auto operator<=>(const StepKey&) const = default;
+    bool operator==(const StepKey&) const = default;
+    bool operator<(const StepKey& other) const
+    {
+        return std::tie(job, occurrence, step) < std::tie(other.job, other.occurrence, other.step);
+    }
 };
 
 struct TaskKey {
     StepKey step;
     uint32_t index = 0;
 
-    auto operator<=>(const TaskKey&) const = default;
+    bool operator==(const TaskKey&) const = default;
+    bool operator<(const TaskKey& other) const { return std::tie(step, index) < std::tie(other.step, other.index); }
 };
 
 // A job's id as it is written: 16 hexadecimal digits.
 inline std::string jobIdText(uint64_t id) { return fmt::format("{:016x}", id); }
 
-inline std::string stepText(const StepKey& it)
-{
-    return fmt::format("{:016x}.{}.{}", it.job, it.occurrence, it.step);
-}
+inline std::string stepText(const StepKey& it) { return fmt::format("{:016x}.{}.{}", it.job, it.occurrence, it.step); }
 
 inline std::string taskText(const TaskKey& it) { return fmt::format("{}.{}", stepText(it.step), it.index); }
 
-inline TaskKey toKey(const schema::TaskRef& it)
-{
-    return { { it.job(), it.occurrence(), it.step() }, it.index() };
-}
+inline TaskKey toKey(const schema::TaskRef& it) { return { { it.job(), it.occurrence(), it.step() }, it.index() }; }
 
 inline void fillRef(const TaskKey& key, schema::TaskRef& out)
 {
--- a/membership/voter_planner.cpp
+++ b/membership/voter_planner.cpp
@@ -31,8 +31,7 @@
     return out;
 }
 
-std::optional<VoterChange> VoterPlanner::next(
-    const schema::VoterSet& set, const std::string& self, Instant now) const
+std::optional<VoterChange> VoterPlanner::next(const schema::VoterSet& set, const std::string& self, Instant now) const
 {
     using Kind = VoterChange::Kind;
     for (const auto& [id, heard] : m_heard) {
--- a/membership/voter_planner.h
+++ b/membership/voter_planner.h
@@ -37,8 +37,7 @@
     // Silence counts from now on, as for a new leader.
     void begin(const schema::VoterSet&, Instant now);
 
-    std::optional<VoterChange> next(
-        const schema::VoterSet&, const std::string& self, Instant now) const;
+    std::optional<VoterChange> next(const schema::VoterSet&, const std::string& self, Instant now) const;
 
     std::vector<std::string> known() const;
 
--- a/node/core_node.cpp
+++ b/node/core_node.cpp
@@ -116,8 +116,7 @@
           [this](schema::Envelope envelope) {
               m_loop.post([this, envelope = std::move(envelope)] { onEnvelope(envelope); });
           })
-    , m_control(
-          { m_settings.control_address(), 1, 1'024 },
+    , m_control({ m_settings.control_address(), 1, 1'024 },
           [this](HttpRequest request) {
               m_loop.postAlways([this, request = std::move(request)]() mutable { onHttp(std::move(request)); });
           },
@@ -154,9 +153,8 @@
             m_network.send(to, std::move(envelope));
         },
         [this](std::function<void()> task) { m_loop.postAlways(std::move(task)); },
-        ReplicatedLogEvents { [this](uint64_t ticket, const std::string&) {
-                                 m_leader.onCommitted(ticket, m_links.clock.now());
-                             },
+        ReplicatedLogEvents {
+            [this](uint64_t ticket, const std::string&) { m_leader.onCommitted(ticket, m_links.clock.now()); },
             [](uint64_t) {}, // The leadership is lost with it, and with that all that waits.
             [this](bool serving) { onServingChanged(serving); },
             [this](const Error& error) {
@@ -379,8 +377,8 @@
     }
     auto decoded = platform::decodeCall(call);
     if (auto* answer = std::get_if<schema::RoutedAnswer>(&decoded)) {
-        m_links.log.info("call_invalid",
-            { { "path", call.path() }, { "status", answer->status() }, { "reason", answer->body() } });
+        m_links.log.info(
+            "call_invalid", { { "path", call.path() }, { "status", answer->status() }, { "reason", answer->body() } });
         answer->set_number(call.number());
         sendRouted(envelope.from(), std::move(*answer));
         return;
@@ -520,9 +518,10 @@
 void CoreNode::sendOrder(SendOrder order, std::function<void(OrderResult)> done)
 {
     auto call = platform::encodeOrder(order);
-    m_client.start(std::move(call), [order = std::move(order.order), done = std::move(done)](const HttpOutcome& outcome) {
-        done(platform::decodeOrderOutcome(order, outcome));
-    });
+    m_client.start(
+        std::move(call), [order = std::move(order.order), done = std::move(done)](const HttpOutcome& outcome) {
+            done(platform::decodeOrderOutcome(order, outcome));
+        });
 }
 
 void CoreNode::flushOrders()
@@ -583,10 +582,7 @@
     m_network.send(action.instance, std::move(out));
 }
 
-void CoreNode::perform(JobLogLine& action, Instant)
-{
-    m_links.log.infoOf(action.event, action.fields);
-}
+void CoreNode::perform(JobLogLine& action, Instant) { m_links.log.infoOf(action.event, action.fields); }
 
 void CoreNode::callAdvice(const schema::AdviceCall& call, std::function<void(schema::AdviceResult)> done)
 {
@@ -601,7 +597,7 @@
     std::vector<std::pair<std::string, std::string>> granted;
     for (const auto& it : result.granted())
         granted.emplace_back(it.executor(), it.ticket());
-    m_leader.onAdvice(result.number(), result.answered(), std::move(granted), now);
+    m_leader.onAdvice(result.number(), result.answered(), granted, now);
 }
 
 void CoreNode::updateMetrics(Instant now)
--- a/node/front_node.cpp
+++ b/node/front_node.cpp
@@ -66,8 +66,7 @@
           [this](schema::Envelope envelope) {
               m_loop.post([this, envelope = std::move(envelope)] { onEnvelope(envelope); });
           })
-    , m_callers(
-          { m_settings.callers_address(), 1, m_settings.max_connections(), m_settings.max_body_bytes() },
+    , m_callers({ m_settings.callers_address(), 1, m_settings.max_connections(), m_settings.max_body_bytes() },
           [this](HttpRequest request) {
               m_loop.postAlways([this, request = std::move(request)]() mutable { onHttp(std::move(request)); });
           },
--- a/node/leader_relay.cpp
+++ b/node/leader_relay.cpp
@@ -39,8 +39,8 @@
     }
     const auto number = ++m_lastNumber;
     call.set_number(number);
-    const auto time = call.time_left_ms() == 0 ? m_options.defaultTime
-                                               : Milliseconds(static_cast<int64_t>(call.time_left_ms()));
+    const auto time
+        = call.time_left_ms() == 0 ? m_options.defaultTime : Milliseconds(static_cast<int64_t>(call.time_left_ms()));
     auto& open = m_calls[number];
     open.call = std::move(call);
     open.done = std::move(done);
--- a/node/leader_relay.h
+++ b/node/leader_relay.h
@@ -55,7 +55,11 @@
     size_t open() const { return m_calls.size(); }
     const absl::btree_set<std::string>& core() const { return m_core; }
 
-    void addSeeds(const std::vector<std::string>& seeds) { m_options.seeds = seeds; m_core.insert(seeds.begin(), seeds.end()); }
+    void addSeeds(const std::vector<std::string>& seeds)
+    {
+        m_options.seeds = seeds;
+        m_core.insert(seeds.begin(), seeds.end());
+    }
     void setStopping() { m_isStopping = true; }
     void setHasState(bool hasState) { m_hasState = hasState; }
 
--- a/observability/line_writer.cpp
+++ b/observability/line_writer.cpp
@@ -43,7 +43,8 @@
         pollfd ready { m_options.descriptor, POLLOUT, 0 };
         if (poll(&ready, 1, 0) <= 0 || (ready.revents & POLLOUT) == 0)
             break;
-        const auto n = write(m_options.descriptor, m_buffer.data() + done, std::min(pieceBytes, m_buffer.size() - done));
+        const auto n
+            = write(m_options.descriptor, m_buffer.data() + done, std::min(pieceBytes, m_buffer.size() - done));
         if (n <= 0)
             break;
         done += static_cast<size_t>(n);
--- a/tests/jobs_random_test.cpp
+++ b/tests/jobs_random_test.cpp
@@ -28,8 +28,7 @@
         options.seed = seed;
         JobsWorld world(options);
         for (const auto& it : world.run())
-            FAIL_CHECK(fmt::format(
-                "TEASEL_FIRST_SEED={} TEASEL_SEEDS=1 build/jobs_random_test\n{}", seed, it));
+            FAIL_CHECK(fmt::format("TEASEL_FIRST_SEED={} TEASEL_SEEDS=1 build/jobs_random_test\n{}", seed, it));
         completed += world.completed();
     }
     fmt::print("jobs ended: {}\n", completed);
--- a/tests/jobs_world.h
+++ b/tests/jobs_world.h
@@ -406,6 +406,10 @@
     void holdRuns(Executor& executor, const HoldRuns& hold, OrderResult& out)
     {
         executor.leaseUntilMs = std::max(executor.leaseUntilMs, hold.leaseUntilMs);
+        for (const auto& it : executor.ended) {
+            if (it.number <= hold.seenEnds && it.outcome == schema::RUN_OUTCOME_DONE)
+                noteDone(it.task);
+        }
         std::erase_if(executor.ended, [&](const auto& it) { return it.number <= hold.seenEnds; });
         for (const auto& [key, run] : executor.runs)
             out.running.push_back({ key, run.run, {}, 100, -1 });
@@ -551,7 +555,8 @@
         for (auto& [id, it] : m_callers) {
             if (it.isAccepted && !it.isCancelled && m_random.chance(m_options.cancels / stepsPerSecond)) {
                 it.isCancelled = true;
-                m_leader->onCall(++m_lastHandle, CancelJob { "farm.example", path(id), "key", id }, m_clock.now(), wall());
+                m_leader->onCall(
+                    ++m_lastHandle, CancelJob { "farm.example", path(id), "key", id }, m_clock.now(), wall());
             }
         }
     }
@@ -621,11 +626,13 @@
             for (size_t n = 0; n < open.steps.size(); ++n) {
                 const auto& step = open.steps[n];
                 out += fmt::format("; step {}{}: {} of {} done, {} assigned", n,
-                    job->request.steps(static_cast<int>(n)).gang() ? " (gang)" : "", step.doneTasks,
-                    step.tasks.size(), step.assignedTasks);
+                    job->request.steps(static_cast<int>(n)).gang() ? " (gang)" : "", step.doneTasks, step.tasks.size(),
+                    step.assignedTasks);
             }
         }
-        return out + fmt::format("; usable {} waiting {} running {}", m_leader->executorsUsable(m_clock.now()), m_leader->waitingTasks(), m_leader->runningTasks());
+        return out
+            + fmt::format("; usable {} waiting {} running {}", m_leader->executorsUsable(m_clock.now()),
+                m_leader->waitingTasks(), m_leader->runningTasks());
     }
 
     void reportOpenJobs()
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -37,8 +37,8 @@
     {
         schema::RoutedCall it;
         it.set_time_left_ms(timeLeft);
-        relay.call(std::move(it), [this](schema::RoutedAnswer answer) { answers.push_back(std::move(answer)); },
-            clock.now());
+        relay.call(
+            std::move(it), [this](schema::RoutedAnswer answer) { answers.push_back(std::move(answer)); }, clock.now());
     }
     void lead(const std::string& who, uint64_t term)
     {
--- a/tests/net_http_client_test.cpp
+++ b/tests/net_http_client_test.cpp
@@ -29,8 +29,7 @@
 {
     std::atomic<int> taken = 0;
     HttpServer* self = nullptr;
-    HttpServer server(
-        { "127.0.0.1:18977", 1, 8 },
+    HttpServer server({ "127.0.0.1:18977", 1, 8 },
         [&](const HttpRequest& request) {
             if (++taken == 1)
                 self->answer(request.handle, { 200, "application/json", {}, "{}" });
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -68,16 +68,16 @@
 
 TEST_CASE("each way in which a configuration can be invalid is refused")
 {
-    const auto refused = [](std::string_view text) {
-        return !failureOf([&] { return decodeConfiguration(text); }).empty();
-    };
+    const auto refused
+        = [](std::string_view text) { return !failureOf([&] { return decodeConfiguration(text); }).empty(); };
     CHECK(refused(goodConfiguration.substr(0, goodConfiguration.size() - 20)));
     CHECK(refused(replaced(goodConfiguration, R"("service":"s")", R"("service":"other")")));
     CHECK(refused(replaced(goodConfiguration, R"("timeoutMs":3000)", R"("timeoutMs":0)")));
     CHECK(refused(replaced(goodConfiguration, R"("timeoutMs":3000,)", "")));
     CHECK(refused(replaced(goodConfiguration, R"("weight":33)", R"("weight":0)")));
     CHECK(refused(replaced(goodConfiguration, R"("version":7)", R"("version":"7")")));
-    CHECK(refused(replaced(goodConfiguration, R"("tenants":[)", R"("tenants":[{"name":"u","apiKeys":["k2"],"weight":1},)")));
+    CHECK(refused(
+        replaced(goodConfiguration, R"("tenants":[)", R"("tenants":[{"name":"u","apiKeys":["k2"],"weight":1},)")));
     CHECK(refused(replaced(goodConfiguration, R"("routes":[)",
         R"("routes":[{"name":"q","host":"a.example","pathPrefix":"/p/","timeoutMs":1,"service":"s"},)")));
 }
@@ -93,14 +93,14 @@
 
 TEST_CASE("a job that can't be read is an error of the caller, never a crash")
 {
-    const auto problem = [](std::string_view id, std::string_view body) {
-        return failureOf([&] { return decodeJob(id, body); });
-    };
+    const auto problem
+        = [](std::string_view id, std::string_view body) { return failureOf([&] { return decodeJob(id, body); }); };
     CHECK(problem("5c0e7a21d94b36f8", R"({"spec":"x","steps":[{"count":4,"cpu":500}]})").empty());
     CHECK(!problem("5C0E7A21D94B36F8", R"({"steps":[]})").empty());
     CHECK(!problem("5c0e", R"({"steps":[]})").empty());
-    for (const char* body : { "", "[", "[]", "null", R"({"steps":7})", R"({"steps":[7]})", R"({"steps":[{"count":"4"}]})",
-             R"({"steps":[{"count":-4}]})", R"({"spec":7,"steps":[]})", R"({"steps":[{"dependsOn":[-1]}]})" })
+    for (const char* body :
+        { "", "[", "[]", "null", R"({"steps":7})", R"({"steps":[7]})", R"({"steps":[{"count":"4"}]})",
+            R"({"steps":[{"count":-4}]})", R"({"spec":7,"steps":[]})", R"({"steps":[{"dependsOn":[-1]}]})" })
         CHECK_MESSAGE(!problem("5c0e7a21d94b36f8", body).empty(), body);
 }
 
@@ -108,7 +108,8 @@
 {
     const std::string good
         = R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"ready","capacity":{"cpu":16000,"memMb":32768},"labels":["a","r1-3"],"sequence":4,"born":12})";
-    const auto problem = [](std::string_view body) { return failureOf([&] { return decodeAnnouncement("i-1", body); }); };
+    const auto problem
+        = [](std::string_view body) { return failureOf([&] { return decodeAnnouncement("i-1", body); }); };
     CHECK(problem(good).empty());
     const auto decoded = valueOrError([&] { return decodeAnnouncement("i-1", good); });
     CHECK(std::get<ExecutorAnnouncement>(decoded).record.rack() == "r1-3");
@@ -121,7 +122,8 @@
 
 TEST_CASE("a hold carries fence, seen ends and lease, and its lists are read")
 {
-    SendOrder order { 3, "10.0.0.1:80", "i-1", 7, Milliseconds(500), HoldRuns { 486'000, 57, Milliseconds(1'000) }, 1, "z" };
+    SendOrder order { 3, "10.0.0.1:80", "i-1", 7, Milliseconds(500), HoldRuns { 486'000, 57, Milliseconds(1'000) }, 1,
+        "z" };
     const auto call = encodeOrder(order);
     CHECK(call.url == "http://10.0.0.1:80/hold");
     const auto body = nlohmann::json::parse(*call.body);
