--- a/node/core_node.cpp
+++ b/node/core_node.cpp
@@ -508,7 +508,8 @@
         *batch.add_orders() = toMessage(action);
         return;
     }
-    sendOrder(std::move(action), [this, number = action.number](OrderResult result) mutable {
+    const auto number = action.number;
+    sendOrder(std::move(action), [this, number](OrderResult result) mutable {
         m_loop.postAlways([this, number, result = std::move(result)]() mutable {
             m_leader.onOrderResult(number, std::move(result), m_links.clock.now());
         });
