--- a/tests/jobs_world.h
+++ b/tests/jobs_world.h
@@ -100,6 +100,7 @@
         std::map<TaskKey, uint32_t> barred; // runs up to this number
         std::vector<EndedTask> ended;
         uint64_t lastEnd = 0;
+        uint64_t lapsedEnds = 0; // ends up to this number were listed when a lease lapsed
         uint64_t fence = 0;
         uint64_t leaseUntilMs = 0;
         uint64_t sequence = 0;
@@ -407,7 +408,8 @@
     {
         executor.leaseUntilMs = std::max(executor.leaseUntilMs, hold.leaseUntilMs);
         for (const auto& it : executor.ended) {
-            if (it.number <= hold.seenEnds && it.outcome == schema::RUN_OUTCOME_DONE)
+            // An end counts for nothing once the lease has lapsed before it was taken note of.
+            if (it.number <= hold.seenEnds && it.number > executor.lapsedEnds && it.outcome == schema::RUN_OUTCOME_DONE)
                 noteDone(it.task);
         }
         std::erase_if(executor.ended, [&](const auto& it) { return it.number <= hold.seenEnds; });
@@ -500,6 +502,8 @@
     {
         std::vector<TaskKey> over;
         const bool hasLapsed = clockOf(executor) > executor.leaseUntilMs;
+        if (hasLapsed)
+            executor.lapsedEnds = executor.lastEnd;
         for (auto& [key, run] : executor.runs) {
             if (!specOf(key.step).gang() || isPresent(key.step, run.run))
                 run.leftMs -= ms;
