--- a/fleet/begun_table.h
+++ b/fleet/begun_table.h
@@ -4,10 +4,9 @@
 #include "core/ids.h"
 #include "fleet.pb.h"
 
-#include <absl/container/flat_hash_map.h>
-
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -61,7 +60,7 @@
     void store(Record&, const schema::FinishRequest&);
 
     BegunLimits m_limits;
-    absl::flat_hash_map<Key, Record> m_records;
+    std::map<Key, Record> m_records;
     std::deque<std::pair<uint64_t, Key>> m_byAge; // oldest first
     size_t m_bodyBytes = 0;
 };
--- a/fleet/job_table.h
+++ b/fleet/job_table.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -50,7 +51,7 @@
     void expire(uint64_t wallMs);
 
     const schema::JobRecord* find(const std::string& id) const;
-    const absl::flat_hash_map<std::string, schema::JobRecord>& jobs() const { return m_jobs; }
+    const std::map<std::string, schema::JobRecord>& jobs() const { return m_jobs; }
 
     // At most `max` jobs changed after `version`, the least recently changed first.
     JobChanges changedSince(const std::string& dataCentre, uint64_t version, size_t max) const;
@@ -70,7 +71,7 @@
     void drop(const std::string& id);
 
     JobLimits m_limits;
-    absl::flat_hash_map<std::string, schema::JobRecord> m_jobs;
+    std::map<std::string, schema::JobRecord> m_jobs;
     absl::btree_map<std::string, DataCentre> m_dataCentres;
     std::deque<std::pair<uint64_t, std::string>> m_ended; // (when, id), oldest first
     uint64_t m_version = 0;
--- a/naming/label_index.h
+++ b/naming/label_index.h
@@ -10,6 +10,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <google/protobuf/repeated_ptr_field.h>
 
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -100,7 +101,7 @@
     NameTable& m_names;
     absl::flat_hash_map<Posting, roaring::Roaring> m_values;
     absl::flat_hash_map<SubjectId, roaring::Roaring> m_keys;
-    absl::flat_hash_map<InstanceOrdinal, Instance> m_instances;
+    std::map<InstanceOrdinal, Instance> m_instances;
     roaring::Roaring m_all;
     uint64_t m_version = 1;
     uint64_t m_configurationVersion = 0; // of the names that the postings were resolved with
--- a/node/entry_node.cpp
+++ b/node/entry_node.cpp
@@ -377,7 +377,7 @@
 
 void EntryNode::withdrawKeys(Instant now)
 {
-    absl::flat_hash_set<std::string> keys;
+    absl::btree_set<std::string> keys;
     for (const auto& it : m_authority.config().config().keys())
         keys.insert(it.id());
     std::vector<std::string> withdrawn;
--- a/node/entry_node.h
+++ b/node/entry_node.h
@@ -19,6 +19,7 @@
 #include "node/state_client.h"
 #include "settings.pb.h"
 
+#include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_set.h>
 
 #include <atomic>
@@ -82,7 +83,7 @@
     EndpointGateway m_endpoints;
     ConfigGateway m_configuration;
 
-    absl::flat_hash_set<std::string> m_keys; // ids of the keys in force
+    absl::btree_set<std::string> m_keys; // ids of the keys in force
     std::string m_leader;
     Epoch m_leaderEpoch = 0;
     Instant m_nextReview {};
--- a/node/forwarder.cpp
+++ b/node/forwarder.cpp
@@ -82,7 +82,7 @@
             continue;
         }
         late.push_back(std::move(it->second.reply));
-        m_open.erase(it++);
+        it = m_open.erase(it);
     }
     for (const auto& it : late)
         it(failedReply({ ErrorKind::NoLeader, "the data centre's leader did not answer in time", {} }));
--- a/node/forwarder.h
+++ b/node/forwarder.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -56,7 +57,7 @@
     Leader m_leader;
     LeadsHere m_leadsHere;
     size_t m_turn = 0;
-    absl::flat_hash_map<uint64_t, Open> m_open;
+    std::map<uint64_t, Open> m_open;
 };
 
 // A reply that says what went wrong.
--- a/node/leader_planes.h
+++ b/node/leader_planes.h
@@ -10,9 +10,8 @@
 #include "placement/placement_leader.h"
 #include "requests/dispatch_leader.h"
 
-#include <absl/container/flat_hash_map.h>
-
 #include <functional>
+#include <map>
 #include <span>
 #include <string>
 #include <string_view>
@@ -60,7 +59,7 @@
 
     DispatchLeader m_dispatch;
     PlacementLeader m_placement;
-    absl::flat_hash_map<std::string, Instant> m_heard; // members, since leading
+    std::map<std::string, Instant> m_heard; // members, since leading
     SendGrantBatch m_sendGrants;
     Propose m_propose;
 };
--- a/node/state_client.h
+++ b/node/state_client.h
@@ -6,10 +6,9 @@
 #include "core/result.h"
 #include "fleet.pb.h"
 
-#include <absl/container/flat_hash_map.h>
-
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -61,7 +60,7 @@
     Send m_send;
     size_t m_current = 0;
     Instant m_expectedSince {}; // when the first unanswered message was sent; zero if none
-    absl::flat_hash_map<uint64_t, Open> m_open;
+    std::map<uint64_t, Open> m_open;
 };
 
 } // namespace teasel
--- a/placement/fair_share.h
+++ b/placement/fair_share.h
@@ -6,6 +6,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <map>
 #include <span>
 #include <string>
 #include <vector>
@@ -69,7 +70,7 @@
     };
     const Team* find(TeamId) const;
 
-    absl::flat_hash_map<TeamId, Team> m_teams;
+    std::map<TeamId, Team> m_teams;
     absl::flat_hash_map<std::string, absl::flat_hash_map<TeamId, ResourceVector>> m_elsewhere; // by data centre
     ResourceVector m_total;
 };
--- a/placement/quarantine.h
+++ b/placement/quarantine.h
@@ -3,8 +3,7 @@
 
 #include "placement/placement_types.h"
 
-#include <absl/container/flat_hash_map.h>
-
+#include <map>
 #include <vector>
 
 namespace teasel {
@@ -62,7 +61,7 @@
     void putAside(WorkerId, Record&, Instant now);
 
     QuarantineOptions m_options;
-    absl::flat_hash_map<WorkerId, Record> m_records;
+    std::map<WorkerId, Record> m_records;
     Tally m_fleet;
     std::vector<Change> m_changes;
 };
--- a/requests/attempt_ledger.h
+++ b/requests/attempt_ledger.h
@@ -10,10 +10,11 @@
 #include "core/ids.h"
 #include "requests.pb.h"
 
-#include <absl/container/flat_hash_map.h>
+#include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_set.h>
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -28,7 +29,7 @@
     uint64_t sequence = 0;
     uint32_t attempt = 0;
 
-    bool operator==(const AttemptId&) const = default;
+    auto operator<=>(const AttemptId&) const = default;
     template <class H> friend H AbslHashValue(H h, const AttemptId& it) // NOLINT(readability-identifier-naming)
     {
         return H::combine(std::move(h), it.holder, it.incarnation, it.sequence, it.attempt);
@@ -48,7 +49,7 @@
 
 class AttemptLedger {
 public:
-    using Attempts = absl::flat_hash_map<AttemptId, GrantedAttempt>;
+    using Attempts = std::map<AttemptId, GrantedAttempt>;
 
     void add(const AttemptId&, const GrantedAttempt&);
     GrantedAttempt* find(const AttemptId&);
@@ -81,7 +82,7 @@
 
 private:
     Attempts m_attempts;
-    absl::flat_hash_set<AttemptId> m_closed;
+    absl::btree_set<AttemptId> m_closed;
 };
 
 } // namespace teasel
--- a/requests/dispatch_leader.cpp
+++ b/requests/dispatch_leader.cpp
@@ -375,7 +375,7 @@
         m_refreshed = now;
         m_queue.refresh(m_remote.fleetSize(m_pool.totalSlots(), now), now);
     }
-    absl::erase_if(m_withdrawnKeys, [&](const auto& it) { return it.second + withdrawnKeysKept <= now; });
+    std::erase_if(m_withdrawnKeys, [&](const auto& it) { return it.second + withdrawnKeysKept <= now; });
 }
 
 std::vector<DispatchAction> DispatchLeader::takeActions(Instant now)
--- a/requests/dispatch_leader.h
+++ b/requests/dispatch_leader.h
@@ -24,6 +24,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
+#include <map>
 #include <span>
 #include <string>
 #include <string_view>
@@ -146,7 +147,7 @@
     SelectorGroups m_groups;
     HolderLinks m_links;
     ClassTable m_classes;
-    absl::flat_hash_map<std::string, Instant> m_withdrawnKeys;
+    std::map<std::string, Instant> m_withdrawnKeys;
     RemoteLoad m_remote;
     Instant m_ticked {};
     Instant m_refreshed {};
--- a/requests/fair_queue.h
+++ b/requests/fair_queue.h
@@ -18,9 +18,9 @@
 
 #include <absl/container/btree_map.h>
 #include <absl/container/btree_set.h>
-#include <absl/container/flat_hash_map.h>
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <tuple>
 #include <utility>
@@ -115,7 +115,7 @@
         double activeShare = 0.0; // its part of m_activeShares
         size_t waiting = 0;
         absl::btree_map<uint32_t, size_t> waitingByRank;
-        absl::flat_hash_map<GroupId, Waiting> groups;
+        std::map<GroupId, Waiting> groups;
     };
 
     double serviceUs(const Team&) const;
@@ -137,8 +137,8 @@
     static constexpr Milliseconds horizonPerDataCentre { 500 }; // twice the age of what leaders know of one another
     static constexpr Milliseconds elsewhereKept { 1'000 };
 
-    absl::flat_hash_map<TeamId, Team> m_teams;
-    absl::flat_hash_map<GroupId, TeamOrder> m_orders;
+    std::map<TeamId, Team> m_teams;
+    std::map<GroupId, TeamOrder> m_orders;
     double m_present = 0.0; // place of the last start
     FleetSize m_fleet;
     double m_serviceUs = 0.0; // moving average over all teams
--- a/requests/remote_load.cpp
+++ b/requests/remote_load.cpp
@@ -15,7 +15,7 @@
 void RemoteLoad::charge(
     const schema::LoadSummary& before, const schema::LoadSummary& after, FairQueue& queue, Instant now)
 {
-    absl::flat_hash_map<TeamId, uint64_t> used;
+    std::map<TeamId, uint64_t> used;
     for (const auto& it : before.teams())
         used[it.team_id()] = it.slot_ms();
     for (const auto& it : after.teams()) {
--- a/requests/remote_load.h
+++ b/requests/remote_load.h
@@ -5,8 +5,7 @@
 #include "requests.pb.h"
 #include "requests/fair_queue.h"
 
-#include <absl/container/flat_hash_map.h>
-
+#include <map>
 #include <string>
 
 namespace teasel {
@@ -30,7 +29,7 @@
 
     static constexpr Milliseconds kept { 2'000 };
 
-    absl::flat_hash_map<std::string, Heard> m_summaries;
+    std::map<std::string, Heard> m_summaries;
 };
 
 } // namespace teasel
--- a/requests/request_holder.h
+++ b/requests/request_holder.h
@@ -22,6 +22,7 @@
 #include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
 
+#include <map>
 #include <span>
 #include <string>
 #include <string_view>
@@ -131,7 +132,7 @@
     HolderStats stats() const;
 
 private:
-    using Requests = absl::flat_hash_map<uint64_t, HeldRequest>;
+    using Requests = std::map<uint64_t, HeldRequest>;
 
     void takeGrant(const schema::Grant&, Instant usableUntil, Instant now);
     void takeRefusal(const schema::Refusal&, Instant);
--- a/requests/selector_groups.cpp
+++ b/requests/selector_groups.cpp
@@ -85,8 +85,8 @@
 
 void SelectorGroups::forgetUnused()
 {
-    absl::erase_if(m_byKey, [&](const auto& it) { return m_groups.at(it.second).users == 0; });
-    absl::erase_if(m_groups, [](const auto& it) { return it.second.users == 0; });
+    std::erase_if(m_byKey, [&](const auto& it) { return m_groups.at(it.second).users == 0; });
+    std::erase_if(m_groups, [](const auto& it) { return it.second.users == 0; });
 }
 
 void SelectorGroups::clear()
--- a/requests/selector_groups.h
+++ b/requests/selector_groups.h
@@ -9,8 +9,7 @@
 #include "requests/executor_set.h"
 #include "requests/fair_queue.h"
 
-#include <absl/container/flat_hash_map.h>
-
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -53,8 +52,8 @@
 
     NameTable& m_names;
     const LabelIndex& m_labels;
-    absl::flat_hash_map<GroupId, Group> m_groups;
-    absl::flat_hash_map<std::string, GroupId> m_byKey;
+    std::map<GroupId, Group> m_groups;
+    std::map<std::string, GroupId> m_byKey;
     GroupId m_next = 1;
     GroupId m_unrestricted = 0; // group of the empty selector with nothing to avoid; always kept
     uint64_t m_labelsVersion = 0;
--- a/requests/ticket_book.h
+++ b/requests/ticket_book.h
@@ -9,6 +9,7 @@
 #include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
 
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -59,7 +60,7 @@
 private:
     using Place = std::pair<HolderId, uint64_t>;
 
-    absl::flat_hash_map<TicketId, WaitingTicket> m_tickets;
+    std::map<TicketId, WaitingTicket> m_tickets;
     absl::flat_hash_map<Place, TicketId> m_byPlace;
     absl::btree_set<DeadlinePlace> m_byDeadline;
     absl::flat_hash_map<std::pair<TeamId, ClassId>, size_t> m_inClass;
