Room is made for gangs and pressed steps; questions about running jobs wait for the end

Cause: gangs of 4 to 11 wide tasks waited 5 to 50 s with 100 to 300 cores free in pieces, while long tasks with checkpoints and much slack ran; late gangs starved. Callers ask just when the last task ends, are told that the job runs, and ask again 240 ms later, so every job counted 240 ms more than it took.

--- a/jobs/job_calls.cpp
+++ b/jobs/job_calls.cpp
@@ -203,11 +203,47 @@
     const auto* job = m_state.find(call.job);
     if (job == nullptr)
         return answer(handle, { CallStatus::NoJob, "there is no such job" });
+    if (job->phase == JobPhase::Running) {
+        m_stateWaiters[call.job].push_back({ handle, m_now + m_options.stateWait });
+        return;
+    }
     CallAnswer reply;
     reply.phase = job->phase;
     answer(handle, std::move(reply));
 }
 
+void JobLeader::answerState(uint64_t id, bool all)
+{
+    const auto found = m_stateWaiters.find(id);
+    if (found == m_stateWaiters.end())
+        return;
+    const auto* job = m_state.find(id);
+    std::erase_if(found->second, [&](const StateWaiter& it) {
+        if (!all && it.until > m_now)
+            return false;
+        CallAnswer reply;
+        if (job == nullptr)
+            reply = { CallStatus::NoJob, "there is no such job" };
+        else
+            reply.phase = job->phase;
+        answer(it.handle, std::move(reply));
+        return true;
+    });
+    if (found->second.empty())
+        m_stateWaiters.erase(found);
+}
+
+void JobLeader::answerLateStateWaiters()
+{
+    std::vector<uint64_t> late;
+    for (const auto& [job, waiters] : m_stateWaiters) {
+        if (waiters.front().until <= m_now)
+            late.push_back(job);
+    }
+    for (const auto job : late)
+        answerState(job, false);
+}
+
 void JobLeader::take(uint64_t handle, CancelJob& call)
 {
     auto admitted = admitCall(call.host, call.path, call.key, nullptr);
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -60,6 +60,8 @@
 void JobLeader::reserve(LiveExecutor& executor, const TaskKey& key, LiveRun run)
 {
     executor.committed += run.need;
+    if (run.mustStop)
+        executor.stopping += run.need;
     m_teamUse[run.team] += run.need;
     executor.runs.insert_or_assign(key, std::move(run));
 }
@@ -67,6 +69,8 @@
 void JobLeader::releaseRun(LiveExecutor& executor, absl::btree_map<TaskKey, LiveRun>::iterator it)
 {
     executor.committed -= it->second.need;
+    if (it->second.mustStop)
+        executor.stopping -= it->second.need;
     m_teamUse[it->second.team] -= it->second.need;
     executor.runs.erase(it);
     m_mustPlan = true;
@@ -132,7 +136,10 @@
 {
     if (run.stage == RunStage::Ending)
         return;
-    if (std::exchange(run.mustStop, true) || run.stage == RunStage::Committing)
+    if (std::exchange(run.mustStop, true))
+        return;
+    executor.stopping += run.need;
+    if (run.stage == RunStage::Committing)
         return;
     if (executor.isTakenOver)
         sendStop(executor, key, run);
@@ -349,6 +356,8 @@
             { "outcome", schema::RunOutcome_Name(outcome) }, { "ran_ms", millis(m_now - run.startedAt) } });
     run.stage = RunStage::Ending;
     executor.committed -= run.need;
+    if (run.mustStop)
+        executor.stopping -= run.need;
     m_teamUse[run.team] -= run.need;
     run.need = {};
     auto& end = *change().mutable_ended();
@@ -426,7 +435,7 @@
     executor.freedPerSecond = {};
     for (const auto& [key, run] : executor.runs) {
         const auto step = m_ready.find(key.step);
-        if (step == m_ready.end() || run.stage == RunStage::Ending)
+        if (step == m_ready.end() || run.stage == RunStage::Ending || run.mustStop)
             continue;
         const double taskMs = std::max(leastTaskMs, step->second.taskMs * executor.slowness);
         const double ranMs = std::chrono::duration<double, std::milli>(m_now - run.startedAt).count();
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -10,6 +10,7 @@
     constexpr Milliseconds planEvery { 10 }; // starts that become possible meanwhile are planned together
     constexpr Milliseconds planAtLeast { 100 }; // also without news: tickets run out, failures are forgiven
     constexpr Milliseconds watchEvery { 40 };
+    constexpr Milliseconds retryWhenUnavailable { 1'000 };
 
 } // namespace
 
@@ -52,6 +53,11 @@
     m_teamUse.clear();
     m_accepting.clear();
     m_acceptWaiters.clear();
+    for (const auto& [job, waiters] : m_stateWaiters) {
+        for (const auto& it : waiters)
+            answer(it.handle, { CallStatus::Unavailable, "this instance does not lead any more", retryWhenUnavailable });
+    }
+    m_stateWaiters.clear();
     m_timedJobs.clear();
     m_announcing.clear();
     m_advice.forgetAll();
@@ -74,6 +80,7 @@
     m_nextWatch = now + watchEvery;
     m_advice.expire(now);
     expireOrders();
+    answerLateStateWaiters();
     openDueOccurrences();
     std::vector<uint32_t> numbers;
     for (const auto& [number, it] : m_executors)
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -37,6 +37,7 @@
     uint64_t startsRefused = 0;
     uint64_t unclearStarts = 0;
     uint64_t stops = 0;
+    uint64_t preemptions = 0;
     uint64_t ends = 0;
     uint64_t holds = 0;
     uint64_t adviceCalls = 0;
@@ -148,6 +149,8 @@
     std::optional<CallAnswer> checkRequest(const schema::JobRequest&) const;
     bool canEverRun(const schema::JobRequest&, const schema::JobQueue&) const;
     void answer(uint64_t handle, CallAnswer);
+    void answerState(uint64_t job, bool all);
+    void answerLateStateWaiters();
     FleetLoad loadBefore(Instant latestStart) const;
     JobDemand demandOf(const schema::JobRequest&, const schema::JobQueue&) const;
 
@@ -192,7 +195,9 @@
     // Starts (job_starts.cpp).
     void planStarts();
     std::vector<ExecutorRoom> rooms() const;
+    std::vector<YieldingRun> yieldingRuns(const LiveExecutor&) const;
     void assign(const PlannedStart&);
+    void preempt(const PlannedStop&);
     void launch(const LaunchWhenCommitted&);
     void askForAdvice(const ReadyStep&, const std::vector<ExecutorRoom>&);
     std::vector<uint32_t> executorsToAsk(const ReadyStep&, const std::vector<ExecutorRoom>&) const;
@@ -225,6 +230,11 @@
     absl::flat_hash_map<std::string, ResourceVector> m_teamUse;
     absl::btree_set<uint64_t> m_accepting; // proposed, not committed
     absl::btree_map<uint64_t, std::vector<uint64_t>> m_acceptWaiters; // resends of those, by handle
+    struct StateWaiter {
+        uint64_t handle = 0;
+        Instant until {};
+    };
+    absl::btree_map<uint64_t, std::vector<StateWaiter>> m_stateWaiters; // questions about jobs that run, by job
     absl::btree_set<uint64_t> m_timedJobs; // with occurrences still to come
     absl::btree_map<std::string, uint64_t> m_announcing; // executor ids whose registration is under way, to born
     AdviceBook m_advice;
--- a/jobs/job_leader_options.h
+++ b/jobs/job_leader_options.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "jobs/start_planner.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -13,10 +14,11 @@
     Milliseconds lease { 5'000 }; // asked for; long enough for a change of leaders, short enough to place again soon
     Milliseconds stopTime { 200 }; // an executor stops a task within this time; from the platform's contract
     Milliseconds gangWait { 3'000 }; // a member waits this long for the others; from the platform's contract
-    double remoteFactor = 1.5; // how much longer a task takes away from its data; from the platform's contract
-    Milliseconds restoreTime { 100 }; // what resuming from a checkpoint costs; from the platform's contract
+    StartPlannerOptions planner;
     Milliseconds keepEnded { 150'000 }; // the outcome of a job can be asked for this long
 
+    Milliseconds stateWait { 200 }; // a question about a job that runs waits for its end; less than callers' pauses
+
     Milliseconds holdWait { 1'000 }; // an executor delays its answer by at most this, for an end
     Milliseconds holdPause { 40 }; // between two holds of one executor, so that ends are listed together
     Milliseconds holdRetry { 150 }; // after a hold that failed
@@ -29,7 +31,6 @@
     Milliseconds forgetExecutorAfter { 12'000 }; // silent, nothing on it: several announcements were missed
 
     size_t maxProposalsInFlight = 2; // further changes join the next proposal
-    size_t maxRefusals = 20'000; // refused calls remembered, so that a copy that arrives late is refused, too
 
     unsigned quarantineFailures = 3; // failed ends in a row, of different jobs
     Milliseconds quarantineTime { 4'000 }; // doubled each time up to four times
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -16,6 +16,8 @@
     constexpr size_t leastAskedForGang = 24;
     constexpr size_t smallGang = 3; // tasks; so few fit nearly anywhere
     constexpr int64_t unboundedTasks = 1'000'000;
+    constexpr Milliseconds yieldAfter { 600 }; // a run is let work this long before it yields: several restores
+    constexpr double yieldLeftMs = 700; // a run that ends sooner is waited for: a stop and its listing take half of it
 
 } // namespace
 
@@ -30,6 +32,7 @@
         room.number = number;
         room.capacity = state->capacity;
         room.free = state->capacity - it.committed;
+        room.stopping = it.stopping;
         room.soon = it.freedSoon;
         room.service = state->record.service();
         room.rack = state->record.rack();
@@ -92,9 +95,49 @@
         return n;
     };
     constraints.leftOfCap = [this](std::string_view team, const ResourceVector& need) { return leftOfCap(team, need); };
-    StartPlanner planner(room, constraints);
-    for (const auto& it : planner.plan(steps, m_now))
+    constraints.yielding = [this](uint32_t number) { return yieldingRuns(m_executors.at(number)); };
+    StartPlanner planner(room, constraints, m_options.planner);
+    const auto plan = planner.plan(steps, m_now);
+    for (const auto& it : plan.starts)
         assign(it);
+    for (const auto& it : plan.stops)
+        preempt(it);
+}
+
+std::vector<YieldingRun> JobLeader::yieldingRuns(const LiveExecutor& executor) const
+{
+    std::vector<YieldingRun> out;
+    for (const auto& [key, run] : executor.runs) {
+        if (run.stage != RunStage::Running || run.mustStop || m_now - run.startedAt < yieldAfter)
+            continue;
+        const auto step = m_ready.find(key.step);
+        if (step == m_ready.end() || !step->second.checkpoints || step->second.gang || step->second.lasting)
+            continue;
+        const double ranMs = std::chrono::duration<double, std::milli>(m_now - run.startedAt).count();
+        if (step->second.taskMs * executor.slowness - ranMs > yieldLeftMs)
+            out.push_back({ key, run.need, step->second.latestStart });
+    }
+    return out;
+}
+
+void JobLeader::preempt(const PlannedStop& stop)
+{
+    auto& executor = m_executors.at(stop.executor);
+    const auto run = executor.runs.find(stop.task);
+    if (run == executor.runs.end())
+        return;
+    ++m_counters.preemptions;
+    const auto step = m_ready.find(stop.task.step);
+    log("run_preempted",
+        { { "task", taskText(stop.task) }, { "run", std::to_string(run->second.run) },
+            { "executor", recordOf(stop.executor) == nullptr ? "" : recordOf(stop.executor)->record.id() },
+            { "for_step", stepText(stop.forStep) },
+            { "slack_ms",
+                step == m_ready.end() ? ""
+                                      : std::to_string(std::chrono::duration_cast<Milliseconds>(
+                                            step->second.latestStart - m_now)
+                                                           .count()) } });
+    requestStop(executor, stop.task, run->second);
 }
 
 void JobLeader::assign(const PlannedStart& start)
@@ -176,7 +219,7 @@
 std::vector<uint32_t> JobLeader::executorsToAsk(const ReadyStep& step, const std::vector<ExecutorRoom>& room) const
 {
     const auto fitsOf = [&](const ExecutorRoom& it) {
-        const auto fits = step.need.timesIn(it.free, unboundedTasks);
+        const auto fits = step.need.timesIn(it.free + it.stopping, unboundedTasks);
         return step.maxPerExecutor > 0 ? std::min<int64_t>(fits, step.maxPerExecutor) : fits;
     };
     const auto roomOf = [&](uint32_t number) {
--- a/jobs/job_steps.cpp
+++ b/jobs/job_steps.cpp
@@ -8,6 +8,7 @@
 namespace {
 
     constexpr uint32_t mostOpenOccurrences = 64; // of one job; later ones wait for these to end
+    constexpr double lateFactor = 2; // objectives beyond the first in which a late end is worth something
     constexpr double adviceExecutors = 30; // named in one call, for the latency objective
 
     Instant instantOf(uint64_t wallMs, Instant now, WallTime wall)
@@ -111,6 +112,7 @@
     step.gang = spec.gang();
     step.sameRack = spec.same_rack();
     step.lasting = spec.lasting();
+    step.checkpoints = spec.checkpoints();
     step.needsTicket = queue.has_advice();
     step.taskMs = expectedMs(request, spec);
     const auto beganMs = request.first_at_ms() == 0 ? request.accepted_at_ms()
@@ -118,6 +120,7 @@
     const double objectiveMs
         = queue.slack_factor() * chainFrom(request, 0) + static_cast<double>(queue.target_latency_ms());
     step.dueAt = instantOf(beganMs, m_now, m_wall) + Duration(static_cast<int64_t>(objectiveMs * 1'000));
+    step.worthlessAt = step.dueAt + Duration(static_cast<int64_t>(objectiveMs * lateFactor * 1'000));
     step.latestStart = step.dueAt - Duration(static_cast<int64_t>(chainFrom(request, key.step) * 1'000));
     step.readySince = m_now;
     const auto open = job.open.find(key.occurrence);
@@ -159,6 +162,7 @@
 void JobLeader::onJobEnded(uint64_t id)
 {
     m_timedJobs.erase(id);
+    answerState(id, true);
     m_advice.forgetJob(id);
     const StepKey first { id, 0, 0 };
     const auto belongs = [&](const auto& it) { return it->first.job == id; };
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -55,6 +55,7 @@
     Instant lastAnswer {}; // to a hold
     LeaseClock clock;
     ResourceVector committed;
+    ResourceVector stopping; // the part of it that runs hold which must stop
     absl::btree_map<TaskKey, LiveRun> runs;
 
     uint64_t holdNumber = 0; // of the hold under way; 0: none
--- a/jobs/ready_step.h
+++ b/jobs/ready_step.h
@@ -26,10 +26,12 @@
     bool gang = false;
     bool sameRack = false;
     bool lasting = false;
+    bool checkpoints = false; // its runs can go on from where they were stopped
     bool needsTicket = false;
     double taskMs = 0; // expected run time of one task
     Instant dueAt {}; // the job's latency objective
     Instant latestStart {}; // for the rest of the job to end by then
+    Instant worthlessAt {}; // of the job; later than that nothing is gained by ending it
     Instant notBefore {}; // after a failure
     Instant readySince {};
 };
--- a/jobs/start_planner.cpp
+++ b/jobs/start_planner.cpp
@@ -7,19 +7,35 @@
 
 namespace {
 
-    constexpr double mostReservedShare = 0.4; // of the executors, held back for gangs at once
     constexpr int64_t unboundedTasks = 1'000'000;
 
-    bool isLate(const ReadyStep& it, Instant now) { return it.latestStart < now; }
+    constexpr Milliseconds pressed { 2'500 }; // less slack than several rounds of stops and tickets take
+
+    // In which order steps are served; within a rank, by the latest start.
+    enum class Rank : uint8_t {
+        MostUrgentQueue = 0, // wants little of the fleet and can wait least
+        Pressed = 1, // also gangs, whose room is hard to find: they don't wait until they must
+        LateGang = 2, // is still worth something, and its room never comes free by itself
+        Relaxed = 3,
+        Late = 4,
+    };
+
+    Rank rankOf(const ReadyStep& it, Instant now)
+    {
+        if (it.latestStart < now)
+            return it.gang && now < it.worthlessAt ? Rank::LateGang : Rank::Late;
+        if (it.priority == 0)
+            return Rank::MostUrgentQueue;
+        return it.gang || it.latestStart - now < pressed ? Rank::Pressed : Rank::Relaxed;
+    }
 
     // Whether `a` goes before `b`.
     bool goesBefore(const ReadyStep& a, const ReadyStep& b, Instant now)
     {
-        if (isLate(a, now) != isLate(b, now))
-            return isLate(b, now);
-        // The most urgent queue wants little of the fleet and can wait least.
-        if ((a.priority == 0) != (b.priority == 0))
-            return a.priority == 0;
+        const auto rankA = rankOf(a, now);
+        const auto rankB = rankOf(b, now);
+        if (rankA != rankB)
+            return rankA < rankB;
         if (a.latestStart != b.latestStart)
             return a.latestStart < b.latestStart;
         return a.key < b.key;
@@ -32,9 +48,9 @@
     std::sort(steps.begin(), steps.end(), [&](const auto* a, const auto* b) { return goesBefore(*a, *b, now); });
 }
 
-std::vector<PlannedStart> StartPlanner::plan(const std::vector<const ReadyStep*>& steps, Instant now)
+StartPlan StartPlanner::plan(const std::vector<const ReadyStep*>& steps, Instant now)
 {
-    std::vector<PlannedStart> out;
+    StartPlan out;
     for (const auto* it : steps) {
         if (it->notBefore <= now && !it->waiting.empty())
             planStep(*it, now, out);
@@ -42,9 +58,12 @@
     return out;
 }
 
-StartPlanner::StartPlanner(std::vector<ExecutorRoom>& rooms, const StartConstraints& constraints)
+StartPlanner::StartPlanner(
+    std::vector<ExecutorRoom>& rooms, const StartConstraints& constraints, StartPlannerOptions options)
     : m_rooms(rooms)
     , m_constraints(constraints)
+    , m_options(options)
+    , m_roomMaker(rooms, constraints, options.room)
 {
     for (size_t n = 0; n < rooms.size(); ++n) {
         m_roomOf[rooms[n].number] = n;
@@ -85,8 +104,7 @@
         const auto& room = m_rooms[n];
         if (!step.need.fitsIn(room.free) || !suits(step, room))
             continue;
-        const auto reserved = m_reserved.find(room.number);
-        if (reserved != m_reserved.end() && reserved->second < step.latestStart)
+        if (m_roomMaker.isKept(n))
             continue;
         auto most = step.need.timesIn(room.free, unboundedTasks);
         if (step.maxPerExecutor > 0)
@@ -106,7 +124,7 @@
     // fullest, which keeps large holes for wide tasks.
     double slowness = room.slowness;
     if (!step.dataRack.empty() && step.dataRack != room.rack)
-        slowness *= 1.5;
+        slowness *= m_options.remoteFactor;
     const double leftMs = std::chrono::duration<double, std::milli>(step.latestStart - now).count() + step.taskMs;
     const bool endsInTime = step.taskMs * slowness <= leftMs;
     const double fill = 1 - (room.free - step.need).dominantShareOf(room.capacity);
@@ -129,7 +147,7 @@
     }
 }
 
-void StartPlanner::planStep(const ReadyStep& step, Instant now, std::vector<PlannedStart>& out)
+void StartPlanner::planStep(const ReadyStep& step, Instant now, StartPlan& out)
 {
     const auto planned = m_plannedOfTeam[step.team];
     int64_t allowed = m_constraints.leftOfCap(step.team, step.need);
@@ -146,54 +164,30 @@
     for (const auto& it : places)
         fits += it.most;
     if (step.gang && fits < wanted) {
-        reserveFor(step, now);
+        makeRoom(step, wanted, now, out);
         return;
     }
     auto index = step.waiting.begin();
     for (const auto& place : places) {
         auto& room = m_rooms[place.room];
         for (int64_t n = 0; n < place.most && wanted > 0; ++n, --wanted, ++index) {
-            out.push_back({ { step.key, *index }, room.number });
+            out.starts.push_back({ { step.key, *index }, room.number });
             room.free -= step.need;
             m_plannedOfTeam[step.team] += step.need;
         }
         if (wanted == 0)
-            break;
+            return;
     }
+    makeRoom(step, wanted, now, out);
 }
 
-void StartPlanner::reserveFor(const ReadyStep& step, Instant now)
+void StartPlanner::makeRoom(const ReadyStep& step, int64_t wanted, Instant now, StartPlan& out)
 {
-    if (!step.gang || isLate(step, now))
-        return;
-    struct Candidate {
-        size_t room = 0;
-        int64_t fits = 0; // tasks, soon
-    };
-    std::vector<Candidate> candidates;
-    const auto most = static_cast<size_t>(static_cast<double>(m_rooms.size()) * mostReservedShare);
-    if (m_reserved.size() >= most)
+    if (rankOf(step, now) == Rank::Late)
         return;
-    for (const auto n : roomsOf(m_constraints.allowedLater(step))) {
-        const auto& room = m_rooms[n];
-        if (m_reserved.contains(room.number) || !suits(step, room))
-            continue;
-        auto fits = step.need.timesIn(room.free + room.soon, unboundedTasks);
-        if (step.maxPerExecutor > 0)
-            fits = std::min<int64_t>(fits, step.maxPerExecutor);
-        if (fits > 0)
-            candidates.push_back({ n, fits });
-    }
-    // Those that hold most of the gang first, so that few executors wait.
-    std::stable_sort(
-        candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) { return a.fits > b.fits; });
-    auto wanted = static_cast<int64_t>(step.waiting.size());
-    for (const auto& it : candidates) {
-        if (wanted <= 0 || m_reserved.size() >= most)
-            return;
-        m_reserved[m_rooms[it.room].number] = step.latestStart;
-        wanted -= it.fits;
-    }
+    auto rooms = roomsOf(m_constraints.allowedLater(step));
+    std::erase_if(rooms, [&](size_t n) { return !suits(step, m_rooms[n]); });
+    m_roomMaker.makeRoom(step, wanted, rooms, now, out.stops);
 }
 
 } // namespace teasel
--- a/node/core_node.cpp
+++ b/node/core_node.cpp
@@ -66,8 +66,8 @@
         out.lease = std::min(out.lease, out.maxLease);
         out.stopTime = Milliseconds(static_cast<int64_t>(settings.stop_ms()));
         out.gangWait = Milliseconds(static_cast<int64_t>(settings.gang_wait_ms()));
-        out.remoteFactor = settings.remote_factor();
-        out.restoreTime = Milliseconds(static_cast<int64_t>(settings.restore_ms()));
+        out.planner.remoteFactor = settings.remote_factor();
+        out.planner.room.restoreTime = Milliseconds(static_cast<int64_t>(settings.restore_ms()));
         out.keepEnded = Milliseconds(static_cast<int64_t>(settings.keep_ended_ms()));
         return out;
     }
--- a/tests/jobs_planner_test.cpp
+++ b/tests/jobs_planner_test.cpp
@@ -15,6 +15,8 @@
     google::protobuf::RepeatedPtrField<std::string> labels;
     std::vector<ExecutorRoom> rooms;
     StartConstraints constraints;
+    absl::flat_hash_map<uint32_t, std::vector<YieldingRun>> yielding;
+    std::vector<PlannedStop> stops; // of the last round
 
     PlannerFixture()
     {
@@ -22,6 +24,7 @@
         constraints.allowedLater = constraints.allowedNow;
         constraints.countOn = [](const StepKey&, uint32_t) { return 0U; };
         constraints.leftOfCap = [](std::string_view, const ResourceVector&) { return int64_t(1'000); };
+        constraints.yielding = [this](uint32_t number) { return yielding[number]; };
     }
     void add(uint32_t number, int64_t free, int64_t soon = 0)
     {
@@ -52,7 +55,9 @@
     {
         sortByUrgency(steps, now);
         StartPlanner planner(rooms, constraints);
-        return planner.plan(steps, now);
+        auto plan = planner.plan(steps, now);
+        stops = std::move(plan.stops);
+        return std::move(plan.starts);
     }
 };
 
