Half of a gang's slack is not counted on

Cause: the objective is counted on true run times, estimates are off by a factor of two either way; with all of the slack used, half of the gangs that started in time by the estimate ended late, and the next ones waited as long.

--- a/jobs/job_steps.cpp
+++ b/jobs/job_steps.cpp
@@ -8,6 +8,8 @@
 namespace {
 
     constexpr uint32_t mostOpenOccurrences = 64; // of one job; later ones wait for these to end
+    // Of the slack of a gang that is not counted on: its tasks' estimates are off by up to a factor of two.
+    constexpr double distrust = 0.5;
     constexpr double lateFactor = 2; // objectives beyond the first in which a late end is worth something
     constexpr double adviceExecutors = 30; // named in one call, for the latency objective
 
@@ -121,7 +123,10 @@
         = queue.slack_factor() * chainFrom(request, 0) + static_cast<double>(queue.target_latency_ms());
     step.dueAt = instantOf(beganMs, m_now, m_wall) + Duration(static_cast<int64_t>(objectiveMs * 1'000));
     step.worthlessAt = step.dueAt + Duration(static_cast<int64_t>(objectiveMs * lateFactor * 1'000));
+    const double slackMs = objectiveMs - chainFrom(request, 0);
     step.latestStart = step.dueAt - Duration(static_cast<int64_t>(chainFrom(request, key.step) * 1'000));
+    if (spec.gang())
+        step.latestStart -= Duration(static_cast<int64_t>(slackMs * distrust * 1'000));
     step.readySince = m_now;
     const auto open = job.open.find(key.occurrence);
     for (uint32_t n = 0; n < spec.count(); ++n) {
