A call for advice that is overdue is made at another instance, too

Cause: an urgent step waited 1.2 s for the answer of an instance that was down or cut off. Ruled out: a shorter limit for the call itself (a late answer is still used).

--- a/jobs/advice_book.cpp
+++ b/jobs/advice_book.cpp
@@ -9,6 +9,7 @@
 namespace {
 
     constexpr Milliseconds callSlack { 1'200 }; // of a call's timeout beyond its cost: lost packets and a slow instance
+    constexpr Milliseconds overdueAfter { 120 }; // beyond a call's cost: several round trips between regions
     constexpr Milliseconds longestBacklog { 60 }; // further calls wait here, where the most urgent goes first
     constexpr Milliseconds longCall { 150 }; // such calls leave some instances to short ones
     constexpr size_t instancesPerReserved = 4;
@@ -75,7 +76,8 @@
 bool AdviceBook::isAsking(const StepKey& step, Instant now) const
 {
     const auto it = m_steps.find(step);
-    return it != m_steps.end() && (it->second.open > 0 || it->second.nextAsk > now);
+    return it != m_steps.end()
+        && ((it->second.open > 0 && now < it->second.overdueAt) || it->second.nextAsk > now);
 }
 
 bool AdviceBook::hasFreeInstance(Instant now) const
@@ -96,8 +98,11 @@
         return std::nullopt;
     const auto starts = std::max(now, least->second);
     least->second = starts + cost;
-    Call call { step, std::move(executors), least->first, cost, now, starts + cost + callSlack };
-    ++m_steps[step].open;
+    Call call { step, std::move(executors), least->first, cost, now, starts + cost + overdueAfter,
+        starts + cost + callSlack };
+    auto& advice = m_steps[step];
+    ++advice.open;
+    advice.overdueAt = call.overdueAt;
     const Ask ask { ++m_lastNumber, call.instance, std::chrono::duration_cast<Milliseconds>(call.endsBy - now) };
     m_calls.emplace(ask.number, std::move(call));
     return ask;
@@ -140,9 +145,11 @@
         auto& it = step->second;
         --it.open;
         it.failures = answered ? 0 : it.failures + 1;
-        if (!answered)
+        if (!answered && it.open == 0)
             it.nextAsk = now + firstRetry * (1U << std::min(it.failures - 1, mostRetryDoublings));
     }
+    if (!answered)
+        return;
     // Corrects the estimate: without other calls open there, the instance is free.
     const bool isAlone = std::none_of(
         m_calls.begin(), m_calls.end(), [&](const auto& it) { return it.second.instance == call.instance; });
@@ -154,16 +161,18 @@
 void AdviceBook::expire(Instant now)
 {
     for (auto it = m_calls.begin(); it != m_calls.end();) {
-        if (it->second.endsBy > now) {
+        auto& open = it->second;
+        if (open.overdueAt <= now && !std::exchange(open.isOverdue, true)) {
+            if (const auto instance = m_busyUntil.find(open.instance); instance != m_busyUntil.end())
+                instance->second = now + avoidUnanswering;
+        }
+        if (open.endsBy > now) {
             ++it;
             continue;
         }
-        const auto call = std::move(it->second);
+        const auto call = std::move(open);
         it = m_calls.erase(it);
         release(call, false, now);
-        // An instance that did not answer is avoided for a while.
-        if (const auto instance = m_busyUntil.find(call.instance); instance != m_busyUntil.end())
-            instance->second = now + avoidUnanswering;
     }
 }
 
--- a/jobs/advice_book.h
+++ b/jobs/advice_book.h
@@ -36,7 +36,7 @@
 
     // Those that were asked about; nullptr for none.
     const absl::btree_set<uint32_t>* asked(const StepKey&) const;
-    // Whether a call about the step is open, or one has just failed.
+    // Whether a call about the step is open and not overdue, or one has just failed.
     bool isAsking(const StepKey&, Instant now) const;
 
     // Whether any call could begin now.
@@ -54,7 +54,7 @@
     std::optional<StepKey> stepOf(uint64_t number) const;
     size_t askedIn(uint64_t number) const;
 
-    // Gives up calls whose time is over.
+    // Avoids instances whose answer is overdue, and gives up calls whose time is over.
     void expire(Instant now);
 
     void forgetJob(uint64_t job);
@@ -66,8 +66,6 @@
     double grantedShare(std::string_view queue) const;
     void countAnswer(std::string_view queue, size_t asked, size_t granted);
 
-    size_t callsOpen() const { return m_calls.size(); }
-
 private:
     struct Ticket {
         std::string text;
@@ -77,6 +75,7 @@
         absl::btree_map<uint32_t, Ticket> granted;
         absl::btree_set<uint32_t> asked;
         unsigned open = 0;
+        Instant overdueAt {}; // of the newest open call: from then on another instance may be asked, too
         Instant nextAsk {}; // after calls that failed
         unsigned failures = 0; // in a row
     };
@@ -86,7 +85,9 @@
         std::string instance;
         Milliseconds cost { 0 };
         Instant began {};
+        Instant overdueAt {};
         Instant endsBy {};
+        bool isOverdue = false;
     };
     struct Share {
         double asked = 0;
