Orders without an answer are looked into after 200 ms; leases of up to 8 s

Cause: a start that got no answer held its task for 600 ms and more before it was looked into; in zones cut off for about 6 s all leases of 5 s lapsed and their gangs broke. Ruled out: a longer limit for lost executors that come back (a new incarnation answers at once and ends the wait).

--- a/jobs/job_leader_options.h
+++ b/jobs/job_leader_options.h
@@ -11,7 +11,7 @@
 
 struct JobLeaderOptions {
     Milliseconds maxLease { 6'000 }; // the longest lease that executors grant; from the platform's contract
-    Milliseconds lease { 5'000 }; // asked for; long enough for a change of leaders, short enough to place again soon
+    Milliseconds lease { 8'000 }; // asked for, if it may be so long: a zone that is cut off for some seconds works on
     Milliseconds stopTime { 200 }; // an executor stops a task within this time; from the platform's contract
     Milliseconds gangWait { 3'000 }; // a member waits this long for the others; from the platform's contract
     StartPlannerOptions planner;
@@ -22,7 +22,7 @@
     Milliseconds holdWait { 1'000 }; // an executor delays its answer by at most this, for an end
     Milliseconds holdPause { 40 }; // between two holds of one executor, so that ends are listed together
     Milliseconds holdRetry { 150 }; // after a hold that failed
-    Milliseconds orderTimeout { 600 }; // of starts and stops; several round trips between regions
+    Milliseconds orderTimeout { 200 }; // of starts and stops, which executors answer at once: several round trips
     Milliseconds holdSlack { 700 }; // a hold's timeout beyond its wait
     Milliseconds suspectAfter {
         2'200
