--- a/jobs/advice_book.cpp
+++ b/jobs/advice_book.cpp
@@ -76,8 +76,7 @@
 bool AdviceBook::isAsking(const StepKey& step, Instant now) const
 {
     const auto it = m_steps.find(step);
-    return it != m_steps.end()
-        && ((it->second.open > 0 && now < it->second.overdueAt) || it->second.nextAsk > now);
+    return it != m_steps.end() && ((it->second.open > 0 && now < it->second.overdueAt) || it->second.nextAsk > now);
 }
 
 bool AdviceBook::hasFreeInstance(Instant now) const
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -55,7 +55,8 @@
     m_acceptWaiters.clear();
     for (const auto& [job, waiters] : m_stateWaiters) {
         for (const auto& it : waiters)
-            answer(it.handle, { CallStatus::Unavailable, "this instance does not lead any more", retryWhenUnavailable });
+            answer(
+                it.handle, { CallStatus::Unavailable, "this instance does not lead any more", retryWhenUnavailable });
     }
     m_stateWaiters.clear();
     m_timedJobs.clear();
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -133,10 +133,10 @@
             { "executor", recordOf(stop.executor) == nullptr ? "" : recordOf(stop.executor)->record.id() },
             { "for_step", stepText(stop.forStep) },
             { "slack_ms",
-                step == m_ready.end() ? ""
-                                      : std::to_string(std::chrono::duration_cast<Milliseconds>(
-                                            step->second.latestStart - m_now)
-                                                           .count()) } });
+                step == m_ready.end()
+                    ? ""
+                    : std::to_string(
+                        std::chrono::duration_cast<Milliseconds>(step->second.latestStart - m_now).count()) } });
     requestStop(executor, stop.task, run->second);
 }
 
--- a/jobs/room_maker.cpp
+++ b/jobs/room_maker.cpp
@@ -16,10 +16,7 @@
 
 } // namespace
 
-bool RoomMaker::isKept(size_t room) const
-{
-    return m_kept.contains(room);
-}
+bool RoomMaker::isKept(size_t room) const { return m_kept.contains(room); }
 
 bool RoomMaker::isPressed(const ReadyStep& step, Instant now) const
 {
@@ -61,7 +58,8 @@
         if (wanted <= 0)
             break;
         const auto tasks = std::min(wanted, it.tasks);
-        const auto known = std::find_if(claims.begin(), claims.end(), [&](const Claim& c) { return c.room == it.room; });
+        const auto known
+            = std::find_if(claims.begin(), claims.end(), [&](const Claim& c) { return c.room == it.room; });
         if (known == claims.end())
             claims.push_back({ it.room, tasks });
         else
@@ -114,7 +112,8 @@
             room.stopping += run.need;
             stops.push_back({ run.task, room.number, step.key });
         }
-        const auto known = std::find_if(claims.begin(), claims.end(), [&](const Claim& c) { return c.room == it.room; });
+        const auto known
+            = std::find_if(claims.begin(), claims.end(), [&](const Claim& c) { return c.room == it.room; });
         if (known == claims.end())
             claims.push_back({ it.room, tasks });
         else
@@ -131,8 +130,8 @@
     }
 }
 
-void RoomMaker::makeRoom(const ReadyStep& step, int64_t wanted, std::span<const size_t> rooms, Instant now,
-    std::vector<PlannedStop>& stops)
+void RoomMaker::makeRoom(
+    const ReadyStep& step, int64_t wanted, std::span<const size_t> rooms, Instant now, std::vector<PlannedStop>& stops)
 {
     const auto mostKept = static_cast<size_t>(static_cast<double>(m_rooms.size()) * mostKeptShare);
     const bool cannotWait = isPressed(step, now);
--- a/jobs/room_maker.h
+++ b/jobs/room_maker.h
@@ -44,8 +44,8 @@
 
     // Claims room for `wanted` tasks of a step on some of these rooms, for all of them or, unless it
     // is a gang, for some. The runs to be stopped for it are added to `stops`.
-    void makeRoom(const ReadyStep&, int64_t wanted, std::span<const size_t> rooms, Instant now,
-        std::vector<PlannedStop>& stops);
+    void makeRoom(
+        const ReadyStep&, int64_t wanted, std::span<const size_t> rooms, Instant now, std::vector<PlannedStop>& stops);
 
 private:
     struct Claim {
--- a/tests/jobs_leader_test.cpp
+++ b/tests/jobs_leader_test.cpp
@@ -238,3 +238,112 @@
     CHECK(it.answerTo(lower)->status == CallStatus::Ok);
     CHECK(it.state.configuration().document() == "a");
 }
+
+TEST_CASE("a question about a job that runs is answered when it ends, or after a while")
+{
+    JobsFixture it;
+    it.announce("x1");
+    it.answerHolds({});
+    it.submit(JobsFixture::request(7, 1));
+    it.pass(Milliseconds(20));
+    const auto start = it.take<StartRun>();
+    REQUIRE(start);
+    it.answer(*start, { OrderEnd::Done });
+    const auto ask = [&] {
+        it.leader.onCall(++it.lastHandle, QueryJob { "farm.example", "/blend/" + jobIdText(7), "key", 7 },
+            it.clock.now(), it.clock.wallNow());
+        it.settle();
+        return it.lastHandle;
+    };
+    const auto first = ask();
+    it.pass(Milliseconds(100));
+    CHECK(!it.answerTo(first));
+    it.pass(Milliseconds(200));
+    REQUIRE(it.answerTo(first));
+    CHECK(it.answerTo(first)->phase == JobPhase::Running);
+    const auto second = ask();
+    it.answerHolds({}, { { 1, firstTask, 1, schema::RUN_OUTCOME_DONE, {} } });
+    REQUIRE(it.answerTo(second));
+    CHECK(it.answerTo(second)->phase == JobPhase::Completed);
+}
+
+TEST_CASE("a question that waits is told when the leader stops leading")
+{
+    JobsFixture it;
+    it.announce("x1");
+    it.answerHolds({});
+    it.submit(JobsFixture::request(7, 1));
+    it.pass(Milliseconds(20));
+    it.leader.onCall(++it.lastHandle, QueryJob { "farm.example", "/blend/" + jobIdText(7), "key", 7 }, it.clock.now(),
+        it.clock.wallNow());
+    it.settle();
+    CHECK(!it.answerTo(it.lastHandle));
+    it.leader.end();
+    it.settle();
+    REQUIRE(it.answerTo(it.lastHandle));
+    CHECK(it.answerTo(it.lastHandle)->status == CallStatus::Unavailable);
+}
+
+TEST_CASE("a run yields to a gang and goes on from its checkpoint afterwards")
+{
+    JobsFixture it;
+    it.announce("x1");
+    it.announce("x2");
+    it.announce("x3"); // At most two fifths of the executors are kept for one round's gangs.
+    it.answerHolds({});
+    auto filling = JobsFixture::request(7, 12);
+    filling.mutable_steps(0)->set_checkpoints(true);
+    filling.mutable_steps(0)->set_estimate_ms(30'000);
+    it.submit(filling);
+    it.pass(Milliseconds(20));
+    std::map<std::string, std::vector<RunningTask>> running;
+    while (auto start = it.take<StartRun>()) {
+        running[start->executorId].push_back({ std::get<StartRun>(start->order).task, 1, {}, 100, -1 });
+        it.answer(*start, { OrderEnd::Done });
+    }
+    const auto hold = [&](Milliseconds time) {
+        for (Milliseconds n { 0 }; n < time; n += Milliseconds(20)) {
+            it.pass(Milliseconds(20));
+            while (auto order = it.take<HoldRuns>())
+                it.answer(*order, { OrderEnd::Done, 0, 0, running[order->executorId], {}, true });
+        }
+    };
+    hold(Milliseconds(1'000));
+    it.submit(JobsFixture::request(8, 2, true));
+    hold(Milliseconds(40));
+    std::vector<SendOrder> stops;
+    while (auto stop = it.take<StopRun>())
+        stops.push_back(*stop);
+    REQUIRE(stops.size() == 2);
+    CHECK(stops[0].executorId == stops[1].executorId);
+    const auto where = stops[0].executorId;
+    std::vector<EndedTask> ended;
+    for (const auto& stop : stops) {
+        const auto& order = std::get<StopRun>(stop.order);
+        it.answer(stop, { OrderEnd::Done });
+        std::erase_if(running[where], [&](const auto& task) { return task.task == order.task; });
+        ended.push_back({ ended.size() + 1, order.task, 1, schema::RUN_OUTCOME_STOPPED, "saved" });
+    }
+    it.pass(Milliseconds(100));
+    while (auto order = it.take<HoldRuns>()) {
+        const bool isThere = order->executorId == where;
+        it.answer(*order,
+            { OrderEnd::Done, 0, 0, running[order->executorId], isThere ? ended : std::vector<EndedTask> {}, true });
+    }
+    it.pass(Milliseconds(20));
+    for (uint32_t n = 0; n < 2; ++n) {
+        const auto start = it.take<StartRun>();
+        REQUIRE(start);
+        CHECK(std::get<StartRun>(start->order).task.step.job == 8);
+        CHECK(start->executorId == where);
+        it.answer(*start, { OrderEnd::Done });
+    }
+    CHECK(!it.take<StartRun>()); // The fleet is full again.
+    it.pass(Milliseconds(100));
+    it.answerHolds({}); // All the others are gone.
+    it.pass(Milliseconds(60));
+    size_t resumed = 0;
+    while (auto again = it.take<StartRun>())
+        resumed += std::get<StartRun>(again->order).checkpoint == "saved" ? 1 : 0;
+    CHECK(resumed == 2);
+}
--- a/tests/jobs_planner_test.cpp
+++ b/tests/jobs_planner_test.cpp
@@ -223,3 +223,110 @@
         times.onDone("q", 1'000, 3'000);
     CHECK(times.expectedMs("q", 1'000) == doctest::Approx(3'000).epsilon(0.05));
 }
+
+// ---- Making room ---------------------------------------------------------
+
+TEST_CASE("room is made for a gang from runs that have a checkpoint and slack, no more than it needs")
+{
+    PlannerFixture it;
+    for (uint32_t number = 1; number <= 5; ++number) {
+        it.add(number, 1'000);
+        for (uint32_t n = 0; n < 3; ++n)
+            it.yielding[number].push_back(
+                { { { 50 + number, 0, 0 }, n }, { { 2'000, 100, 0 } }, it.now + Milliseconds(20'000 + n) });
+    }
+    auto gang = it.step(1, 2, 3'000, Milliseconds(3'000));
+    gang.gang = true;
+    CHECK(it.plan({ &gang }).empty());
+    REQUIRE(it.stops.size() == 3); // One executor with room for both: 1 + 3 x 2 cores.
+    for (const auto& stop : it.stops) {
+        CHECK(stop.executor == it.stops[0].executor);
+        CHECK(stop.forStep == gang.key);
+    }
+}
+
+TEST_CASE("runs that would make their own job late don't yield")
+{
+    PlannerFixture it;
+    for (uint32_t number = 1; number <= 4; ++number) {
+        it.add(number, 1'000);
+        it.yielding[number].push_back(
+            { { { 50, 0, 0 }, number }, { { 4'000, 100, 0 } }, it.now + Milliseconds(1'500) });
+    }
+    auto gang = it.step(1, 1, 3'000, Milliseconds(1'000));
+    gang.gang = true;
+    CHECK(it.plan({ &gang }).empty());
+    CHECK(it.stops.empty());
+}
+
+TEST_CASE("no further runs are stopped while the room that was made is on its way, and others don't take it")
+{
+    PlannerFixture it;
+    for (uint32_t number = 1; number <= 4; ++number) {
+        it.add(number, 1'000);
+        it.yielding[number].push_back(
+            { { { 50, 0, 0 }, number }, { { 4'000, 100, 0 } }, it.now + Milliseconds(60'000) });
+    }
+    it.rooms[2].stopping = { { 5'000, 100, 0 } };
+    auto gang = it.step(1, 2, 3'000, Milliseconds(3'000));
+    gang.gang = true;
+    auto small = it.step(2, 4, 1'000, Milliseconds(50'000));
+    const auto starts = it.plan({ &gang, &small });
+    CHECK(it.stops.empty());
+    CHECK(starts.size() == 3);
+    for (const auto& start : starts)
+        CHECK(start.executor != 3);
+}
+
+TEST_CASE("room is made for a step that would be late without it, not for one that can wait")
+{
+    PlannerFixture it;
+    for (uint32_t number = 1; number <= 4; ++number) {
+        it.add(number, 500);
+        it.yielding[number].push_back(
+            { { { 50, 0, 0 }, number }, { { 4'000, 100, 0 } }, it.now + Milliseconds(60'000) });
+    }
+    auto relaxed = it.step(1, 1, 1'000, Milliseconds(5'000));
+    CHECK(it.plan({ &relaxed }).empty());
+    CHECK(it.stops.empty());
+    auto urgent = it.step(2, 2, 1'000, Milliseconds(400));
+    CHECK(it.plan({ &urgent }).empty());
+    CHECK(it.stops.size() == 1); // One run leaves room for both tasks.
+}
+
+TEST_CASE("gangs go before steps that can wait, also late ones while their job is worth ending")
+{
+    PlannerFixture it;
+    auto relaxed = it.step(1, 1, 1'000, Milliseconds(10'000));
+    auto gang = it.step(2, 1, 1'000, Milliseconds(12'000));
+    gang.gang = true;
+    auto lateGang = it.step(3, 1, 1'000, Milliseconds(-500));
+    lateGang.gang = true;
+    lateGang.worthlessAt = it.now + Milliseconds(5'000);
+    auto hopelessGang = lateGang;
+    hopelessGang.key.job = 4;
+    hopelessGang.worthlessAt = it.now - Milliseconds(1);
+    std::vector<const ReadyStep*> steps { &hopelessGang, &relaxed, &lateGang, &gang };
+    sortByUrgency(steps, it.now);
+    CHECK(steps == std::vector<const ReadyStep*> { &gang, &lateGang, &relaxed, &hopelessGang });
+}
+
+TEST_CASE("an overdue call for advice is made at another instance, and its late answer still counts")
+{
+    Instant now { std::chrono::seconds(100) };
+    AdviceBook book;
+    book.setInstances({ "a", "b" });
+    const StepKey step { 1, 0, 0 };
+    const auto first = book.begin(step, { 1, 2 }, Milliseconds(20), now);
+    REQUIRE(first);
+    CHECK(book.isAsking(step, now + Milliseconds(100)));
+    now += Milliseconds(200);
+    book.expire(now);
+    CHECK(!book.isAsking(step, now));
+    const auto second = book.begin(step, { 1, 2 }, Milliseconds(20), now);
+    REQUIRE(second);
+    CHECK(second->instance != first->instance);
+    const std::vector<std::pair<uint32_t, std::string>> granted { { 1, "ticket" } };
+    book.end(first->number, true, granted, Milliseconds(2'000), now);
+    CHECK(book.ticketFor(step, 1, now) == "ticket");
+}
