Late results count, rounds take a bounded part of the processor, gangs of a former leader

Ruled out: wrong lease arithmetic (held at each lapse in the log); fences. Also: shared parts of the two daemons in one header; duplicates dropped.

--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -8,6 +8,7 @@
 namespace {
 
     constexpr Milliseconds orderSlack { 500 }; // beyond an order's timeout its result counts as lost
+    constexpr Milliseconds lateResults { 8'000 }; // that an order which took too long may still bring
     constexpr Milliseconds listingSlack { 60 }; // between the end of a run and its listing
     constexpr Milliseconds evacuateBefore { 700 }; // the stop, its listing and the new start still fit
     constexpr Milliseconds forecastEvery { 150 };
@@ -165,6 +166,8 @@
     m_now = now;
     const auto order = found->second;
     m_orders.erase(found);
+    if (order.isOver && result.end != OrderEnd::Done)
+        return;
     auto* executor = findExecutor(order.executor);
     const auto* state = recordOf(order.executor);
     if (executor == nullptr || state == nullptr)
@@ -251,7 +254,8 @@
                 { "assigned", std::to_string(executor.runs.size()) } });
     else if (silence > m_options.suspectAfter)
         log("executor_regained", { { "executor", state->record.id() }, { "silent_ms", millis(silence) } });
-    executor.lastAnswer = m_now;
+    if (!order.isOver) // What comes late says nothing of the present.
+        executor.lastAnswer = m_now;
     if (!order.isLook)
         executor.nextHold = m_now + (order.extends ? m_options.holdPause : Milliseconds(0));
     takeEnds(executor, result);
@@ -386,12 +390,22 @@
 void JobLeader::expireOrders()
 {
     std::vector<uint64_t> over;
-    for (const auto& [number, it] : m_orders) {
-        if (m_now >= it.overAt)
-            over.push_back(number);
+    for (auto it = m_orders.begin(); it != m_orders.end();) {
+        if (it->second.isOver && m_now >= it->second.overAt + lateResults) {
+            it = m_orders.erase(it);
+            continue;
+        }
+        if (!it->second.isOver && m_now >= it->second.overAt)
+            over.push_back(it->first);
+        ++it;
     }
-    for (const auto number : over)
+    for (const auto number : over) {
+        auto late = m_orders.at(number);
+        late.isOver = late.isLook = true;
         onOrderResult(number, {}, m_now);
+        if (findExecutor(late.executor) != nullptr)
+            m_orders.emplace(number, late);
+    }
 }
 
 // ---- Watching ------------------------------------------------------------
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-    constexpr Milliseconds planEvery { 10 }; // starts that become possible meanwhile are planned together
     constexpr Milliseconds planAtLeast { 100 }; // also without news: tickets run out, failures are forgiven
     constexpr Milliseconds watchEvery { 40 };
     constexpr Milliseconds retryWhenUnavailable { 1'000 };
@@ -18,6 +17,8 @@
     : m_options(options)
     , m_state(state)
 {
+    // A new leader counts on its predecessor's leases being no longer than this.
+    m_options.lease = std::min(m_options.lease, m_options.maxLease);
 }
 
 void JobLeader::begin(uint64_t fence, Instant now, WallTime wall)
@@ -32,6 +33,14 @@
         adoptExecutor(it);
     for (const auto& [id, job] : m_state.jobs())
         openSteps(id);
+    // The former leader may not have come to stop what is left of a broken gang.
+    std::vector<StepKey> broken;
+    for (const auto& [key, it] : m_ready) {
+        if (it.gang && !it.waiting.empty())
+            broken.push_back(key);
+    }
+    for (const auto& it : broken)
+        stopGang(it);
     absl::btree_map<std::string, double> weights;
     for (const auto& it : m_state.configuration().teams())
         weights[it.name()] = it.weight();
@@ -101,7 +110,7 @@
     m_wall = wall;
     if ((m_mustPlan && now >= m_nextPlan) || now >= m_nextPlan + planAtLeast) {
         m_mustPlan = false;
-        m_nextPlan = now + planEvery;
+        m_nextPlan = now;
         planStarts();
     }
     if (m_batchContinuations.empty() && m_batch.changes().empty())
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -130,6 +130,7 @@
         Instant overAt {};
         bool extends = false;
         bool isLook = false; // beside the hold under way
+        bool isOver = false; // took too long; what it still brings is a look
     };
 
     // Calls (job_calls.cpp).
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -16,6 +16,10 @@
     constexpr size_t leastAskedForGang = 24;
     constexpr size_t smallGang = 3; // tasks; so few fit nearly anywhere
     constexpr int64_t unboundedTasks = 1'000'000;
+    constexpr Milliseconds planEvery { 10 }; // starts that become possible meanwhile are planned together
+    // Pause in microseconds for each visit of an executor by a step: about ten times what it costs
+    // at two fifths of a core, so that rounds take a tenth of the processor however much waits.
+    constexpr double visitPause = 0.5;
     constexpr Milliseconds yieldAfter { 600 }; // a run is let work this long before it yields: several restores
     constexpr double yieldLeftMs = 700; // a run that ends sooner is waited for: a stop and its listing take half of it
 
@@ -98,6 +102,7 @@
     constraints.yielding = [this](uint32_t number) { return yieldingRuns(m_executors.at(number)); };
     StartPlanner planner(room, constraints, m_options.planner);
     const auto plan = planner.plan(steps, m_now);
+    m_nextPlan = m_now + planEvery + Duration(static_cast<int64_t>(static_cast<double>(plan.visits) * visitPause));
     for (const auto& it : plan.starts)
         assign(it);
     for (const auto& it : plan.stops)
--- a/jobs/room_maker.cpp
+++ b/jobs/room_maker.cpp
@@ -69,15 +69,26 @@
     return wanted;
 }
 
+const std::vector<YieldingRun>& RoomMaker::yieldingIn(size_t room)
+{
+    const auto [it, isNew] = m_yielding.try_emplace(room);
+    if (isNew)
+        it->second = m_constraints.yielding(m_rooms[room].number);
+    return it->second;
+}
+
 std::vector<RoomMaker::Yield> RoomMaker::yieldsOf(
-    const ReadyStep& step, std::span<const size_t> rooms, const std::vector<Claim>& claims, Instant now) const
+    const ReadyStep& step, std::span<const size_t> rooms, const std::vector<Claim>& claims, Instant now)
 {
     std::vector<Yield> out;
     for (const auto n : rooms) {
         if (isKept(n))
             continue;
         const auto& room = m_rooms[n];
-        Yield it { n, m_constraints.yielding(room.number), 0 };
+        const auto& yielding = yieldingIn(n);
+        if (yielding.empty())
+            continue;
+        Yield it { n, yielding, 0 };
         std::erase_if(it.runs, [&](const YieldingRun& run) {
             return run.latestStart - now < m_options.restoreTime + yieldSlack || run.latestStart < step.latestStart;
         });
@@ -111,6 +122,7 @@
                 break;
             room.stopping += run.need;
             stops.push_back({ run.task, room.number, step.key });
+            std::erase_if(m_yielding[it.room], [&](const YieldingRun& other) { return other.task == run.task; });
         }
         const auto known
             = std::find_if(claims.begin(), claims.end(), [&](const Claim& c) { return c.room == it.room; });
--- a/jobs/room_maker.h
+++ b/jobs/room_maker.h
@@ -10,6 +10,7 @@
 #include "jobs/executor_room.h"
 #include "jobs/ready_step.h"
 
+#include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
 #include <cstdint>
@@ -48,6 +49,9 @@
         const ReadyStep&, int64_t wanted, std::span<const size_t> rooms, Instant now, std::vector<PlannedStop>& stops);
 
 private:
+    // Runs of a room that may yield; asked for once in a round.
+    const std::vector<YieldingRun>& yieldingIn(size_t room);
+
     struct Claim {
         size_t room = 0;
         int64_t tasks = 0;
@@ -62,7 +66,7 @@
     int64_t claim(
         const ReadyStep&, int64_t wanted, std::span<const size_t> rooms, bool countSoon, std::vector<Claim>&) const;
     std::vector<Yield> yieldsOf(
-        const ReadyStep&, std::span<const size_t> rooms, const std::vector<Claim>&, Instant now) const;
+        const ReadyStep&, std::span<const size_t> rooms, const std::vector<Claim>&, Instant now);
     void stopFor(const ReadyStep&, int64_t wanted, const std::vector<Yield>&, std::vector<Claim>&,
         std::vector<PlannedStop>& stops);
     int64_t fits(const ReadyStep&, const ExecutorRoom&, const ResourceVector& room) const;
@@ -74,6 +78,7 @@
     const StartConstraints& m_constraints;
     RoomMakerOptions m_options;
     absl::flat_hash_set<size_t> m_kept; // rooms
+    absl::flat_hash_map<size_t, std::vector<YieldingRun>> m_yielding; // by room
 };
 
 } // namespace teasel
--- a/jobs/start_planner.cpp
+++ b/jobs/start_planner.cpp
@@ -95,12 +95,13 @@
         || std::find(room.labels->begin(), room.labels->end(), step.requiredLabel) != room.labels->end();
 }
 
-std::vector<StartPlanner::Place> StartPlanner::placesFor(const ReadyStep& step, Instant now) const
+std::vector<StartPlanner::Place> StartPlanner::placesFor(const ReadyStep& step, Instant now, uint64_t& visits) const
 {
     std::vector<Place> out;
     if (!step.need.fitsIn(m_largestFree))
         return out;
     for (const auto n : roomsOf(m_constraints.allowedNow(step))) {
+        ++visits;
         const auto& room = m_rooms[n];
         if (!step.need.fitsIn(room.free) || !suits(step, room))
             continue;
@@ -158,7 +159,7 @@
     auto wanted = std::min<int64_t>(allowed, static_cast<int64_t>(step.waiting.size()));
     if (wanted <= 0 || (step.gang && wanted < static_cast<int64_t>(step.count)))
         return;
-    auto places = placesFor(step, now);
+    auto places = placesFor(step, now, out.visits);
     keepWholeOnOneRack(step, static_cast<size_t>(wanted), places);
     int64_t fits = 0;
     for (const auto& it : places)
@@ -187,6 +188,7 @@
         return;
     auto rooms = roomsOf(m_constraints.allowedLater(step));
     std::erase_if(rooms, [&](size_t n) { return !suits(step, m_rooms[n]); });
+    out.visits += rooms.size();
     m_roomMaker.makeRoom(step, wanted, rooms, now, out.stops);
 }
 
--- a/jobs/start_planner.h
+++ b/jobs/start_planner.h
@@ -29,6 +29,7 @@
 struct StartPlan {
     std::vector<PlannedStart> starts;
     std::vector<PlannedStop> stops;
+    uint64_t visits = 0; // of executors by steps: the round's cost
 };
 
 struct StartPlannerOptions {
@@ -54,7 +55,7 @@
     };
 
     std::vector<size_t> roomsOf(const std::optional<std::vector<uint32_t>>& executors) const;
-    std::vector<Place> placesFor(const ReadyStep&, Instant now) const;
+    std::vector<Place> placesFor(const ReadyStep&, Instant now, uint64_t& visits) const;
     bool suits(const ReadyStep&, const ExecutorRoom&) const;
     void planStep(const ReadyStep&, Instant now, StartPlan& out);
     void keepWholeOnOneRack(const ReadyStep&, size_t wanted, std::vector<Place>&) const;
--- a/node/core_node.cpp
+++ b/node/core_node.cpp
@@ -1,7 +1,7 @@
 #include "node/core_node.h"
 
 #include "jobs/order_messages.h"
-#include "node/http_answers.h"
+#include "node/job_plane_links.h"
 #include "platform/call_codec.h"
 #include "platform/order_codec.h"
 
@@ -26,23 +26,11 @@
     constexpr Milliseconds handOverTime { 600 };
     constexpr Milliseconds answerTime { 1'500 }; // what is held is answered by the next leader
     constexpr size_t maxRefusals = 20'000;
+    constexpr size_t mostLedAndSent = 120; // executors for which one instance both leads and sends orders
     constexpr uint64_t keepLogRecords = 2'000; // behind a snapshot, for replicas that were away for seconds
-    constexpr Milliseconds peerPing { 500 };
-    constexpr Milliseconds peerSilence { 1'500 }; // three pings; a silent connection is made anew
     constexpr Milliseconds announcementTime { 900 }; // an executor waits a second for the answer
     constexpr Milliseconds operatorTime { 2'500 };
 
-    // The seeds name control addresses; the own processes meet at the same port everywhere.
-    std::vector<std::string> peersOf(const schema::CoreSettings& settings)
-    {
-        const auto& own = settings.instance().peer_address();
-        const auto port = own.substr(own.rfind(':'));
-        std::vector<std::string> out;
-        for (const auto& it : settings.seeds())
-            out.push_back(it.substr(0, it.rfind(':')) + port);
-        return out;
-    }
-
     ReplicatedLogOptions logOptions(const schema::CoreSettings& settings, uint64_t seed)
     {
         ReplicatedLogOptions out;
@@ -51,7 +39,7 @@
         out.replica.keepRecords = keepLogRecords;
         // Only the first start of the whole system says who the voters are; later they are in the log.
         if (settings.first_start()) {
-            for (const auto& it : peersOf(settings))
+            for (const auto& it : seedPeers(settings))
                 out.replica.bootstrap.add_voters(it);
         }
         out.replica.replacement = !settings.first_start();
@@ -63,7 +51,6 @@
     {
         JobLeaderOptions out;
         out.maxLease = Milliseconds(static_cast<int64_t>(settings.max_lease_ms()));
-        out.lease = std::min(out.lease, out.maxLease);
         out.stopTime = Milliseconds(static_cast<int64_t>(settings.stop_ms()));
         out.gangWait = Milliseconds(static_cast<int64_t>(settings.gang_wait_ms()));
         out.planner.remoteFactor = settings.remote_factor();
@@ -72,25 +59,13 @@
         return out;
     }
 
-    PeerNetworkOptions networkOptions(const std::string& address, uint64_t incarnation)
-    {
-        PeerNetworkOptions out;
-        out.id = address;
-        out.incarnation = incarnation;
-        out.listenAddress = address;
-        out.idsAreAddresses = true;
-        out.pingEvery = peerPing;
-        out.silenceLimit = peerSilence;
-        return out;
-    }
-
     LeaderRelayOptions relayOptions(const schema::CoreSettings& settings)
     {
         LeaderRelayOptions out;
         out.self = settings.instance().peer_address();
         out.isCore = true;
         out.dataCentre = settings.instance().data_centre();
-        out.seeds = peersOf(settings);
+        out.seeds = seedPeers(settings);
         return out;
     }
 
@@ -112,7 +87,7 @@
     , m_voters(voterOptions(m_settings))
     , m_disk(m_settings.data_folder())
     , m_loop(tickEvery, maxQueuedTasks, [this] { onTick(); })
-    , m_network(networkOptions(m_self, links.incarnation), {}, links.clock,
+    , m_network(jobPlaneNetwork(m_self, links.incarnation), {}, links.clock,
           [this](schema::Envelope envelope) {
               m_loop.post([this, envelope = std::move(envelope)] { onEnvelope(envelope); });
           })
@@ -121,7 +96,11 @@
               m_loop.postAlways([this, request = std::move(request)]() mutable { onHttp(std::move(request)); });
           },
           {})
-    , m_metrics({ m_settings.metrics_address(), 1, 16 }, [this](const HttpRequest& request) { onMetrics(request); }, {})
+    , m_metrics({ m_settings.metrics_address(), 1, 16 },
+          [this](const HttpRequest& request) {
+              m_metrics.answer(request.handle, metricsResponse(request, m_links.metrics));
+          },
+          {})
     , m_client({ 1, 4, 4 << 20 })
     , m_relay(
           relayOptions(m_settings),
@@ -177,7 +156,7 @@
 
 void CoreNode::reload(const schema::CoreSettings& settings)
 {
-    m_loop.postAlways([this, seeds = peersOf(settings)] { m_relay.addSeeds(seeds); });
+    m_loop.postAlways([this, seeds = seedPeers(settings)] { m_relay.addSeeds(seeds); });
     m_links.log.info("settings_reloaded", { { "seeds", settings.seeds_size() } });
 }
 
@@ -282,7 +261,6 @@
     m_nextInstances = now + instancesEvery;
     std::vector<std::string> advisers { m_self };
     m_senders.clear();
-    m_senders[m_settings.instance().data_centre()].push_back(m_self);
     for (auto it = m_instances.begin(); it != m_instances.end();) {
         if (now - it->second.heard > instanceLasts) {
             m_links.log.info("instance_silent", { { "instance", it->first } });
@@ -295,6 +273,16 @@
         ++it;
     }
     m_leader.setAdviceInstances(std::move(advisers));
+    // A leader that has much to decide leaves its own data centre's orders to the others.
+    auto& own = m_senders[m_settings.instance().data_centre()];
+    if (m_state.executors().size() > mostLedAndSent) {
+        for (const auto& [dataCentre, others] : m_senders) {
+            if (dataCentre != m_settings.instance().data_centre())
+                own.insert(own.end(), others.begin(), others.end());
+        }
+    }
+    if (own.empty())
+        own.push_back(m_self);
 }
 
 // ---- Messages ------------------------------------------------------------
@@ -399,28 +387,15 @@
     call.set_method(request.method);
     call.set_path(request.path);
     call.set_body(std::move(request.body));
-    const bool isAnnouncement = call.path().starts_with("/instances/");
+    const bool isAnnouncement = platform::isAnnouncement(call.path());
     call.set_time_left_ms(static_cast<uint64_t>((isAnnouncement ? announcementTime : operatorTime).count()));
     const auto handle = request.handle;
     m_relay.call(
         std::move(call),
-        [this, handle](schema::RoutedAnswer answer) {
-            HttpResponse response { answer.status(), "application/json", {}, std::move(*answer.mutable_body()) };
-            if (answer.retry_after_s() > 0)
-                response.headers.emplace_back("Retry-After", std::to_string(answer.retry_after_s()));
-            m_control.answer(handle, std::move(response));
-        },
+        [this, handle](schema::RoutedAnswer answer) { m_control.answer(handle, toResponse(std::move(answer))); },
         m_links.clock.now());
 }
 
-void CoreNode::onMetrics(const HttpRequest& request)
-{
-    if (request.path == "/metrics")
-        m_metrics.answer(request.handle, { 200, "text/plain; version=0.0.4", {}, m_links.metrics.renderMetrics() });
-    else
-        m_metrics.answer(request.handle, { 404, "text/plain", {}, "only /metrics\n" });
-}
-
 // ---- Actions -------------------------------------------------------------
 
 void CoreNode::onTick()
--- a/node/core_node.h
+++ b/node/core_node.h
@@ -65,7 +65,6 @@
     void onHello(const std::string& from, const schema::CoreHello&, Instant now);
     void onRoutedCall(const schema::Envelope&, Instant now);
     void onHttp(HttpRequest);
-    void onMetrics(const HttpRequest&);
     void onTick();
     void onServingChanged(bool serving);
     void lead(Instant now);
--- a/node/front_node.cpp
+++ b/node/front_node.cpp
@@ -1,6 +1,7 @@
 #include "node/front_node.h"
 
 #include "node/http_answers.h"
+#include "node/job_plane_links.h"
 #include "platform/order_codec.h"
 
 #include <charconv>
@@ -15,36 +16,12 @@
     constexpr size_t maxQueuedTasks = 50'000;
     constexpr Milliseconds leaveRotationTime { 2'600 }; // the balancer asks once a second and goes by two answers
     constexpr Milliseconds stopCheckEvery { 20 };
-    constexpr Milliseconds peerPing { 500 };
-    constexpr Milliseconds peerSilence { 1'500 }; // three pings; a silent connection is made anew
-
-    std::vector<std::string> peersOf(const schema::FrontSettings& settings)
-    {
-        const auto& own = settings.instance().peer_address();
-        const auto port = own.substr(own.rfind(':'));
-        std::vector<std::string> out;
-        for (const auto& it : settings.seeds())
-            out.push_back(it.substr(0, it.rfind(':')) + port);
-        return out;
-    }
-
-    PeerNetworkOptions networkOptions(const std::string& address, uint64_t incarnation)
-    {
-        PeerNetworkOptions out;
-        out.id = address;
-        out.incarnation = incarnation;
-        out.listenAddress = address;
-        out.idsAreAddresses = true;
-        out.pingEvery = peerPing;
-        out.silenceLimit = peerSilence;
-        return out;
-    }
 
     LeaderRelayOptions relayOptions(const schema::FrontSettings& settings)
     {
         LeaderRelayOptions out;
         out.self = settings.instance().peer_address();
-        out.seeds = peersOf(settings);
+        out.seeds = seedPeers(settings);
         return out;
     }
 
@@ -62,7 +39,7 @@
     , m_links(links)
     , m_self(m_settings.instance().peer_address())
     , m_loop(tickEvery, maxQueuedTasks, [this] { onTick(); })
-    , m_network(networkOptions(m_self, links.incarnation), {}, links.clock,
+    , m_network(jobPlaneNetwork(m_self, links.incarnation), {}, links.clock,
           [this](schema::Envelope envelope) {
               m_loop.post([this, envelope = std::move(envelope)] { onEnvelope(envelope); });
           })
@@ -72,7 +49,11 @@
           },
           {})
     , m_ready({ m_settings.ready_address(), 1, 32 }, [this](const HttpRequest& request) { onReady(request); }, {})
-    , m_metrics({ m_settings.metrics_address(), 1, 16 }, [this](const HttpRequest& request) { onMetrics(request); }, {})
+    , m_metrics({ m_settings.metrics_address(), 1, 16 },
+          [this](const HttpRequest& request) {
+              m_metrics.answer(request.handle, metricsResponse(request, m_links.metrics));
+          },
+          {})
     , m_client({ 1, 2, 1 << 20 })
     , m_relay(
           relayOptions(m_settings),
@@ -100,7 +81,7 @@
 
 void FrontNode::reload(const schema::FrontSettings& settings)
 {
-    m_loop.postAlways([this, seeds = peersOf(settings)] { m_relay.addSeeds(seeds); });
+    m_loop.postAlways([this, seeds = seedPeers(settings)] { m_relay.addSeeds(seeds); });
     m_links.log.info("settings_reloaded", { { "seeds", settings.seeds_size() } });
 }
 
@@ -175,9 +156,7 @@
         std::move(call),
         [this, handle, began, method = request.method, path = request.path](schema::RoutedAnswer answer) {
             logAnswer(method, path, answer, began);
-            HttpResponse response { answer.status(), "application/json", {}, std::move(*answer.mutable_body()) };
-            if (answer.retry_after_s() > 0)
-                response.headers.emplace_back("Retry-After", std::to_string(answer.retry_after_s()));
+            auto response = toResponse(std::move(answer));
             if (m_isStopping)
                 response.headers.emplace_back("Connection", "close");
             m_callers.answer(handle, std::move(response));
@@ -206,12 +185,4 @@
     m_ready.answer(request.handle, { isReady ? 200U : 503U, "text/plain", {}, isReady ? "ready\n" : "not ready\n" });
 }
 
-void FrontNode::onMetrics(const HttpRequest& request)
-{
-    if (request.path == "/metrics")
-        m_metrics.answer(request.handle, { 200, "text/plain; version=0.0.4", {}, m_links.metrics.renderMetrics() });
-    else
-        m_metrics.answer(request.handle, { 404, "text/plain", {}, "only /metrics\n" });
-}
-
 } // namespace teasel
--- a/node/front_node.h
+++ b/node/front_node.h
@@ -39,7 +39,6 @@
     void onHttp(HttpRequest);
     void logAnswer(std::string_view method, std::string_view path, const schema::RoutedAnswer&, Instant began);
     void onReady(const HttpRequest&);
-    void onMetrics(const HttpRequest&);
     void onTick();
     void callAdvice(const schema::Envelope&);
 
--- a/tests/jobs_random_test.cpp
+++ b/tests/jobs_random_test.cpp
@@ -1,5 +1,5 @@
 // Seeded runs of the job plane under faults. TEASEL_SEEDS and
-// TEASEL_FIRST_SEED choose how many and which.
+// TEASEL_FIRST_SEED choose how many and which; TEASEL_TRACE prints the leader's log.
 #include "jobs_world.h"
 
 #include <doctest/doctest.h>
@@ -26,6 +26,7 @@
     for (uint64_t seed = first; seed < first + seeds; ++seed) {
         JobsWorldOptions options;
         options.seed = seed;
+        options.trace = std::getenv("TEASEL_TRACE") != nullptr;
         JobsWorld world(options);
         for (const auto& it : world.run())
             FAIL_CHECK(fmt::format("TEASEL_FIRST_SEED={} TEASEL_SEEDS=1 build/jobs_random_test\n{}", seed, it));
--- a/tests/jobs_world.h
+++ b/tests/jobs_world.h
@@ -25,6 +25,7 @@
 
 struct JobsWorldOptions {
     uint64_t seed = 1;
+    bool trace = false; // print the leader's log
     size_t executors = 6;
     double jobsPerSecond = 6;
     double lateOrders = 0.02; // share of orders without an answer that are carried out 2 to 12 s later
@@ -241,7 +242,15 @@
         }
     }
 
-    void perform(JobLogLine&) { }
+    void perform(JobLogLine& it)
+    {
+        if (!m_options.trace)
+            return;
+        std::string line = fmt::format("{} {}", m_clock.now().time_since_epoch().count(), it.event);
+        for (const auto& [key, value] : it.fields)
+            line += fmt::format(" {}={}", key, value);
+        fmt::print("{}\n", line);
+    }
 
     void perform(AskAdvice& action)
     {
