--- a/jobs/ready_step.h
+++ b/jobs/ready_step.h
@@ -32,7 +32,6 @@
     Instant dueAt {}; // the job's latency objective
     Instant latestStart {}; // for the rest of the job to end by then
     Instant worthlessAt {}; // of the job; later than that nothing is gained by ending it
-    Instant notBefore {}; // after a failure
     Instant readySince {};
 };
 
--- a/jobs/start_planner.cpp
+++ b/jobs/start_planner.cpp
@@ -52,7 +52,7 @@
 {
     StartPlan out;
     for (const auto* it : steps) {
-        if (it->notBefore <= now && !it->waiting.empty())
+        if (!it->waiting.empty())
             planStep(*it, now, out);
     }
     return out;
--- a/tests/jobs_leader_test.cpp
+++ b/tests/jobs_leader_test.cpp
@@ -347,3 +347,54 @@
         resumed += std::get<StartRun>(again->order).checkpoint == "saved" ? 1 : 0;
     CHECK(resumed == 2);
 }
+
+TEST_CASE("an end that a hold lists after its limit counts, and the task does not start again")
+{
+    JobsFixture it;
+    it.announce("x1");
+    it.answerHolds({});
+    it.submit(JobsFixture::request(7, 1));
+    it.pass(Milliseconds(20));
+    const auto start = it.take<StartRun>();
+    REQUIRE(start);
+    it.answer(*start, { OrderEnd::Done });
+    it.pass(Milliseconds(100));
+    const auto hold = it.take<HoldRuns>();
+    REQUIRE(hold);
+    it.pass(Milliseconds(4'000)); // Nothing answers in time.
+    it.answer(*hold, { OrderEnd::Done, 0, 0, {}, { { 1, firstTask, 1, schema::RUN_OUTCOME_DONE, {} } }, true });
+    it.pass(Milliseconds(8'000));
+    CHECK(!it.take<StartRun>());
+    const auto* job = it.state.find(7);
+    REQUIRE(job != nullptr);
+    CHECK(job->phase == JobPhase::Completed);
+}
+
+TEST_CASE("a new leader stops what is left of a gang that broke under the former one")
+{
+    JobsFixture it;
+    it.announce("x1");
+    it.answerHolds({});
+    it.submit(JobsFixture::request(7, 2, true));
+    it.pass(Milliseconds(20));
+    while (auto start = it.take<StartRun>())
+        it.answer(*start, { OrderEnd::Done });
+    // The end of one member is in the log; its leader did not come to stop the other one.
+    schema::JobCommand command;
+    auto& end = *command.add_changes()->mutable_ended();
+    fillRef(firstTask, *end.mutable_task());
+    end.set_run(1);
+    end.set_executor(1);
+    end.set_outcome(schema::RUN_OUTCOME_LOST);
+    it.state.apply(0, command.SerializeAsString());
+    it.leader.begin(2, it.clock.now(), it.clock.wallNow());
+    it.settle();
+    it.orders.clear();
+    it.pass(Milliseconds(60));
+    const TaskKey other { { 7, 0, 0 }, 1 };
+    it.answerHolds({ { other, 1, {}, 100, -1 } });
+    it.pass(Milliseconds(60));
+    const auto stop = it.take<StopRun>();
+    REQUIRE(stop);
+    CHECK(std::get<StopRun>(stop->order).task == other);
+}
