Long calls for advice aren't worked out in vain

Cause: with only the instances free that are reserved for short calls, each round went through all executors for every waiting step with a long call, and threw the result away; in a burst after a change of leaders the leader's loop fell a second behind, executors counted as silent, and jobs waited with 3,400 cores free. Ruled out: the number of instances that can advise; room.

--- a/jobs/advice_book.cpp
+++ b/jobs/advice_book.cpp
@@ -79,19 +79,23 @@
     return it != m_steps.end() && ((it->second.open > 0 && now < it->second.overdueAt) || it->second.nextAsk > now);
 }
 
-bool AdviceBook::hasFreeInstance(Instant now) const
+size_t AdviceBook::reservedFrom(Milliseconds cost) const
 {
-    return std::any_of(
-        m_busyUntil.begin(), m_busyUntil.end(), [&](const auto& it) { return it.second <= now + longestBacklog; });
+    return cost > longCall && m_busyUntil.size() > 1 ? std::max<size_t>(1, m_busyUntil.size() / instancesPerReserved)
+                                                     : 0;
+}
+
+bool AdviceBook::hasFreeInstance(Milliseconds cost, Instant now) const
+{
+    const auto reserved = static_cast<std::ptrdiff_t>(reservedFrom(cost));
+    return std::any_of(std::next(m_busyUntil.begin(), reserved), m_busyUntil.end(),
+        [&](const auto& it) { return it.second <= now + longestBacklog; });
 }
 
 std::optional<AdviceBook::Ask> AdviceBook::begin(
     const StepKey& step, std::vector<uint32_t> executors, Milliseconds cost, Instant now)
 {
-    const auto reserved = cost > longCall && m_busyUntil.size() > 1
-        ? std::max<size_t>(1, m_busyUntil.size() / instancesPerReserved)
-        : 0;
-    const auto least = std::min_element(std::next(m_busyUntil.begin(), static_cast<std::ptrdiff_t>(reserved)),
+    const auto least = std::min_element(std::next(m_busyUntil.begin(), static_cast<std::ptrdiff_t>(reservedFrom(cost))),
         m_busyUntil.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
     if (least == m_busyUntil.end() || least->second > now + longestBacklog)
         return std::nullopt;
--- a/jobs/advice_book.h
+++ b/jobs/advice_book.h
@@ -39,8 +39,8 @@
     // Whether a call about the step is open and not overdue, or one has just failed.
     bool isAsking(const StepKey&, Instant now) const;
 
-    // Whether any call could begin now.
-    bool hasFreeInstance(Instant now) const;
+    // Whether a call that costs so much could begin now.
+    bool hasFreeInstance(Milliseconds cost, Instant now) const;
 
     // Begins a call about a step. `cost` is the time that the service needs for it.
     // Nothing when no instance is free of a backlog.
@@ -95,6 +95,7 @@
     };
 
     void release(const Call&, bool answered, Instant now);
+    size_t reservedFrom(Milliseconds cost) const;
 
     uint64_t m_lastNumber = 0;
     absl::btree_map<StepKey, StepAdvice> m_steps;
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -200,7 +200,8 @@
     void assign(const PlannedStart&);
     void preempt(const PlannedStop&);
     void launch(const LaunchWhenCommitted&);
-    void askForAdvice(const ReadyStep&, const std::vector<ExecutorRoom>&);
+    // Returns how many executors were gone through.
+    size_t askForAdvice(const ReadyStep&, const std::vector<ExecutorRoom>&);
     std::vector<uint32_t> executorsToAsk(const ReadyStep&, const std::vector<ExecutorRoom>&) const;
     int64_t leftOfCap(std::string_view team, const ResourceVector& need) const;
     void reserve(LiveExecutor&, const TaskKey&, LiveRun);
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -79,9 +79,10 @@
     if (room.empty() || steps.empty())
         return;
     sortByUrgency(steps, m_now);
+    size_t asked = 0;
     for (const auto* it : steps) {
         if (it->needsTicket)
-            askForAdvice(*it, room);
+            asked += askForAdvice(*it, room);
     }
     StartConstraints constraints;
     using Allowed = std::optional<std::vector<uint32_t>>;
@@ -102,7 +103,8 @@
     constraints.yielding = [this](uint32_t number) { return yieldingRuns(m_executors.at(number)); };
     StartPlanner planner(room, constraints, m_options.planner);
     const auto plan = planner.plan(steps, m_now);
-    m_nextPlan = m_now + planEvery + Duration(static_cast<int64_t>(static_cast<double>(plan.visits) * visitPause));
+    m_nextPlan
+        = m_now + planEvery + Duration(static_cast<int64_t>(static_cast<double>(plan.visits + asked) * visitPause));
     for (const auto& it : plan.starts)
         assign(it);
     for (const auto& it : plan.stops)
@@ -275,23 +277,24 @@
     return asked;
 }
 
-void JobLeader::askForAdvice(const ReadyStep& step, const std::vector<ExecutorRoom>& room)
+size_t JobLeader::askForAdvice(const ReadyStep& step, const std::vector<ExecutorRoom>& room)
 {
-    if (m_advice.isAsking(step.key, m_now) || !m_advice.hasFreeInstance(m_now))
-        return;
     const auto* queue = m_state.queueOf(step.queue);
-    if (queue == nullptr || !queue->has_advice())
-        return;
+    if (queue == nullptr || !queue->has_advice() || m_advice.isAsking(step.key, m_now))
+        return 0;
+    // Long calls don't wait for what is reserved for short ones; without this look they would be worked out in vain.
+    if (!m_advice.hasFreeInstance(Milliseconds(static_cast<int64_t>(queue->advice().base_ms())), m_now))
+        return 0;
     auto asked = executorsToAsk(step, room);
     if (asked.size() > mostAsked)
         asked.resize(mostAsked);
     if (asked.empty())
-        return;
+        return room.size();
     const auto cost = Milliseconds(static_cast<int64_t>(
         queue->advice().base_ms() + queue->advice().per_executor_ms() * static_cast<double>(asked.size())));
     const auto ask = m_advice.begin(step.key, asked, cost, m_now);
     if (!ask)
-        return;
+        return room.size();
     ++m_counters.adviceCalls;
     AskAdvice action;
     action.number = ask->number;
@@ -301,6 +304,7 @@
     for (const auto number : asked)
         action.executors.push_back(recordOf(number)->record.id());
     m_actions.emplace_back(std::move(action));
+    return room.size();
 }
 
 void JobLeader::onAdvice(
--- a/tests/jobs_planner_test.cpp
+++ b/tests/jobs_planner_test.cpp
@@ -330,3 +330,15 @@
     book.end(first->number, true, granted, Milliseconds(2'000), now);
     CHECK(book.ticketFor(step, 1, now) == "ticket");
 }
+
+TEST_CASE("an instance that is reserved for short calls is not free for a long one")
+{
+    const Instant now { std::chrono::seconds(100) };
+    AdviceBook book;
+    book.setInstances({ "a", "b" });
+    REQUIRE(book.begin({ 1, 0, 0 }, { 1 }, Milliseconds(600), now));
+    CHECK(!book.hasFreeInstance(Milliseconds(600), now));
+    CHECK(book.hasFreeInstance(Milliseconds(20), now));
+    CHECK(!book.begin({ 2, 0, 0 }, { 1 }, Milliseconds(600), now));
+    CHECK(book.begin({ 2, 0, 0 }, { 1 }, Milliseconds(20), now));
+}
