Numbers of calls and orders are unique over restarts; lint by what a file includes

Cause: numbers of calls for advice, of orders and of routed calls began at 1 in each process, so a result meant for a former process or leader could be taken for another one's: the wrong step's grants, or another caller's answer. The lint's cache was void with each header; a first run's xargs went on beside the second. Before: jobs_leader_test and membership_test can't tell the calls apart.

--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -9,6 +9,7 @@
 
     constexpr Milliseconds planAtLeast { 100 }; // also without news: tickets run out, failures are forgiven
     constexpr Milliseconds watchEvery { 40 };
+    constexpr unsigned numberBits = 32; // of an order's number, below the fence
     constexpr Milliseconds retryWhenUnavailable { 1'000 };
 
 } // namespace
@@ -25,6 +26,8 @@
 {
     end();
     m_fence = fence;
+    // A result that was meant for a former leader of this process, or of the one before it, fits no order.
+    m_lastOrder = fence << numberBits;
     m_began = m_now = now;
     m_wall = wall;
     m_lastExecutor = m_state.lastExecutorNumber();
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -15,10 +15,11 @@
     constexpr double gangAskedMargin = 4.0; // a gang needs room at several granted executors at once
     constexpr size_t leastAskedForGang = 24;
     constexpr size_t smallGang = 3; // tasks; so few fit nearly anywhere
+    constexpr unsigned numberBits = 32; // of a call's number, below the fence
     constexpr int64_t unboundedTasks = 1'000'000;
     constexpr Milliseconds planEvery { 10 }; // starts that become possible meanwhile are planned together
-    // Pause in microseconds for each visit of an executor by a step: about ten times what it costs
-    // at two fifths of a core, so that rounds take a tenth of the processor however much waits.
+    // Pause in microseconds for each visit of an executor by a step: ten times the 50 ns that it is taken to cost
+    // (not measured), so that rounds take about a tenth of the processor however much waits.
     constexpr double visitPause = 0.5;
     constexpr Milliseconds yieldAfter { 600 }; // a run is let work this long before it yields: several restores
     constexpr double yieldLeftMs = 700; // a run that ends sooner is waited for: a stop and its listing take half of it
@@ -297,7 +298,7 @@
         return room.size();
     ++m_counters.adviceCalls;
     AskAdvice action;
-    action.number = ask->number;
+    action.number = (m_fence << numberBits) | ask->number;
     action.instance = ask->instance;
     action.step = step.key;
     action.timeout = ask->timeout;
@@ -310,8 +311,9 @@
 void JobLeader::onAdvice(
     uint64_t number, bool answered, const std::vector<std::pair<std::string, std::string>>& granted, Instant now)
 {
-    if (!isLeading())
+    if (!isLeading() || number >> numberBits != m_fence) // Asked by a former leader, maybe of an earlier process.
         return;
+    number &= (uint64_t(1) << numberBits) - 1;
     m_now = now;
     absl::flat_hash_map<std::string_view, uint32_t> byId;
     for (const auto& [executor, it] : m_executors) {
--- a/node/core_node.cpp
+++ b/node/core_node.cpp
@@ -59,10 +59,11 @@
         return out;
     }
 
-    LeaderRelayOptions relayOptions(const schema::CoreSettings& settings)
+    LeaderRelayOptions relayOptions(const schema::CoreSettings& settings, uint64_t incarnation)
     {
         LeaderRelayOptions out;
         out.self = settings.instance().peer_address();
+        out.firstNumber = incarnation << callNumberBits;
         out.isCore = true;
         out.dataCentre = settings.instance().data_centre();
         out.seeds = seedPeers(settings);
@@ -103,7 +104,7 @@
           {})
     , m_client({ 1, 4, 4 << 20 })
     , m_relay(
-          relayOptions(m_settings),
+          relayOptions(m_settings, links.incarnation),
           [this](std::string_view to, schema::Envelope envelope) {
               if (to == m_self) {
                   envelope.set_from(m_self);
--- a/node/front_node.cpp
+++ b/node/front_node.cpp
@@ -17,10 +17,11 @@
     constexpr Milliseconds leaveRotationTime { 2'600 }; // the balancer asks once a second and goes by two answers
     constexpr Milliseconds stopCheckEvery { 20 };
 
-    LeaderRelayOptions relayOptions(const schema::FrontSettings& settings)
+    LeaderRelayOptions relayOptions(const schema::FrontSettings& settings, uint64_t incarnation)
     {
         LeaderRelayOptions out;
         out.self = settings.instance().peer_address();
+        out.firstNumber = incarnation << callNumberBits;
         out.seeds = seedPeers(settings);
         return out;
     }
@@ -56,7 +57,7 @@
           {})
     , m_client({ 1, 2, 1 << 20 })
     , m_relay(
-          relayOptions(m_settings),
+          relayOptions(m_settings, links.incarnation),
           [this](std::string_view to, schema::Envelope envelope) { m_network.send(to, std::move(envelope)); },
           [this](const std::string& leader, uint64_t term) {
               m_links.log.info("leader_found", { { "leader", leader }, { "term", term } });
--- a/node/job_plane_links.h
+++ b/node/job_plane_links.h
@@ -13,6 +13,7 @@
 
 namespace teasel {
 
+constexpr unsigned callNumberBits = 20; // of a call's number, below the incarnation: more calls than in a millisecond
 constexpr Milliseconds jobPlanePing { 500 };
 constexpr Milliseconds jobPlaneSilence { 1'500 }; // three pings; a silent connection is made anew
 
--- a/node/leader_relay.cpp
+++ b/node/leader_relay.cpp
@@ -26,6 +26,7 @@
     , m_send(std::move(send))
     , m_leaderChanged(std::move(leaderChanged))
     , m_core(m_options.seeds.begin(), m_options.seeds.end())
+    , m_lastNumber(m_options.firstNumber)
 {
     if (m_options.isCore)
         m_core.insert(m_options.self);
--- a/node/leader_relay.h
+++ b/node/leader_relay.h
@@ -21,6 +21,8 @@
 
 struct LeaderRelayOptions {
     std::string self; // address of this instance
+    uint64_t firstNumber
+        = 0; // of calls, above those of earlier processes at this address: their answers may still come
     bool isCore = false;
     std::string dataCentre;
     std::vector<std::string> seeds; // addresses of core instances
--- a/requests/attempt_ledger.h
+++ b/requests/attempt_ledger.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -29,7 +30,12 @@
     uint64_t sequence = 0;
     uint32_t attempt = 0;
 
-    auto operator<=>(const AttemptId&) const = default;
+    bool operator==(const AttemptId&) const = default;
+    bool operator<(const AttemptId& other) const
+    {
+        return std::tie(holder, incarnation, sequence, attempt)
+            < std::tie(other.holder, other.incarnation, other.sequence, other.attempt);
+    }
     template <class H> friend H AbslHashValue(H h, const AttemptId& it) // NOLINT(readability-identifier-naming)
     {
         return H::combine(std::move(h), it.holder, it.incarnation, it.sequence, it.attempt);
--- a/tests/jobs_leader_test.cpp
+++ b/tests/jobs_leader_test.cpp
@@ -398,3 +398,31 @@
     REQUIRE(stop);
     CHECK(std::get<StopRun>(stop->order).task == other);
 }
+
+TEST_CASE("orders and calls for advice of different leaders never have one number")
+{
+    JobsFixture former(true);
+    JobsFixture later(true); // A process that was started again counts from the beginning.
+    later.leader.begin(2, later.clock.now(), later.clock.wallNow());
+    for (auto* it : { &former, &later }) {
+        it->announce("x1");
+        it->answerHolds({});
+        it->submit(JobsFixture::request(7, 1));
+        it->pass(Milliseconds(40));
+        REQUIRE(it->asks.size() == 1);
+    }
+    CHECK(former.asks[0].number != later.asks[0].number);
+    const std::vector<std::pair<std::string, std::string>> granted { { "x1", "ticket" } };
+    later.leader.onAdvice(former.asks[0].number, true, granted, later.clock.now());
+    later.pass(Milliseconds(40));
+    CHECK(!later.take<StartRun>());
+    later.leader.onAdvice(later.asks[0].number, true, granted, later.clock.now());
+    later.pass(Milliseconds(40));
+    const auto start = later.take<StartRun>();
+    REQUIRE(start);
+    former.leader.onAdvice(former.asks[0].number, true, granted, former.clock.now());
+    former.pass(Milliseconds(40));
+    const auto formerStart = former.take<StartRun>();
+    REQUIRE(formerStart);
+    CHECK(start->number != formerStart->number);
+}
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -22,13 +22,19 @@
     ManualClock clock;
     std::vector<std::pair<std::string, schema::Envelope>> sent;
     std::vector<schema::RoutedAnswer> answers;
-    LeaderRelay relay { options(),
-        [this](std::string_view to, schema::Envelope it) { sent.emplace_back(std::string(to), std::move(it)); },
-        [](const std::string&, uint64_t) {} };
+    explicit RelayFixture(uint64_t firstNumber = 0)
+        : relay(
+            options(firstNumber),
+            [this](std::string_view to, schema::Envelope it) { sent.emplace_back(std::string(to), std::move(it)); },
+            [](const std::string&, uint64_t) {})
+    {
+    }
+    LeaderRelay relay;
 
-    static LeaderRelayOptions options()
+    static LeaderRelayOptions options(uint64_t firstNumber)
     {
         LeaderRelayOptions out;
+        out.firstNumber = firstNumber;
         out.self = "front";
         out.seeds = { "a", "b" };
         return out;
@@ -160,3 +166,22 @@
         [](const auto& message) { return message.first == "b" && message.second.has_core_hello(); });
     CHECK(asked);
 }
+
+TEST_CASE("an answer to a call of an earlier process at the same address is not taken for one's own")
+{
+    RelayFixture earlier(1'000);
+    RelayFixture it(2'000);
+    for (auto* relay : { &earlier, &it }) {
+        relay->lead("a", 4);
+        relay->call();
+        REQUIRE(relay->calls("a") == 1);
+    }
+    schema::RoutedAnswer answer;
+    answer.set_number(earlier.sent.back().second.routed_call().number());
+    answer.set_status(200);
+    it.relay.onAnswer(answer, it.clock.now());
+    CHECK(it.answers.empty());
+    answer.set_number(it.sent.back().second.routed_call().number());
+    it.relay.onAnswer(answer, it.clock.now());
+    CHECK(it.answers.size() == 1);
+}
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Formatter and linter over our own code. Usage: tools/lint.sh [BUILD [FILE...]]
 # With files, only those are checked; a file unchanged since its last clean
-# run with the same headers and settings is not linted again.
+# run, with the headers that it includes and the settings, is not linted again.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-build}
@@ -13,20 +13,18 @@
 fi
 clang-format --dry-run --Werror "${files[@]}"
 echo "format: ${#files[@]} files clean"
-headers=$(git ls-files --cached --others --exclude-standard -- '*.h' .clang-tidy | sort | xargs -r cat | sha256sum | cut -c1-16)
 cache=$build/lint
 mkdir -p "$cache"
 lint_one() {
-    local file=$1 mark
-    mark=$2/$( (echo "$3"; cat "$file") | sha256sum | cut -c1-24)
-    [ -e "$mark" ] && return 0
+    local key=$1 file=$2
+    [ -e "$3/$key" ] && return 0
     clang-tidy --quiet -p "$4" "$file" 2>/dev/null || { echo "lint: $file is not clean" >&2; return 1; }
-    : >"$mark"
+    : >"$3/$key"
 }
 export -f lint_one
 sources=()
 for file in "${files[@]}"; do
     case "$file" in *.cpp) sources+=("$file") ;; esac
 done
-[ "${#sources[@]}" -eq 0 ] || printf '%s\0' "${sources[@]}" | xargs -0 -P "$(nproc)" -I{} bash -c 'lint_one "$@"' _ {} "$cache" "$headers" "$build"
+[ "${#sources[@]}" -eq 0 ] || python3 tools/lint_keys.py "${sources[@]}" | xargs -P "$(nproc)" -L 1 bash -c 'lint_one "$2" "$3" "$0" "$1"' "$cache" "$build"
 echo "lint: ${#sources[@]} sources clean"
