Connections to an executor are bounded; a stop gets through beside holds

HttpClientOptions::connectionsPerHost was read by nobody, so a burst of orders opened as many connections to an executor as it had orders. Those of instances that lost power stay open there; after some losses its 64 channels were taken, new ones broke within 4 ms, and every start there was unclear. Conclusion: traced and mended.

--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -9,6 +9,7 @@
 
     constexpr Milliseconds orderSlack { 500 }; // beyond an order's timeout its result counts as lost
     constexpr Milliseconds lateResults { 8'000 }; // that an order which took too long may still bring
+    constexpr unsigned stopsBeforeBlocked = 3; // unanswered in a row
     constexpr Milliseconds listingSlack { 60 }; // between the end of a run and its listing
     constexpr Milliseconds evacuateBefore { 700 }; // the stop, its listing and the new start still fit
     constexpr Milliseconds forecastEvery { 150 };
@@ -123,7 +124,10 @@
         hold.leaseUntilMs = executor.clock.executorNow(m_now) + static_cast<uint64_t>(m_options.lease.count());
         executor.clock.onLeaseSent(hold.leaseUntilMs);
     }
-    hold.wait = isNew || isSuspect ? Milliseconds(0) : m_options.holdWait;
+    // An executor that takes no further connection gets its stops over that of the holds, which must not wait then.
+    const bool isBlocked = std::any_of(executor.runs.begin(), executor.runs.end(),
+        [](const auto& it) { return it.second.stopsUnanswered >= stopsBeforeBlocked; });
+    hold.wait = isNew || isSuspect || isBlocked ? Milliseconds(0) : m_options.holdWait;
     ++m_counters.holds;
     OrderUnderWay order;
     order.kind = OrderUnderWay::Kind::Hold;
@@ -229,6 +233,7 @@
         return;
     auto& run = it->second;
     run.isStopUnderWay = false;
+    run.stopsUnanswered = result.end == OrderEnd::Done ? 0 : run.stopsUnanswered + 1;
     if (result.end == OrderEnd::Done && !run.isStopAnswered()) {
         run.stopAnsweredAt = m_now;
         executor.lookAt = std::min(executor.lookAt, m_now + m_options.stopTime + listingSlack + listingSlack);
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -329,6 +329,11 @@
     const auto step = m_advice.stepOf(number);
     const auto ready = step ? m_ready.find(*step) : m_ready.end();
     const auto* queue = ready == m_ready.end() ? nullptr : m_state.queueOf(ready->second.queue);
+    if (ready != m_ready.end())
+        log("advice_answered",
+            { { "step", stepText(*step) }, { "answered", answered ? "true" : "false" },
+                { "asked", std::to_string(asked) }, { "granted", std::to_string(rows.size()) },
+                { "listed", std::to_string(granted.size()) } });
     const Milliseconds valid(
         queue == nullptr || !queue->has_advice() ? 0 : static_cast<int64_t>(queue->advice().ticket_valid_ms()));
     m_advice.end(number, answered, rows, valid, now);
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -39,6 +39,7 @@
     // Stopping goes on beside the stage until the end is listed.
     bool mustStop = false;
     bool isStopUnderWay = false;
+    unsigned stopsUnanswered = 0; // in a row
     Instant stopSentAt {};
     Instant stopAnsweredAt {}; // Instant() until a stop was answered
 
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -107,7 +107,7 @@
         , m_multi(curl_multi_init())
     {
         curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, 1'024L);
-        curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS, 0L);
+        curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS, static_cast<long>(options.connectionsPerHost));
         m_thread = std::thread([this] { run(); });
     }
 
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -45,7 +45,7 @@
 
 struct HttpClientOptions {
     unsigned threads = 2;
-    unsigned connectionsPerHost = 8; // kept by each thread
+    unsigned connectionsPerHost = 0; // open at once, by each thread; further calls wait for one. 0: no limit
     size_t maxAnswerBytes = 16 << 20;
 };
 
--- a/node/core_node.cpp
+++ b/node/core_node.cpp
@@ -26,6 +26,9 @@
     constexpr Milliseconds handOverTime { 600 };
     constexpr Milliseconds answerTime { 1'500 }; // what is held is answered by the next leader
     constexpr size_t maxRefusals = 20'000;
+    // A hold, a look and four orders. Executors take 64 channels, and those of instances that lost power stay open
+    // there.
+    constexpr unsigned connectionsPerExecutor = 6;
     constexpr size_t mostLedAndSent = 120; // executors for which one instance both leads and sends orders
     constexpr uint64_t keepLogRecords = 2'000; // behind a snapshot, for replicas that were away for seconds
     constexpr Milliseconds announcementTime { 900 }; // an executor waits a second for the answer
@@ -102,7 +105,7 @@
               m_metrics.answer(request.handle, metricsResponse(request, m_links.metrics));
           },
           {})
-    , m_client({ 1, 4, 4 << 20 })
+    , m_client({ 1, connectionsPerExecutor, 4 << 20 })
     , m_relay(
           relayOptions(m_settings, links.incarnation),
           [this](std::string_view to, schema::Envelope envelope) {
--- a/node/front_node.cpp
+++ b/node/front_node.cpp
@@ -55,7 +55,7 @@
               m_metrics.answer(request.handle, metricsResponse(request, m_links.metrics));
           },
           {})
-    , m_client({ 1, 2, 1 << 20 })
+    , m_client({ 1, 0, 1 << 20 })
     , m_relay(
           relayOptions(m_settings, links.incarnation),
           [this](std::string_view to, schema::Envelope envelope) { m_network.send(to, std::move(envelope)); },
--- a/tests/jobs_leader_test.cpp
+++ b/tests/jobs_leader_test.cpp
@@ -426,3 +426,27 @@
     REQUIRE(formerStart);
     CHECK(start->number != formerStart->number);
 }
+
+TEST_CASE("holds don't wait on an executor that answers them and no stop, so that a stop gets through")
+{
+    JobsFixture it;
+    it.announce("x1");
+    it.answerHolds({});
+    it.submit(JobsFixture::request(7, 1));
+    it.pass(Milliseconds(20));
+    const auto start = it.take<StartRun>();
+    REQUIRE(start);
+    it.answer(*start, { OrderEnd::Unclear });
+    std::vector<Milliseconds> waits;
+    for (int n = 0; n < 150; ++n) {
+        it.pass(Milliseconds(20));
+        while (auto stop = it.take<StopRun>())
+            it.answer(*stop, { OrderEnd::Unclear });
+        while (auto hold = it.take<HoldRuns>()) {
+            waits.push_back(std::get<HoldRuns>(hold->order).wait);
+            it.answer(*hold, { OrderEnd::Done, 0, 0, {}, {}, true });
+        }
+    }
+    REQUIRE(waits.size() > 2);
+    CHECK(waits.back() == Milliseconds(0));
+}
--- a/tests/net_http_client_test.cpp
+++ b/tests/net_http_client_test.cpp
@@ -7,6 +7,8 @@
 
 #include <atomic>
 #include <future>
+#include <thread>
+#include <vector>
 
 using namespace teasel;
 
@@ -53,3 +55,41 @@
     CHECK(callOnce(client, "http://127.0.0.1:18978/").end == CallEnd::ConnectFailed);
     client.stop();
 }
+
+TEST_CASE("no more connections to a host than allowed; further calls wait for one")
+{
+    constexpr int calls = 6;
+    constexpr unsigned most = 2;
+    std::atomic<int> open = 0;
+    std::atomic<int> mostOpen = 0;
+    HttpServer* self = nullptr;
+    std::vector<std::thread> answering;
+    HttpServer server({ "127.0.0.1:18979", 1, 32 },
+        [&](const HttpRequest& request) {
+            mostOpen = std::max(mostOpen.load(), ++open);
+            answering.emplace_back([&, handle = request.handle] {
+                std::this_thread::sleep_for(Milliseconds(20)); // Lets the other calls arrive, if they may.
+                --open;
+                self->answer(handle, { 200, "application/json", {}, "{}" });
+            });
+        },
+        {});
+    self = &server;
+    REQUIRE(std::holds_alternative<std::monostate>(valueOrError([&] { return server.start(); })));
+    HttpClient client({ 1, most, 1 << 20 });
+    std::vector<std::promise<HttpOutcome>> done(calls);
+    for (auto& it : done) {
+        HttpCall call;
+        call.url = "http://127.0.0.1:18979/";
+        call.body = std::make_shared<const std::string>("{}");
+        call.timeout = Milliseconds(20'000);
+        client.start(std::move(call), [&it](HttpOutcome outcome) { it.set_value(std::move(outcome)); });
+    }
+    for (auto& it : done)
+        CHECK(it.get_future().get().end == CallEnd::Answered);
+    CHECK(mostOpen <= static_cast<int>(most));
+    client.stop();
+    server.stop();
+    for (auto& it : answering)
+        it.join();
+}
