A leading core instance answers calls at its own address

Cause: the answer to a registration was sent over the network, which does not deliver to the sender. 1.2 s after its election the leader no longer knew that there was a leader, and calls at its own control address ended with 503 after 1.5 s: a third of the announcements and of the operator's calls on a site of three core instances. Ruled out: lost acknowledgements alone; the first call was held although no answer to it was lost. Before: tests/process/core_leader_calls_test.py: 2 checks, 2 failed (503 to all four calls). After: the same command: 2 checks, 0 failed. Conclusion: messages of an instance to itself go through one function that does not use the network.

--- a/node/core_node.cpp
+++ b/node/core_node.cpp
@@ -113,15 +113,7 @@
     , m_httpClient({ 1, connectionsPerExecutor, 4 << 20 })
     , m_relay(
           relayOptions(m_settings, context.incarnation),
-          [this](std::string_view to, schema::Envelope envelope) {
-              if (to == m_self) {
-                  envelope.set_from(m_self);
-                  envelope.set_incarnation(m_context.incarnation);
-                  m_loop.postAlways([this, envelope = std::move(envelope)] { onEnvelope(envelope); });
-              } else {
-                  m_network.send(to, std::move(envelope));
-              }
-          },
+          [this](std::string_view to, schema::Envelope envelope) { sendEnvelope(to, std::move(envelope)); },
           [this](const std::string& leader, uint64_t term) {
               m_context.log.info("leader_found", { { "leader", leader }, { "term", term } });
           })
@@ -297,6 +289,18 @@
 
 // ---- Messages ------------------------------------------------------------
 
+void CoreNode::sendEnvelope(std::string_view to, schema::Envelope envelope)
+{
+    if (to != m_self) {
+        m_network.send(to, std::move(envelope));
+        return;
+    }
+    // The network does not deliver to the sender.
+    envelope.set_from(m_self);
+    envelope.set_incarnation(m_context.incarnation);
+    m_loop.postAlways([this, envelope = std::move(envelope)] { onEnvelope(envelope); });
+}
+
 void CoreNode::onEnvelope(const schema::Envelope& envelope)
 {
     const auto now = m_context.clock.now();
@@ -316,7 +320,7 @@
         sendAdviceCall(envelope.advice_call(), [this, from = envelope.from()](schema::AdviceResult result) {
             schema::Envelope out;
             *out.mutable_advice_result() = std::move(result);
-            m_network.send(from, std::move(out));
+            sendEnvelope(from, std::move(out));
         });
         return;
     case schema::Envelope::kAdviceResult:
@@ -344,18 +348,14 @@
     instance = { now, registration.is_core(), registration.data_centre() };
     schema::Envelope out;
     *out.mutable_core_view() = makeView(now);
-    m_network.send(from, std::move(out));
+    sendEnvelope(from, std::move(out));
 }
 
 void CoreNode::sendRoutedAnswer(const std::string& to, schema::RoutedAnswer answer)
 {
-    if (to == m_self) {
-        m_loop.postAlways([this, answer = std::move(answer)] { m_relay.onAnswer(answer, m_context.clock.now()); });
-        return;
-    }
     schema::Envelope out;
     *out.mutable_routed_answer() = std::move(answer);
-    m_network.send(to, std::move(out));
+    sendEnvelope(to, std::move(out));
 }
 
 void CoreNode::onRoutedCall(const schema::Envelope& envelope, Instant now)
--- a/node/core_node.h
+++ b/node/core_node.h
@@ -85,6 +85,8 @@
     void execute(JobLogLine&, Instant now);
     void sendAdviceCall(const schema::AdviceCall&, std::function<void(schema::AdviceResult)>);
     void onAdvice(const schema::AdviceResult&, Instant now);
+    // Also delivers messages to this instance itself.
+    void sendEnvelope(std::string_view to, schema::Envelope);
     void sendRoutedAnswer(const std::string& to, schema::RoutedAnswer);
     schema::CoreView makeView(Instant now) const;
 
