--- /dev/null
+++ b/bench/load_bench.cpp
@@ -0,0 +1,37 @@
+// What callers get from the job plane's leader under a heavy load, and its processor time. Usage: bench-load
+// [--executors N] [--scale X] [--burst X] [--seconds N]
+#include "../tests/jobs_load.h"
+
+#include <CLI/CLI.hpp>
+#include <fmt/ranges.h>
+
+int main(int argc, char** argv)
+{
+    teasel::JobsLoadOptions options;
+    double scale = 1;
+    int64_t seconds = 12;
+    CLI::App app("What callers get from the job plane's leader under load");
+    app.add_option("--executors", options.executors, "size of the fleet");
+    app.add_option("--scale", scale, "load relative to four fifths of the fleet");
+    app.add_option("--burst", options.burst, "factor on the load from second 4 to second 8");
+    app.add_option("--seconds", seconds, "duration of the load");
+    app.add_option("--seed", options.seed);
+    CLI11_PARSE(app, argc, argv);
+    options.scale = scale * static_cast<double>(options.executors) / 1'100;
+    options.duration = std::chrono::seconds(seconds);
+    options.burstUntil = std::chrono::seconds(8);
+    teasel::JobsLoad load(options);
+    load.run();
+    for (size_t n = 0; n < options.kinds.size(); ++n) {
+        const auto& it = load.reports()[n];
+        fmt::print("{:6} submitted {:6} refused {:6} in time {:6} late {:6} work in time {:.3f}\n",
+            options.kinds[n].name, it.submitted, it.refused, it.inTime, it.late, it.inTimeWork / it.work);
+    }
+    fmt::print("starts/s {}\nsubmitted/s {}\nin time/s {}\n", load.startsPerSecond(), load.submittedPerSecond(),
+        load.inTimePerSecond());
+    fmt::print("starts {} advice calls {} advice s {:.0f} preemptions {} open {} drained after {} ms, leader {:.2f} "
+               "s of processor time\n",
+        load.starts(), load.adviceCalls(), load.adviceSeconds(), load.counters().preemptions, load.openJobs(),
+        load.drained().count(), load.leaderSeconds());
+    return load.openJobs() == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/jobs/advice_planner.cpp
@@ -0,0 +1,143 @@
+#include "jobs/advice_planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <utility>
+
+namespace teasel {
+
+namespace {
+
+    constexpr size_t minExecutors = 8; // named in one call to the advice service
+    // Factor on the number of executors that the expected grant ratio gives, since free capacity changes meanwhile.
+    constexpr double margin = 1.6;
+    constexpr double gangMargin = 4.0; // a gang needs free capacity on several granted executors at the same time
+    constexpr size_t minGangExecutors = 24;
+    constexpr size_t smallGangTasks = 3; // gangs up to this size fit almost anywhere
+    constexpr int64_t unboundedTasks = 1'000'000;
+    constexpr double horizonSeconds = 1.2; // in which a ticket requested now is used; half of a typical validity
+
+    int64_t tasksThatFit(const ReadyStep& step, const CandidateExecutor& it)
+    {
+        const auto fits = step.need.copiesThatFitIn(it.free + it.stopping, unboundedTasks);
+        return step.maxPerExecutor > 0 ? std::min<int64_t>(fits, step.maxPerExecutor) : fits;
+    }
+
+} // namespace
+
+AdvicePlanner::AdvicePlanner(std::span<const CandidateExecutor> candidates, const ResourceRate& freedPerSecond,
+    const AdviceTracker& advice, Instant now)
+    : m_candidates(candidates)
+    , m_advice(advice)
+    , m_now(now)
+{
+    for (const auto& it : candidates)
+        m_capacityLeft += it.free + it.stopping;
+    for (size_t n = 0; n < ResourceVector::kinds; ++n)
+        m_capacityLeft.amounts[n] += static_cast<int64_t>(freedPerSecond[n] * horizonSeconds);
+    m_visits += candidates.size();
+}
+
+bool AdvicePlanner::hasCapacity() const
+{
+    // A fleet without accelerators has none left from the start.
+    return m_capacityLeft.amounts[0] > 0 && m_capacityLeft.amounts[1] > 0 && m_capacityLeft.amounts[2] >= 0;
+}
+
+void AdvicePlanner::reserve(const ReadyStep& step, int64_t tasks) { m_capacityLeft -= step.need * tasks; }
+
+const CandidateExecutor* AdvicePlanner::candidate(uint32_t number) const
+{
+    const auto it = std::lower_bound(m_candidates.begin(), m_candidates.end(), number,
+        [](const CandidateExecutor& candidate, uint32_t n) { return candidate.number < n; });
+    return it == m_candidates.end() || it->number != number ? nullptr : &*it;
+}
+
+AdvicePlanner::GrantedCapacity AdvicePlanner::grantedCapacity(const ReadyStep& step)
+{
+    GrantedCapacity out;
+    const auto* grants = m_advice.grants(step.key);
+    if (grants == nullptr)
+        return out;
+    m_visits += grants->size();
+    for (const auto& [number, ticket] : *grants) {
+        const auto* it = candidate(number);
+        if (it == nullptr)
+            continue;
+        const auto fits = tasksThatFit(step, *it);
+        if (ticket.validUntil > m_now) {
+            out.placeable += fits;
+        } else if (fits > 0) {
+            out.renewable += fits;
+            out.expired.push_back(number);
+        }
+    }
+    return out;
+}
+
+const std::vector<size_t>& AdvicePlanner::byFreeCapacity()
+{
+    if (!m_byFreeCapacity.empty())
+        return m_byFreeCapacity;
+    m_visits += m_candidates.size();
+    std::vector<double> share;
+    for (const auto& it : m_candidates) {
+        const auto available = it.free + it.stopping;
+        double least = 1;
+        for (size_t n = 0; n < ResourceVector::kinds; ++n) {
+            if (it.capacity.amounts[n] > 0)
+                least = std::min(
+                    least, static_cast<double>(available.amounts[n]) / static_cast<double>(it.capacity.amounts[n]));
+        }
+        share.push_back(least);
+    }
+    m_byFreeCapacity.resize(m_candidates.size());
+    std::iota(m_byFreeCapacity.begin(), m_byFreeCapacity.end(), 0);
+    std::sort(m_byFreeCapacity.begin(), m_byFreeCapacity.end(),
+        [&](size_t a, size_t b) { return share[a] != share[b] ? share[a] > share[b] : a > b; });
+    return m_byFreeCapacity;
+}
+
+std::vector<uint32_t> AdvicePlanner::newExecutors(const ReadyStep& step, int64_t missing)
+{
+    std::vector<uint32_t> out;
+    const auto* queried = m_advice.queriedExecutors(step.key);
+    const bool isWideGang = step.gang && step.waiting.size() > smallGangTasks;
+    size_t wanted = 0;
+    for (const auto n : byFreeCapacity()) {
+        const auto& it = m_candidates[n];
+        ++m_visits;
+        if ((queried != nullptr && queried->contains(it.number)) || !canEverRun(step, it))
+            continue;
+        if (out.empty()) {
+            const auto tasksPerExecutor = std::max<int64_t>(1, std::min(tasksThatFit(step, it), missing));
+            const double expected = static_cast<double>(missing) / static_cast<double>(tasksPerExecutor)
+                / m_advice.grantRatio(step.queue) * (isWideGang ? gangMargin : margin);
+            wanted = std::max(isWideGang ? minGangExecutors : minExecutors, static_cast<size_t>(std::ceil(expected)));
+        }
+        out.push_back(it.number);
+        if (out.size() >= wanted)
+            break;
+    }
+    return out;
+}
+
+std::vector<uint32_t> AdvicePlanner::executorsToQuery(const ReadyStep& step)
+{
+    auto granted = grantedCapacity(step);
+    const auto missing = static_cast<int64_t>(step.waiting.size()) - granted.placeable;
+    if (missing <= 0)
+        return {};
+    // Renew tickets only where that lets the step start: for a gang all of its tasks, otherwise at least one.
+    std::vector<uint32_t> out;
+    if (granted.renewable >= missing || (!step.gang && granted.renewable > 0))
+        out = std::move(granted.expired);
+    if (missing <= granted.renewable)
+        return out;
+    const auto others = newExecutors(step, missing - granted.renewable);
+    out.insert(out.end(), others.begin(), others.end());
+    return out;
+}
+
+} // namespace teasel
--- /dev/null
+++ b/jobs/advice_planner.h
@@ -0,0 +1,59 @@
+// Chooses about which steps the advice service is asked in one round of planning, and which executors a call names.
+// Answers load of several times what the fleet can start: tickets are requested only for steps that are expected to
+// start before the tickets expire, so the cost of a round does not grow with the number of waiting steps.
+#pragma once
+
+#include "core/clock.h"
+#include "jobs/admission.h"
+#include "jobs/advice_tracker.h"
+#include "jobs/candidate_executor.h"
+#include "jobs/ready_step.h"
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace teasel {
+
+class AdvicePlanner {
+public:
+    // `freedPerSecond`: rate at which ending runs are expected to free capacity of these candidates, which are ordered
+    // by number.
+    AdvicePlanner(std::span<const CandidateExecutor> candidates, const ResourceRate& freedPerSecond,
+        const AdviceTracker&, Instant now);
+
+    // Whether capacity is expected for steps beyond those passed to reserve().
+    bool hasCapacity() const;
+
+    // Deducts the capacity that this many tasks of the step will use.
+    void reserve(const ReadyStep&, int64_t tasks);
+
+    // The executors to name in a call about the step; empty if none is needed.
+    std::vector<uint32_t> executorsToQuery(const ReadyStep&);
+
+    // Examined pairs of step and executor: the cost of the round.
+    uint64_t visits() const { return m_visits; }
+
+private:
+    // What the executors that the step was already granted allow.
+    struct GrantedCapacity {
+        int64_t placeable = 0; // tasks that fit on executors with a valid ticket
+        int64_t renewable = 0; // tasks that fit on executors whose ticket has expired
+        std::vector<uint32_t> expired; // these executors
+    };
+
+    GrantedCapacity grantedCapacity(const ReadyStep&);
+    std::vector<uint32_t> newExecutors(const ReadyStep&, int64_t missing);
+    const CandidateExecutor* candidate(uint32_t number) const;
+    // Indices of the candidates, those with the largest free share first.
+    const std::vector<size_t>& byFreeCapacity();
+
+    std::span<const CandidateExecutor> m_candidates;
+    const AdviceTracker& m_advice;
+    Instant m_now;
+    ResourceVector m_capacityLeft; // expected within the time that a ticket is of use
+    std::vector<size_t> m_byFreeCapacity; // empty until needed
+    uint64_t m_visits = 0;
+};
+
+} // namespace teasel
--- a/jobs/advice_tracker.cpp
+++ b/jobs/advice_tracker.cpp
@@ -70,6 +70,12 @@
     return out;
 }
 
+const absl::btree_map<uint32_t, AdviceTracker::Ticket>* AdviceTracker::grants(const StepKey& step) const
+{
+    const auto it = m_steps.find(step);
+    return it == m_steps.end() ? nullptr : &it->second.granted;
+}
+
 const absl::btree_set<uint32_t>* AdviceTracker::queriedExecutors(const StepKey& step) const
 {
     const auto it = m_steps.find(step);
--- a/jobs/advice_tracker.h
+++ b/jobs/advice_tracker.h
@@ -18,6 +18,10 @@
 
 class AdviceTracker {
 public:
+    struct Ticket {
+        std::string text;
+        Instant validUntil {};
+    };
     struct Request {
         uint64_t number = 0;
         std::string instance;
@@ -34,6 +38,9 @@
     std::vector<uint32_t> executorsWithTicket(const StepKey&, Instant now) const;
     std::vector<uint32_t> grantedExecutors(const StepKey&) const;
 
+    // The tickets of a step by executor, also expired ones; nullptr if no call was made.
+    const absl::btree_map<uint32_t, Ticket>* grants(const StepKey&) const;
+
     // The executors named in answered calls about the step; nullptr if no call was made.
     const absl::btree_set<uint32_t>* queriedExecutors(const StepKey&) const;
     // Whether a call about the step is open and not overdue, or its retry delay after a failure has not passed.
@@ -68,10 +75,6 @@
     void recordAnswer(std::string_view queue, size_t queried, size_t granted);
 
 private:
-    struct Ticket {
-        std::string text;
-        Instant validUntil {};
-    };
     struct StepAdvice {
         absl::btree_map<uint32_t, Ticket> granted;
         absl::btree_set<uint32_t> queried;
--- a/jobs/candidate_executor.h
+++ b/jobs/candidate_executor.h
@@ -6,6 +6,7 @@
 
 #include <google/protobuf/repeated_ptr_field.h>
 
+#include <algorithm>
 #include <functional>
 #include <optional>
 #include <string>
@@ -35,6 +36,14 @@
     bool isDegraded = false; // recently failed: used last
 };
 
+// Whether the step's tasks may run on the executor and fit on it when it is empty.
+inline bool canEverRun(const ReadyStep& step, const CandidateExecutor& it)
+{
+    return it.service == step.service && step.need.fitsIn(it.capacity)
+        && (step.requiredLabel.empty()
+            || std::find(it.labels->begin(), it.labels->end(), step.requiredLabel) != it.labels->end());
+}
+
 struct StartConstraints {
     // The executors that the step may run on now, in any order; nullopt for all.
     std::function<std::optional<std::vector<uint32_t>>(const ReadyStep&)> allowedNow;
--- a/jobs/job_calls.cpp
+++ b/jobs/job_calls.cpp
@@ -28,23 +28,10 @@
 
 // ---- Authorization -------------------------------------------------------
 
-const schema::JobQueue* JobLeader::findQueue(std::string_view host, std::string_view path) const
-{
-    const schema::JobQueue* best = nullptr;
-    for (const auto& it : m_state.configuration().queues()) {
-        if (it.host() == host && path.starts_with(it.path_prefix())
-            && (best == nullptr || it.path_prefix().size() > best->path_prefix().size()))
-            best = &it;
-    }
-    return best;
-}
-
 std::variant<std::string, CallAnswer> JobLeader::teamForKey(const schema::JobQueue& queue, std::string_view key) const
 {
-    for (const auto& team : m_state.configuration().teams()) {
-        if (!key.empty() && std::find(team.keys().begin(), team.keys().end(), key) != team.keys().end())
-            return team.name();
-    }
+    if (const auto* team = m_state.configurationIndex().teamOfKey(key))
+        return team->name();
     if (queue.open())
         return std::string();
     return makeRefusal(CallStatus::Unauthenticated, "unknown key");
@@ -55,7 +42,7 @@
 {
     if (m_state.configuration().version() == 0)
         return CallAnswer { CallStatus::Unavailable, "there is no configuration yet", retryWhenUnavailable };
-    const auto* queue = findQueue(host, path);
+    const auto* queue = m_state.configurationIndex().findQueue(host, path);
     if (queue == nullptr)
         return makeRefusal(CallStatus::NoQueue, "no queue has this host and path");
     auto allowed = teamForKey(*queue, key);
@@ -91,23 +78,19 @@
 
 bool JobLeader::isFeasible(const schema::JobRequest& request, const schema::JobQueue& queue) const
 {
-    bool hasExecutors = false;
-    for (const auto& step : request.steps()) {
+    const auto& executors = m_state.executors();
+    const bool hasExecutors = std::any_of(executors.begin(), executors.end(),
+        [&](const auto& it) { return it.second.record.service() == queue.service(); });
+    return !hasExecutors || std::all_of(request.steps().begin(), request.steps().end(), [&](const auto& step) {
         const auto need = needOf(step);
-        bool fits = false;
-        for (const auto& [number, it] : m_state.executors()) {
-            if (it.record.service() != queue.service())
-                continue;
-            hasExecutors = true;
+        return std::any_of(executors.begin(), executors.end(), [&](const auto& executor) {
+            const auto& it = executor.second;
             const auto& labels = it.record.labels();
-            const bool hasLabel = step.required_label().empty()
-                || std::find(labels.begin(), labels.end(), step.required_label()) != labels.end();
-            fits = fits || (hasLabel && need.fitsIn(it.capacity));
-        }
-        if (hasExecutors && !fits)
-            return false;
-    }
-    return true;
+            return it.record.service() == queue.service() && need.fitsIn(it.capacity)
+                && (step.required_label().empty()
+                    || std::find(labels.begin(), labels.end(), step.required_label()) != labels.end());
+        });
+    });
 }
 
 JobDemand JobLeader::demandOf(const schema::JobRequest& request, const schema::JobQueue& queue) const
@@ -123,8 +106,10 @@
     return demand;
 }
 
-FleetLoad JobLeader::loadAheadOf(Instant latestStart) const
+void JobLeader::refreshLoadSummary()
 {
+    if (!m_loadSummary.isOutdated(m_now))
+        return;
     FleetLoad load;
     for (const auto& [number, it] : m_executors) {
         const auto* state = executorState(number);
@@ -137,13 +122,14 @@
     }
     // Late steps come after all steps that can still meet their objective. A team at its cap uses no further
     // capacity.
+    std::vector<LoadSummary::Demand> demands;
     for (const auto& [key, it] : m_readySteps) {
-        if (it.latestStart < m_now || it.latestStart > latestStart || it.lasting)
+        if (it.latestStart < m_now || it.lasting || it.waiting.empty())
             continue;
         const auto tasks = std::min<int64_t>(static_cast<int64_t>(it.waiting.size()), tasksLeftInCap(it.team, it.need));
-        load.ahead += it.need * tasks;
+        demands.push_back({ it.latestStart, it.need * tasks });
     }
-    return load;
+    m_loadSummary.rebuild(load, std::move(demands), m_now);
 }
 
 void JobLeader::handleCall(uint64_t handle, SubmitJob& call)
@@ -175,7 +161,9 @@
     request.set_accepted_at_ms(static_cast<uint64_t>(m_wall.time_since_epoch().count()));
     request.set_occurrences(std::max(1U, request.occurrences()));
     const auto demand = demandOf(request, queue);
-    const auto load = loadAheadOf(m_now + Duration(static_cast<int64_t>(demand.slackMs * 1'000)));
+    refreshLoadSummary();
+    const auto latestStart = m_now + Duration(static_cast<int64_t>(demand.slackMs * 1'000));
+    const auto load = m_loadSummary.aheadOf(latestStart);
     const auto verdict = m_admission.decide(demand, load, m_now);
     log(verdict.isAccepted ? "job_accepted" : "job_refused",
         { { "job", jobIdText(id) }, { "queue", request.queue() }, { "team", team },
@@ -191,6 +179,7 @@
             { CallStatus::Refused, "the job could not end in time; it has not been accepted", verdict.retryAfter });
     }
     ++m_counters.accepted;
+    m_loadSummary.add({ latestStart, demand.initialNeed });
     m_pendingSubmissions.insert(id);
     *change().mutable_accepted() = std::move(request);
     m_batchContinuations.emplace_back(JobAcceptedWhenCommitted { id });
@@ -269,8 +258,7 @@
         return answer(handle, std::move(*refusal));
     const auto key = JobState::queueKey(*std::get<const schema::JobQueue*>(authorized));
     CallAnswer reply;
-    for (const auto& [id, job] : m_state.jobs())
-        reply.pending += job.phase == JobPhase::Queued && job.request.queue() == key ? 1 : 0;
+    reply.pending = m_state.queuedJobs(key);
     answer(handle, std::move(reply));
 }
 
@@ -286,6 +274,8 @@
         return answer(handle, { CallStatus::Conflict, "the version in force has other content" });
     }
     if (next.version() <= current.version()) {
+        log("configuration_repeated",
+            { { "version", std::to_string(next.version()) }, { "in_force", std::to_string(current.version()) } });
         m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
         return;
     }
@@ -322,14 +312,13 @@
 {
     auto& record = call.record;
     LiveExecutor* known = nullptr;
-    for (auto& [number, it] : m_executors) {
+    const auto registered = m_directory.withIdOrAddress(record.id(), record.address());
+    for (const auto number : registered) {
         const auto* state = executorState(number);
         if (state == nullptr)
             continue;
+        auto& it = m_executors.at(number);
         const bool isSameId = state->record.id() == record.id();
-        const bool isSameAddress = state->record.address() == record.address();
-        if (!isSameId && !isSameAddress)
-            continue;
         if (state->record.born_ms() > record.born_ms()
             || (isSameId && state->record.born_ms() == record.born_ms() && call.sequence <= it.lastSequence)) {
             // A delayed announcement: a later one, or a later incarnation, is already known.
@@ -359,13 +348,7 @@
         return;
     }
     // A new incarnation replaces those registered under its id or address.
-    std::vector<uint32_t> replaced;
-    for (const auto& [number, it] : m_executors) {
-        const auto* state = executorState(number);
-        if (state != nullptr && (state->record.id() == record.id() || state->record.address() == record.address()))
-            replaced.push_back(number);
-    }
-    for (const auto number : replaced)
+    for (const auto number : registered)
         removeIncarnation(number, "a new incarnation announced itself");
     record.set_number(++m_lastExecutor);
     m_pendingRegistrations[record.id()] = record.born_ms();
@@ -380,9 +363,9 @@
 
 void JobLeader::handleCall(uint64_t handle, ExecutorDeparture& call)
 {
-    for (const auto& [number, it] : m_executors) {
+    for (const auto number : m_directory.withId(call.id)) {
         const auto* state = executorState(number);
-        if (state == nullptr || state->record.id() != call.id)
+        if (state == nullptr)
             continue;
         if (call.bornMs != 0 && call.bornMs != state->record.born_ms())
             continue;
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -45,6 +45,7 @@
 {
     auto& executor = m_executors[state.record.number()];
     executor.number = state.record.number();
+    m_directory.add(executor.number, state.record.id(), state.record.address());
     executor.isDraining = state.record.draining();
     executor.lastAnnouncedAt = m_now;
     executor.nextRenewalAt = m_now;
@@ -65,6 +66,26 @@
     }
 }
 
+void JobLeader::dropExecutor(uint32_t number)
+{
+    const auto it = m_executors.find(number);
+    if (it == m_executors.end())
+        return;
+    for (const auto& [key, run] : it->second.runs)
+        m_runIndex.remove(key, number);
+    m_directory.remove(number);
+    m_executors.erase(it);
+}
+
+LiveRun* JobLeader::findRun(const RunIndex::Location& it)
+{
+    auto* executor = findExecutor(it.executor);
+    if (executor == nullptr)
+        return nullptr;
+    const auto run = executor->runs.find(it.task);
+    return run == executor->runs.end() ? nullptr : &run->second;
+}
+
 void JobLeader::reserve(LiveExecutor& executor, const TaskKey& key, LiveRun run)
 {
     executor.committed += run.need;
@@ -72,6 +93,7 @@
         executor.stopping += run.need;
     m_teamUsage[run.team] += run.need;
     executor.runs.insert_or_assign(key, std::move(run));
+    m_runIndex.add(key, executor.number);
 }
 
 void JobLeader::releaseRun(LiveExecutor& executor, absl::btree_map<TaskKey, LiveRun>::iterator it)
@@ -80,6 +102,7 @@
     if (it->second.mustStop)
         executor.stopping -= it->second.need;
     m_teamUsage[it->second.team] -= it->second.need;
+    m_runIndex.remove(it->first, executor.number);
     executor.runs.erase(it);
     m_mustPlan = true;
 }
@@ -396,9 +419,9 @@
 void JobLeader::stopGang(const StepKey& key)
 {
     m_assemblingGangs.erase(key);
-    for (auto& [number, executor] : m_executors) {
-        for (auto it = executor.runs.lower_bound({ key, 0 }); it != executor.runs.end() && it->first.step == key; ++it)
-            requestStop(executor, it->first, it->second);
+    for (const auto& it : m_runIndex.ofStep(key)) {
+        if (auto* run = findRun(it))
+            requestStop(*findExecutor(it.executor), it.task, *run);
     }
 }
 
@@ -492,10 +515,9 @@
     std::vector<StepKey> broken;
     for (auto it = m_assemblingGangs.begin(); it != m_assemblingGangs.end();) {
         size_t present = 0;
-        for (const auto& [number, executor] : m_executors) {
-            for (auto run = executor.runs.lower_bound({ it->first, 0 });
-                 run != executor.runs.end() && run->first.step == it->first; ++run)
-                present += run->second.stage == RunStage::Running ? 1 : 0;
+        for (const auto& location : m_runIndex.ofStep(it->first)) {
+            const auto* run = findRun(location);
+            present += run != nullptr && run->stage == RunStage::Running ? 1 : 0;
         }
         const auto step = m_readySteps.find(it->first);
         if (step == m_readySteps.end() || present >= step->second.count) {
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -62,6 +62,9 @@
         log("leadership_ended", { { "fence", std::to_string(m_fence) } });
     m_fence = 0;
     m_executors.clear();
+    m_directory.clear();
+    m_runIndex.clear();
+    m_loadSummary.clear();
     m_readySteps.clear();
     m_assemblingGangs.clear();
     m_teamUsage.clear();
@@ -183,7 +186,7 @@
 {
     const auto* state = executorState(it.number);
     if (state == nullptr) {
-        m_executors.erase(it.number);
+        dropExecutor(it.number);
         return;
     }
     m_pendingRegistrations.erase(state->record.id());
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -7,12 +7,16 @@
 #pragma once
 
 #include "jobs/admission.h"
+#include "jobs/advice_planner.h"
 #include "jobs/advice_tracker.h"
+#include "jobs/executor_directory.h"
 #include "jobs/job_events.h"
 #include "jobs/job_leader_options.h"
 #include "jobs/job_state.h"
 #include "jobs/live_executor.h"
+#include "jobs/load_summary.h"
 #include "jobs/ready_step.h"
+#include "jobs/run_index.h"
 #include "jobs/run_times.h"
 #include "jobs/start_planner.h"
 
@@ -22,6 +26,7 @@
 #include <absl/container/flat_hash_set.h>
 
 #include <deque>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -41,6 +46,7 @@
     uint64_t renewals = 0;
     uint64_t adviceCalls = 0;
     uint64_t leaseExpiries = 0;
+    uint64_t planningVisits = 0; // pairs of step and executor that planning examined
 };
 
 class JobLeader {
@@ -142,7 +148,6 @@
     void handleCall(uint64_t handle, GetConfiguration&);
     void handleCall(uint64_t handle, ExecutorAnnouncement&);
     void handleCall(uint64_t handle, ExecutorDeparture&);
-    const schema::JobQueue* findQueue(std::string_view host, std::string_view path) const;
     // Returns the team that owns a key, or the answer to a call that is not authorized.
     std::variant<std::string, CallAnswer> teamForKey(const schema::JobQueue&, std::string_view key) const;
     std::variant<const schema::JobQueue*, CallAnswer> authorizeCall(
@@ -152,7 +157,7 @@
     void answer(uint64_t handle, CallAnswer);
     void answerStateQueries(uint64_t job, bool all);
     void answerTimedOutStateQueries();
-    FleetLoad loadAheadOf(Instant latestStart) const;
+    void refreshLoadSummary();
     JobDemand demandOf(const schema::JobRequest&, const schema::JobQueue&) const;
 
     // Jobs and their steps (job_steps.cpp).
@@ -169,6 +174,7 @@
     void addExecutor(const ExecutorState&);
     LiveExecutor* findExecutor(uint32_t number);
     const ExecutorState* executorState(uint32_t number) const;
+    void dropExecutor(uint32_t number);
     void removeIncarnation(uint32_t number, std::string_view reason);
     void sendRenewal(LiveExecutor&);
     void sendPoll(LiveExecutor&);
@@ -177,6 +183,7 @@
     void onRenewalResult(LiveExecutor&, const PendingOrder&, OrderResult&);
     void onStartResult(LiveExecutor&, const PendingOrder&, const OrderResult&);
     void onStopResult(LiveExecutor&, const PendingOrder&, const OrderResult&);
+    LiveRun* findRun(const RunIndex::Location&);
     void processRunningList(LiveExecutor&, const PendingOrder&, const OrderResult&);
     void processEndList(LiveExecutor&, const OrderResult&);
     void resolveAbsentRuns(LiveExecutor&, const PendingOrder&, const OrderResult&);
@@ -195,14 +202,15 @@
 
     // Starts (job_starts.cpp).
     void planStarts();
-    std::vector<CandidateExecutor> candidateExecutors() const;
+    void collectCandidates();
+    StartConstraints startConstraints() const;
     std::vector<PreemptibleRun> preemptibleRuns(const LiveExecutor&) const;
     void assign(const PlannedStart&);
     void preempt(const PlannedStop&);
     void launch(const LaunchRunWhenCommitted&);
-    // Returns the number of executors examined.
-    size_t requestAdvice(const ReadyStep&, const std::vector<CandidateExecutor>&);
-    std::vector<uint32_t> executorsToQuery(const ReadyStep&, const std::vector<CandidateExecutor>&) const;
+    // Returns the number of pairs of step and executor examined.
+    uint64_t requestAdviceFor(std::span<const ReadyStep* const>);
+    void requestAdvice(const ReadyStep&, AdvicePlanner&);
     int64_t tasksLeftInCap(std::string_view team, const ResourceVector& need) const;
     void reserve(LiveExecutor&, const TaskKey&, LiveRun);
     void releaseRun(LiveExecutor&, absl::btree_map<TaskKey, LiveRun>::iterator);
@@ -227,6 +235,8 @@
     WallTime m_wall {};
 
     absl::btree_map<uint32_t, LiveExecutor> m_executors;
+    ExecutorDirectory m_directory; // of m_executors
+    RunIndex m_runIndex; // of the runs of m_executors
     absl::btree_map<StepKey, ReadyStep> m_readySteps;
     // Gangs whose members are starting, with the deadline by which all must run.
     absl::btree_map<StepKey, Instant> m_assemblingGangs;
@@ -246,6 +256,11 @@
     AdviceTracker m_advice;
     RunTimes m_runTimes;
     Admission m_admission;
+    LoadSummary m_loadSummary;
+
+    std::vector<CandidateExecutor> m_candidates; // of the current round of planning
+    ResourceRate m_freedPerSecond {}; // expected, of these candidates
+    size_t m_resumeAt = 0; // step at which the last round stopped; 0: it examined all
 
     schema::JobCommand m_batch;
     std::vector<Continuation> m_batchContinuations;
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -2,7 +2,6 @@
 #include "jobs/job_leader.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace teasel {
 
@@ -10,19 +9,14 @@
 
     // Share of the time that gang members wait for each other in which all must start; the rest is for stopping them.
     constexpr double gangAssemblyShare = 0.7;
-    constexpr size_t minAdviceExecutors = 8; // executors named in one call to the advice service
     constexpr size_t maxAdviceExecutors = 100; // from the platform's contract
-    // Factor on the number of executors that the expected grant ratio gives, since free capacity changes meanwhile.
-    constexpr double adviceMargin = 1.6;
-    constexpr double gangAdviceMargin = 4.0; // a gang needs free capacity on several granted executors at the same time
-    constexpr size_t minGangAdviceExecutors = 24;
-    constexpr size_t smallGangTasks = 3; // gangs up to this size fit almost anywhere
     constexpr unsigned sequenceBits = 32; // low bits of a call's number; the fence is above them
     constexpr int64_t unboundedTasks = 1'000'000;
     constexpr Milliseconds planInterval { 10 }; // starts that become possible within this time are planned together
     // Pause between rounds, in microseconds per examined pair of step and executor: ten times the assumed cost of
     // 50 ns, so that planning takes about a tenth of a core however much is waiting.
     constexpr double pausePerVisitUs = 0.5;
+    constexpr uint64_t maxVisitsPerRound = 60'000; // about 5 ms of processor time
     // A run is not preempted earlier; several times the cost of a restore.
     constexpr Milliseconds minRunBeforePreemption { 600 };
     // A run that would end sooner is not preempted: the stop and its listing take half of this.
@@ -30,34 +24,38 @@
 
 } // namespace
 
-std::vector<CandidateExecutor> JobLeader::candidateExecutors() const
+void JobLeader::collectCandidates()
 {
-    std::vector<CandidateExecutor> out;
+    m_candidates.clear();
+    m_freedPerSecond = {};
+    // Both maps are ordered by number.
+    auto state = m_state.executors().begin();
+    const auto end = m_state.executors().end();
     for (const auto& [number, it] : m_executors) {
-        const auto* state = executorState(number);
-        if (state == nullptr || !isUsable(it))
+        while (state != end && state->first < number)
+            ++state;
+        if (state == end || state->first != number || !isUsable(it))
             continue;
-        CandidateExecutor candidate;
+        auto& candidate = m_candidates.emplace_back();
         candidate.number = number;
-        candidate.capacity = state->capacity;
-        candidate.free = state->capacity - it.committed;
+        candidate.capacity = state->second.capacity;
+        candidate.free = state->second.capacity - it.committed;
         candidate.stopping = it.stopping;
         candidate.freedSoon = it.freedSoon;
-        candidate.service = state->record.service();
-        candidate.rack = state->record.rack();
-        candidate.labels = &state->record.labels();
+        candidate.service = state->second.record.service();
+        candidate.rack = state->second.record.rack();
+        candidate.labels = &state->second.record.labels();
         candidate.slowness = it.slowness;
         candidate.isDegraded = it.failuresInRow > 0;
-        out.push_back(candidate);
+        for (size_t n = 0; n < ResourceVector::kinds; ++n)
+            m_freedPerSecond[n] += it.freedPerSecond[n];
     }
-    return out;
 }
 
 int64_t JobLeader::tasksLeftInCap(std::string_view team, const ResourceVector& need) const
 {
-    const auto& teams = m_state.configuration().teams();
-    const auto found = std::find_if(teams.begin(), teams.end(), [&](const auto& it) { return it.name() == team; });
-    if (found == teams.end() || !found->has_cap())
+    const auto* found = m_state.configurationIndex().findTeam(team);
+    if (found == nullptr || !found->has_cap())
         return unboundedTasks;
     const auto cap = toVector(found->cap());
     const auto use = m_teamUsage.find(std::string(team));
@@ -71,46 +69,79 @@
     return left;
 }
 
-void JobLeader::planStarts()
+uint64_t JobLeader::requestAdviceFor(std::span<const ReadyStep* const> steps)
 {
-    if (m_readySteps.empty())
-        return;
-    auto candidates = candidateExecutors();
-    std::vector<const ReadyStep*> steps;
-    for (const auto& [key, it] : m_readySteps) {
-        if (!it.waiting.empty())
-            steps.push_back(&it);
-    }
-    if (candidates.empty() || steps.empty())
-        return;
-    sortByUrgency(steps, m_now);
-    size_t adviceVisits = 0;
+    AdvicePlanner planner(m_candidates, m_freedPerSecond, m_advice, m_now);
     for (const auto* it : steps) {
+        if (!planner.hasCapacity())
+            break;
+        const auto tasks
+            = std::min<int64_t>(static_cast<int64_t>(it->waiting.size()), tasksLeftInCap(it->team, it->need));
+        if (tasks <= 0 || (it->gang && tasks < static_cast<int64_t>(it->waiting.size())))
+            continue;
         if (it->needsTicket)
-            adviceVisits += requestAdvice(*it, candidates);
+            requestAdvice(*it, planner);
+        planner.reserve(*it, tasks);
     }
-    StartConstraints constraints;
+    return planner.visits();
+}
+
+StartConstraints JobLeader::startConstraints() const
+{
+    StartConstraints out;
     using Allowed = std::optional<std::vector<uint32_t>>;
-    constraints.allowedNow = [this](const ReadyStep& step) {
+    out.allowedNow = [this](const ReadyStep& step) {
         return step.needsTicket ? Allowed(m_advice.executorsWithTicket(step.key, m_now)) : std::nullopt;
     };
-    constraints.allowedLater = [this](const ReadyStep& step) {
+    out.allowedLater = [this](const ReadyStep& step) {
         return step.needsTicket ? Allowed(m_advice.grantedExecutors(step.key)) : std::nullopt;
     };
-    constraints.tasksOn = [this](const StepKey& step, uint32_t number) {
+    out.tasksOn = [this](const StepKey& step, uint32_t number) {
         const auto& runs = m_executors.at(number).runs;
         uint32_t n = 0;
         for (auto it = runs.lower_bound({ step, 0 }); it != runs.end() && it->first.step == step; ++it)
             n += it->second.stage != RunStage::Ending ? 1 : 0;
         return n;
     };
-    constraints.tasksLeftInCap
+    out.tasksLeftInCap
         = [this](std::string_view team, const ResourceVector& need) { return tasksLeftInCap(team, need); };
-    constraints.preemptibleRuns = [this](uint32_t number) { return preemptibleRuns(m_executors.at(number)); };
-    StartPlanner planner(candidates, constraints, m_options.planner);
-    const auto plan = planner.plan(steps, m_now);
-    m_nextPlanAt = m_now + planInterval
-        + Duration(static_cast<int64_t>(static_cast<double>(plan.visits + adviceVisits) * pausePerVisitUs));
+    out.preemptibleRuns = [this](uint32_t number) { return preemptibleRuns(m_executors.at(number)); };
+    return out;
+}
+
+void JobLeader::planStarts()
+{
+    if (m_readySteps.empty())
+        return;
+    collectCandidates();
+    std::vector<const ReadyStep*> steps;
+    for (const auto& [key, it] : m_readySteps) {
+        if (!it.waiting.empty())
+            steps.push_back(&it);
+    }
+    if (m_candidates.empty() || steps.empty())
+        return;
+    sortByUrgency(steps, m_now);
+    const auto adviceVisits = requestAdviceFor(steps);
+    const auto constraints = startConstraints();
+    StartPlanner planner(m_candidates, constraints, m_options.planner);
+    // A round that reached its limit is continued by the next one, which spends half of its visits on the most urgent
+    // steps again.
+    const std::span<const ReadyStep* const> all(steps);
+    const bool isContinued = m_resumeAt > 0;
+    auto plan = planner.plan(all, m_now, isContinued ? maxVisitsPerRound / 2 : maxVisitsPerRound);
+    const auto from = std::min(all.size(), std::max(m_resumeAt, plan.examinedSteps));
+    m_resumeAt = plan.examinedSteps;
+    if (isContinued) {
+        const auto rest = planner.plan(all.subspan(from), m_now, maxVisitsPerRound / 2);
+        m_resumeAt = from + rest.examinedSteps;
+        plan.append(rest);
+    }
+    if (m_resumeAt >= all.size())
+        m_resumeAt = 0;
+    const auto visits = plan.visits + adviceVisits;
+    m_counters.planningVisits += visits;
+    m_nextPlanAt = m_now + planInterval + Duration(static_cast<int64_t>(static_cast<double>(visits) * pausePerVisitUs));
     for (const auto& it : plan.starts)
         assign(it);
     for (const auto& it : plan.stops)
@@ -230,80 +261,25 @@
     sendOrder(*executor, order, std::move(start), m_options.orderTimeout);
 }
 
-std::vector<uint32_t> JobLeader::executorsToQuery(
-    const ReadyStep& step, const std::vector<CandidateExecutor>& candidates) const
-{
-    const auto tasksThatFit = [&](const CandidateExecutor& it) {
-        const auto fits = step.need.copiesThatFitIn(it.free + it.stopping, unboundedTasks);
-        return step.maxPerExecutor > 0 ? std::min<int64_t>(fits, step.maxPerExecutor) : fits;
-    };
-    const auto candidateOf = [&](uint32_t number) {
-        return std::lower_bound(candidates.begin(), candidates.end(), number,
-            [](const CandidateExecutor& it, uint32_t n) { return it.number < n; });
-    };
-    int64_t placeable = 0;
-    int64_t renewable = 0;
-    std::vector<uint32_t> expired;
-    for (const auto number : m_advice.grantedExecutors(step.key)) {
-        const auto it = candidateOf(number);
-        if (it == candidates.end() || it->number != number)
-            continue;
-        const auto fits = tasksThatFit(*it);
-        if (!m_advice.ticketFor(step.key, number, m_now).empty()) {
-            placeable += fits;
-        } else if (fits > 0) {
-            renewable += fits;
-            expired.push_back(number);
-        }
-    }
-    const auto missing = static_cast<int64_t>(step.waiting.size()) - placeable;
-    if (missing <= 0)
-        return {};
-    // Renew tickets only where that lets the step start: for a gang all of its tasks, otherwise at least one.
-    std::vector<uint32_t> toQuery;
-    if (renewable >= missing || (!step.gang && renewable > 0))
-        toQuery = std::move(expired);
-    if (missing <= renewable)
-        return toQuery;
-    std::vector<std::pair<int64_t, uint32_t>> notQueried; // tasks that fit, and the executor
-    const auto* alreadyQueried = m_advice.queriedExecutors(step.key);
-    for (const auto& it : candidates) {
-        if ((alreadyQueried == nullptr || !alreadyQueried->contains(it.number)) && step.need.fitsIn(it.capacity))
-            notQueried.emplace_back(tasksThatFit(it), it.number);
-    }
-    if (notQueried.empty())
-        return toQuery;
-    std::sort(notQueried.rbegin(), notQueried.rend());
-    const bool isWideGang = step.gang && step.waiting.size() > smallGangTasks;
-    const auto tasksPerExecutor = std::max<int64_t>(1, std::min<int64_t>(notQueried.front().first, missing));
-    const double wanted = static_cast<double>(missing - renewable) / static_cast<double>(tasksPerExecutor)
-        / m_advice.grantRatio(step.queue) * (isWideGang ? gangAdviceMargin : adviceMargin);
-    const auto minExecutors = isWideGang ? minGangAdviceExecutors : minAdviceExecutors;
-    const auto n = std::min(notQueried.size(), std::max(minExecutors, static_cast<size_t>(std::ceil(wanted))));
-    for (size_t k = 0; k < n; ++k)
-        toQuery.push_back(notQueried[k].second);
-    return toQuery;
-}
-
-size_t JobLeader::requestAdvice(const ReadyStep& step, const std::vector<CandidateExecutor>& candidates)
+void JobLeader::requestAdvice(const ReadyStep& step, AdvicePlanner& planner)
 {
     const auto* queue = m_state.queueOf(step.queue);
     if (queue == nullptr || !queue->has_advice() || m_advice.isRequestPending(step.key, m_now))
-        return 0;
+        return;
     // Instances reserved for short calls are not used by long ones. Checking first avoids computing a query that
     // could not be sent.
     if (!m_advice.hasFreeInstance(Milliseconds(static_cast<int64_t>(queue->advice().base_ms())), m_now))
-        return 0;
-    auto toQuery = executorsToQuery(step, candidates);
+        return;
+    auto toQuery = planner.executorsToQuery(step);
     if (toQuery.size() > maxAdviceExecutors)
         toQuery.resize(maxAdviceExecutors);
     if (toQuery.empty())
-        return candidates.size();
+        return;
     const auto cost = Milliseconds(static_cast<int64_t>(
         queue->advice().base_ms() + queue->advice().per_executor_ms() * static_cast<double>(toQuery.size())));
     const auto request = m_advice.beginCall(step.key, toQuery, cost, m_now);
     if (!request)
-        return candidates.size();
+        return;
     ++m_counters.adviceCalls;
     AskAdvice action;
     action.number = (m_fence << sequenceBits) | request->number;
@@ -313,7 +289,6 @@
     for (const auto number : toQuery)
         action.executors.push_back(executorState(number)->record.id());
     m_actions.emplace_back(std::move(action));
-    return candidates.size();
 }
 
 void JobLeader::onAdvice(
@@ -323,15 +298,10 @@
         return;
     number &= (uint64_t(1) << sequenceBits) - 1;
     m_now = now;
-    absl::flat_hash_map<std::string_view, uint32_t> byId;
-    for (const auto& [executor, it] : m_executors) {
-        if (const auto* state = executorState(executor))
-            byId[state->record.id()] = executor;
-    }
     std::vector<std::pair<uint32_t, std::string>> rows;
     for (const auto& [id, ticket] : granted) {
-        if (const auto it = byId.find(id); it != byId.end())
-            rows.emplace_back(it->second, ticket);
+        for (const auto executor : m_directory.withId(id))
+            rows.emplace_back(executor, ticket);
     }
     const auto queried = m_advice.queriedCount(number);
     const auto step = m_advice.stepOf(number);
--- a/jobs/job_state.cpp
+++ b/jobs/job_state.cpp
@@ -51,6 +51,7 @@
     if (configuration.version() <= m_configuration.version())
         return;
     m_configuration = configuration;
+    m_configurationIndex.rebuild(m_configuration);
     for (const auto& it : configuration.queues())
         m_queues[queueKey(it)] = it;
 }
@@ -61,6 +62,7 @@
     if (!isNew)
         return;
     it->second.request = request;
+    ++m_queuedJobs[request.queue()];
     if (request.first_at_ms() == 0)
         openOccurrence(it->second, 0);
 }
@@ -90,6 +92,7 @@
     task->executor = assignment.executor();
     executor->second.assignments[key]
         = { assignment.run(), needOf(job->second.request.steps(static_cast<int>(key.step.step))) };
+    leaveQueue(job->second);
     job->second.phase = JobPhase::Running;
 }
 
@@ -174,6 +177,7 @@
 
 void JobState::endJob(JobRecord& job, JobPhase phase)
 {
+    leaveQueue(job);
     job.phase = phase;
     job.endedAtMs = m_wallMs;
     job.open.clear();
@@ -182,6 +186,16 @@
     m_ended.emplace_back(m_wallMs, job.request.id());
 }
 
+// Must be called before a job's phase changes.
+void JobState::leaveQueue(const JobRecord& job)
+{
+    if (job.phase != JobPhase::Queued)
+        return;
+    const auto it = m_queuedJobs.find(job.request.queue());
+    if (it != m_queuedJobs.end() && --it->second == 0)
+        m_queuedJobs.erase(it);
+}
+
 void JobState::removeExpiredJobs()
 {
     const auto kept = static_cast<uint64_t>(m_retention.count());
@@ -225,6 +239,12 @@
     return it == m_jobs.end() ? nullptr : &it->second;
 }
 
+uint64_t JobState::queuedJobs(std::string_view queueKey) const
+{
+    const auto it = m_queuedJobs.find(queueKey);
+    return it == m_queuedJobs.end() ? 0 : it->second;
+}
+
 const TaskRecord* JobState::find(const TaskKey& key) const { return const_cast<JobState*>(this)->mutableTask(key); }
 
 TaskRecord* JobState::mutableTask(const TaskKey& key)
@@ -332,15 +352,19 @@
     if (!image.ParseFromArray(snapshot.data(), static_cast<int>(snapshot.size())))
         return fail(ErrorKind::StateUnavailable, "cannot parse the snapshot of the job plane");
     m_configuration = image.configuration();
+    m_configurationIndex.rebuild(m_configuration);
     m_queues.clear();
     for (const auto& it : image.known_queues())
         m_queues[queueKey(it)] = it;
     m_jobs.clear();
+    m_queuedJobs.clear();
     m_ended.clear();
     for (const auto& it : image.jobs()) {
         auto& job = m_jobs[it.request().id()] = readJob(it);
         if (job.hasEnded())
             m_ended.emplace_back(job.endedAtMs, it.request().id());
+        else if (job.phase == JobPhase::Queued)
+            ++m_queuedJobs[job.request.queue()];
     }
     std::sort(m_ended.begin(), m_ended.end());
     m_executors.clear();
--- a/jobs/job_state.h
+++ b/jobs/job_state.h
@@ -6,12 +6,14 @@
 #include "consensus/state_machine.h"
 #include "core/clock.h"
 #include "jobs.pb.h"
+#include "jobs/configuration_index.h"
 #include "jobs/task_key.h"
 #include "placement/resource_vector.h"
 
 #include <absl/container/btree_map.h>
 
 #include <deque>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -80,12 +82,15 @@
         : m_retention(endedJobRetention)
     {
     }
+    JobState(const JobState&) = delete;
+    JobState& operator=(const JobState&) = delete;
 
     std::string apply(uint64_t index, std::string_view command) override;
     std::string snapshot() const override;
     Result<void> restore(std::string_view) override;
 
     const schema::JobConfiguration& configuration() const { return m_configuration; }
+    const ConfigurationIndex& configurationIndex() const { return m_configurationIndex; }
 
     // Finds a queue by its key, including queues that were removed from the configuration in force; nullptr if
     // there never was such a queue.
@@ -94,6 +99,8 @@
     const absl::btree_map<uint64_t, JobRecord>& jobs() const { return m_jobs; }
     const JobRecord* find(uint64_t job) const;
     const TaskRecord* find(const TaskKey&) const;
+    // Number of accepted jobs of a queue of which no task has been assigned yet.
+    uint64_t queuedJobs(std::string_view queueKey) const;
     const absl::btree_map<uint32_t, ExecutorState>& executors() const { return m_executors; }
     uint32_t lastExecutorNumber() const { return m_lastExecutor; }
 
@@ -112,14 +119,17 @@
     void countFailure(JobRecord&, const TaskKey&, uint32_t run);
     void finishStep(JobRecord&, const StepKey&);
     void endJob(JobRecord&, JobPhase);
+    void leaveQueue(const JobRecord&);
     void removeExpiredJobs();
     TaskRecord* mutableTask(const TaskKey&);
     static OccurrenceRecord& openOccurrence(JobRecord&, uint32_t occurrence);
 
     Milliseconds m_retention;
     schema::JobConfiguration m_configuration;
+    ConfigurationIndex m_configurationIndex;
     absl::btree_map<std::string, schema::JobQueue> m_queues; // by key; never removed
     absl::btree_map<uint64_t, JobRecord> m_jobs;
+    absl::btree_map<std::string, uint64_t, std::less<>> m_queuedJobs; // jobs in phase Queued, by queue key
     absl::btree_map<uint32_t, ExecutorState> m_executors;
     std::deque<std::pair<uint64_t, uint64_t>> m_ended; // end time in ms and job, in order of time
     uint32_t m_lastExecutor = 0;
--- a/jobs/job_steps.cpp
+++ b/jobs/job_steps.cpp
@@ -179,10 +179,9 @@
         it = m_readySteps.erase(it);
     for (auto it = m_assemblingGangs.lower_bound(first); it != m_assemblingGangs.end() && belongs(it);)
         it = m_assemblingGangs.erase(it);
-    for (auto& [number, executor] : m_executors) {
-        for (auto it = executor.runs.lower_bound({ first, 0 }); it != executor.runs.end() && it->first.step.job == id;
-             ++it)
-            requestStop(executor, it->first, it->second);
+    for (const auto& it : m_runIndex.ofJob(id)) {
+        if (auto* run = findRun(it))
+            requestStop(*findExecutor(it.executor), it.task, *run);
     }
     const auto* job = m_state.find(id);
     if (hadReadySteps && job != nullptr)
--- a/jobs/start_planner.cpp
+++ b/jobs/start_planner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <tuple>
 
 namespace teasel {
 
@@ -29,28 +30,37 @@
         return it.gang || it.latestStart - now < urgentSlack ? Rank::Urgent : Rank::Relaxed;
     }
 
-    bool precedes(const ReadyStep& a, const ReadyStep& b, Instant now)
-    {
-        const auto rankA = rankOf(a, now);
-        const auto rankB = rankOf(b, now);
-        if (rankA != rankB)
-            return rankA < rankB;
-        if (a.latestStart != b.latestStart)
-            return a.latestStart < b.latestStart;
-        return a.key < b.key;
-    }
-
 } // namespace
 
 void sortByUrgency(std::vector<const ReadyStep*>& steps, Instant now)
 {
-    std::sort(steps.begin(), steps.end(), [&](const auto* a, const auto* b) { return precedes(*a, *b, now); });
+    std::vector<std::pair<Rank, const ReadyStep*>> ranked;
+    ranked.reserve(steps.size());
+    for (const auto* it : steps)
+        ranked.emplace_back(rankOf(*it, now), it);
+    std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) {
+        return std::tie(a.first, a.second->latestStart, a.second->key)
+            < std::tie(b.first, b.second->latestStart, b.second->key);
+    });
+    std::transform(ranked.begin(), ranked.end(), steps.begin(), [](const auto& it) { return it.second; });
+}
+
+void StartPlan::append(const StartPlan& other)
+{
+    starts.insert(starts.end(), other.starts.begin(), other.starts.end());
+    stops.insert(stops.end(), other.stops.begin(), other.stops.end());
+    visits += other.visits;
+    examinedSteps += other.examinedSteps;
 }
 
-StartPlan StartPlanner::plan(const std::vector<const ReadyStep*>& steps, Instant now)
+StartPlan StartPlanner::plan(std::span<const ReadyStep* const> steps, Instant now, uint64_t maxVisits)
 {
     StartPlan out;
     for (const auto* it : steps) {
+        if (out.visits >= maxVisits)
+            break;
+        ++out.examinedSteps;
+        ++out.visits;
         if (!it->waiting.empty())
             planStep(*it, now, out);
     }
@@ -86,14 +96,6 @@
     return out;
 }
 
-bool StartPlanner::isEligible(const ReadyStep& step, const CandidateExecutor& candidate) const
-{
-    if (candidate.service != step.service || !step.need.fitsIn(candidate.capacity))
-        return false;
-    return step.requiredLabel.empty()
-        || std::find(candidate.labels->begin(), candidate.labels->end(), step.requiredLabel) != candidate.labels->end();
-}
-
 std::vector<StartPlanner::Placement> StartPlanner::placementsFor(
     const ReadyStep& step, Instant now, uint64_t& visits) const
 {
@@ -103,7 +105,7 @@
     for (const auto n : candidatesOf(m_constraints.allowedNow(step))) {
         ++visits;
         const auto& candidate = m_candidates[n];
-        if (!step.need.fitsIn(candidate.free) || !isEligible(step, candidate))
+        if (!step.need.fitsIn(candidate.free) || !canEverRun(step, candidate))
             continue;
         if (m_capacityReserver.isReserved(n))
             continue;
@@ -189,7 +191,7 @@
     if (rankOf(step, now) == Rank::Late)
         return;
     auto candidates = candidatesOf(m_constraints.allowedLater(step));
-    std::erase_if(candidates, [&](size_t n) { return !isEligible(step, m_candidates[n]); });
+    std::erase_if(candidates, [&](size_t n) { return !canEverRun(step, m_candidates[n]); });
     out.visits += candidates.size();
     m_capacityReserver.reserveCapacity(step, wanted, candidates, now, out.stops);
 }
--- a/jobs/start_planner.h
+++ b/jobs/start_planner.h
@@ -13,7 +13,9 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <limits>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,6 +31,9 @@
     std::vector<PlannedStart> starts;
     std::vector<PlannedStop> stops;
     uint64_t visits = 0; // examined pairs of step and executor: the cost of the round
+    size_t examinedSteps = 0;
+
+    void append(const StartPlan&);
 };
 
 struct StartPlannerOptions {
@@ -43,8 +48,10 @@
 public:
     StartPlanner(std::vector<CandidateExecutor>& candidates, const StartConstraints&, StartPlannerOptions = {});
 
-    // Plans one round for steps in this order and subtracts the capacity of planned starts.
-    StartPlan plan(const std::vector<const ReadyStep*>& steps, Instant now);
+    // Plans starts for steps in this order and subtracts their capacity. Stops before a step when this many pairs of
+    // step and executor have been examined.
+    StartPlan plan(std::span<const ReadyStep* const> steps, Instant now,
+        uint64_t maxVisits = std::numeric_limits<uint64_t>::max());
 
 private:
     struct Placement {
@@ -55,7 +62,6 @@
 
     std::vector<size_t> candidatesOf(const std::optional<std::vector<uint32_t>>& executors) const;
     std::vector<Placement> placementsFor(const ReadyStep&, Instant now, uint64_t& visits) const;
-    bool isEligible(const ReadyStep&, const CandidateExecutor&) const;
     void planStep(const ReadyStep&, Instant now, StartPlan& out);
     void restrictToOneRack(const ReadyStep&, size_t wanted, std::vector<Placement>&) const;
     void reserveCapacity(const ReadyStep&, int64_t wanted, Instant now, StartPlan& out);
--- /dev/null
+++ b/tests/jobs_load.h
@@ -0,0 +1,521 @@
+// Plays a heavy load on the job plane's leader: a large fleet without faults, an advice service with one queue per
+// calling instance, and callers that do not return after a refusal. Reports what callers get. Everything is driven
+// by simulated time and a seed.
+#pragma once
+
+#include "core/clock.h"
+#include "core/random.h"
+#include "jobs/job_leader.h"
+
+#include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <ctime>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <string>
+#include <vector>
+
+namespace teasel {
+
+// One kind of job. Sizes are means of exponential distributions, cut at three times the mean.
+struct JobKind {
+    std::string name;
+    double jobsPerSecond = 0;
+    double tasks = 1;
+    double milliCpus = 1'000;
+    double memoryMib = 1'000;
+    double taskMs = 1'000;
+    double gangShare = 0;
+    bool checkpoints = false;
+    double slackFactor = 2;
+    uint64_t targetLatencyMs = 1'000;
+    uint32_t priority = 0;
+    double adviceMs = 0;
+    double adviceMsPerExecutor = 0;
+    double grantRatio = 0.5;
+};
+
+// The load of the large filling line: about 200 jobs and 1,700 starts a second on 1,100 executors, four fifths of
+// the fleet.
+inline std::vector<JobKind> largeSiteKinds()
+{
+    return {
+        { "blend", 10, 26, 9'000, 17'000, 6'200, 1.0, true, 2.2, 1'000, 1, 390, 5.6, 0.35 },
+        { "label", 17, 40, 5'500, 10'000, 2'700, 0.0, true, 4.0, 3'000, 2, 140, 2.0, 0.45 },
+        { "weigh", 177, 4.5, 7'800, 14'000, 640, 0.3, false, 1.5, 250, 0, 8.9, 0.13, 0.7 },
+    };
+}
+
+struct JobsLoadOptions {
+    uint64_t seed = 1;
+    size_t executors = 1'100;
+    size_t adviceInstances = 153;
+    double scale = 1; // factor on all rates; the kinds are meant for 1,100 executors
+    double burst = 1; // further factor on all rates during the burst
+    Milliseconds burstFrom { 4'000 };
+    Milliseconds burstUntil { 4'000 };
+    Milliseconds duration { 12'000 };
+    std::vector<JobKind> kinds = largeSiteKinds();
+};
+
+// What callers of one kind got. A job counts in the second in which it was submitted.
+struct KindReport {
+    uint64_t submitted = 0;
+    uint64_t refused = 0;
+    uint64_t inTime = 0; // completed within the latency objective
+    uint64_t late = 0;
+    double inTimeWork = 0; // core-seconds
+    double work = 0;
+};
+
+class JobsLoad {
+public:
+    explicit JobsLoad(JobsLoadOptions options)
+        : m_options(std::move(options))
+        , m_random(m_options.seed)
+        , m_state(Milliseconds(600'000))
+        , m_leader(leaderOptions(), m_state)
+        , m_reports(m_options.kinds.size())
+    {
+        schema::JobCommand command;
+        *command.add_changes()->mutable_configuration() = configuration();
+        m_state.apply(0, command.SerializeAsString());
+        std::vector<std::string> instances;
+        for (size_t n = 0; n < m_options.adviceInstances; ++n)
+            instances.push_back(fmt::format("instance-{}", n));
+        m_leader.setAdviceInstances(instances);
+        m_leader.onBecameLeader(1, m_clock.now(), m_clock.wallNow());
+        for (size_t n = 0; n < m_options.executors; ++n) {
+            m_executors.push_back({ fmt::format("x{}", n) });
+            schedule(std::chrono::milliseconds(n % 1'500), [this, n] { announce(n); });
+        }
+    }
+
+    // Plays the load and then waits until all jobs ended, at most `drain`.
+    void run(Milliseconds drain = Milliseconds(60'000))
+    {
+        advanceTo(m_clock.now() + warmUp);
+        m_began = m_clock.now();
+        for (size_t n = 0; n < m_options.kinds.size(); ++n)
+            scheduleNextJob(n);
+        m_end = m_began + m_options.duration;
+        advanceTo(m_end);
+        const auto last = m_end + drain;
+        while (!m_open.empty() && m_clock.now() < last)
+            advanceTo(m_clock.now() + std::chrono::milliseconds(100));
+        m_drained = std::chrono::duration_cast<Milliseconds>(m_clock.now() - m_end);
+    }
+
+    const std::vector<KindReport>& reports() const { return m_reports; }
+    size_t openJobs() const { return m_open.size(); }
+    // Time from the end of the load until all jobs had ended.
+    Milliseconds drained() const { return m_drained; }
+    uint64_t starts() const { return m_starts; }
+    uint64_t adviceCalls() const { return m_adviceCalls; }
+    double adviceSeconds() const { return m_adviceSeconds; }
+    const JobLeaderCounters& counters() const { return m_leader.counters(); }
+    // Processor time of the leader; not deterministic.
+    double leaderSeconds() const { return m_leaderSeconds; }
+    // Starts in each second of the load.
+    const std::vector<uint64_t>& startsPerSecond() const { return m_startsPerSecond; }
+    // Completed within the objective, by the second of submission.
+    const std::vector<uint64_t>& inTimePerSecond() const { return m_inTimePerSecond; }
+    const std::vector<uint64_t>& submittedPerSecond() const { return m_submittedPerSecond; }
+
+private:
+    static constexpr Milliseconds warmUp { 3'000 };
+    static constexpr Milliseconds tick { 10 };
+    static constexpr Milliseconds hop { 2 }; // one way between two processes
+    static constexpr Milliseconds commit { 12 };
+
+    struct Run {
+        uint32_t run = 0;
+        bool isWorking = false;
+        Instant startedAt {};
+    };
+    struct Executor {
+        std::string id;
+        uint64_t sequence = 0;
+        absl::btree_map<TaskKey, Run> runs {};
+        std::deque<EndedTask> ended {};
+        uint64_t lastEnd = 0;
+        uint64_t waitingRenewal = 0; // number of the renewal that waits for an end; 0: none
+    };
+    struct OpenJob {
+        size_t kind = 0;
+        Instant submittedAt {};
+        Instant dueAt {};
+        double work = 0;
+        double taskMs = 0;
+        bool isGang = false;
+        uint32_t tasks = 0;
+    };
+    struct Event {
+        Instant at {};
+        uint64_t order = 0;
+        std::function<void()> action;
+        bool operator<(const Event& other) const { return at != other.at ? at > other.at : order > other.order; }
+    };
+
+    static JobLeaderOptions leaderOptions()
+    {
+        JobLeaderOptions out;
+        out.maxLease = Milliseconds(10'000);
+        out.gangTimeout = Milliseconds(5'000);
+        out.planner.capacityReserver.restoreTime = Milliseconds(600);
+        return out;
+    }
+
+    schema::JobConfiguration configuration() const
+    {
+        constexpr uint64_t ticketValidMs = 2'500;
+        constexpr double weight = 1'000; // above the rate of each team, so that fairness refuses nothing
+        schema::JobConfiguration out;
+        out.set_version(1);
+        for (const auto& it : m_options.kinds) {
+            auto& queue = *out.add_queues();
+            queue.set_name(it.name);
+            queue.set_host("farm.example");
+            queue.set_path_prefix("/" + it.name + "/");
+            queue.set_service("filling");
+            queue.set_timeout_ms(3'000);
+            queue.set_target_latency_ms(it.targetLatencyMs);
+            queue.set_priority(it.priority);
+            queue.set_max_attempts(2);
+            queue.set_slack_factor(it.slackFactor);
+            if (it.adviceMs > 0) {
+                queue.mutable_advice()->set_base_ms(it.adviceMs);
+                queue.mutable_advice()->set_per_executor_ms(it.adviceMsPerExecutor);
+                queue.mutable_advice()->set_ticket_valid_ms(ticketValidMs);
+            }
+        }
+        out.add_services()->set_name("filling");
+        auto& team = *out.add_teams();
+        team.set_name("orchard");
+        team.add_keys("key");
+        team.set_weight(weight);
+        return out;
+    }
+
+    void schedule(Duration delay, std::function<void()> action)
+    {
+        m_events.push({ m_clock.now() + delay, ++m_lastEvent, std::move(action) });
+    }
+
+    void advanceTo(Instant until)
+    {
+        while (m_clock.now() < until) {
+            const auto next = std::min(until, m_nextTick);
+            while (!m_events.empty() && m_events.top().at <= next) {
+                auto event = m_events.top();
+                m_events.pop();
+                m_clock.advance(std::max(Duration(0), event.at - m_clock.now()));
+                event.action();
+                finishBatch();
+            }
+            m_clock.advance(std::max(Duration(0), next - m_clock.now()));
+            if (m_clock.now() < m_nextTick)
+                continue;
+            m_nextTick += tick;
+            measure([this] { m_leader.onTick(m_clock.now(), m_clock.wallNow()); });
+            finishBatch();
+        }
+    }
+
+    template <class Action> void measure(Action action)
+    {
+        const auto before = std::clock();
+        action();
+        m_leaderSeconds += static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC;
+    }
+
+    void finishBatch()
+    {
+        measure([this] { m_leader.finishBatch(m_clock.now(), m_clock.wallNow()); });
+        for (auto actions = m_leader.takeActions(); !actions.empty(); actions = m_leader.takeActions()) {
+            for (auto& it : actions)
+                std::visit([this](auto& action) { perform(action); }, it);
+        }
+    }
+
+    // ---- Callers -----------------------------------------------------------
+
+    double drawSize(double mean) { return std::min(3 * mean, -mean * std::log(1 - m_random.unit()) * 0.75 + mean / 4); }
+
+    void scheduleNextJob(size_t kind)
+    {
+        const auto sinceBegin = m_clock.now() - m_began;
+        const bool isBurst = sinceBegin >= m_options.burstFrom && sinceBegin < m_options.burstUntil;
+        const double rate = m_options.kinds[kind].jobsPerSecond * m_options.scale * (isBurst ? m_options.burst : 1);
+        const auto delay = Duration(static_cast<int64_t>(-std::log(1 - m_random.unit()) / rate * 1e6));
+        schedule(delay, [this, kind] {
+            if (m_clock.now() >= m_end)
+                return;
+            submit(kind);
+            scheduleNextJob(kind);
+        });
+    }
+
+    void submit(size_t kind)
+    {
+        const auto& it = m_options.kinds[kind];
+        schema::JobRequest request;
+        request.set_id(++m_lastJob);
+        request.set_payload("lot");
+        auto& step = *request.add_steps();
+        step.set_count(static_cast<uint32_t>(std::max(1.0, std::round(drawSize(it.tasks)))));
+        step.set_gang(m_random.chance(it.gangShare));
+        step.set_checkpoints(it.checkpoints);
+        const double taskMs = std::max(50.0, drawSize(it.taskMs));
+        step.set_estimate_ms(static_cast<uint64_t>(taskMs * (0.7 + 0.6 * m_random.unit())));
+        step.mutable_need()->set_milli_cpus(static_cast<uint64_t>(std::max(500.0, drawSize(it.milliCpus))));
+        step.mutable_need()->set_memory_mib(static_cast<uint64_t>(std::max(500.0, drawSize(it.memoryMib))));
+        const double objectiveMs = it.slackFactor * (taskMs + it.adviceMs + 30 * it.adviceMsPerExecutor)
+            + static_cast<double>(it.targetLatencyMs);
+        OpenJob job { kind, m_clock.now(), m_clock.now() + Duration(static_cast<int64_t>(objectiveMs * 1'000)),
+            step.count() * static_cast<double>(step.need().milli_cpus()) / 1'000 * taskMs / 1'000, taskMs, step.gang(),
+            step.count() };
+        ++m_reports[kind].submitted;
+        m_reports[kind].work += job.work;
+        count(m_submittedPerSecond, job.submittedAt);
+        m_open.emplace(m_lastJob, job);
+        const auto handle = ++m_lastHandle;
+        m_calls[handle] = m_lastJob;
+        const auto path = "/" + it.name + "/" + jobIdText(m_lastJob);
+        measure([&] {
+            m_leader.onCall(handle, SubmitJob { "farm.example", path, "key", std::move(request) }, m_clock.now(),
+                m_clock.wallNow());
+        });
+    }
+
+    void count(std::vector<uint64_t>& perSecond, Instant at) const
+    {
+        const auto second = static_cast<size_t>(std::chrono::duration_cast<std::chrono::seconds>(at - m_began).count());
+        if (perSecond.size() <= second)
+            perSecond.resize(second + 1);
+        ++perSecond[second];
+    }
+
+    void perform(AnswerCall& action)
+    {
+        const auto call = m_calls.find(action.handle);
+        if (call == m_calls.end())
+            return;
+        const auto job = m_open.find(call->second);
+        if (job != m_open.end() && action.answer.status != CallStatus::Accepted) {
+            ++m_reports[job->second.kind].refused;
+            m_open.erase(job);
+        }
+        m_calls.erase(call);
+    }
+
+    void perform(JobLogLine& line)
+    {
+        if (line.event != "job_ended")
+            return;
+        const auto found = m_open.find(std::stoull(line.fields.front().second, nullptr, 16));
+        if (found == m_open.end())
+            return;
+        const auto& job = found->second;
+        auto& report = m_reports[job.kind];
+        if (m_clock.now() <= job.dueAt) {
+            ++report.inTime;
+            report.inTimeWork += job.work;
+            count(m_inTimePerSecond, job.submittedAt);
+        } else {
+            ++report.late;
+        }
+        m_open.erase(found);
+    }
+
+    // ---- Log and advice service ----------------------------------------------
+
+    void perform(ProposeJobs& action)
+    {
+        schedule(commit, [this, ticket = action.ticket, command = action.command.SerializeAsString()] {
+            m_state.apply(0, command);
+            measure([&] { m_leader.onCommitted(ticket, m_clock.now()); });
+        });
+    }
+
+    void perform(AskAdvice& action)
+    {
+        ++m_adviceCalls;
+        const auto job = m_open.find(action.step.job);
+        if (job == m_open.end())
+            return;
+        const auto& kind = m_options.kinds[job->second.kind];
+        const double costMs = kind.adviceMs + kind.adviceMsPerExecutor * static_cast<double>(action.executors.size());
+        m_adviceSeconds += costMs / 1'000;
+        auto& freeAt = m_adviceFreeAt[action.instance];
+        freeAt = std::max(freeAt, m_clock.now() + hop + hop) + Duration(static_cast<int64_t>(costMs * 1'000));
+        std::vector<std::pair<std::string, std::string>> granted;
+        for (const auto& it : action.executors) {
+            if (isGranted(action.step, it, kind.grantRatio))
+                granted.emplace_back(it, "ticket");
+        }
+        schedule(freeAt - m_clock.now() + hop + hop, [this, number = action.number, granted = std::move(granted)] {
+            measure([&] { m_leader.onAdvice(number, true, granted, m_clock.now()); });
+        });
+    }
+
+    static bool isGranted(const StepKey& step, std::string_view executor, double ratio)
+    {
+        constexpr uint64_t buckets = 1'000;
+        uint64_t hash = step.job * 0x9E3779B97F4A7C15ULL + std::stoull(std::string(executor.substr(1)));
+        hash ^= hash >> 31;
+        hash *= 0xBF58476D1CE4E5B9ULL;
+        hash ^= hash >> 29;
+        return static_cast<double>(hash % buckets) < ratio * static_cast<double>(buckets);
+    }
+
+    // ---- Executors -----------------------------------------------------------
+
+    void announce(size_t number)
+    {
+        auto& executor = m_executors[number];
+        ExecutorAnnouncement it;
+        it.record.set_id(executor.id);
+        it.record.set_born_ms(1);
+        it.record.set_address(executor.id);
+        it.record.set_service("filling");
+        it.record.mutable_capacity()->set_milli_cpus(32'000);
+        it.record.mutable_capacity()->set_memory_mib(65'536);
+        it.sequence = ++executor.sequence;
+        measure([&] { m_leader.onCall(++m_lastHandle, std::move(it), m_clock.now(), m_clock.wallNow()); });
+        schedule(std::chrono::milliseconds(1'500), [this, number] { announce(number); });
+    }
+
+    uint64_t clockMs() const
+    {
+        return static_cast<uint64_t>(
+            std::chrono::duration_cast<Milliseconds>(m_clock.now().time_since_epoch()).count());
+    }
+
+    void sendResult(uint64_t number, OrderResult result)
+    {
+        result.outcome = OrderOutcome::Done;
+        result.clockMs = clockMs();
+        result.bornMs = 1;
+        schedule(hop, [this, number, result = std::move(result)]() mutable {
+            measure([&] { m_leader.onOrderResult(number, std::move(result), m_clock.now()); });
+        });
+    }
+
+    void perform(SendOrder& action)
+    {
+        schedule(hop, [this, order = std::move(action)] {
+            const auto number = std::stoull(order.executorId.substr(1));
+            std::visit([&](const auto& it) { execute(m_executors[number], order.number, it); }, order.order);
+        });
+    }
+
+    void execute(Executor& executor, uint64_t number, const StartRun& start)
+    {
+        ++m_starts;
+        count(m_startsPerSecond, std::max(m_began, m_clock.now()));
+        executor.runs[start.task] = { start.run, false, m_clock.now() };
+        sendResult(number, {});
+        const auto job = m_open.find(start.task.step.job);
+        if (job == m_open.end())
+            return;
+        if (!job->second.isGang)
+            return startWork(executor, start.task, start.run, job->second.taskMs);
+        auto& gang = m_gangs[start.task.step];
+        if (gang.first != start.run)
+            gang = { start.run, {} };
+        gang.second.emplace_back(&executor, start.task);
+        if (gang.second.size() < job->second.tasks)
+            return;
+        for (const auto& [member, task] : gang.second)
+            startWork(*member, task, start.run, job->second.taskMs);
+    }
+
+    void startWork(Executor& executor, const TaskKey& task, uint32_t run, double taskMs)
+    {
+        schedule(Duration(static_cast<int64_t>(taskMs * 1'000)), [this, &executor, task, run] {
+            const auto it = executor.runs.find(task);
+            if (it != executor.runs.end() && it->second.run == run)
+                end(executor, task, schema::RUN_OUTCOME_DONE);
+        });
+    }
+
+    void end(Executor& executor, const TaskKey& task, schema::RunOutcome outcome)
+    {
+        const auto run = executor.runs.at(task).run;
+        executor.runs.erase(task);
+        executor.ended.push_back({ ++executor.lastEnd, task, run, outcome, {} });
+        if (const auto number = std::exchange(executor.waitingRenewal, 0); number != 0)
+            sendResult(number, listing(executor));
+    }
+
+    void execute(Executor& executor, uint64_t number, const StopRun& stop)
+    {
+        sendResult(number, {});
+        const auto it = executor.runs.find(stop.task);
+        if (it != executor.runs.end() && it->second.run <= stop.run)
+            end(executor, stop.task, schema::RUN_OUTCOME_STOPPED);
+    }
+
+    void execute(Executor& executor, uint64_t number, const RenewLease& renewal)
+    {
+        while (!executor.ended.empty() && executor.ended.front().number <= renewal.acknowledgedEnds)
+            executor.ended.pop_front();
+        if (!executor.ended.empty() || renewal.wait == Milliseconds(0))
+            return sendResult(number, listing(executor));
+        executor.waitingRenewal = number;
+        schedule(renewal.wait, [this, &executor, number] {
+            if (executor.waitingRenewal != number)
+                return;
+            executor.waitingRenewal = 0;
+            sendResult(number, listing(executor));
+        });
+    }
+
+    static void execute(Executor&, uint64_t, const ThrottleRun&) { }
+
+    static OrderResult listing(const Executor& executor)
+    {
+        OrderResult out;
+        for (const auto& [task, run] : executor.runs)
+            out.running.push_back({ task, run.run, {}, 100, -1 });
+        out.ended.assign(executor.ended.begin(), executor.ended.end());
+        return out;
+    }
+
+    JobsLoadOptions m_options;
+    Random m_random;
+    ManualClock m_clock;
+    JobState m_state;
+    JobLeader m_leader;
+    std::vector<KindReport> m_reports;
+    std::deque<Executor> m_executors; // references to elements stay valid
+    std::priority_queue<Event> m_events;
+    uint64_t m_lastEvent = 0;
+    uint64_t m_lastJob = 0;
+    uint64_t m_lastHandle = 0;
+    Instant m_began {};
+    Instant m_end {};
+    Instant m_nextTick {};
+    Milliseconds m_drained { 0 };
+    absl::flat_hash_map<uint64_t, uint64_t> m_calls; // job by handle
+    absl::btree_map<uint64_t, OpenJob> m_open;
+    absl::btree_map<StepKey, std::pair<uint32_t, std::vector<std::pair<Executor*, TaskKey>>>> m_gangs;
+    absl::flat_hash_map<std::string, Instant> m_adviceFreeAt;
+    uint64_t m_starts = 0;
+    uint64_t m_adviceCalls = 0;
+    double m_adviceSeconds = 0;
+    double m_leaderSeconds = 0;
+    std::vector<uint64_t> m_startsPerSecond;
+    std::vector<uint64_t> m_inTimePerSecond;
+    std::vector<uint64_t> m_submittedPerSecond;
+};
+
+} // namespace teasel
