Advice for wide gangs in parallel calls; narrow steps ask about the fullest executors

A step had one call at a time, up to 950 ms for 100 executors, and four to seven were needed; narrow steps asked about the emptiest executors and filled the capacity that gangs needed. Conclusion: discovery of executors, not capacity, delayed gangs.

--- a/jobs/advice_planner.cpp
+++ b/jobs/advice_planner.cpp
@@ -24,6 +24,19 @@
         return step.maxPerExecutor > 0 ? std::min<int64_t>(fits, step.maxPerExecutor) : fits;
     }
 
+    // The smallest free share of any resource, including what is being freed.
+    double freeShareOf(const CandidateExecutor& it)
+    {
+        const auto available = it.free + it.stopping;
+        double out = 1;
+        for (size_t n = 0; n < ResourceVector::kinds; ++n) {
+            if (it.capacity.amounts[n] > 0)
+                out = std::min(
+                    out, static_cast<double>(available.amounts[n]) / static_cast<double>(it.capacity.amounts[n]));
+        }
+        return out;
+    }
+
 } // namespace
 
 AdvicePlanner::AdvicePlanner(std::span<const CandidateExecutor> candidates, const ResourceRate& freedPerSecond,
@@ -82,16 +95,8 @@
         return m_byFreeCapacity;
     m_visits += m_candidates.size();
     std::vector<double> share;
-    for (const auto& it : m_candidates) {
-        const auto available = it.free + it.stopping;
-        double least = 1;
-        for (size_t n = 0; n < ResourceVector::kinds; ++n) {
-            if (it.capacity.amounts[n] > 0)
-                least = std::min(
-                    least, static_cast<double>(available.amounts[n]) / static_cast<double>(it.capacity.amounts[n]));
-        }
-        share.push_back(least);
-    }
+    for (const auto& it : m_candidates)
+        share.push_back(freeShareOf(it));
     m_byFreeCapacity.resize(m_candidates.size());
     std::iota(m_byFreeCapacity.begin(), m_byFreeCapacity.end(), 0);
     std::sort(m_byFreeCapacity.begin(), m_byFreeCapacity.end(),
@@ -101,28 +106,56 @@
 
 std::vector<uint32_t> AdvicePlanner::newExecutors(const ReadyStep& step, int64_t missing)
 {
-    std::vector<uint32_t> out;
-    const auto* queried = m_advice.queriedExecutors(step.key);
     const bool isWideGang = step.gang && step.waiting.size() > smallGangTasks;
-    size_t wanted = 0;
-    for (const auto n : byFreeCapacity()) {
+    std::vector<const CandidateExecutor*> found;
+    size_t wanted = isWideGang ? minGangExecutors : minExecutors;
+    const auto* queried = m_advice.queriedExecutors(step.key);
+    const auto consider = [&](size_t n, int64_t minTasks) {
         const auto& it = m_candidates[n];
         ++m_visits;
         if ((queried != nullptr && queried->contains(it.number)) || !canEverRun(step, it))
-            continue;
-        if (out.empty()) {
-            const auto tasksPerExecutor = std::max<int64_t>(1, std::min(tasksThatFit(step, it), missing));
-            const double expected = static_cast<double>(missing) / static_cast<double>(tasksPerExecutor)
+            return;
+        const auto fits = tasksThatFit(step, it);
+        if (fits < minTasks)
+            return;
+        if (found.empty()) {
+            // Members of a gang must fit at the same time, so those that fit now count for little.
+            const auto tasks = isWideGang ? static_cast<int64_t>(step.waiting.size()) : missing;
+            const auto perExecutor = std::max<int64_t>(1, std::min(fits, tasks));
+            const double expected = static_cast<double>(tasks) / static_cast<double>(perExecutor)
                 / m_advice.grantRatio(step.queue) * (isWideGang ? gangMargin : margin);
-            wanted = std::max(isWideGang ? minGangExecutors : minExecutors, static_cast<size_t>(std::ceil(expected)));
+            wanted = std::max(wanted, static_cast<size_t>(std::ceil(expected)));
+        }
+        found.push_back(&it);
+    };
+    const auto& order = byFreeCapacity();
+    if (isWideGang) {
+        for (size_t n = 0; n < order.size() && found.size() < wanted; ++n)
+            consider(order[n], 0);
+    } else {
+        // The fullest executors with room, so that large free blocks remain for gangs; then any.
+        for (size_t n = firstWithRoom(step) + 1; n > 0 && found.size() < wanted; --n)
+            consider(order[n - 1], 1);
+        if (found.empty()) {
+            for (size_t n = 0; n < order.size() && found.size() < wanted; ++n)
+                consider(order[n], 0);
         }
-        out.push_back(it.number);
-        if (out.size() >= wanted)
-            break;
     }
+    std::vector<uint32_t> out;
+    for (const auto* it : found)
+        out.push_back(it->number);
     return out;
 }
 
+size_t AdvicePlanner::firstWithRoom(const ReadyStep& step)
+{
+    const auto& order = byFreeCapacity();
+    const double need = step.need.dominantShareOf(m_candidates[order.front()].capacity);
+    const auto end = std::partition_point(
+        order.begin(), order.end(), [&](size_t n) { return freeShareOf(m_candidates[n]) >= need; });
+    return end == order.begin() ? 0 : static_cast<size_t>(end - order.begin()) - 1;
+}
+
 std::vector<uint32_t> AdvicePlanner::executorsToQuery(const ReadyStep& step)
 {
     auto granted = grantedCapacity(step);
--- a/jobs/advice_planner.h
+++ b/jobs/advice_planner.h
@@ -44,6 +44,8 @@
 
     GrantedCapacity grantedCapacity(const ReadyStep&);
     std::vector<uint32_t> newExecutors(const ReadyStep&, int64_t missing);
+    // Position in byFreeCapacity() of the fullest candidate that may have room for a task of the step.
+    size_t firstWithRoom(const ReadyStep&);
     const CandidateExecutor* candidate(uint32_t number) const;
     // Indices of the candidates, those with the largest free share first.
     const std::vector<size_t>& byFreeCapacity();
--- a/jobs/advice_tracker.h
+++ b/jobs/advice_tracker.h
@@ -31,6 +31,8 @@
     // Sets the instances that calls are spread over.
     void setInstances(std::vector<std::string> instances);
 
+    size_t instances() const { return m_busyUntil.size(); }
+
     // The ticket for a step on an executor; empty if there is no valid one.
     std::string_view ticketFor(const StepKey&, uint32_t executor, Instant now) const;
 
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -211,6 +211,7 @@
     // Returns the number of pairs of step and executor examined.
     uint64_t requestAdviceFor(std::span<const ReadyStep* const>);
     void requestAdvice(const ReadyStep&, AdvicePlanner&);
+    void sendAdviceCall(const ReadyStep&, const schema::AdvicePolicy&, std::span<const uint32_t> executors);
     int64_t tasksLeftInCap(std::string_view team, const ResourceVector& need) const;
     void reserve(LiveExecutor&, const TaskKey&, LiveRun);
     void releaseRun(LiveExecutor&, absl::btree_map<TaskKey, LiveRun>::iterator);
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -9,7 +9,9 @@
 
     // Share of the time that gang members wait for each other in which all must start; the rest is for stopping them.
     constexpr double gangAssemblyShare = 0.7;
-    constexpr size_t maxAdviceExecutors = 100; // from the platform's contract
+    constexpr size_t maxAdviceExecutors = 100; // in one call; from the platform's contract
+    constexpr size_t adviceExecutorsPerCall = 34; // a third of the maximum, where several calls are possible
+    constexpr size_t instancesPerParallelCall = 8; // so that one step does not occupy all instances
     constexpr unsigned sequenceBits = 32; // low bits of a call's number; the fence is above them
     constexpr int64_t unboundedTasks = 1'000'000;
     constexpr Milliseconds planInterval { 10 }; // starts that become possible within this time are planned together
@@ -270,14 +272,22 @@
     // could not be sent.
     if (!m_advice.hasFreeInstance(Milliseconds(static_cast<int64_t>(queue->advice().base_ms())), m_now))
         return;
-    auto toQuery = planner.executorsToQuery(step);
-    if (toQuery.size() > maxAdviceExecutors)
-        toQuery.resize(maxAdviceExecutors);
-    if (toQuery.empty())
-        return;
-    const auto cost = Milliseconds(static_cast<int64_t>(
-        queue->advice().base_ms() + queue->advice().per_executor_ms() * static_cast<double>(toQuery.size())));
-    const auto request = m_advice.beginCall(step.key, toQuery, cost, m_now);
+    const auto toQuery = planner.executorsToQuery(step);
+    // A wide step divides its query, since the time of a call grows with the number of executors that it names.
+    const std::span<const uint32_t> all(toQuery);
+    const auto calls = std::min((all.size() + adviceExecutorsPerCall - 1) / adviceExecutorsPerCall,
+        std::max<size_t>(1, m_advice.instances() / instancesPerParallelCall));
+    const auto perCall = calls == 0 ? 0 : std::min(maxAdviceExecutors, (all.size() + calls - 1) / calls);
+    for (size_t from = 0; from < std::min(all.size(), calls * perCall); from += perCall)
+        sendAdviceCall(step, queue->advice(), all.subspan(from, std::min(perCall, all.size() - from)));
+}
+
+void JobLeader::sendAdviceCall(
+    const ReadyStep& step, const schema::AdvicePolicy& policy, std::span<const uint32_t> executors)
+{
+    const auto cost = Milliseconds(
+        static_cast<int64_t>(policy.base_ms() + policy.per_executor_ms() * static_cast<double>(executors.size())));
+    const auto request = m_advice.beginCall(step.key, { executors.begin(), executors.end() }, cost, m_now);
     if (!request)
         return;
     ++m_counters.adviceCalls;
@@ -286,7 +296,7 @@
     action.instance = request->instance;
     action.step = step.key;
     action.timeout = request->timeout;
-    for (const auto number : toQuery)
+    for (const auto number : executors)
         action.executors.push_back(executorState(number)->record.id());
     m_actions.emplace_back(std::move(action));
 }
--- /dev/null
+++ b/tests/jobs_advice_test.cpp
@@ -0,0 +1,96 @@
+#include "jobs/advice_planner.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace teasel;
+
+namespace {
+
+struct AdviceFixture {
+    Instant now { std::chrono::seconds(100) };
+    google::protobuf::RepeatedPtrField<std::string> labels;
+    std::vector<CandidateExecutor> candidates;
+    AdviceTracker advice;
+    ResourceRate freedPerSecond {};
+
+    AdviceFixture() { advice.setInstances({ "front-1" }); }
+
+    void addExecutor(int64_t free, std::string_view service = "filling")
+    {
+        CandidateExecutor it;
+        it.number = static_cast<uint32_t>(candidates.size() + 1);
+        it.capacity = { { 32'000, 32'000, 0 } };
+        it.free = { { free, free, 0 } };
+        it.service = service;
+        it.labels = &labels;
+        candidates.push_back(it);
+    }
+
+    static ReadyStep step(uint32_t tasks, int64_t cpu, bool gang)
+    {
+        ReadyStep it;
+        it.key = { 1, 0, 0 };
+        it.count = tasks;
+        for (uint32_t n = 0; n < tasks; ++n)
+            it.waiting.insert(n);
+        it.need = { { cpu, 100, 0 } };
+        it.service = "filling";
+        it.gang = gang;
+        return it;
+    }
+
+    AdvicePlanner planner() const { return { candidates, freedPerSecond, advice, now }; }
+};
+
+bool contains(const std::vector<uint32_t>& list, uint32_t number)
+{
+    return std::find(list.begin(), list.end(), number) != list.end();
+}
+
+} // namespace
+
+TEST_CASE("a narrow step asks about the fullest executors with room, a wide gang about the emptiest")
+{
+    AdviceFixture it;
+    for (int n = 0; n < 40; ++n)
+        it.addExecutor(32'000);
+    for (int n = 0; n < 40; ++n)
+        it.addExecutor(9'000);
+    for (int n = 0; n < 40; ++n)
+        it.addExecutor(1'000); // no room
+    auto planner = it.planner();
+    const auto narrow = planner.executorsToQuery(AdviceFixture::step(4, 8'000, false));
+    REQUIRE(!narrow.empty());
+    CHECK(std::all_of(narrow.begin(), narrow.end(), [](uint32_t n) { return n > 40 && n <= 80; }));
+    const auto wide = planner.executorsToQuery(AdviceFixture::step(12, 8'000, true));
+    CHECK(wide.size() >= 24);
+    CHECK(std::all_of(wide.begin(), wide.end(), [](uint32_t n) { return n <= 40; }));
+}
+
+TEST_CASE("a narrow step without room anywhere asks about the emptiest executors, never about other services")
+{
+    AdviceFixture it;
+    it.addExecutor(32'000, "printing");
+    for (int n = 0; n < 20; ++n)
+        it.addExecutor(100 * n);
+    const auto asked = it.planner().executorsToQuery(AdviceFixture::step(4, 8'000, false));
+    CHECK(contains(asked, 21));
+    CHECK(!contains(asked, 1));
+}
+
+TEST_CASE("advice is asked only as far as capacity is expected")
+{
+    AdviceFixture it;
+    it.addExecutor(16'000);
+    auto planner = it.planner();
+    const auto step = AdviceFixture::step(2, 8'000, false);
+    CHECK(planner.hasCapacity());
+    planner.reserve(step, 2);
+    CHECK(!planner.hasCapacity());
+    it.freedPerSecond = { 32'000, 32'000, 0 };
+    auto later = it.planner();
+    later.reserve(step, 2);
+    CHECK(later.hasCapacity());
+}
--- a/tests/jobs_leader_test.cpp
+++ b/tests/jobs_leader_test.cpp
@@ -1,5 +1,7 @@
 #include "jobs_fixture.h"
 
+#include <set>
+
 using namespace teasel;
 
 namespace {
@@ -451,3 +453,28 @@
     REQUIRE(waits.size() > 2);
     CHECK(waits.back() == Milliseconds(0));
 }
+
+TEST_CASE("a wide gang divides its query among several instances, so that one call's time does not delay it")
+{
+    JobsFixture it(true);
+    std::vector<std::string> instances;
+    for (int n = 0; n < 40; ++n)
+        instances.push_back("front-" + std::to_string(n));
+    it.leader.setAdviceInstances(instances);
+    for (int n = 0; n < 90; ++n)
+        it.announce("x" + std::to_string(n));
+    it.answerRenewals({});
+    it.submit(JobsFixture::request(1, 60, true));
+    it.pass(Milliseconds(30));
+    CHECK(it.adviceRequests.size() >= 3);
+    std::set<std::string> asked;
+    std::set<std::string> callers;
+    size_t named = 0;
+    for (const auto& request : it.adviceRequests) {
+        callers.insert(request.instance);
+        asked.insert(request.executors.begin(), request.executors.end());
+        named += request.executors.size();
+    }
+    CHECK(callers.size() == it.adviceRequests.size());
+    CHECK(asked.size() == named); // no executor is named twice
+}
--- a/tests/jobs_load_test.cpp
+++ b/tests/jobs_load_test.cpp
@@ -71,3 +71,14 @@
     CAPTURE(large);
     CHECK(large <= small * allowedGrowth);
 }
+
+TEST_CASE("wide gangs end in time on a fleet of which four fifths are in use")
+{
+    constexpr double requiredShare = 0.9; // of the core-seconds of each kind
+    JobsLoad load(loadOf(1'100, std::chrono::seconds(30)));
+    load.run();
+    for (const auto& it : load.reports()) {
+        CHECK(it.inTimeWork >= requiredShare * it.work);
+        CHECK(it.refused == 0);
+    }
+}
