Gangs leave advice to other steps; late weigh jobs are not put behind all else

Conclusion: gangs may plan on half of the expected capacity; a late step of the most urgent queue keeps its place until its job is of no use.

--- a/jobs/advice_planner.cpp
+++ b/jobs/advice_planner.cpp
@@ -18,6 +18,15 @@
     constexpr int64_t unboundedTasks = 1'000'000;
     constexpr double horizonSeconds = 1.2; // in which a ticket requested now is used; half of a typical validity
 
+    // Gangs that cannot assemble yet would otherwise keep all other steps without tickets.
+    constexpr double maxGangShare = 0.5; // of the expected capacity
+
+    bool isLeft(const ResourceVector& it)
+    {
+        // A fleet without accelerators has none left from the start.
+        return it.amounts[0] > 0 && it.amounts[1] > 0 && it.amounts[2] >= 0;
+    }
+
     int64_t tasksThatFit(const ReadyStep& step, const CandidateExecutor& it)
     {
         const auto fits = step.need.copiesThatFitIn(it.free + it.stopping, unboundedTasks);
@@ -49,16 +58,26 @@
         m_capacityLeft += it.free + it.stopping;
     for (size_t n = 0; n < ResourceVector::kinds; ++n)
         m_capacityLeft.amounts[n] += static_cast<int64_t>(freedPerSecond[n] * horizonSeconds);
+    for (size_t n = 0; n < ResourceVector::kinds; ++n)
+        m_gangCapacityLeft.amounts[n]
+            = static_cast<int64_t>(static_cast<double>(m_capacityLeft.amounts[n]) * maxGangShare);
     m_visits += candidates.size();
 }
 
-bool AdvicePlanner::hasCapacity() const
+bool AdvicePlanner::hasCapacity() const { return isLeft(m_capacityLeft); }
+
+bool AdvicePlanner::hasCapacityFor(const ReadyStep& step) const
 {
-    // A fleet without accelerators has none left from the start.
-    return m_capacityLeft.amounts[0] > 0 && m_capacityLeft.amounts[1] > 0 && m_capacityLeft.amounts[2] >= 0;
+    return isLeft(m_capacityLeft) && (!step.gang || isLeft(m_gangCapacityLeft));
 }
 
-void AdvicePlanner::reserve(const ReadyStep& step, int64_t tasks) { m_capacityLeft -= step.need * tasks; }
+void AdvicePlanner::reserve(const ReadyStep& step, int64_t tasks)
+{
+    const auto need = step.need * tasks;
+    m_capacityLeft -= need;
+    if (step.gang)
+        m_gangCapacityLeft -= need;
+}
 
 const CandidateExecutor* AdvicePlanner::candidate(uint32_t number) const
 {
@@ -141,9 +160,8 @@
                 consider(order[n], 0);
         }
     }
-    std::vector<uint32_t> out;
-    for (const auto* it : found)
-        out.push_back(it->number);
+    std::vector<uint32_t> out(found.size());
+    std::transform(found.begin(), found.end(), out.begin(), [](const auto* it) { return it->number; });
     return out;
 }
 
--- a/jobs/advice_planner.h
+++ b/jobs/advice_planner.h
@@ -22,7 +22,9 @@
     AdvicePlanner(std::span<const CandidateExecutor> candidates, const ResourceRate& freedPerSecond,
         const AdviceTracker&, Instant now);
 
-    // Whether capacity is expected for steps beyond those passed to reserve().
+    // Whether capacity is expected for a step beyond those passed to reserve().
+    bool hasCapacityFor(const ReadyStep&) const;
+    // Whether it is expected for any step.
     bool hasCapacity() const;
 
     // Deducts the capacity that this many tasks of the step will use.
@@ -54,6 +56,7 @@
     const AdviceTracker& m_advice;
     Instant m_now;
     ResourceVector m_capacityLeft; // expected within the time that a ticket is of use
+    ResourceVector m_gangCapacityLeft; // the part of it that gangs may reserve
     std::vector<size_t> m_byFreeCapacity; // empty until needed
     uint64_t m_visits = 0;
 };
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -81,6 +81,8 @@
             = std::min<int64_t>(static_cast<int64_t>(it->waiting.size()), tasksLeftInCap(it->team, it->need));
         if (tasks <= 0 || (it->gang && tasks < static_cast<int64_t>(it->waiting.size())))
             continue;
+        if (!planner.hasCapacityFor(*it))
+            continue;
         if (it->needsTicket)
             requestAdvice(*it, planner);
         planner.reserve(*it, tasks);
--- a/jobs/start_planner.cpp
+++ b/jobs/start_planner.cpp
@@ -17,7 +17,9 @@
         Lasting = 0, // a service is degraded while its task is missing; there are few of them
         MostUrgentQueue = 1, // needs little of the fleet and can wait least
         Urgent = 2, // also all gangs: capacity for them is hard to find, so they start searching early
-        LateGang = 3, // still of use, and capacity for it does not come free by itself
+        // Still of use: gangs, for which capacity does not come free by itself, and the most urgent queue, whose
+        // callers wait for an answer.
+        LateOfUse = 3,
         Relaxed = 4,
         Late = 5,
     };
@@ -27,7 +29,7 @@
         if (it.lasting)
             return Rank::Lasting;
         if (it.latestStart < now)
-            return it.gang && now < it.expiresAt ? Rank::LateGang : Rank::Late;
+            return (it.gang || it.priority == 0) && now < it.expiresAt ? Rank::LateOfUse : Rank::Late;
         if (it.priority == 0)
             return Rank::MostUrgentQueue;
         return it.gang || it.latestStart - now < urgentSlack ? Rank::Urgent : Rank::Relaxed;
--- a/tests/jobs_advice_test.cpp
+++ b/tests/jobs_advice_test.cpp
@@ -94,3 +94,19 @@
     later.reserve(step, 2);
     CHECK(later.hasCapacity());
 }
+
+TEST_CASE("gangs that cannot start yet leave advice to other steps")
+{
+    AdviceFixture it;
+    for (int n = 0; n < 4; ++n)
+        it.addExecutor(16'000);
+    auto planner = it.planner();
+    const auto gang = AdviceFixture::step(40, 8'000, true);
+    const auto narrow = AdviceFixture::step(2, 8'000, false);
+    for (int n = 0; n < 20; ++n) {
+        if (planner.hasCapacityFor(gang))
+            planner.reserve(gang, 4);
+    }
+    CHECK(!planner.hasCapacityFor(gang));
+    CHECK(planner.hasCapacityFor(narrow));
+}
--- a/tests/jobs_leader_test.cpp
+++ b/tests/jobs_leader_test.cpp
@@ -457,9 +457,10 @@
 TEST_CASE("a wide gang divides its query among several instances, so that one call's time does not delay it")
 {
     JobsFixture it(true);
-    std::vector<std::string> instances;
-    for (int n = 0; n < 40; ++n)
-        instances.push_back("front-" + std::to_string(n));
+    constexpr size_t instanceCount = 40;
+    std::vector<std::string> instances(instanceCount);
+    for (size_t n = 0; n < instanceCount; ++n)
+        instances[n] = "front-" + std::to_string(n);
     it.leader.setAdviceInstances(instances);
     for (int n = 0; n < 90; ++n)
         it.announce("x" + std::to_string(n));
--- a/tests/jobs_planner_test.cpp
+++ b/tests/jobs_planner_test.cpp
@@ -364,3 +364,22 @@
     CHECK(starts.empty());
     CHECK(it.stops.size() == 1);
 }
+
+TEST_CASE("a late step of the most urgent queue precedes steps that can wait, until its job is of no use")
+{
+    PlannerFixture it;
+    it.addExecutor(1, 2'000);
+    auto late = it.step(1, 1, 2'000, Milliseconds(-100));
+    late.priority = 0;
+    late.expiresAt = it.now + std::chrono::seconds(2);
+    const auto relaxed = it.step(2, 1, 2'000, Milliseconds(10'000));
+    auto starts = it.plan({ &late, &relaxed });
+    REQUIRE(starts.size() == 1);
+    CHECK(starts.front().task.step.job == 1);
+    it.candidates.clear();
+    it.addExecutor(1, 2'000);
+    late.expiresAt = it.now;
+    starts = it.plan({ &late, &relaxed });
+    REQUIRE(starts.size() == 1);
+    CHECK(starts.front().task.step.job == 2);
+}
