A step does not depend on executors that fail

Found by reading the code: a granted executor that refuses starts counted as room for the step, so no other was asked, and refusals for one job never put it in quarantine. Before: jobs_leader_test, new case: 1 of 21 failed (no start elsewhere in 5 s).

--- a/jobs/advice_planner.cpp
+++ b/jobs/advice_planner.cpp
@@ -98,7 +98,11 @@
         if (it == nullptr)
             continue;
         const auto fits = tasksThatFit(step, *it);
-        if (ticket.validUntil > m_now) {
+        // A step must not depend on executors that fail, so others are asked about as well.
+        if (it->isDegraded) {
+            if (ticket.validUntil <= m_now && fits > 0)
+                out.degraded.push_back(number);
+        } else if (ticket.validUntil > m_now) {
             out.placeable += fits;
         } else if (fits > 0) {
             out.renewable += fits;
@@ -188,7 +192,7 @@
         return out;
     const auto others = newExecutors(step, missing - granted.renewable);
     out.insert(out.end(), others.begin(), others.end());
-    return out;
+    return out.empty() ? granted.degraded : out;
 }
 
 } // namespace teasel
--- a/jobs/advice_planner.h
+++ b/jobs/advice_planner.h
@@ -42,6 +42,7 @@
         int64_t placeable = 0; // tasks that fit on executors with a valid ticket
         int64_t renewable = 0; // tasks that fit on executors whose ticket has expired
         std::vector<uint32_t> expired; // these executors
+        std::vector<uint32_t> degraded; // executors that failed recently and whose ticket has expired
     };
 
     GrantedCapacity grantedCapacity(const ReadyStep&);
--- a/tests/jobs_advice_test.cpp
+++ b/tests/jobs_advice_test.cpp
@@ -95,6 +95,21 @@
     CHECK(later.hasCapacity());
 }
 
+TEST_CASE("tickets of failing executors are renewed when no other executor is left")
+{
+    AdviceFixture it;
+    it.addExecutor(32'000);
+    it.candidates.back().isDegraded = true;
+    const auto step = AdviceFixture::step(1, 8'000, false);
+    const auto call = it.advice.beginCall(step.key, { 1 }, Milliseconds(10), it.now);
+    REQUIRE(call);
+    const std::vector<std::pair<uint32_t, std::string>> granted { { 1, "ticket" } };
+    it.advice.endCall(call->number, true, granted, Milliseconds(1'000), it.now);
+    CHECK(it.planner().executorsToQuery(step).empty()); // its ticket is valid
+    it.now += std::chrono::seconds(2);
+    CHECK(it.planner().executorsToQuery(step) == std::vector<uint32_t> { 1 });
+}
+
 TEST_CASE("gangs that cannot start yet leave advice to other steps")
 {
     AdviceFixture it;
--- a/tests/jobs_leader_test.cpp
+++ b/tests/jobs_leader_test.cpp
@@ -479,3 +479,39 @@
     CHECK(callers.size() == it.adviceRequests.size());
     CHECK(asked.size() == named); // no executor is named twice
 }
+
+TEST_CASE("a job whose only granted executor refuses its starts is offered to further executors")
+{
+    JobsFixture it(true);
+    constexpr int executors = 30;
+    for (int n = 0; n < executors; ++n)
+        it.announce("x" + std::to_string(n));
+    it.answerRenewals({});
+    it.submit(JobsFixture::request(1, 1));
+    std::string refusing; // the only one granted of those asked first; it refuses every start
+    std::vector<std::string> first;
+    bool hasStartedElsewhere = false;
+    for (int n = 0; n < 100 && !hasStartedElsewhere; ++n) {
+        it.passWithRenewals(Milliseconds(50));
+        for (const auto& request : std::exchange(it.adviceRequests, {})) {
+            std::vector<std::pair<std::string, std::string>> granted;
+            for (const auto& executor : request.executors) {
+                if (refusing.empty())
+                    refusing = executor;
+                const bool isAskedLater = std::find(first.begin(), first.end(), executor) == first.end();
+                if (executor == refusing || (isAskedLater && !first.empty()))
+                    granted.emplace_back(executor, "ticket");
+            }
+            if (first.empty())
+                first = request.executors;
+            it.leader.onAdvice(request.number, true, granted, it.clock.now());
+        }
+        it.commitAndCollect();
+        while (const auto start = it.takeOrder<StartRun>()) {
+            hasStartedElsewhere = hasStartedElsewhere || start->executorId != refusing;
+            it.answer(*start, { start->executorId == refusing ? OrderOutcome::Refused : OrderOutcome::Done });
+        }
+    }
+    CHECK(!refusing.empty());
+    CHECK(hasStartedElsewhere);
+}
