--- /dev/null
+++ b/jobs/job_checks.cpp
@@ -0,0 +1,186 @@
+// JobLeader: periodic checks of executors and gangs, and what run times and failures show about an executor.
+#include "jobs/job_leader.h"
+
+#include <algorithm>
+
+namespace teasel {
+
+namespace {
+
+    // How long before a draining executor leaves its runs are stopped; enough for the stop, its listing and the new
+    // start.
+    constexpr Milliseconds evacuationLead { 700 };
+    constexpr Milliseconds forecastInterval { 150 };
+    // Horizon within which a gang may wait for capacity; half the run time of a large task.
+    constexpr double freedSoonMs = 1'500;
+    // Lower bound for estimates: shorter tasks do not predict how soon capacity comes free.
+    constexpr double minTaskMs = 100;
+    constexpr double slownessWeight = 0.2; // weight of the newest run in the moving average
+    constexpr double maxSlowness = 8.0;
+    constexpr unsigned maxQuarantineDoublings = 2;
+
+} // namespace
+
+void JobLeader::checkExecutor(LiveExecutor& executor)
+{
+    const bool isSilent = m_now - executor.lastAnswerAt > m_options.suspectAfter;
+    if (isSilent && !executor.runs.empty()) {
+        const auto earliestExpiry = m_leadingSince
+            + std::chrono::duration_cast<Duration>(m_options.maxLease * maxClockSlowdown) + expirySlack;
+        if (m_now >= (executor.hasAcceptedFence ? executor.clock.expiresAt() : earliestExpiry))
+            expireLease(executor);
+    }
+    const auto lastContactAt = std::max({ executor.lastAnnouncedAt, executor.lastAnswerAt, m_leadingSince });
+    if (executor.runs.empty() && m_now - lastContactAt > m_options.removeExecutorAfter) {
+        removeIncarnation(executor.number, "silent");
+        return;
+    }
+    if (executor.renewalOrder == 0 && m_now >= executor.nextRenewalAt)
+        sendRenewal(executor);
+    if (m_now >= executor.pollAt)
+        sendPoll(executor);
+    if (!executor.hasAcceptedFence)
+        return;
+    for (auto& [key, run] : executor.runs) {
+        const bool isStopDue = run.mustStop && !run.isStopPending && !run.isStopAnswered()
+            && run.stage != RunStage::Ending && run.stage != RunStage::Committing
+            && m_now - run.stopSentAt > m_options.stopRetryInterval;
+        if (isStopDue)
+            sendStop(executor, key, run);
+    }
+    if (executor.isDraining)
+        evacuate(executor);
+    if (m_now - executor.forecastUpdatedAt >= forecastInterval)
+        forecastReleases(executor);
+}
+
+void JobLeader::forecastReleases(LiveExecutor& executor)
+{
+    executor.forecastUpdatedAt = m_now;
+    executor.freedSoon = {};
+    executor.freedPerSecond = {};
+    for (const auto& [key, run] : executor.runs) {
+        const auto step = m_readySteps.find(key.step);
+        if (step == m_readySteps.end() || run.stage == RunStage::Ending || run.mustStop)
+            continue;
+        const double taskMs = std::max(minTaskMs, step->second.taskMs * executor.slowness);
+        const double ranMs = std::chrono::duration<double, std::milli>(m_now - run.startedAt).count();
+        if (taskMs - ranMs < freedSoonMs)
+            executor.freedSoon += run.need;
+        for (size_t n = 0; n < ResourceVector::kinds; ++n)
+            executor.freedPerSecond[n] += static_cast<double>(run.need.amounts[n]) * 1'000 / taskMs;
+    }
+}
+
+void JobLeader::evacuate(LiveExecutor& executor)
+{
+    if (executor.drainedBy == Instant() || m_now + evacuationLead < executor.drainedBy)
+        return;
+    for (auto& [key, run] : executor.runs) {
+        const auto* job = m_state.find(key.step.job);
+        if (job != nullptr && !job->hasEnded() && job->request.steps(static_cast<int>(key.step.step)).checkpoints())
+            requestStop(executor, key, run);
+    }
+}
+
+void JobLeader::checkGangs()
+{
+    std::vector<StepKey> broken;
+    for (auto it = m_assemblingGangs.begin(); it != m_assemblingGangs.end();) {
+        size_t present = 0;
+        for (const auto& location : m_runIndex.ofStep(it->first)) {
+            const auto* run = findRun(location);
+            present += run != nullptr && run->stage == RunStage::Running ? 1 : 0;
+        }
+        const auto step = m_readySteps.find(it->first);
+        if (step == m_readySteps.end() || present >= step->second.count) {
+            it = m_assemblingGangs.erase(it);
+            continue;
+        }
+        if (m_now >= it->second)
+            broken.push_back(it->first);
+        ++it;
+    }
+    for (const auto& it : broken) {
+        log("gang_stopped", { { "step", stepText(it) }, { "reason", "not assembled in time" } });
+        stopGang(it);
+    }
+}
+
+void JobLeader::expireLease(LiveExecutor& executor)
+{
+    ++executor.leaseExpiries;
+    ++m_counters.leaseExpiries;
+    const auto* state = executorState(executor.number);
+    log("executor_lapsed",
+        { { "executor", state == nullptr ? "" : state->record.id() },
+            { "silent_ms",
+                std::to_string(std::chrono::duration_cast<Milliseconds>(m_now - executor.lastAnswerAt).count()) },
+            { "runs", std::to_string(executor.runs.size()) } });
+    std::vector<TaskKey> keys;
+    for (const auto& [key, run] : executor.runs) {
+        if (run.stage != RunStage::Ending && run.stage != RunStage::Committing)
+            keys.push_back(key);
+    }
+    for (const auto& it : keys)
+        endRun(executor, it, schema::RUN_OUTCOME_LAPSED, {});
+}
+
+void JobLeader::removeIncarnation(uint32_t number, std::string_view reason)
+{
+    auto* executor = findExecutor(number);
+    const auto* state = executorState(number);
+    if (executor == nullptr || state == nullptr)
+        return;
+    log("executor_gone",
+        { { "executor", state->record.id() }, { "born", std::to_string(state->record.born_ms()) },
+            { "reason", std::string(reason) }, { "runs", std::to_string(executor->runs.size()) } });
+    std::vector<TaskKey> keys;
+    for (const auto& [key, run] : executor->runs) {
+        if (run.stage != RunStage::Ending)
+            keys.push_back(key);
+    }
+    for (const auto& it : keys)
+        endRun(*executor, it, schema::RUN_OUTCOME_LOST, {});
+    change().set_executor_removed(number);
+    m_batchContinuations.emplace_back(ExecutorWhenCommitted { number });
+    executor->hasAcceptedFence = false;
+    executor->isDraining = true; // Prevents starts until the removal is committed.
+    executor->nextRenewalAt = Instant::max();
+    absl::erase_if(m_pendingOrders, [&](const auto& it) { return it.second.executor == number; });
+}
+
+void JobLeader::recordRunTime(LiveExecutor& executor, const TaskKey& key, const LiveRun& run)
+{
+    executor.failuresInRow = 0;
+    executor.quarantineCount = 0;
+    const auto* job = m_state.find(key.step.job);
+    if (!run.isFromStart || job == nullptr || job->hasEnded())
+        return;
+    const auto& spec = job->request.steps(static_cast<int>(key.step.step));
+    const double took = std::chrono::duration<double, std::milli>(m_now - run.startedAt).count();
+    const double expected = std::max(1.0, expectedMs(job->request, spec));
+    const double ratio = std::min(maxSlowness, std::max(0.3, took / expected));
+    executor.slowness += slownessWeight * (ratio - executor.slowness);
+    m_runTimes.onDone(run.queue, spec.estimate_ms(), took);
+}
+
+void JobLeader::recordFailure(LiveExecutor& executor, const TaskKey& key)
+{
+    if (executor.lastFailedJob != key.step.job || executor.failuresInRow == 0)
+        ++executor.failuresInRow;
+    executor.lastFailedJob = key.step.job;
+    if (executor.failuresInRow < m_options.quarantineFailures)
+        return;
+    const auto time = m_options.quarantineTime * (1U << std::min(executor.quarantineCount, maxQuarantineDoublings));
+    ++executor.quarantineCount;
+    // After the quarantine, one more failure starts the next.
+    executor.failuresInRow = m_options.quarantineFailures - 1;
+    executor.quarantinedUntil = m_now + time;
+    const auto* state = executorState(executor.number);
+    log("executor_quarantined",
+        { { "executor", state == nullptr ? "" : state->record.id() }, { "for_ms", std::to_string(time.count()) },
+            { "failures_in_row", std::to_string(m_options.quarantineFailures) } });
+}
+
+} // namespace teasel
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -170,7 +170,7 @@
     double criticalPathMs(const schema::JobRequest&, uint32_t step) const;
     double expectedMs(const schema::JobRequest&, const schema::JobStep&) const;
 
-    // Executors (job_executors.cpp).
+    // Executors (job_executors.cpp; periodic checks: job_checks.cpp).
     void addExecutor(const ExecutorState&);
     LiveExecutor* findExecutor(uint32_t number);
     const ExecutorState* executorState(uint32_t number) const;
--- a/tests/process/teasel_commands_test.py
+++ b/tests/process/teasel_commands_test.py
@@ -12,6 +12,9 @@
 import tempfile
 import time
 
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "tools"))
+from fleet import lock_loopback_range  # noqa: E402
+
 NET = "127.91.0"
 ENTRIES = {"e1": f"{NET}.1", "e2": f"{NET}.2"}
 STATE = f"{NET}.9"
@@ -132,6 +135,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--build", default="build")
     bed = TestBed(parser.parse_args().build, tempfile.mkdtemp(prefix="teasel-commands-"))
+    lock = lock_loopback_range(NET)
     try:
         write_settings(bed)
         bed.expect(4, "status", contains="next: ")
@@ -147,6 +151,7 @@
             it.send_signal(signal.SIGCONT)
             it.send_signal(signal.SIGTERM)
         codes = {name: it.wait(60) for name, it in bed.processes.items()}
+        lock.close()
     bed.failures += [f"{name} exited with code {code}" for name, code in codes.items() if code != 0]
     for it in bed.failures:
         print(it)
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -38,9 +38,9 @@
     return f"{key_id}.{secret}", salt, digest
 
 
-def lock_loopback_range():
+def lock_loopback_range(name=LOOPBACK_RANGE):
     """Waits until no other fleet uses the addresses; the lock is held until the process ends."""
-    lock = open(os.path.join(tempfile.gettempdir(), f"teaselrelay-fleet-{LOOPBACK_RANGE}.lock"), "w", encoding="utf-8")
+    lock = open(os.path.join(tempfile.gettempdir(), f"teaselrelay-fleet-{name}.lock"), "w", encoding="utf-8")
     fcntl.flock(lock, fcntl.LOCK_EX)
     return lock
 
