--- /dev/null
+++ b/tests/jobs_incarnations_test.cpp
@@ -0,0 +1,87 @@
+// Executors that restart under their id while orders to the previous incarnation are still in flight.
+#include "jobs_fixture.h"
+
+using namespace teasel;
+
+namespace {
+
+const TaskKey firstTask { { 7, 0, 0 }, 0 };
+
+// Submits one task, which is started on "x1", the only executor; returns the order.
+SendOrder startOnFirstExecutor(JobsFixture& it)
+{
+    it.announce("x1", 1);
+    it.answerRenewals({});
+    it.submit(JobsFixture::request(7, 1));
+    it.pass(Milliseconds(20));
+    const auto start = it.takeOrder<StartRun>();
+    REQUIRE(start);
+    return *start;
+}
+
+} // namespace
+
+TEST_CASE("an executor that restarts under its id refuses orders that were sent to its previous incarnation")
+{
+    JobsFixture it;
+    const auto start = startOnFirstExecutor(it);
+    it.announce("x1", 2);
+    const auto first = it.takeOrder<RenewLease>();
+    REQUIRE(first);
+    CHECK(first->fence > start.fence);
+}
+
+TEST_CASE("a start in flight is not repeated elsewhere before the restarted executor has barred it")
+{
+    JobsFixture it;
+    it.answer(startOnFirstExecutor(it), { OrderOutcome::UnknownOutcome });
+    it.announce("x2", 1);
+    it.passWithRenewals(Milliseconds(100));
+    it.orders.clear();
+    it.announce("x1", 2);
+    std::optional<SendOrder> toRestarted;
+    for (int n = 0; n < 25; ++n) {
+        it.pass(Milliseconds(20));
+        while (const auto renewal = it.takeOrder<RenewLease>("x2"))
+            it.answer(*renewal, { OrderOutcome::Done });
+        while (const auto renewal = it.takeOrder<RenewLease>("x1"))
+            toRestarted = renewal;
+    }
+    CHECK(!it.takeOrder<StartRun>());
+    REQUIRE(toRestarted);
+    SUBCASE("it lists the run: the start reached it, and the run continues there")
+    {
+        it.answer(*toRestarted, { OrderOutcome::Done, 0, 2, { { firstTask, 1, {}, 50, -1 } }, {}, true });
+        it.pass(Milliseconds(100));
+        CHECK(!it.takeOrder<StartRun>());
+        CHECK(!it.takeOrder<StopRun>());
+        CHECK(it.state.executors().rbegin()->second.assignments.contains(firstTask));
+    }
+    SUBCASE("it does not list the run: the task starts again")
+    {
+        it.answer(*toRestarted, { OrderOutcome::Done, 0, 2 });
+        it.pass(Milliseconds(100));
+        const auto again = it.takeOrder<StartRun>();
+        REQUIRE(again);
+        CHECK(std::get<StartRun>(again->order).run == 2);
+    }
+}
+
+TEST_CASE("an answer of another incarnation under the same id does not repeat a start elsewhere")
+{
+    JobsFixture it;
+    const auto start = startOnFirstExecutor(it);
+    it.announce("x2", 1);
+    it.answerRenewals({});
+    // The start was carried out by an incarnation that has not announced itself yet.
+    it.answer(start, { OrderOutcome::Done, 0, 2 });
+    it.passWithRenewals(Milliseconds(1'000));
+    CHECK(!it.takeOrder<StartRun>());
+    it.announce("x1", 2);
+    const auto renewal = it.takeOrder<RenewLease>("x1");
+    REQUIRE(renewal);
+    it.answer(*renewal, { OrderOutcome::Done, 0, 2, { { firstTask, 1, {}, 50, -1 } }, {}, true });
+    it.pass(Milliseconds(100));
+    CHECK(!it.takeOrder<StartRun>());
+    CHECK(it.state.executors().rbegin()->second.assignments.contains(firstTask));
+}
--- a/tests/jobs_world.h
+++ b/tests/jobs_world.h
@@ -299,12 +299,12 @@
             timeout();
             return;
         }
-        const auto born = executor->bornMs;
-        const auto deliver = [this, order = action, born] {
+        // An order names an executor's id: one that is still in flight when the executor restarts reaches the next
+        // incarnation.
+        const auto deliver = [this, order = action] {
             auto* it = findExecutor(order.executorId);
-            return it != nullptr && it->bornMs == born && it->silentUntil <= m_clock.now()
-                ? std::optional(execute(*it, order))
-                : std::nullopt;
+            return it != nullptr && it->silentUntil <= m_clock.now() ? std::optional(execute(*it, order))
+                                                                     : std::nullopt;
         };
         if (m_random.chance(m_options.lateOrders)) {
             schedule(std::chrono::milliseconds(2'000 + m_random.below(10'000)), [deliver] { deliver(); });
