Log ends that are listed but not counted, and orders pending when an incarnation is removed

Cause: the logs could not tell an end that was ignored from one that never came, nor show a listing that was dropped. Ruled out: counters; a complaint names a task, so the line has to. Before: no line. After: end_ignored names task, run, executor and number; executor_gone counts the orders that were pending.

--- a/jobs/job_checks.cpp
+++ b/jobs/job_checks.cpp
@@ -132,9 +132,12 @@
     const auto* state = executorState(number);
     if (executor == nullptr || state == nullptr)
         return;
+    const auto pending = std::count_if(m_pendingOrders.begin(), m_pendingOrders.end(),
+        [&](const auto& it) { return it.second.executor == number && !it.second.isTimedOut; });
     log("executor_gone",
         { { "executor", state->record.id() }, { "born", std::to_string(state->record.born_ms()) },
-            { "reason", std::string(reason) }, { "runs", std::to_string(executor->runs.size()) } });
+            { "reason", std::string(reason) }, { "runs", std::to_string(executor->runs.size()) },
+            { "pending_orders", std::to_string(pending) } });
     std::vector<TaskKey> keys;
     for (const auto& [key, run] : executor->runs) {
         if (run.stage != RunStage::Ending)
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -297,8 +297,15 @@
             continue;
         newest = std::max(newest, it.number);
         const auto run = executor.runs.find(it.task);
-        if (run == executor.runs.end() || run->second.run != it.run || run->second.stage == RunStage::Ending)
+        if (run == executor.runs.end() || run->second.run != it.run || run->second.stage == RunStage::Ending) {
+            if (it.outcome == schema::RUN_OUTCOME_DONE)
+                log("end_ignored",
+                    { { "task", taskText(it.task) }, { "run", std::to_string(it.run) },
+                        { "executor", executorState(executor.number)->record.id() },
+                        { "number", std::to_string(it.number) },
+                        { "assigned_run", run == executor.runs.end() ? "none" : std::to_string(run->second.run) } });
             continue;
+        }
         if (it.outcome == schema::RUN_OUTCOME_DONE)
             recordRunTime(executor, it.task, run->second);
         else if (it.outcome == schema::RUN_OUTCOME_FAILED)
