Orders to an incarnation of an executor carry a fence of its own

Callers saw a task run twice (TWICE), and an executor held more than its room (LIMIT). Cause: orders name an executor's id and carried the leader's term as fence. A start or renewal still in flight when the executor restarted under its id was carried out by the next incarnation: a run that the leader had ended as lost or settled by a stop, or ends dropped by the old incarnation's acknowledgement number. Ruled out: naming the start time in the order (the protocol has no field for it); waiting for the start's own time limit (it is a time on the old incarnation's clock). Conclusion: a fence of (term, incarnation) bars what is in flight with the first renewal that the new incarnation answers; runs whose start may still arrive move to it until then, so no leader starts them elsewhere.

--- a/jobs/job_calls.cpp
+++ b/jobs/job_calls.cpp
@@ -318,13 +318,13 @@
         if (state == nullptr)
             continue;
         auto& it = m_executors.at(number);
-        const bool isSameId = state->record.id() == record.id();
-        if (state->record.born_ms() > record.born_ms()
-            || (isSameId && state->record.born_ms() == record.born_ms() && call.sequence <= it.lastSequence)) {
+        const bool isSameIncarnation = state->record.id() == record.id() && state->record.born_ms() == record.born_ms();
+        const bool isLater = state->record.born_ms() > record.born_ms() && !it.isReplaced;
+        if (isLater || (isSameIncarnation && (it.isReplaced || call.sequence <= it.lastSequence))) {
             // A delayed announcement: a later one, or a later incarnation, is already known.
             return answer(handle, {});
         }
-        if (isSameId && state->record.born_ms() == record.born_ms())
+        if (isSameIncarnation)
             known = &it;
     }
     if (const auto it = m_pendingRegistrations.find(record.id());
@@ -347,9 +347,6 @@
         m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
         return;
     }
-    // A new incarnation replaces those registered under its id or address.
-    for (const auto number : registered)
-        removeIncarnation(number, "a new incarnation announced itself");
     record.set_number(++m_lastExecutor);
     m_pendingRegistrations[record.id()] = record.born_ms();
     log("executor_registered",
@@ -358,7 +355,14 @@
             { "capacity", describe(toVector(record.capacity())) } });
     m_batchContinuations.emplace_back(ExecutorWhenCommitted { record.number() });
     m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
-    *change().mutable_executor() = std::move(record);
+    *change().mutable_executor() = record;
+    // A new incarnation replaces those registered under its id or address. Orders name an id, so those in flight to an
+    // incarnation with another id are refused.
+    for (const auto number : registered) {
+        const auto* previous = executorState(number);
+        const bool isSameId = previous != nullptr && previous->record.id() == record.id();
+        removeIncarnation(number, "a new incarnation announced itself", isSameId ? record.number() : 0);
+    }
 }
 
 void JobLeader::handleCall(uint64_t handle, ExecutorDeparture& call)
--- a/jobs/job_checks.cpp
+++ b/jobs/job_checks.cpp
@@ -23,6 +23,13 @@
 
 void JobLeader::checkExecutor(LiveExecutor& executor)
 {
+    if (executor.isReplaced) {
+        // After this time no run that the other incarnation was given has a lease.
+        if (m_now - executor.replacedAt
+            > std::chrono::duration_cast<Duration>(m_options.maxLease * maxClockSlowdown) + expirySlack)
+            removeIncarnation(executor.number, "no successor announced itself");
+        return;
+    }
     const bool isSilent = m_now - executor.lastAnswerAt > m_options.suspectAfter;
     if (isSilent && !executor.runs.empty()) {
         const auto earliestExpiry = m_leadingSince
@@ -126,7 +133,32 @@
         endRun(executor, it, schema::RUN_OUTCOME_LAPSED, {});
 }
 
-void JobLeader::removeIncarnation(uint32_t number, std::string_view reason)
+void JobLeader::endRunsInProgress(LiveExecutor& executor)
+{
+    std::vector<TaskKey> keys;
+    for (const auto& [key, run] : executor.runs) {
+        if (run.stage != RunStage::Ending && !run.mayStillStart())
+            keys.push_back(key);
+    }
+    for (const auto& it : keys)
+        endRun(executor, it, schema::RUN_OUTCOME_LOST, {});
+}
+
+void JobLeader::awaitSuccessor(LiveExecutor& executor)
+{
+    if (std::exchange(executor.isReplaced, true))
+        return;
+    executor.replacedAt = m_now;
+    executor.hasAcceptedFence = false;
+    const auto* state = executorState(executor.number);
+    log("executor_replaced",
+        { { "executor", state->record.id() }, { "born", std::to_string(state->record.born_ms()) },
+            { "runs", std::to_string(executor.runs.size()) } });
+    endRunsInProgress(executor);
+    absl::erase_if(m_pendingOrders, [&](const auto& it) { return it.second.executor == executor.number; });
+}
+
+void JobLeader::removeIncarnation(uint32_t number, std::string_view reason, uint32_t successor)
 {
     auto* executor = findExecutor(number);
     const auto* state = executorState(number);
@@ -138,18 +170,28 @@
         { { "executor", state->record.id() }, { "born", std::to_string(state->record.born_ms()) },
             { "reason", std::string(reason) }, { "runs", std::to_string(executor->runs.size()) },
             { "pending_orders", std::to_string(pending) } });
-    std::vector<TaskKey> keys;
+    executor->hasAcceptedFence = false;
+    executor->isReplaced = true;
+    executor->replacedAt = m_now;
+    executor->nextRenewalAt = Instant::max();
+    endRunsInProgress(*executor);
+    std::vector<TaskKey> inFlight;
     for (const auto& [key, run] : executor->runs) {
-        if (run.stage != RunStage::Ending)
-            keys.push_back(key);
+        if (run.mayStillStart())
+            inFlight.push_back(key);
+    }
+    for (const auto& it : inFlight) {
+        if (successor == 0) {
+            endRun(*executor, it, schema::RUN_OUTCOME_LOST, {});
+            continue;
+        }
+        auto& assignment = *change().mutable_assigned();
+        fillRef(it, *assignment.mutable_task());
+        assignment.set_run(executor->runs.at(it).run);
+        assignment.set_executor(successor);
     }
-    for (const auto& it : keys)
-        endRun(*executor, it, schema::RUN_OUTCOME_LOST, {});
     change().set_executor_removed(number);
     m_batchContinuations.emplace_back(ExecutorWhenCommitted { number });
-    executor->hasAcceptedFence = false;
-    executor->isDraining = true; // Prevents starts until the removal is committed.
-    executor->nextRenewalAt = Instant::max();
     absl::erase_if(m_pendingOrders, [&](const auto& it) { return it.second.executor == number; });
 }
 
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -12,6 +12,7 @@
     // How long the late result of an order that timed out is still accepted.
     constexpr Milliseconds lateResultWindow { 8'000 };
     constexpr unsigned unansweredStopsBeforeBlocked = 3; // consecutive stops without an answer
+    constexpr unsigned executorNumberBits = 32; // low bits of a fence; the leader's term is above them
     constexpr Milliseconds listingDelay { 60 }; // between the end of a run and its listing
 
     std::string millis(Duration it) { return std::to_string(std::chrono::duration_cast<Milliseconds>(it).count()); }
@@ -60,8 +61,16 @@
     const auto it = m_executors.find(number);
     if (it == m_executors.end())
         return;
-    for (const auto& [key, run] : it->second.runs)
+    for (const auto& [key, run] : it->second.runs) {
+        m_teamUsage[run.team] -= run.need;
         m_runIndex.remove(key, number);
+        // The stop of a run that moved to the next incarnation goes on there.
+        for (const auto& location : m_runIndex.ofStep(key.step)) {
+            auto* moved = location.task == key ? findRun(location) : nullptr;
+            if (moved != nullptr && moved->run == run.run && run.mustStop)
+                requestStop(*findExecutor(location.executor), key, *moved);
+        }
+    }
     m_directory.remove(number);
     m_executors.erase(it);
 }
@@ -104,6 +113,8 @@
 
 // ---- Orders --------------------------------------------------------------
 
+uint64_t JobLeader::fenceFor(uint32_t number) const { return m_fence << executorNumberBits | number; }
+
 uint64_t JobLeader::sendOrder(LiveExecutor& executor, PendingOrder order, ExecutorOrder body, Milliseconds timeout)
 {
     const auto* state = executorState(executor.number);
@@ -114,8 +125,8 @@
     order.timeoutAt = m_now + timeout + resultGrace;
     const auto number = ++m_lastOrder;
     m_pendingOrders.emplace(number, order);
-    m_actions.emplace_back(SendOrder { number, state->record.address(), state->record.id(), m_fence, timeout,
-        std::move(body), executor.number, state->record.zone() });
+    m_actions.emplace_back(SendOrder { number, state->record.address(), state->record.id(), fenceFor(executor.number),
+        timeout, std::move(body), executor.number, state->record.zone() });
     return number;
 }
 
@@ -195,11 +206,14 @@
     const auto* state = executorState(order.executor);
     if (executor == nullptr || state == nullptr)
         return;
-    if (result.outcome == OrderOutcome::OtherIncarnation
-        || (result.bornMs != 0 && state->record.born_ms() != 0 && result.bornMs != state->record.born_ms())) {
+    if (result.outcome == OrderOutcome::OtherIncarnation) { // It has another id and refuses all orders for this one.
         removeIncarnation(order.executor, "another_incarnation_answered");
         return;
     }
+    if (result.bornMs != 0 && state->record.born_ms() != 0 && result.bornMs != state->record.born_ms()) {
+        awaitSuccessor(*executor);
+        return;
+    }
     if (result.clockMs != 0) {
         // A previous leader may have renewed the lease until just before.
         if (!executor->clock.isKnown())
@@ -274,7 +288,7 @@
     const auto silence = m_now - executor.lastAnswerAt;
     if (!std::exchange(executor.hasAcceptedFence, true))
         log("executor_taken_over",
-            { { "executor", state->record.id() }, { "fence", std::to_string(m_fence) },
+            { { "executor", state->record.id() }, { "fence", std::to_string(fenceFor(executor.number)) },
                 { "running", std::to_string(result.running.size()) }, { "ended", std::to_string(result.ended.size()) },
                 { "assigned", std::to_string(executor.runs.size()) } });
     else if (silence > m_options.suspectAfter)
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -175,7 +175,14 @@
     LiveExecutor* findExecutor(uint32_t number);
     const ExecutorState* executorState(uint32_t number) const;
     void dropExecutor(uint32_t number);
-    void removeIncarnation(uint32_t number, std::string_view reason);
+    // Removes an incarnation and ends its runs. Runs whose start may still be executed move to its successor, if there
+    // is one (0: none), until that one's first listing.
+    void removeIncarnation(uint32_t number, std::string_view reason, uint32_t successor = 0);
+    void awaitSuccessor(LiveExecutor&);
+    void endRunsInProgress(LiveExecutor&);
+    // The fence of orders to an incarnation: higher than that of previous leaders, and than that of this leader's
+    // orders to previous incarnations, which may still be in flight.
+    uint64_t fenceFor(uint32_t number) const;
     void sendRenewal(LiveExecutor&);
     void sendPoll(LiveExecutor&);
     void sendStop(LiveExecutor&, const TaskKey&, LiveRun&);
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -44,12 +44,21 @@
     Instant stopAnsweredAt {}; // Instant() until a stop was answered
 
     bool isStopAnswered() const { return stopAnsweredAt != Instant(); }
+
+    // Whether its start may still be executed, by this incarnation of the executor or the next.
+    bool mayStillStart() const
+    {
+        return stage == RunStage::Starting || stage == RunStage::UnknownOutcome || stage == RunStage::Inherited;
+    }
 };
 
 struct LiveExecutor {
     uint32_t number = 0;
     bool hasAcceptedFence = false; // has answered a renewal or poll under this leader's fence
     bool isDraining = false;
+    // Another incarnation answers under its id; its runs in flight wait for the announcement of that incarnation.
+    bool isReplaced = false;
+    Instant replacedAt {};
     Instant drainedBy {}; // while draining: the executor may leave from this time on
     uint64_t lastSequence = 0; // sequence number of the last announcement
     Instant lastAnnouncedAt {};
--- a/tests/jobs_incarnations_test.cpp
+++ b/tests/jobs_incarnations_test.cpp
@@ -25,6 +25,7 @@
 {
     JobsFixture it;
     const auto start = startOnFirstExecutor(it);
+    it.orders.clear();
     it.announce("x1", 2);
     const auto first = it.takeOrder<RenewLease>();
     REQUIRE(first);
@@ -35,9 +36,8 @@
 {
     JobsFixture it;
     it.answer(startOnFirstExecutor(it), { OrderOutcome::UnknownOutcome });
-    it.announce("x2", 1);
-    it.passWithRenewals(Milliseconds(100));
     it.orders.clear();
+    it.announce("x2", 1);
     it.announce("x1", 2);
     std::optional<SendOrder> toRestarted;
     for (int n = 0; n < 25; ++n) {
--- a/tests/jobs_leader_test.cpp
+++ b/tests/jobs_leader_test.cpp
@@ -22,7 +22,8 @@
     it.pass(Milliseconds(20));
     const auto start = it.takeOrder<StartRun>();
     REQUIRE(start);
-    CHECK(start->fence == 1);
+    const auto term = start->fence >> 32;
+    CHECK(term == 1);
     const auto& run = std::get<StartRun>(start->order);
     CHECK(run.run == 1);
     CHECK(run.payload == "lot");
