HTTP client: a call that was received before its connection broke is not reported as unsent

Callers could see a task run twice: a start that the executor carried out counted as never sent. Cause: libcurl repeats a call by itself if a reused connection breaks before the answer; if the second connection is refused, the call ends as COULDNT_CONNECT, which was mapped to ConnectFailed, 'no byte was sent'. Ruled out: connections used once for all orders (a new connection for each order is costly for executors and billed).

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -77,20 +77,21 @@
 
     HttpCallResult callEndOf(CURLcode code, const Transfer& it)
     {
+        // A call to a reused connection may have been sent even if its last connection attempt failed: libcurl repeats
+        // a call whose connection breaks before the answer.
         long sentBytes = 0;
+        curl_easy_getinfo(it.easy, CURLINFO_REQUEST_SIZE, &sentBytes);
         switch (code) {
         case CURLE_OK:
             return it.lengthKnown || it.chunked ? HttpCallResult::Answered : HttpCallResult::Truncated;
         case CURLE_COULDNT_RESOLVE_HOST:
         case CURLE_COULDNT_CONNECT:
         case CURLE_URL_MALFORMAT:
-            return HttpCallResult::ConnectFailed;
+            return sentBytes == 0 ? HttpCallResult::ConnectFailed : HttpCallResult::FailedAfterSending;
         case CURLE_PARTIAL_FILE:
         case CURLE_WRITE_ERROR:
             return HttpCallResult::Truncated;
         case CURLE_OPERATION_TIMEDOUT:
-            // The connect time can't tell whether anything was sent, because it is zero on a reused connection too.
-            curl_easy_getinfo(it.easy, CURLINFO_REQUEST_SIZE, &sentBytes);
             return sentBytes == 0 ? HttpCallResult::ConnectFailed : HttpCallResult::TimedOut;
         default:
             return HttpCallResult::FailedAfterSending;
--- a/tests/net_http_client_test.cpp
+++ b/tests/net_http_client_test.cpp
@@ -7,9 +7,15 @@
 
 #include <atomic>
 #include <future>
+#include <string_view>
 #include <thread>
 #include <vector>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 using namespace teasel;
 
 namespace {
@@ -49,6 +55,51 @@
     server.stop();
 }
 
+TEST_CASE("a call that was received before its connection broke is reported as sent, though no new connection is made")
+{
+    constexpr uint16_t port = 18'980;
+    const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    const int on = 1;
+    REQUIRE(::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) == 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(::bind(listener, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0);
+    REQUIRE(::listen(listener, 8) == 0);
+    std::atomic<int> received = 0;
+    std::thread server([&] {
+        const int connection = ::accept(listener, nullptr, nullptr);
+        std::string buf(4'096, ' ');
+        const auto readRequest = [&] {
+            std::string request;
+            while (!request.ends_with("{}")) {
+                const auto n = ::recv(connection, buf.data(), buf.size(), 0);
+                if (n <= 0)
+                    return;
+                request.append(buf.data(), static_cast<size_t>(n));
+            }
+            ++received;
+        };
+        readRequest();
+        constexpr std::string_view answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+        ::send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
+        readRequest();
+        ::close(listener);
+        const linger resetOnClose { 1, 0 };
+        ::setsockopt(connection, SOL_SOCKET, SO_LINGER, &resetOnClose, sizeof(resetOnClose));
+        ::close(connection);
+    });
+    HttpClient client({ 1, 2, 1 << 20 });
+    const auto url = fmt::format("http://127.0.0.1:{}/", port);
+    CHECK(callOnce(client, url).result == HttpCallResult::Answered);
+    const auto second = callOnce(client, url);
+    server.join();
+    CHECK(received == 2);
+    CHECK(second.result == HttpCallResult::FailedAfterSending);
+    client.stop();
+}
+
 TEST_CASE("a call to a port without a listener is reported as not sent")
 {
     HttpClient client({ 1, 2, 1 << 20 });
