A start refused as old is resolved by a listing, not counted as never run

Callers could see a task run twice. Cause: an executor refuses a start as old if that run has already ended there. An order can arrive twice (libcurl repeats a call whose reused connection breaks); if the first copy ran and the second was answered, the run counted as never run. Ruled out: the order's own connection (see the HTTP client); a refusal alone can't tell which run had ended. Conclusion: a refusal proves that a start never ran only if its reason does.

--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -247,7 +247,8 @@
             { "executor", state == nullptr ? "" : state->record.id() },
             { "end", std::to_string(static_cast<int>(result.outcome)) },
             { "after_ms", millis(m_now - order.sentAt) } });
-    if (result.outcome == OrderOutcome::UnknownOutcome) {
+    // A refusal as old also comes if the start was received twice and its run has ended.
+    if (result.outcome == OrderOutcome::UnknownOutcome || result.outcome == OrderOutcome::StaleRun) {
         ++m_counters.unknownStartOutcomes;
         run.stage = RunStage::UnknownOutcome;
         run.unknownSince = m_now;
--- a/tests/jobs_leader_test.cpp
+++ b/tests/jobs_leader_test.cpp
@@ -51,6 +51,25 @@
     CHECK(std::get<StartRun>(again->order).run == 2);
 }
 
+TEST_CASE("a start refused as old is not repeated if the executor lists the end of its run")
+{
+    JobsFixture it;
+    it.announce("x1");
+    it.answerRenewals({});
+    it.submit(JobsFixture::request(7, 1));
+    it.pass(Milliseconds(20));
+    const auto start = it.takeOrder<StartRun>();
+    REQUIRE(start);
+    // The start was received twice; the answer to the first copy, which began the run, was lost.
+    it.answer(*start, { OrderOutcome::StaleRun });
+    it.pass(Milliseconds(100));
+    CHECK(!it.takeOrder<StartRun>());
+    it.answerRenewals({}, { { 1, firstTask, 1, schema::RUN_OUTCOME_DONE, {} } });
+    it.passWithRenewals(Milliseconds(500));
+    CHECK(!it.takeOrder<StartRun>());
+    CHECK(it.state.find(7)->phase == JobPhase::Completed);
+}
+
 TEST_CASE("a start without an answer that the executor lists counts as running")
 {
     JobsFixture it;
--- a/tests/jobs_world.h
+++ b/tests/jobs_world.h
@@ -29,6 +29,7 @@
     double jobsPerSecond = 6;
     double lateOrders = 0.02; // share of orders without an answer that are executed 2 to 12 s later
     double lostAnswers = 0.02;
+    double repeatedOrders = 0.01; // share of orders that arrive twice; the first answer is lost
     double executorCrashesPerSecond = 0.05;
     double silencesPerSecond = 0.05; // an executor is cut off for seconds
     double leaderChangesPerSecond = 0.1;
@@ -312,6 +313,17 @@
             return;
         }
         const bool isAnswerLost = m_random.chance(m_options.lostAnswers);
+        if (m_random.chance(m_options.repeatedOrders)) {
+            schedule(std::chrono::milliseconds(1), [deliver] { deliver(); });
+            schedule(std::chrono::milliseconds(2 + m_random.below(190)), [this, deliver, timeout, term, number] {
+                const auto result = deliver();
+                if (!result)
+                    timeout();
+                else if (term == m_term)
+                    m_leader->onOrderResult(number, *result, m_clock.now());
+            });
+            return;
+        }
         schedule(
             std::chrono::milliseconds(1 + m_random.below(5)), [this, deliver, timeout, isAnswerLost, term, number] {
                 auto result = deliver();
