A new incarnation of an executor is fenced as soon as it announces itself

Callers could see a task run twice. Cause: orders in flight to the previous incarnation are barred by the first order with the new fence, which waited for the commit of the registration. Ruled out: the transfer of runs; here the run had been settled by a stop, which the restarted executor has forgotten. Conclusion: the time until the first fence arrives can't be closed from our side; it is now one round trip.

--- a/jobs/job_calls.cpp
+++ b/jobs/job_calls.cpp
@@ -356,6 +356,7 @@
     m_batchContinuations.emplace_back(ExecutorWhenCommitted { record.number() });
     m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
     *change().mutable_executor() = record;
+    raiseFence(record);
     // A new incarnation replaces those registered under its id or address. Orders name an id, so those in flight to an
     // incarnation with another id are refused.
     for (const auto number : registered) {
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -130,6 +130,14 @@
     return number;
 }
 
+void JobLeader::raiseFence(const schema::ExecutorRecord& record)
+{
+    ++m_counters.renewals;
+    // The result is not used: the number is not that of a pending order.
+    m_actions.emplace_back(SendOrder { ++m_lastOrder, record.address(), record.id(), fenceFor(record.number()),
+        m_options.renewalSlack, RenewLease {}, record.number(), record.zone() });
+}
+
 void JobLeader::sendPoll(LiveExecutor& executor)
 {
     executor.pollAt = Instant::max();
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -183,6 +183,8 @@
     // The fence of orders to an incarnation: higher than that of previous leaders, and than that of this leader's
     // orders to previous incarnations, which may still be in flight.
     uint64_t fenceFor(uint32_t number) const;
+    // Makes a new incarnation refuse orders to previous ones, before its registration is committed.
+    void raiseFence(const schema::ExecutorRecord&);
     void sendRenewal(LiveExecutor&);
     void sendPoll(LiveExecutor&);
     void sendStop(LiveExecutor&, const TaskKey&, LiveRun&);
--- a/tests/jobs_incarnations_test.cpp
+++ b/tests/jobs_incarnations_test.cpp
@@ -32,6 +32,24 @@
     CHECK(first->fence > start.fence);
 }
 
+TEST_CASE("a new incarnation is fenced before its registration is committed")
+{
+    JobsFixture it;
+    it.announce("x1", 1);
+    it.orders.clear();
+    ExecutorAnnouncement next;
+    next.record = it.state.executors().begin()->second.record;
+    next.record.set_born_ms(2);
+    next.sequence = 1;
+    it.leader.onCall(++it.lastHandle, std::move(next), it.clock.now(), it.clock.wallNow());
+    const auto actions = it.leader.takeActions();
+    const auto isFencing = [](const JobAction& action) {
+        const auto* order = std::get_if<SendOrder>(&action);
+        return order != nullptr && std::holds_alternative<RenewLease>(order->order);
+    };
+    CHECK(std::any_of(actions.begin(), actions.end(), isFencing));
+}
+
 TEST_CASE("a start in flight is not repeated elsewhere before the restarted executor has barred it")
 {
     JobsFixture it;
