An executor's departure does not discard a listing that is on its way

Callers could see a task run twice: started again after the executor that left had listed it as done. Cause: a departure removed the incarnation at once and forgot its pending orders; the answer to the last renewal comes over another core instance, and could arrive some milliseconds later. Ruled out: delaying the departure's answer until the pending renewal ends (up to a second, and the executor asks again). Before: jobs_departures, 'an end that an executor listed before it left ...', fails: started again, not completed. After: it passes; a departure is carried out after 100 ms, tasks start elsewhere within 0.3 s.

--- a/jobs/job_calls.cpp
+++ b/jobs/job_calls.cpp
@@ -374,8 +374,11 @@
             continue;
         if (call.bornMs != 0 && call.bornMs != state->record.born_ms())
             continue;
-        removeIncarnation(number, "left");
-        m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
+        // Listings that it made before it left may still be on their way; checkExecutor() removes it.
+        auto& executor = m_executors.at(number);
+        if (!executor.hasLeft())
+            executor.leftAt = m_now;
+        executor.departureHandles.push_back(handle);
         return;
     }
     answer(handle, {});
--- a/jobs/job_checks.cpp
+++ b/jobs/job_checks.cpp
@@ -10,6 +10,8 @@
     // How long before a draining executor leaves its runs are stopped; enough for the stop, its listing and the new
     // start.
     constexpr Milliseconds evacuationLead { 700 };
+    // Between a departure and the removal of the executor; covers the way of a listing over another core instance.
+    constexpr Milliseconds departureDelay { 100 };
     constexpr Milliseconds forecastInterval { 150 };
     // Horizon within which a gang may wait for capacity; half the run time of a large task.
     constexpr double freedSoonMs = 1'500;
@@ -30,6 +32,11 @@
             removeIncarnation(executor.number, "no successor announced itself");
         return;
     }
+    if (executor.hasLeft()) {
+        if (m_now - executor.leftAt >= departureDelay)
+            removeIncarnation(executor.number, "left");
+        return;
+    }
     const bool isSilent = m_now - executor.lastAnswerAt > m_options.suspectAfter;
     if (isSilent && !executor.runs.empty()) {
         const auto earliestExpiry = m_leadingSince
@@ -192,6 +199,8 @@
     }
     change().set_executor_removed(number);
     m_batchContinuations.emplace_back(ExecutorWhenCommitted { number });
+    for (const auto handle : std::exchange(executor->departureHandles, {}))
+        m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
     absl::erase_if(m_pendingOrders, [&](const auto& it) { return it.second.executor == number; });
 }
 
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -107,7 +107,7 @@
 
 bool JobLeader::isUsable(const LiveExecutor& it) const
 {
-    return it.hasAcceptedFence && !it.isDraining && m_now - it.lastAnswerAt <= m_options.suspectAfter
+    return it.hasAcceptedFence && !it.isDraining && !it.hasLeft() && m_now - it.lastAnswerAt <= m_options.suspectAfter
         && it.quarantinedUntil <= m_now;
 }
 
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -10,6 +10,7 @@
 #include <absl/container/btree_map.h>
 
 #include <string>
+#include <vector>
 
 namespace teasel {
 
@@ -59,6 +60,8 @@
     // Another incarnation answers under its id; its runs in flight wait for the announcement of that incarnation.
     bool isReplaced = false;
     Instant replacedAt {};
+    Instant leftAt {}; // when it announced its departure; Instant() before
+    std::vector<uint64_t> departureHandles; // calls that announced the departure, to be answered
     Instant drainedBy {}; // while draining: the executor may leave from this time on
     uint64_t lastSequence = 0; // sequence number of the last announcement
     Instant lastAnnouncedAt {};
@@ -86,6 +89,8 @@
     uint64_t lastFailedJob = 0;
     unsigned quarantineCount = 0;
     Instant quarantinedUntil {};
+    bool hasLeft() const { return leftAt != Instant(); }
+
     double slowness = 1; // moving average of actual over expected run time
 };
 
