A departure without a start time removes a draining incarnation only

Callers could see a task run twice: the runs of a restarted executor were given up while in progress. Cause: a departure without a start time removed whichever incarnation was registered under the id, so a delayed one of the previous incarnation removed the next. Ruled out: ignoring all departures without a start time; executors of other versions may not send one. Before: jobs_departures, 'a departure without a start time ...', fails: the running incarnation is removed. After: it passes. Conclusion: an executor that leaves has announced a drain before; otherwise its lease decides.

--- a/jobs/job_calls.cpp
+++ b/jobs/job_calls.cpp
@@ -372,10 +372,13 @@
         const auto* state = executorState(number);
         if (state == nullptr)
             continue;
-        if (call.bornMs != 0 && call.bornMs != state->record.born_ms())
+        auto& executor = m_executors.at(number);
+        // Without a start time it may be the delayed departure of a previous incarnation. Executors drain before they
+        // leave.
+        const bool isMeant = call.bornMs == 0 ? executor.isDraining : call.bornMs == state->record.born_ms();
+        if (!isMeant)
             continue;
         // Listings that it made before it left may still be on their way; checkExecutor() removes it.
-        auto& executor = m_executors.at(number);
         if (!executor.hasLeft())
             executor.leftAt = m_now;
         executor.departureHandles.push_back(handle);
--- a/jobs/job_events.h
+++ b/jobs/job_events.h
@@ -62,7 +62,7 @@
 
 struct ExecutorDeparture {
     std::string id;
-    uint64_t bornMs = 0; // start time of the incarnation; 0: any incarnation
+    uint64_t bornMs = 0; // start time of the incarnation; 0: not given
 };
 
 using JobCall = std::variant<SubmitJob, QueryJob, CancelJob, QueryQueue, PutConfiguration, GetConfiguration,
--- a/tests/jobs_departures_test.cpp
+++ b/tests/jobs_departures_test.cpp
@@ -59,3 +59,20 @@
     CHECK(again->executorId == "x2");
     CHECK(it.answerTo(handle));
 }
+
+TEST_CASE("a departure without a start time does not remove an incarnation that has not announced a drain")
+{
+    JobsFixture it;
+    startOnFirstExecutor(it);
+    it.announce("x1", 2); // restarted under its id
+    it.passWithRenewals(Milliseconds(100));
+    const auto handle = depart(it, "x1", 0); // delayed, of the previous incarnation
+    CHECK(it.answerTo(handle));
+    it.passWithRenewals(Milliseconds(500));
+    CHECK(it.state.executors().rbegin()->second.record.id() == "x1");
+    it.announce("x1", 2, 2, true);
+    depart(it, "x1", 0);
+    it.passWithRenewals(Milliseconds(500));
+    CHECK(it.state.executors().size() == 1);
+    CHECK(it.state.executors().begin()->second.record.id() == "x2");
+}
