Tasks under which executors crash at their start are given up after two crashes

Callers saw executors crash one after the other, and with them all that ran there (BUDGET, LOST). Cause: a run whose executor crashed left no trace in the task's record, so its task was started without limit. Ruled out: counting all crashes under a task alike; tasks that run beside it lose their executor as often.

--- a/jobs/candidate_executor.h
+++ b/jobs/candidate_executor.h
@@ -33,6 +33,7 @@
     std::string_view rack;
     const google::protobuf::RepeatedPtrField<std::string>* labels = nullptr;
     double slowness = 1; // factor on the run time of a healthy executor
+    bool hasSuspect = false; // a suspect task was started there just now
     bool isDegraded = false; // recently failed: used last
 };
 
--- a/jobs/job_calls.cpp
+++ b/jobs/job_calls.cpp
@@ -361,6 +361,8 @@
     // incarnation with another id are refused.
     for (const auto number : registered) {
         const auto* previous = executorState(number);
+        if (const auto* executor = findExecutor(number); executor != nullptr && !executor->isReplaced)
+            recordCrash(*executor);
         const bool isSameId = previous != nullptr && previous->record.id() == record.id();
         removeIncarnation(number, "a new incarnation announced itself", isSameId ? record.number() : 0);
     }
--- a/jobs/job_checks.cpp
+++ b/jobs/job_checks.cpp
@@ -136,6 +136,7 @@
         if (run.stage != RunStage::Ending && run.stage != RunStage::Committing)
             keys.push_back(key);
     }
+    executor.lapsedRuns = runsInCrash(executor);
     for (const auto& it : keys)
         endRun(executor, it, schema::RUN_OUTCOME_LAPSED, {});
 }
@@ -161,6 +162,7 @@
     log("executor_replaced",
         { { "executor", state->record.id() }, { "born", std::to_string(state->record.born_ms()) },
             { "runs", std::to_string(executor.runs.size()) } });
+    recordCrash(executor);
     endRunsInProgress(executor);
     absl::erase_if(m_pendingOrders, [&](const auto& it) { return it.second.executor == executor.number; });
 }
--- /dev/null
+++ b/jobs/job_crashes.cpp
@@ -0,0 +1,76 @@
+// JobLeader: crashes of executors, and the tasks that may cause them. Such a task would crash one executor after the
+// other, together with all that runs there.
+#include "jobs/job_leader.h"
+
+#include <algorithm>
+
+namespace teasel {
+
+namespace {
+
+    constexpr Milliseconds startBatchTime { 50 }; // within which starts that were planned together are sent
+
+    bool isStartUnanswered(const LiveRun& it)
+    {
+        return it.stage == RunStage::Starting || it.stage == RunStage::UnknownOutcome;
+    }
+
+} // namespace
+
+bool JobLeader::isSuspect(const TaskKey& key) const
+{
+    const auto* task = m_state.find(key);
+    return task != nullptr && task->crashesAtStart > 0;
+}
+
+std::vector<LiveExecutor::CrashedRun> JobLeader::runsInCrash(const LiveExecutor& executor) const
+{
+    auto firstUnanswered = Instant::max();
+    for (const auto& [key, run] : executor.runs) {
+        if (isStartUnanswered(run))
+            firstUnanswered = std::min(firstUnanswered, run.startedAt);
+    }
+    std::vector<LiveExecutor::CrashedRun> out;
+    for (const auto& [key, run] : executor.runs) {
+        if (run.stage == RunStage::Ending || run.stage == RunStage::Committing)
+            continue;
+        // The crash came after the executor's last answer, and not after the first start that it did not answer.
+        const bool isNew = executor.lastAnswerAt - run.startedAt < m_options.crashAtStartWindow;
+        const bool isInTime = !isStartUnanswered(run) || run.startedAt - firstUnanswered < startBatchTime;
+        out.push_back({ key, run.run, run.stage != RunStage::Inherited && isNew && isInTime });
+    }
+    return out;
+}
+
+void JobLeader::recordCrash(const LiveExecutor& executor)
+{
+    if (executor.isDraining) // It may have left as announced.
+        return;
+    auto runs = runsInCrash(executor);
+    runs.insert(runs.end(), executor.lapsedRuns.begin(), executor.lapsedRuns.end());
+    // A task under which an executor crashed before explains the crash; others that had just started are not suspected.
+    const bool isExplained
+        = std::any_of(runs.begin(), runs.end(), [&](const auto& it) { return it.isAtStart && isSuspect(it.task); });
+    for (const auto& it : runs)
+        recordCrash(executor, it.task, it.run, it.isAtStart && (!isExplained || isSuspect(it.task)));
+}
+
+void JobLeader::recordCrash(const LiveExecutor& executor, const TaskKey& key, uint32_t run, bool isAtStart)
+{
+    const auto* task = m_state.find(key);
+    if (task == nullptr || task->done)
+        return;
+    const auto* state = executorState(executor.number);
+    log("run_crashed",
+        { { "task", taskText(key) }, { "run", std::to_string(run) },
+            { "executor", state == nullptr ? "" : state->record.id() }, { "at_start", isAtStart ? "true" : "false" },
+            { "crashes", std::to_string(task->crashes + 1) },
+            { "crashes_at_start", std::to_string(task->crashesAtStart + (isAtStart ? 1 : 0)) } });
+    auto& crash = *change().mutable_crashed();
+    fillRef(key, *crash.mutable_task());
+    crash.set_run(run);
+    crash.set_at_start(isAtStart);
+    m_batchContinuations.emplace_back(CrashWhenCommitted { key.step.job });
+}
+
+} // namespace teasel
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -215,6 +215,7 @@
     if (executor == nullptr || state == nullptr)
         return;
     if (result.outcome == OrderOutcome::OtherIncarnation) { // It has another id and refuses all orders for this one.
+        recordCrash(*executor);
         removeIncarnation(order.executor, "another_incarnation_answered");
         return;
     }
@@ -306,6 +307,7 @@
         executor.lastAnswerAt = m_now;
     if (!order.isPoll)
         executor.nextRenewalAt = m_now + (order.renewsLease ? m_options.renewalInterval : Milliseconds(0));
+    executor.lapsedRuns.clear();
     processEndList(executor, result);
     processRunningList(executor, order, result);
     resolveAbsentRuns(executor, order, result);
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -182,6 +182,13 @@
 
 void JobLeader::execute(JobEndedWhenCommitted& it) { onJobEnded(it.job); }
 
+void JobLeader::execute(CrashWhenCommitted& it)
+{
+    const auto* job = m_state.find(it.job);
+    if (job != nullptr && job->hasEnded())
+        onJobEnded(it.job);
+}
+
 void JobLeader::execute(ExecutorWhenCommitted& it)
 {
     const auto* state = executorState(it.number);
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -113,15 +113,18 @@
     struct JobEndedWhenCommitted {
         uint64_t job = 0;
     };
+    struct CrashWhenCommitted {
+        uint64_t job = 0;
+    };
     struct ExecutorWhenCommitted {
         uint32_t number = 0;
     };
     struct ConfigurationWhenCommitted {
         uint64_t handle = 0;
     };
-    using Continuation
-        = std::variant<ConfigurationWhenCommitted, AnswerWhenCommitted, LaunchRunWhenCommitted, RunEndedWhenCommitted,
-            AcknowledgeEndsWhenCommitted, JobAcceptedWhenCommitted, JobEndedWhenCommitted, ExecutorWhenCommitted>;
+    using Continuation = std::variant<ConfigurationWhenCommitted, AnswerWhenCommitted, LaunchRunWhenCommitted,
+        RunEndedWhenCommitted, AcknowledgeEndsWhenCommitted, JobAcceptedWhenCommitted, JobEndedWhenCommitted,
+        CrashWhenCommitted, ExecutorWhenCommitted>;
 
     struct PendingOrder {
         uint32_t executor = 0;
@@ -179,6 +182,11 @@
     // is one (0: none), until that one's first listing.
     void removeIncarnation(uint32_t number, std::string_view reason, uint32_t successor = 0);
     void awaitSuccessor(LiveExecutor&);
+    // Records that an executor crashed under its runs, and which of these may be the cause.
+    void recordCrash(const LiveExecutor&);
+    void recordCrash(const LiveExecutor&, const TaskKey&, uint32_t run, bool isAtStart);
+    std::vector<LiveExecutor::CrashedRun> runsInCrash(const LiveExecutor&) const;
+    bool isSuspect(const TaskKey&) const;
     void endRunsInProgress(LiveExecutor&);
     // The fence of orders to an incarnation: higher than that of previous leaders, and than that of this leader's
     // orders to previous incarnations, which may still be in flight.
@@ -232,6 +240,7 @@
     void execute(AcknowledgeEndsWhenCommitted&);
     void execute(JobAcceptedWhenCommitted&);
     void execute(JobEndedWhenCommitted&);
+    void execute(CrashWhenCommitted&);
     void execute(ExecutorWhenCommitted&);
     void execute(ConfigurationWhenCommitted&);
     schema::JobChange& change() { return *m_batch.add_changes(); }
--- a/jobs/job_leader_options.h
+++ b/jobs/job_leader_options.h
@@ -35,6 +35,9 @@
 
     size_t maxProposalsInFlight = 2; // further changes wait for the next proposal
 
+    // A run during which an executor crashes this soon after its start may be the cause.
+    Milliseconds crashAtStartWindow { 500 };
+
     unsigned quarantineFailures = 3; // consecutive failed runs of different jobs that put an executor in quarantine
     Milliseconds quarantineTime { 4'000 }; // doubled with each quarantine, at most to four times
 
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -48,6 +48,7 @@
         candidate.rack = state->second.record.rack();
         candidate.labels = &state->second.record.labels();
         candidate.slowness = it.slowness;
+        candidate.hasSuspect = it.suspectUntil > m_now;
         candidate.isDegraded = it.failuresInRow > 0;
         for (size_t n = 0; n < ResourceVector::kinds; ++n)
             m_freedPerSecond[n] += it.freedPerSecond[n];
@@ -209,6 +210,8 @@
     run.queue = step.queue;
     run.assignedAt = run.startedAt = m_now;
     step.waiting.erase(start.task.index);
+    if (step.suspects.contains(start.task.index))
+        executor.suspectUntil = m_now + m_options.crashAtStartWindow;
     auto& assignment = *change().mutable_assigned();
     fillRef(start.task, *assignment.mutable_task());
     assignment.set_run(run.run);
--- a/jobs/job_state.cpp
+++ b/jobs/job_state.cpp
@@ -38,6 +38,8 @@
         return applyEnded(change.ended());
     case schema::JobChange::kExecutor:
         return applyExecutor(change.executor());
+    case schema::JobChange::kCrashed:
+        return applyCrashed(change.crashed());
     case schema::JobChange::kExecutorRemoved:
         m_executors.erase(change.executor_removed());
         return;
@@ -175,6 +177,20 @@
         endJob(job, JobPhase::Failed);
 }
 
+void JobState::applyCrashed(const schema::RunCrash& crash)
+{
+    const auto key = toKey(crash.task());
+    const auto job = m_jobs.find(key.step.job);
+    auto* task = mutableTask(key);
+    if (job == m_jobs.end() || job->second.hasEnded() || task == nullptr || task->done)
+        return;
+    ++task->crashes;
+    task->crashesAtStart += crash.at_start() ? 1 : 0;
+    const bool isLasting = job->second.request.steps(static_cast<int>(key.step.step)).lasting();
+    if (task->crashesAtStart >= maxCrashesAtStart || (!isLasting && task->crashes >= maxCrashes))
+        endJob(job->second, JobPhase::Failed);
+}
+
 void JobState::endJob(JobRecord& job, JobPhase phase)
 {
     leaveQueue(job);
@@ -274,6 +290,8 @@
             task.set_failures(it.failures);
             task.set_done(it.done);
             task.set_checkpoint(it.checkpoint);
+            task.set_crashes(it.crashes);
+            task.set_crashes_at_start(it.crashesAtStart);
         }
     }
 
@@ -283,7 +301,8 @@
         step.lastFailedRun = image.last_failed_run();
         step.gangFailures = image.gang_failures();
         for (const auto& it : image.tasks()) {
-            step.tasks.push_back({ it.run(), it.executor(), it.failures(), it.done(), it.checkpoint() });
+            step.tasks.push_back({ it.run(), it.executor(), it.failures(), it.crashes(), it.crashes_at_start(),
+                it.done(), it.checkpoint() });
             step.doneTasks += it.done() ? 1 : 0;
             step.assignedTasks += it.executor() != 0 ? 1 : 0;
         }
--- a/jobs/job_state.h
+++ b/jobs/job_state.h
@@ -32,6 +32,8 @@
     uint32_t run = 0; // run number of the last assignment
     uint32_t executor = 0; // 0: not assigned
     uint32_t failures = 0;
+    uint32_t crashes = 0; // executors that crashed under it
+    uint32_t crashesAtStart = 0; // those that crashed shortly after its start, so that it may be the cause
     bool done = false;
     std::string checkpoint;
 };
@@ -72,6 +74,10 @@
     absl::btree_map<TaskKey, AssignmentState> assignments;
 };
 
+// A task is given up, and its job fails, after this many crashes.
+constexpr uint32_t maxCrashesAtStart = 2;
+constexpr uint32_t maxCrashes = 4; // at any time of its runs; does not apply to lasting tasks
+
 // The part of an executor's capacity that one task of a step uses.
 ResourceVector needOf(const schema::JobStep&);
 
@@ -114,6 +120,7 @@
     void applyCancelled(uint64_t job);
     void applyAssigned(const schema::TaskAssignment&);
     void applyEnded(const schema::RunEnd&);
+    void applyCrashed(const schema::RunCrash&);
     void applyExecutor(const schema::ExecutorRecord&);
     void markDone(JobRecord&, const TaskKey&);
     void countFailure(JobRecord&, const TaskKey&, uint32_t run);
--- a/jobs/job_steps.cpp
+++ b/jobs/job_steps.cpp
@@ -139,6 +139,8 @@
         const auto& task = open->second.steps[key.step].tasks[n];
         if (!task.done && task.executor == 0)
             step.waiting.insert(n);
+        if (task.crashesAtStart > 0)
+            step.suspects.insert(n);
     }
     m_readySteps.emplace(key, std::move(step));
     m_mustPlan = true;
@@ -162,6 +164,8 @@
     }
     if (task->executor == 0) {
         step->second.waiting.insert(key.index);
+        if (task->crashesAtStart > 0)
+            step->second.suspects.insert(key.index);
         if (step->second.lasting)
             step->second.readySince = step->second.latestStart = m_now;
         m_mustPlan = true;
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -85,6 +85,15 @@
     ResourceVector freedSoon;
     ResourceRate freedPerSecond {};
 
+    Instant suspectUntil {}; // until then a suspect task that was started here is under observation
+    // A run during which the executor crashed.
+    struct CrashedRun {
+        TaskKey task;
+        uint32_t run = 0;
+        bool isAtStart = false; // it had just started
+    };
+    std::vector<CrashedRun> lapsedRuns; // since its last answer; the executor may have crashed
+
     unsigned failuresInRow = 0;
     uint64_t lastFailedJob = 0;
     unsigned quarantineCount = 0;
--- a/jobs/ready_step.h
+++ b/jobs/ready_step.h
@@ -14,6 +14,8 @@
 struct ReadyStep {
     StepKey key;
     absl::btree_set<uint32_t> waiting; // indices of tasks that are neither assigned nor done
+    // Those of them under which an executor crashed shortly after their start.
+    absl::btree_set<uint32_t> suspects;
     uint32_t count = 0; // number of all tasks of the step
     ResourceVector need; // of one task; without CPUs if these are not counted against capacity
     std::string queue;
--- a/jobs/start_planner.cpp
+++ b/jobs/start_planner.cpp
@@ -177,20 +177,63 @@
         reserveCapacity(step, wanted, now, out);
         return;
     }
+    if (!step.gang && !step.suspects.empty()) {
+        const auto suspects = static_cast<int64_t>(std::count_if(
+            step.waiting.begin(), step.waiting.end(), [&](uint32_t it) { return step.suspects.contains(it); }));
+        wanted -= planSuspects(step, wanted, placements, out);
+        wanted = std::min(wanted, static_cast<int64_t>(step.waiting.size()) - suspects);
+    }
     auto index = step.waiting.begin();
-    for (const auto& placement : placements) {
-        auto& candidate = m_candidates[placement.candidate];
-        for (int64_t n = 0; n < placement.maxTasks && wanted > 0; ++n, --wanted, ++index) {
-            out.starts.push_back({ { step.key, *index }, candidate.number });
-            candidate.free -= step.need;
-            m_plannedPerTeam[step.team] += step.need;
+    for (auto& placement : placements) {
+        for (; placement.maxTasks > 0 && wanted > 0; ++index) {
+            if (!step.gang && step.suspects.contains(*index))
+                continue;
+            start(step, *index, placement, out);
+            --wanted;
         }
-        if (wanted == 0)
+        if (wanted <= 0)
             return;
     }
     reserveCapacity(step, wanted, now, out);
 }
 
+void StartPlanner::start(const ReadyStep& step, uint32_t index, Placement& placement, StartPlan& out)
+{
+    auto& candidate = m_candidates[placement.candidate];
+    out.starts.push_back({ { step.key, index }, candidate.number });
+    candidate.free -= step.need;
+    m_plannedPerTeam[step.team] += step.need;
+    --placement.maxTasks;
+}
+
+int64_t StartPlanner::planSuspects(
+    const ReadyStep& step, int64_t wanted, std::vector<Placement>& placements, StartPlan& out)
+{
+    // One on each executor, so that a further crash tells which task causes it; on the emptiest ones, where a crash
+    // ends the fewest runs.
+    int64_t planned = 0;
+    for (const auto index : step.waiting) {
+        if (planned == wanted)
+            break;
+        if (!step.suspects.contains(index))
+            continue;
+        Placement* best = nullptr;
+        for (auto& it : placements) {
+            const auto& candidate = m_candidates[it.candidate];
+            if (it.maxTasks == 0 || candidate.hasSuspect)
+                continue;
+            if (best == nullptr || candidate.free.amounts[0] > m_candidates[best->candidate].free.amounts[0])
+                best = &it;
+        }
+        if (best == nullptr)
+            break;
+        start(step, index, *best, out);
+        m_candidates[best->candidate].hasSuspect = true;
+        ++planned;
+    }
+    return planned;
+}
+
 void StartPlanner::reserveCapacity(const ReadyStep& step, int64_t wanted, Instant now, StartPlan& out)
 {
     if (rankOf(step, now) == Rank::Late)
--- a/jobs/start_planner.h
+++ b/jobs/start_planner.h
@@ -63,6 +63,8 @@
     std::vector<size_t> candidatesOf(const std::optional<std::vector<uint32_t>>& executors) const;
     std::vector<Placement> placementsFor(const ReadyStep&, Instant now, uint64_t& visits) const;
     void planStep(const ReadyStep&, Instant now, StartPlan& out);
+    int64_t planSuspects(const ReadyStep&, int64_t wanted, std::vector<Placement>&, StartPlan& out);
+    void start(const ReadyStep&, uint32_t index, Placement&, StartPlan& out);
     void restrictToOneRack(const ReadyStep&, size_t wanted, std::vector<Placement>&) const;
     void reserveCapacity(const ReadyStep&, int64_t wanted, Instant now, StartPlan& out);
     double scoreOf(const ReadyStep&, const CandidateExecutor&, Instant now) const;
--- a/tests/jobs_fixture.h
+++ b/tests/jobs_fixture.h
@@ -79,11 +79,17 @@
     }
 
     void announce(const std::string& id, uint64_t born = 1, uint64_t sequence = 1, bool draining = false)
+    {
+        announceAt(id, id, born, sequence, draining);
+    }
+
+    void announceAt(const std::string& id, const std::string& address, uint64_t born = 1, uint64_t sequence = 1,
+        bool draining = false)
     {
         ExecutorAnnouncement it;
         it.record.set_id(id);
         it.record.set_born_ms(born);
-        it.record.set_address(id);
+        it.record.set_address(address);
         it.record.set_service("filling");
         it.record.set_draining(draining);
         it.record.mutable_capacity()->set_milli_cpus(8'000);
