Capacity that an executor announces later is in force at once

Callers would see an executor given more than it has room for (LIMIT) once its capacity has shrunk. Cause: an announcement of a known incarnation changed its drain state only. Ruled out: waiting for the commit; a start that was decided before would still be sent. Conclusion: starts are checked against the capacity announced last, also when they are sent; whether a job can ever run is judged by the largest capacity announced, since it may grow again.

--- a/jobs/job_calls.cpp
+++ b/jobs/job_calls.cpp
@@ -86,7 +86,7 @@
         return std::any_of(executors.begin(), executors.end(), [&](const auto& executor) {
             const auto& it = executor.second;
             const auto& labels = it.record.labels();
-            return it.record.service() == queue.service() && need.fitsIn(it.capacity)
+            return it.record.service() == queue.service() && need.fitsIn(it.largestCapacity)
                 && (step.required_label().empty()
                     || std::find(labels.begin(), labels.end(), step.required_label()) != labels.end());
         });
@@ -115,8 +115,8 @@
         const auto* state = executorState(number);
         if (state == nullptr || !isUsable(it))
             continue;
-        load.total += state->capacity;
-        load.free += state->capacity - it.committed;
+        load.total += it.capacity;
+        load.free += leftOf(it.capacity, it.committed);
         for (size_t n = 0; n < ResourceVector::kinds; ++n)
             load.freedPerSecond[n] += it.freedPerSecond[n];
     }
@@ -335,13 +335,25 @@
         known->lastAnnouncedAt = m_now;
         if (record.draining())
             known->drainedBy = m_now + Milliseconds(static_cast<int64_t>(call.drainRemainingMs));
-        if (record.draining() == executorState(known->number)->record.draining())
+        const auto& committed = executorState(known->number)->record;
+        if (!record.has_capacity())
+            *record.mutable_capacity() = committed.capacity();
+        const bool isDrainChange = record.draining() != committed.draining();
+        const bool isCapacityChange = toVector(record.capacity()) != toVector(committed.capacity());
+        known->capacity = toVector(record.capacity());
+        if (!isDrainChange && !isCapacityChange)
             return answer(handle, {});
         known->isDraining = known->isDraining || record.draining();
         record.set_number(known->number);
-        log("executor_draining",
-            { { "executor", record.id() }, { "leaves_in_ms", std::to_string(call.drainRemainingMs) },
-                { "runs", std::to_string(known->runs.size()) } });
+        if (isDrainChange)
+            log("executor_draining",
+                { { "executor", record.id() }, { "leaves_in_ms", std::to_string(call.drainRemainingMs) },
+                    { "runs", std::to_string(known->runs.size()) } });
+        if (isCapacityChange)
+            log("executor_capacity_changed",
+                { { "executor", record.id() }, { "capacity", describe(known->capacity) },
+                    { "committed", describe(known->committed) } });
+        m_mustPlan = true;
         *change().mutable_executor() = std::move(record);
         m_batchContinuations.emplace_back(ExecutorWhenCommitted { known->number });
         m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
--- a/jobs/job_state.cpp
+++ b/jobs/job_state.cpp
@@ -226,6 +226,7 @@
     auto& it = m_executors[record.number()];
     it.record = record;
     it.capacity = toVector(record.capacity());
+    it.largestCapacity = largestOf(it.largestCapacity, it.capacity);
     m_lastExecutor = std::max(m_lastExecutor, record.number());
 }
 
@@ -353,6 +354,7 @@
     for (const auto& [number, it] : m_executors) {
         auto& record = *image.add_executors();
         record = it.record;
+        *record.mutable_largest_capacity() = toMessage(it.largestCapacity);
         for (const auto& [key, held] : it.assignments) {
             auto& assignment = *record.add_assignments();
             fillRef(key, *assignment.mutable_task());
@@ -391,9 +393,11 @@
         auto& it = m_executors[record.number()];
         for (const auto& assignment : record.assignments())
             it.assignments[toKey(assignment.task())] = { assignment.run(), toVector(assignment.need()) };
+        it.capacity = toVector(record.capacity());
+        it.largestCapacity = largestOf(it.capacity, toVector(record.largest_capacity()));
         record.clear_assignments();
+        record.clear_largest_capacity();
         it.record = record;
-        it.capacity = toVector(record.capacity());
     }
     m_lastExecutor = image.last_executor();
     m_wallMs = image.wall_ms();
--- a/jobs/job_state.h
+++ b/jobs/job_state.h
@@ -71,6 +71,7 @@
 struct ExecutorState {
     schema::ExecutorRecord record; // without assignments
     ResourceVector capacity;
+    ResourceVector largestCapacity; // that the incarnation announced; it may have shrunk and grow again
     absl::btree_map<TaskKey, AssignmentState> assignments;
 };
 
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -67,7 +67,8 @@
     Instant lastAnnouncedAt {};
     Instant lastAnswerAt {}; // last answer to a renewal or poll that was in time
     LeaseClock clock;
-    ResourceVector committed;
+    ResourceVector capacity; // as announced last; also before it is committed
+    ResourceVector committed; // may exceed a capacity that has shrunk
     ResourceVector stopping; // the part of `committed` used by runs that are being stopped
     absl::btree_map<TaskKey, LiveRun> runs;
 
--- a/placement/resource_vector.h
+++ b/placement/resource_vector.h
@@ -40,6 +40,20 @@
         return a;
     }
 
+    // The larger amount of each kind.
+    friend ResourceVector largestOf(ResourceVector a, const ResourceVector& b)
+    {
+        for (size_t i = 0; i < kinds; ++i)
+            a.amounts[i] = std::max(a.amounts[i], b.amounts[i]);
+        return a;
+    }
+
+    // What is left of `total` without `used`, of each kind at least 0.
+    friend ResourceVector leftOf(const ResourceVector& total, const ResourceVector& used)
+    {
+        return largestOf(total - used, {});
+    }
+
     // Whether every amount is at most that of `capacity`.
     bool fitsIn(const ResourceVector& capacity) const
     {
