Emulator of the job plane: split into four headers, and tasks and capacities that are hazards

Ruled out: new draws of random numbers in the default mix; with hazards off, a seed plays what it played before. Before: jobs_world.h alone; LIMIT compares with a capacity that never changes.

--- /dev/null
+++ b/tests/jobs_world_fleet.h
@@ -0,0 +1,274 @@
+// The emulator's executors: leases on their own clocks, runs, gangs, crashes and changes of capacity.
+#pragma once
+
+#include "core/random.h"
+#include "jobs_world_checks.h"
+#include "jobs_world_types.h"
+
+#include <utility>
+
+namespace teasel {
+
+class JobsWorldFleet {
+public:
+    JobsWorldFleet(const JobsWorldOptions& options, Random& random, const ManualClock& clock, WorldCallers& callers,
+        JobsWorldChecks& checks)
+        : m_options(options)
+        , m_random(random)
+        , m_clock(clock)
+        , m_callers(callers)
+        , m_checks(checks)
+    {
+        for (size_t n = 0; n < options.executors; ++n)
+            m_executors.push_back(makeExecutor(n));
+    }
+
+    std::vector<WorldExecutor>& executors() { return m_executors; }
+    static ResourceVector fullCapacity() { return { { 8'000, 16'384, 0 } }; }
+
+    bool canReceive(const SendOrder& order)
+    {
+        const auto* it = addressee(order);
+        return it != nullptr && it->silentUntil <= m_clock.now();
+    }
+
+    // An order names an executor's id: one that is still in flight when the executor restarts reaches the next
+    // incarnation, which refuses it if its id is another.
+    std::optional<OrderResult> deliver(const SendOrder& order)
+    {
+        if (!canReceive(order))
+            return std::nullopt;
+        auto& executor = *addressee(order);
+        if (executor.id != order.executorId)
+            return OrderResult { OrderOutcome::OtherIncarnation };
+        auto result = execute(executor, order);
+        for (const auto& [key, run] : executor.runs) {
+            if (run.crashesBeforeAnswer) {
+                crashBecauseOf(executor, key);
+                return std::nullopt;
+            }
+        }
+        return result;
+    }
+
+    // The time until a crash that the last delivered order made certain.
+    std::optional<Milliseconds> takePlannedCrash() { return std::exchange(m_plannedCrash, std::nullopt); }
+
+    // The next incarnation knows nothing of the one before.
+    void crash(WorldExecutor& executor, const std::optional<TaskKey>& cause = std::nullopt)
+    {
+        m_checks.recordCrash(executor, cause);
+        auto next = makeExecutor(executor.slot);
+        next.id = executor.id;
+        next.address = executor.address;
+        if (m_options.changedIds > 0 && m_random.chance(m_options.changedIds)) {
+            // Numbers of one slot differ by multiples of the number of executors.
+            next.id = fmt::format("x{}", std::stoul(executor.id.substr(1)) + m_options.executors);
+            if (m_random.chance(0.5))
+                next.address = next.id;
+        }
+        executor = std::move(next);
+    }
+
+    void advance(WorldExecutor& executor, double ms)
+    {
+        std::vector<TaskKey> finished;
+        std::optional<TaskKey> deadly;
+        const bool hasExpired = clockOf(executor) > executor.leaseUntilMs;
+        if (hasExpired)
+            executor.expiredEnds = executor.lastEnd;
+        for (auto& [key, run] : executor.runs) {
+            if (!m_checks.stepSpec(key.step).gang() || isGangComplete(key.step, run.run))
+                run.leftMs -= ms;
+            if (run.stopsInMs)
+                *run.stopsInMs -= ms;
+            if (run.crashesInMs && (*run.crashesInMs -= ms) <= 0)
+                deadly = key;
+            if (hasExpired || run.leftMs <= 0 || (run.stopsInMs && *run.stopsInMs <= 0))
+                finished.push_back(key);
+        }
+        for (const auto& key : finished) {
+            if (!executor.runs.contains(key)) // ended together with its gang
+                continue;
+            const auto& run = executor.runs.at(key);
+            if (hasExpired)
+                endRun(executor, key, schema::RUN_OUTCOME_LAPSED);
+            else if (run.leftMs <= 0)
+                endRun(executor, key, run.fails ? schema::RUN_OUTCOME_FAILED : schema::RUN_OUTCOME_DONE);
+            else
+                endRun(executor, key, schema::RUN_OUTCOME_STOPPED);
+        }
+        if (deadly && executor.runs.contains(*deadly))
+            crashBecauseOf(executor, *deadly);
+    }
+
+private:
+    WorldExecutor makeExecutor(size_t slot)
+    {
+        WorldExecutor it;
+        it.slot = slot;
+        it.id = fmt::format("x{}", slot);
+        it.address = it.id;
+        it.bornMs = ++m_lastIncarnation;
+        it.bornAt = m_clock.now();
+        it.clockRate = 0.98 + m_random.unit() * 0.02;
+        it.capacity = fullCapacity();
+        it.nextAnnouncement = m_clock.now();
+        return it;
+    }
+
+    void crashBecauseOf(WorldExecutor& executor, const TaskKey& key)
+    {
+        crash(executor, TaskKey(key));
+        executor.silentUntil = m_clock.now() + std::chrono::milliseconds(1'000 + m_random.below(3'000));
+    }
+
+    WorldExecutor* addressee(const SendOrder& order)
+    {
+        WorldExecutor* out = nullptr;
+        for (auto& it : m_executors) {
+            if (it.id == order.executorId)
+                return &it;
+            if (it.address == order.address)
+                out = &it;
+        }
+        return out;
+    }
+
+    uint64_t clockOf(const WorldExecutor& it) const
+    {
+        const auto lived = std::chrono::duration<double, std::milli>(m_clock.now() - it.bornAt).count();
+        return 1'000 + static_cast<uint64_t>(lived * it.clockRate);
+    }
+
+    OrderResult execute(WorldExecutor& executor, const SendOrder& order)
+    {
+        OrderResult out;
+        out.clockMs = clockOf(executor);
+        out.bornMs = executor.bornMs;
+        if (order.fence < executor.fence) {
+            out.outcome = OrderOutcome::StaleFence;
+            return out;
+        }
+        executor.fence = order.fence;
+        out.outcome = OrderOutcome::Done;
+        if (const auto* start = std::get_if<StartRun>(&order.order))
+            out.outcome = begin(executor, *start);
+        else if (const auto* stop = std::get_if<StopRun>(&order.order))
+            stopRun(executor, *stop);
+        else if (const auto* renewal = std::get_if<RenewLease>(&order.order))
+            renewLease(executor, *renewal, out);
+        return out;
+    }
+
+    OrderOutcome begin(WorldExecutor& executor, const StartRun& start)
+    {
+        if (const auto it = executor.runs.find(start.task); it != executor.runs.end() && it->second.run == start.run)
+            return OrderOutcome::Done;
+        if (const auto it = executor.barredRuns.find(start.task);
+            it != executor.barredRuns.end() && start.run <= it->second)
+            return OrderOutcome::StaleRun;
+        if (start.leaseUntilMs <= clockOf(executor))
+            return OrderOutcome::LeaseExpired;
+        m_checks.checkStart(m_executors, executor, start);
+        executor.leaseUntilMs = std::max(executor.leaseUntilMs, start.leaseUntilMs);
+        const auto& caller = m_callers[start.task.step.job];
+        const auto& spec = caller.request.steps(static_cast<int>(start.task.step.step));
+        WorldRun run { start.run, start.payload, 100.0 + static_cast<double>(m_random.below(1'500)),
+            m_random.chance(m_options.failures), needOf(spec) };
+        if (caller.deadly && caller.deadly->step == start.task.step.step)
+            prepareCrash(run, spec.gang(), caller.deadly->index == start.task.index);
+        executor.runs[start.task] = std::move(run);
+        m_checks.checkCapacity(m_executors, executor);
+        return OrderOutcome::Done;
+    }
+
+    void prepareCrash(WorldRun& run, bool isGang, bool isDeadly)
+    {
+        constexpr double never = 1e9;
+        if (isDeadly || isGang) // A gang does not end before its deadly member.
+            run.leftMs = never;
+        if (!isDeadly)
+            return;
+        run.crashesBeforeAnswer = m_random.chance(m_options.crashesBeforeAnswer);
+        const auto after = run.crashesBeforeAnswer ? 0 : m_random.below(300);
+        run.crashesInMs = static_cast<double>(after);
+        m_plannedCrash = Milliseconds(after);
+    }
+
+    void endRun(WorldExecutor& executor, const TaskKey& key, schema::RunOutcome outcome)
+    {
+        const auto run = executor.runs.at(key).run;
+        executor.runs.erase(key);
+        executor.barredRuns[key] = std::max(executor.barredRuns[key], run);
+        executor.ended.push_back({ ++executor.lastEnd, key, run, outcome, {} });
+        if (m_checks.stepSpec(key.step).gang() && outcome != schema::RUN_OUTCOME_BROKEN)
+            endOtherGangMembers(key.step, run, outcome);
+    }
+
+    // When one member of a gang is done, all are; when one ends otherwise, the others break.
+    void endOtherGangMembers(const StepKey& step, uint32_t run, schema::RunOutcome outcome)
+    {
+        const auto others = outcome == schema::RUN_OUTCOME_DONE ? outcome : schema::RUN_OUTCOME_BROKEN;
+        for (auto& executor : m_executors) {
+            std::vector<TaskKey> keys;
+            for (const auto& [key, it] : executor.runs) {
+                if (key.step == step && it.run == run)
+                    keys.push_back(key);
+            }
+            for (const auto& key : keys) {
+                if (executor.runs.contains(key))
+                    endRun(executor, key, others);
+            }
+        }
+    }
+
+    bool isGangComplete(const StepKey& step, uint32_t run)
+    {
+        size_t n = 0;
+        for (const auto& executor : m_executors) {
+            for (const auto& [key, it] : executor.runs)
+                n += key.step == step && it.run == run ? 1 : 0;
+        }
+        return n == m_checks.stepSpec(step).count();
+    }
+
+    void stopRun(WorldExecutor& executor, const StopRun& stop)
+    {
+        executor.barredRuns[stop.task] = std::max(executor.barredRuns[stop.task], stop.run);
+        const auto it = executor.runs.find(stop.task);
+        if (it == executor.runs.end() || it->second.run > stop.run)
+            return;
+        if (m_options.maxStopTime == Milliseconds(0))
+            endRun(executor, stop.task, schema::RUN_OUTCOME_STOPPED);
+        else if (!it->second.stopsInMs)
+            it->second.stopsInMs
+                = static_cast<double>(m_random.below(static_cast<uint64_t>(m_options.maxStopTime.count())));
+    }
+
+    void renewLease(WorldExecutor& executor, const RenewLease& renewal, OrderResult& out)
+    {
+        executor.leaseUntilMs = std::max(executor.leaseUntilMs, renewal.leaseUntilMs);
+        for (const auto& it : executor.ended) {
+            // An end does not count if the lease expired before the end was acknowledged.
+            if (it.number <= renewal.acknowledgedEnds && it.number > executor.expiredEnds
+                && it.outcome == schema::RUN_OUTCOME_DONE)
+                m_checks.markDone(it.task);
+        }
+        std::erase_if(executor.ended, [&](const auto& it) { return it.number <= renewal.acknowledgedEnds; });
+        for (const auto& [key, run] : executor.runs)
+            out.running.push_back({ key, run.run, {}, 100, -1 });
+        out.ended = executor.ended;
+    }
+
+    const JobsWorldOptions& m_options;
+    Random& m_random;
+    const ManualClock& m_clock;
+    WorldCallers& m_callers;
+    JobsWorldChecks& m_checks;
+    std::vector<WorldExecutor> m_executors;
+    std::optional<Milliseconds> m_plannedCrash;
+    uint64_t m_lastIncarnation = 0;
+};
+
+} // namespace teasel
--- /dev/null
+++ b/tests/jobs_world_types.h
@@ -0,0 +1,121 @@
+// What the emulator of the job plane's surroundings is asked to play, and the data of its executors and callers.
+#pragma once
+
+#include "core/clock.h"
+#include "jobs/job_events.h"
+#include "jobs/job_state.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace teasel {
+
+struct JobsWorldOptions {
+    uint64_t seed = 1;
+    bool trace = false; // print the leader's log
+    size_t executors = 6;
+    double jobsPerSecond = 6;
+    double lateOrders = 0.02; // share of orders without an answer that are executed 2 to 12 s later
+    double lostAnswers = 0.02;
+    double repeatedOrders = 0.01; // share of orders that arrive twice; the first answer is lost
+    double executorCrashesPerSecond = 0.05;
+    double silencesPerSecond = 0.05; // an executor is cut off for seconds
+    double leaderChangesPerSecond = 0.1;
+    double cancels = 0.05;
+    double failures = 0.02; // share of runs that fail
+    bool needsTickets = true;
+    bool callersGiveUp = false; // a refused caller does not resubmit
+    uint64_t teamCap = 40'000; // in thousandths of a core; 0: no cap
+    Milliseconds faultDuration { 20'000 };
+    Milliseconds drainDuration { 60'000 };
+
+    // Hazards. With a value of 0 they use no random number, so a seed plays the same with and without them.
+    double deadlyJobs = 0; // share of jobs with a task that crashes each executor that starts it
+    double crashesBeforeAnswer = 0.3; // share of these crashes that come before the start is answered
+    double leaderChangesAroundCrash = 0; // share of these crashes with a change of leaders 300 ms before to after
+    double changedIds = 0; // share of crashed executors that come back under another id
+    double capacityChangesPerSecond = 0;
+    Milliseconds maxStopTime { 0 }; // a stopped run holds its capacity for up to this time
+    Milliseconds probeDuration { 0 }; // at the end: time within which each executor must run a task of its full size
+};
+
+struct WorldRun {
+    uint32_t run = 0;
+    std::string payload;
+    double leftMs = 0;
+    bool fails = false;
+    ResourceVector need;
+    std::optional<double> crashesInMs {};
+    bool crashesBeforeAnswer = false;
+    std::optional<double> stopsInMs {};
+};
+
+// One incarnation of an executor.
+struct WorldExecutor {
+    size_t slot = 0; // the same for all incarnations
+    std::string id;
+    std::string address;
+    uint64_t bornMs = 0;
+    double clockRate = 1;
+    Instant bornAt {};
+    ResourceVector capacity;
+    std::map<TaskKey, WorldRun> runs;
+    std::map<TaskKey, uint32_t> barredRuns; // runs up to this number are rejected
+    std::vector<EndedTask> ended;
+    uint64_t lastEnd = 0;
+    uint64_t expiredEnds = 0; // ends up to this number precede a lease expiry
+    uint64_t fence = 0;
+    uint64_t leaseUntilMs = 0;
+    uint64_t sequence = 0;
+    Instant silentUntil {};
+    Instant nextAnnouncement {};
+    struct PastCapacity {
+        ResourceVector capacity;
+        Instant until {};
+    };
+    std::vector<PastCapacity> pastCapacities;
+
+    void changeCapacity(const ResourceVector& next, Instant now)
+    {
+        pastCapacities.push_back({ capacity, now });
+        capacity = next;
+    }
+
+    // The capacity that a start must not exceed: a larger one counts until the leader has been in touch with the
+    // executor for the grace period since it shrank.
+    ResourceVector startLimit(Instant now, Instant inTouchSince) const
+    {
+        constexpr Milliseconds grace { 3'000 + 1'500 }; // contactMs and an announcement interval
+        auto out = capacity;
+        for (const auto& it : pastCapacities) {
+            if (now - std::max(it.until, inTouchSince) > grace)
+                continue;
+            for (size_t n = 0; n < ResourceVector::kinds; ++n)
+                out.amounts[n] = std::max(out.amounts[n], it.capacity.amounts[n]);
+        }
+        return out;
+    }
+};
+
+struct DeadlyTask {
+    uint32_t step = 0;
+    uint32_t index = 0;
+};
+
+struct WorldCaller {
+    schema::JobRequest request;
+    bool isAccepted = false;
+    bool isRefused = false;
+    bool isCancelled = false;
+    Instant nextTry {};
+    unsigned tries = 0;
+    std::optional<DeadlyTask> deadly {};
+    std::optional<size_t> probedSlot {}; // the only executor on which the job may run
+};
+
+using WorldCallers = std::map<uint64_t, WorldCaller>; // by job
+
+} // namespace teasel
