jobs_hazards_random: changes of leaders while a deadly start is in flight, and late starts that still take effect

Cause: the first mix played no late start of a deadly task: the leader bars a run about 0.25 s after its start, before an order that is 2 s late arrives.

--- a/tests/jobs_hazards_random_test.cpp
+++ b/tests/jobs_hazards_random_test.cpp
@@ -31,6 +31,10 @@
     if (seed % 3 != 1) {
         options.deadlyJobs = 0.03;
         options.leaderChangesAroundCrash = 0.2;
+        options.leaderChangesAroundStart = 0.1;
+        options.lateOrders = 0.04;
+        options.minLateness = Milliseconds(20);
+        options.maxLateness = Milliseconds(4'000);
         options.changedIds = 0.4;
     }
     if (seed % 3 != 2)
@@ -52,9 +56,7 @@
     const uint64_t first = fromEnvironment("TEASEL_FIRST_SEED", 1);
     const uint64_t seeds = fromEnvironment("TEASEL_SEEDS", 200);
     size_t completed = 0;
-    size_t crashes = 0;
-    size_t startsAfterTwo = 0;
-    size_t startsAfterThree = 0;
+    CrashCounts crashes;
     std::map<std::string, std::set<uint64_t>> seedsByRule;
     for (uint64_t seed = first; seed < first + seeds; ++seed) {
         JobsWorld world(hazards(seed));
@@ -63,13 +65,14 @@
             seedsByRule[ruleOf(it)].insert(seed);
         }
         completed += world.completed();
-        crashes += world.checks().crashesByTasks();
-        startsAfterTwo += world.checks().startsAfterTwoCrashes();
-        startsAfterThree += world.checks().startsAfterThreeCrashes();
+        crashes += world.checks().crashCounts();
     }
     for (const auto& [rule, failed] : seedsByRule)
         fmt::print("{}: {} seeds: {}\n", rule, failed.size(), fmt::join(failed, " "));
-    fmt::print("jobs ended: {}; executors crashed by tasks: {}; starts after two of these crashes: {}, three: {}\n",
-        completed, crashes, startsAfterTwo, startsAfterThree);
+    fmt::print(
+        "jobs ended: {}; executors crashed by tasks: {}, {} before the start was answered, {} up to 300 ms after a "
+        "change of leaders, {} by late starts; starts after two of these crashes: {}, after three: {}\n",
+        completed, crashes.all, crashes.beforeAnswer, crashes.afterTakeover, crashes.byLateStarts,
+        crashes.startsAfterTwo, crashes.startsAfterThree);
     CHECK(completed > seeds * 50);
 }
--- a/tests/jobs_world.h
+++ b/tests/jobs_world.h
@@ -173,14 +173,22 @@
             timeout();
             return;
         }
-        const auto deliver = [this, order = action] {
+        const auto deliver = [this, order = action, sentAt = m_clock.now()] {
             auto result = m_fleet.deliver(order);
-            if (const auto crashesAfter = m_fleet.takePlannedCrash())
+            if (const auto crashesAfter = m_fleet.takePlannedCrash()) {
+                if (m_clock.now() - sentAt >= order.timeout)
+                    m_checks.recordLateDeadlyStart();
                 changeLeaderAround(*crashesAfter);
+            }
             return result;
         };
+        if (m_options.leaderChangesAroundStart > 0 && isDeadlyStart(action)
+            && m_random.chance(m_options.leaderChangesAroundStart))
+            schedule(std::chrono::milliseconds(m_random.below(12)), [this] { startLeader(); });
         if (m_random.chance(m_options.lateOrders)) {
-            schedule(std::chrono::milliseconds(2'000 + m_random.below(10'000)), [deliver] { deliver(); });
+            const auto range = static_cast<uint64_t>((m_options.maxLateness - m_options.minLateness).count());
+            schedule(
+                m_options.minLateness + std::chrono::milliseconds(m_random.below(range)), [deliver] { deliver(); });
             timeout();
             return;
         }
@@ -210,6 +218,15 @@
             });
     }
 
+    bool isDeadlyStart(const SendOrder& order)
+    {
+        const auto* start = std::get_if<StartRun>(&order.order);
+        if (start == nullptr)
+            return false;
+        const auto& deadly = m_callers[start->task.step.job].deadly;
+        return deadly && deadly->step == start->task.step.step && deadly->index == start->task.index;
+    }
+
     // Changes leaders before or after a crash that an executed start made certain.
     void changeLeaderAround(Milliseconds crashesAfter)
     {
--- a/tests/jobs_world_checks.h
+++ b/tests/jobs_world_checks.h
@@ -12,6 +12,27 @@
 
 namespace teasel {
 
+// How often tasks crashed executors, and at which moments.
+struct CrashCounts {
+    size_t all = 0;
+    size_t beforeAnswer = 0;
+    size_t afterTakeover = 0; // at most 300 ms after a change of leaders
+    size_t byLateStarts = 0; // started after the order had timed out
+    size_t startsAfterTwo = 0; // starts of deadly tasks after this many executors had crashed under them
+    size_t startsAfterThree = 0;
+
+    CrashCounts& operator+=(const CrashCounts& other)
+    {
+        all += other.all;
+        beforeAnswer += other.beforeAnswer;
+        afterTakeover += other.afterTakeover;
+        byLateStarts += other.byLateStarts;
+        startsAfterTwo += other.startsAfterTwo;
+        startsAfterThree += other.startsAfterThree;
+        return *this;
+    }
+};
+
 class JobsWorldChecks {
 public:
     JobsWorldChecks(const JobsWorldOptions& options, const ManualClock& clock, WorldCallers& callers)
@@ -79,9 +100,15 @@
             if (!cause)
                 ++m_crashesWithoutCause[key];
         }
-        if (cause)
-            ++m_crashesCausedBy[*cause];
+        if (!cause)
+            return;
+        ++m_crashesCausedBy[*cause];
+        ++m_crashCounts.all;
+        m_crashCounts.beforeAnswer += executor.runs.at(*cause).crashesBeforeAnswer ? 1 : 0;
+        m_crashCounts.afterTakeover += m_clock.now() - m_leaderSince <= Milliseconds(300) ? 1 : 0;
     }
+    void recordLateDeadlyStart() { ++m_crashCounts.byLateStarts; }
+    const CrashCounts& crashCounts() const { return m_crashCounts; }
 
     // ---- Starts --------------------------------------------------------------
 
@@ -142,23 +169,6 @@
         }
     }
 
-    // Starts of deadly tasks after this many executors had crashed under them.
-    size_t startsAfterTwoCrashes() const { return m_startsAfterTwoCrashes; }
-    size_t startsAfterThreeCrashes() const
-    {
-        size_t out = 0;
-        for (const auto& [key, n] : m_startsAfterThreeCrashes)
-            out += n;
-        return out;
-    }
-    size_t crashesByTasks() const
-    {
-        size_t out = 0;
-        for (const auto& [key, n] : m_crashesCausedBy)
-            out += n;
-        return out;
-    }
-
 private:
     static constexpr uint32_t maxFailures = 3; // the queue's max_attempts
     static constexpr uint32_t crashesBeforeBudget = 3;
@@ -169,9 +179,12 @@
     {
         const auto found = m_crashesCausedBy.find(key);
         const auto crashes = found == m_crashesCausedBy.end() ? 0 : found->second;
-        if (crashes >= 2)
-            ++m_startsAfterTwoCrashes;
-        if (crashes >= crashesBeforeBudget && ++m_startsAfterThreeCrashes[key] > startsInBudget)
+        if (crashes >= crashesBeforeGivingUp)
+            ++m_crashCounts.startsAfterTwo;
+        if (crashes < crashesBeforeBudget)
+            return;
+        ++m_crashCounts.startsAfterThree;
+        if (++m_startsAfterThreeCrashes[key] > startsInBudget)
             report(fmt::format("BUDGET: {} starts for the {}. time after {} executors crashed under it", taskText(key),
                 m_startsAfterThreeCrashes[key], crashesBeforeBudget));
     }
@@ -242,7 +255,7 @@
     std::map<TaskKey, uint32_t> m_crashesCausedBy;
     std::map<TaskKey, uint32_t> m_crashesWithoutCause;
     std::map<TaskKey, uint32_t> m_startsAfterThreeCrashes;
-    size_t m_startsAfterTwoCrashes = 0;
+    CrashCounts m_crashCounts;
     std::set<uint64_t> m_checkedJobs;
     std::vector<std::string> m_violations;
 };
--- a/tests/jobs_world_types.h
+++ b/tests/jobs_world_types.h
@@ -18,7 +18,9 @@
     bool trace = false; // print the leader's log
     size_t executors = 6;
     double jobsPerSecond = 6;
-    double lateOrders = 0.02; // share of orders without an answer that are executed 2 to 12 s later
+    double lateOrders = 0.02; // share of orders without an answer that are executed later
+    Milliseconds minLateness { 2'000 };
+    Milliseconds maxLateness { 12'000 };
     double lostAnswers = 0.02;
     double repeatedOrders = 0.01; // share of orders that arrive twice; the first answer is lost
     double executorCrashesPerSecond = 0.05;
@@ -36,6 +38,7 @@
     double deadlyJobs = 0; // share of jobs with a task that crashes each executor that starts it
     double crashesBeforeAnswer = 0.3; // share of these crashes that come before the start is answered
     double leaderChangesAroundCrash = 0; // share of these crashes with a change of leaders 300 ms before to after
+    double leaderChangesAroundStart = 0; // share of deadly starts with a change of leaders while they are in flight
     double changedIds = 0; // share of crashed executors that come back under another id
     double capacityChangesPerSecond = 0;
     Milliseconds maxStopTime { 0 }; // a stopped run holds its capacity for up to this time
