The lease of a restarted executor counts from its registration, not from the start of leadership

Callers could see a task run twice. Cause: an executor that has not answered yet was taken for silent since the leader began. Under a leader of more than 6.5 s, runs that had just moved to a restarted executor ended as lapsed at the next check, and started elsewhere. Ruled out: the transfer itself. Before: jobs_incarnations, 'a run that moved to a restarted executor is not ended ...', fails. After: it passes. Conclusion: silence is counted from when this leader learned of the incarnation.

--- a/jobs/job_checks.cpp
+++ b/jobs/job_checks.cpp
@@ -37,9 +37,9 @@
             removeIncarnation(executor.number, "left");
         return;
     }
-    const bool isSilent = m_now - executor.lastAnswerAt > m_options.suspectAfter;
+    const bool isSilent = m_now - std::max(executor.lastAnswerAt, executor.addedAt) > m_options.suspectAfter;
     if (isSilent && !executor.runs.empty()) {
-        const auto earliestExpiry = m_leadingSince
+        const auto earliestExpiry = executor.addedAt
             + std::chrono::duration_cast<Duration>(m_options.maxLease * maxClockSlowdown) + expirySlack;
         if (m_now >= (executor.hasAcceptedFence ? executor.clock.expiresAt() : earliestExpiry))
             expireLease(executor);
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -38,6 +38,7 @@
     m_directory.add(executor.number, state.record.id(), state.record.address());
     executor.isDraining = state.record.draining();
     executor.capacity = state.capacity;
+    executor.addedAt = m_now;
     executor.lastAnnouncedAt = m_now;
     executor.nextRenewalAt = m_now;
     for (const auto& [key, held] : state.assignments) {
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -55,6 +55,7 @@
 
 struct LiveExecutor {
     uint32_t number = 0;
+    Instant addedAt {}; // when this leader learned of it
     bool hasAcceptedFence = false; // has answered a renewal or poll under this leader's fence
     bool isDraining = false;
     // Another incarnation answers under its id; its runs in flight wait for the announcement of that incarnation.
--- a/tests/jobs_incarnations_test.cpp
+++ b/tests/jobs_incarnations_test.cpp
@@ -7,11 +7,9 @@
 
 const TaskKey firstTask { { 7, 0, 0 }, 0 };
 
-// Submits one task, which is started on "x1", the only executor; returns the order.
-SendOrder startOnFirstExecutor(JobsFixture& it)
+// Submits one task and returns its start.
+SendOrder startNext(JobsFixture& it)
 {
-    it.announce("x1", 1);
-    it.answerRenewals({});
     it.submit(JobsFixture::request(7, 1));
     it.pass(Milliseconds(20));
     const auto start = it.takeOrder<StartRun>();
@@ -19,6 +17,14 @@
     return *start;
 }
 
+// Submits one task, which is started on "x1", the only executor; returns the order.
+SendOrder startOnFirstExecutor(JobsFixture& it)
+{
+    it.announce("x1", 1);
+    it.answerRenewals({});
+    return startNext(it);
+}
+
 } // namespace
 
 TEST_CASE("an executor that restarts under its id refuses orders that were sent to its previous incarnation")
@@ -103,3 +109,22 @@
     CHECK(!it.takeOrder<StartRun>());
     CHECK(it.state.executors().rbegin()->second.assignments.contains(firstTask));
 }
+
+TEST_CASE(
+    "a run that moved to a restarted executor is not ended before that one answers, however long the leader leads")
+{
+    JobsFixture it;
+    it.announce("x1", 1);
+    it.answerRenewals({});
+    it.passWithRenewals(Milliseconds(8'000)); // longer than maxLease after the leader began
+    it.answer(startNext(it), { OrderOutcome::UnknownOutcome });
+    it.announce("x2", 1);
+    it.answerRenewals({});
+    it.announce("x1", 2);
+    for (int n = 0; n < 10; ++n) { // 200 ms; the restarted executor has not answered yet
+        it.pass(Milliseconds(20));
+        while (const auto renewal = it.takeOrder<RenewLease>("x2"))
+            it.answer(*renewal, { OrderOutcome::Done });
+    }
+    CHECK(!it.takeOrder<StartRun>());
+}
