Crashes are counted only under runs that can have reached the executor, and under lapsed runs

Callers would see jobs fail whose tasks no executor had crashed under (LOST), and deadly tasks started on (BUDGET). Cause: all unanswered starts counted as crashed under; an executor that came back elsewhere was never seen to crash. Ruled out: blaming by run time; a crashed executor is noticed only when it is back, seconds later.

--- a/jobs/job_checks.cpp
+++ b/jobs/job_checks.cpp
@@ -136,7 +136,9 @@
         if (run.stage != RunStage::Ending && run.stage != RunStage::Committing)
             keys.push_back(key);
     }
-    executor.lapsedRuns = runsInCrash(executor);
+    // It may have crashed and come back elsewhere, which would not be noticed.
+    for (const auto& it : runsInCrash(executor))
+        recordCrash(executor, it.task, it.run, false);
     for (const auto& it : keys)
         endRun(executor, it, schema::RUN_OUTCOME_LAPSED, {});
 }
--- a/jobs/job_crashes.cpp
+++ b/jobs/job_crashes.cpp
@@ -23,21 +23,23 @@
     return task != nullptr && task->crashesAtStart > 0;
 }
 
-std::vector<LiveExecutor::CrashedRun> JobLeader::runsInCrash(const LiveExecutor& executor) const
+std::vector<CrashedRun> JobLeader::runsInCrash(const LiveExecutor& executor) const
 {
     auto firstUnanswered = Instant::max();
     for (const auto& [key, run] : executor.runs) {
         if (isStartUnanswered(run))
             firstUnanswered = std::min(firstUnanswered, run.startedAt);
     }
-    std::vector<LiveExecutor::CrashedRun> out;
+    std::vector<CrashedRun> out;
     for (const auto& [key, run] : executor.runs) {
         if (run.stage == RunStage::Ending || run.stage == RunStage::Committing)
             continue;
-        // The crash came after the executor's last answer, and not after the first start that it did not answer.
+        // Of the starts that it did not answer, only the first ones can have reached it.
+        if (isStartUnanswered(run) && run.startedAt - firstUnanswered >= startBatchTime)
+            continue;
+        // The crash came after the executor's last answer.
         const bool isNew = executor.lastAnswerAt - run.startedAt < m_options.crashAtStartWindow;
-        const bool isInTime = !isStartUnanswered(run) || run.startedAt - firstUnanswered < startBatchTime;
-        out.push_back({ key, run.run, run.stage != RunStage::Inherited && isNew && isInTime });
+        out.push_back({ key, run.run, isNew && run.stage == RunStage::Running });
     }
     return out;
 }
@@ -46,8 +48,7 @@
 {
     if (executor.isDraining) // It may have left as announced.
         return;
-    auto runs = runsInCrash(executor);
-    runs.insert(runs.end(), executor.lapsedRuns.begin(), executor.lapsedRuns.end());
+    const auto runs = runsInCrash(executor);
     // A task under which an executor crashed before explains the crash; others that had just started are not suspected.
     const bool isExplained
         = std::any_of(runs.begin(), runs.end(), [&](const auto& it) { return it.isAtStart && isSuspect(it.task); });
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -309,7 +309,6 @@
         executor.lastAnswerAt = m_now;
     if (!order.isPoll)
         executor.nextRenewalAt = m_now + (order.renewsLease ? m_options.renewalInterval : Milliseconds(0));
-    executor.lapsedRuns.clear();
     processEndList(executor, result);
     processRunningList(executor, order, result);
     resolveAbsentRuns(executor, order, result);
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -185,7 +185,7 @@
     // Records that an executor crashed under its runs, and which of these may be the cause.
     void recordCrash(const LiveExecutor&);
     void recordCrash(const LiveExecutor&, const TaskKey&, uint32_t run, bool isAtStart);
-    std::vector<LiveExecutor::CrashedRun> runsInCrash(const LiveExecutor&) const;
+    std::vector<CrashedRun> runsInCrash(const LiveExecutor&) const;
     bool isSuspect(const TaskKey&) const;
     void endRunsInProgress(LiveExecutor&);
     // The fence of orders to an incarnation: higher than that of previous leaders, and than that of this leader's
--- a/jobs/job_state.h
+++ b/jobs/job_state.h
@@ -76,7 +76,7 @@
 };
 
 // A task is given up, and its job fails, after this many crashes.
-constexpr uint32_t maxCrashesAtStart = 2;
+constexpr uint32_t maxCrashesAtStart = 3;
 constexpr uint32_t maxCrashes = 4; // at any time of its runs; does not apply to lasting tasks
 
 // The part of an executor's capacity that one task of a step uses.
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -56,6 +56,13 @@
 struct LiveExecutor {
     uint32_t number = 0;
     Instant addedAt {}; // when this leader learned of it
+// A run during which its executor crashed.
+struct CrashedRun {
+    TaskKey task;
+    uint32_t run = 0;
+    bool isAtStart = false; // it had just started
+};
+
     bool hasAcceptedFence = false; // has answered a renewal or poll under this leader's fence
     bool isDraining = false;
     // Another incarnation answers under its id; its runs in flight wait for the announcement of that incarnation.
@@ -88,13 +95,6 @@
     ResourceRate freedPerSecond {};
 
     Instant suspectUntil {}; // until then a suspect task that was started here is under observation
-    // A run during which the executor crashed.
-    struct CrashedRun {
-        TaskKey task;
-        uint32_t run = 0;
-        bool isAtStart = false; // it had just started
-    };
-    std::vector<CrashedRun> lapsedRuns; // since its last answer; the executor may have crashed
 
     unsigned failuresInRow = 0;
     uint64_t lastFailedJob = 0;
