Runs in flight: strays take room, answers prove nothing about the incarnation, ended incarnations stay ended

Cause: (1) a listed run that is not assigned took no room while it was being stopped; (2) an answer to a start carries no start time, so a run of the next incarnation was ended with the previous one; (3) two restarts before the first was committed moved a run to both, and an older assignment set a task's run number back; (4) a delayed announcement of an ended incarnation registered it again. An incarnation that only answered, without an announcement, was not fenced.

--- a/jobs/job_calls.cpp
+++ b/jobs/job_calls.cpp
@@ -116,7 +116,7 @@
         if (state == nullptr || !isUsable(it))
             continue;
         load.total += it.capacity;
-        load.free += leftOf(it.capacity, it.committed);
+        load.free += leftOf(it.capacity, it.used());
         for (size_t n = 0; n < ResourceVector::kinds; ++n)
             load.freedPerSecond[n] += it.freedPerSecond[n];
     }
@@ -328,8 +328,15 @@
             known = &it;
     }
     if (const auto it = m_pendingRegistrations.find(record.id());
-        known == nullptr && it != m_pendingRegistrations.end() && it->second >= record.born_ms())
-        return answer(handle, {});
+        known == nullptr && it != m_pendingRegistrations.end()) {
+        if (it->second >= record.born_ms())
+            return answer(handle, {});
+        // What moves to the previous incarnation must be committed before it can move on.
+        return answer(
+            handle, { CallStatus::Unavailable, "the previous incarnation is being registered", retryWhenUnavailable });
+    }
+    if (known == nullptr && m_goneIncarnations.contains({ record.id(), record.born_ms() }))
+        return answer(handle, {}); // a delayed announcement
     if (known != nullptr && executorState(known->number)->record.address() == record.address()) {
         known->lastSequence = call.sequence;
         known->lastAnnouncedAt = m_now;
@@ -368,7 +375,7 @@
     m_batchContinuations.emplace_back(ExecutorWhenCommitted { record.number() });
     m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
     *change().mutable_executor() = record;
-    raiseFence(record);
+    raiseFence(record, record.number());
     // A new incarnation replaces those registered under its id or address. Orders name an id, so those in flight to an
     // incarnation with another id are refused.
     for (const auto number : registered) {
@@ -376,6 +383,8 @@
         if (const auto* executor = findExecutor(number); executor != nullptr && !executor->isReplaced)
             recordCrash(*executor);
         const bool isSameId = previous != nullptr && previous->record.id() == record.id();
+        if (known == nullptr)
+            rememberGone(number);
         removeIncarnation(number, "a new incarnation announced itself", isSameId ? record.number() : 0);
     }
 }
--- a/jobs/job_checks.cpp
+++ b/jobs/job_checks.cpp
@@ -12,6 +12,8 @@
     constexpr Milliseconds evacuationLead { 700 };
     // Between a departure and the removal of the executor; covers the way of a listing over another core instance.
     constexpr Milliseconds departureDelay { 100 };
+    // Delayed announcements of incarnations that ended longer ago are not recognized.
+    constexpr size_t maxGoneIncarnations = 10'000;
     constexpr Milliseconds forecastInterval { 150 };
     // Horizon within which a gang may wait for capacity; half the run time of a large task.
     constexpr double freedSoonMs = 1'500;
@@ -33,8 +35,10 @@
         return;
     }
     if (executor.hasLeft()) {
-        if (m_now - executor.leftAt >= departureDelay)
+        if (m_now - executor.leftAt >= departureDelay) {
+            rememberGone(executor.number);
             removeIncarnation(executor.number, "left");
+        }
         return;
     }
     const bool isSilent = m_now - std::max(executor.lastAnswerAt, executor.addedAt) > m_options.suspectAfter;
@@ -154,6 +158,18 @@
         endRun(executor, it, schema::RUN_OUTCOME_LOST, {});
 }
 
+void JobLeader::rememberGone(uint32_t number)
+{
+    const auto* state = executorState(number);
+    if (state == nullptr || !m_goneIncarnations.emplace(state->record.id(), state->record.born_ms()).second)
+        return;
+    m_goneInOrder.emplace_back(state->record.id(), state->record.born_ms());
+    if (m_goneInOrder.size() > maxGoneIncarnations) {
+        m_goneIncarnations.erase(m_goneInOrder.front());
+        m_goneInOrder.pop_front();
+    }
+}
+
 void JobLeader::awaitSuccessor(LiveExecutor& executor)
 {
     if (std::exchange(executor.isReplaced, true))
@@ -164,6 +180,8 @@
     log("executor_replaced",
         { { "executor", state->record.id() }, { "born", std::to_string(state->record.born_ms()) },
             { "runs", std::to_string(executor.runs.size()) } });
+    rememberGone(executor.number);
+    raiseFence(state->record, ++m_lastExecutor);
     recordCrash(executor);
     endRunsInProgress(executor);
     absl::erase_if(m_pendingOrders, [&](const auto& it) { return it.second.executor == executor.number; });
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -132,12 +132,12 @@
     return number;
 }
 
-void JobLeader::raiseFence(const schema::ExecutorRecord& record)
+void JobLeader::raiseFence(const schema::ExecutorRecord& record, uint32_t number)
 {
     ++m_counters.renewals;
     // The result is not used: the number is not that of a pending order.
-    m_actions.emplace_back(SendOrder { ++m_lastOrder, record.address(), record.id(), fenceFor(record.number()),
-        m_options.renewalSlack, RenewLease {}, record.number(), record.zone() });
+    m_actions.emplace_back(SendOrder { ++m_lastOrder, record.address(), record.id(), fenceFor(number),
+        m_options.renewalSlack, RenewLease {}, number, record.zone() });
 }
 
 void JobLeader::sendPoll(LiveExecutor& executor)
@@ -218,6 +218,7 @@
         return;
     if (result.outcome == OrderOutcome::OtherIncarnation) { // It has another id and refuses all orders for this one.
         recordCrash(*executor);
+        rememberGone(order.executor);
         removeIncarnation(order.executor, "another_incarnation_answered");
         return;
     }
@@ -346,6 +347,7 @@
 
 void JobLeader::processRunningList(LiveExecutor& executor, const PendingOrder& order, const OrderResult& result)
 {
+    ResourceVector strays;
     for (const auto& it : result.running) {
         const auto found = executor.runs.find(it.task);
         if (found == executor.runs.end() || found->second.run != it.run) {
@@ -358,12 +360,18 @@
             stop.task = it.task;
             stop.run = it.run;
             sendOrder(executor, stop, StopRun { it.task, it.run }, m_options.orderTimeout);
+            const auto* job = m_state.find(it.task.step.job);
+            const bool isNeedKnown = job != nullptr && !job->hasEnded()
+                && it.task.step.step < static_cast<uint32_t>(job->request.steps_size());
+            strays += isNeedKnown ? needOf(job->request.steps(static_cast<int>(it.task.step.step))) : executor.capacity;
+            executor.pollAt = std::min(executor.pollAt, m_now + m_options.stopTime + listingDelay);
             continue;
         }
         auto& run = found->second;
         if (!it.checkpoint.empty())
             run.checkpoint = it.checkpoint;
         run.percent = it.percent;
+        run.isListed = true;
         run.lastSeenAt = m_now;
         // Send a stop again that was acknowledged but had no effect.
         if (run.isStopAnswered()
@@ -377,6 +385,10 @@
                 sendStop(executor, it.task, run);
         }
     }
+    if (order.sentAt >= executor.straysListedAt) {
+        executor.straysListedAt = order.sentAt;
+        executor.strays = strays;
+    }
 }
 
 void JobLeader::resolveAbsentRuns(LiveExecutor& executor, const PendingOrder& order, const OrderResult& result)
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -182,6 +182,8 @@
     // is one (0: none), until that one's first listing.
     void removeIncarnation(uint32_t number, std::string_view reason, uint32_t successor = 0);
     void awaitSuccessor(LiveExecutor&);
+    // An incarnation that has certainly ended is not registered again.
+    void rememberGone(uint32_t number);
     // Records that an executor crashed under its runs, and which of these may be the cause.
     void recordCrash(const LiveExecutor&);
     void recordCrash(const LiveExecutor&, const TaskKey&, uint32_t run, bool isAtStart);
@@ -192,7 +194,7 @@
     // orders to previous incarnations, which may still be in flight.
     uint64_t fenceFor(uint32_t number) const;
     // Makes a new incarnation refuse orders to previous ones, before its registration is committed.
-    void raiseFence(const schema::ExecutorRecord&);
+    void raiseFence(const schema::ExecutorRecord&, uint32_t number);
     void sendRenewal(LiveExecutor&);
     void sendPoll(LiveExecutor&);
     void sendStop(LiveExecutor&, const TaskKey&, LiveRun&);
@@ -272,6 +274,8 @@
     absl::btree_set<uint64_t> m_scheduledJobs; // jobs with occurrences that have not begun
     // Start times (born_ms) of executors whose registration is not committed, by executor id.
     absl::btree_map<std::string, uint64_t> m_pendingRegistrations;
+    absl::btree_set<std::pair<std::string, uint64_t>> m_goneIncarnations; // id and start time (born_ms)
+    std::deque<std::pair<std::string, uint64_t>> m_goneInOrder; // of m_goneIncarnations, oldest first
     AdviceTracker m_advice;
     RunTimes m_runTimes;
     Admission m_admission;
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -41,7 +41,7 @@
         auto& candidate = m_candidates.emplace_back();
         candidate.number = number;
         candidate.capacity = it.capacity;
-        candidate.free = leftOf(it.capacity, it.committed);
+        candidate.free = leftOf(it.capacity, it.used());
         candidate.stopping = it.stopping;
         candidate.freedSoon = it.freedSoon;
         candidate.service = state->second.record.service();
@@ -234,7 +234,7 @@
     const auto step = m_readySteps.find(it.task.step);
     const bool isStillNeeded = job != nullptr && !job->hasEnded() && task != nullptr && !task->done
         && task->run == it.run && step != m_readySteps.end() && !run.mustStop && isUsable(*executor)
-        && executor->committed.fitsIn(executor->capacity);
+        && executor->used().fitsIn(executor->capacity);
     const auto ticket = m_advice.ticketFor(it.task.step, it.executor, m_now);
     if (!isStillNeeded || (step->second.needsTicket && ticket.empty())) {
         endRun(*executor, it.task, schema::RUN_OUTCOME_NEVER_RAN, {});
--- a/jobs/job_state.cpp
+++ b/jobs/job_state.cpp
@@ -85,7 +85,7 @@
         return;
     openOccurrence(job->second, key.step.occurrence);
     auto* task = mutableTask(key);
-    if (task == nullptr || task->done)
+    if (task == nullptr || task->done || assignment.run() < task->run)
         return;
     auto& step = job->second.open[key.step.occurrence].steps[key.step.step];
     if (task->executor == 0)
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -33,6 +33,7 @@
     Instant startedAt {};
     Instant lastSeenAt {}; // last time an answered start or a listing showed the run
     Instant unknownSince {};
+    bool isListed = false; // a listing has shown it
     bool isFromStart = true; // started from the beginning, not from a checkpoint
     std::string checkpoint; // latest checkpoint that a listing showed
     uint32_t percent = 0; // progress of the work, as listed
@@ -47,15 +48,14 @@
     bool isStopAnswered() const { return stopAnsweredAt != Instant(); }
 
     // Whether its start may still be executed, by this incarnation of the executor or the next.
+    // An answer to a start does not tell which incarnation gave it; a listing does.
     bool mayStillStart() const
     {
-        return stage == RunStage::Starting || stage == RunStage::UnknownOutcome || stage == RunStage::Inherited;
+        return stage == RunStage::Starting || stage == RunStage::UnknownOutcome || stage == RunStage::Inherited
+            || (stage == RunStage::Running && !isListed);
     }
 };
 
-struct LiveExecutor {
-    uint32_t number = 0;
-    Instant addedAt {}; // when this leader learned of it
 // A run during which its executor crashed.
 struct CrashedRun {
     TaskKey task;
@@ -63,6 +63,9 @@
     bool isAtStart = false; // it had just started
 };
 
+struct LiveExecutor {
+    uint32_t number = 0;
+    Instant addedAt {}; // when this leader learned of it
     bool hasAcceptedFence = false; // has answered a renewal or poll under this leader's fence
     bool isDraining = false;
     // Another incarnation answers under its id; its runs in flight wait for the announcement of that incarnation.
@@ -77,6 +80,8 @@
     LeaseClock clock;
     ResourceVector capacity; // as announced last; also before it is committed
     ResourceVector committed; // may exceed a capacity that has shrunk
+    ResourceVector strays; // used by runs in the last listing that are not assigned to it; they are being stopped
+    Instant straysListedAt {}; // when that listing was requested
     ResourceVector stopping; // the part of `committed` used by runs that are being stopped
     absl::btree_map<TaskKey, LiveRun> runs;
 
@@ -100,6 +105,7 @@
     uint64_t lastFailedJob = 0;
     unsigned quarantineCount = 0;
     Instant quarantinedUntil {};
+    ResourceVector used() const { return committed + strays; }
     bool hasLeft() const { return leftAt != Instant(); }
 
     double slowness = 1; // moving average of actual over expected run time
--- a/tests/jobs_incarnations_test.cpp
+++ b/tests/jobs_incarnations_test.cpp
@@ -128,3 +128,104 @@
     }
     CHECK(!it.takeOrder<StartRun>());
 }
+
+TEST_CASE("a start answered without a start time is not ended when a new incarnation announces itself")
+{
+    JobsFixture it;
+    it.announce("x1", 1);
+    it.answerRenewals({});
+    const auto start = startNext(it);
+    it.announce("x2", 1);
+    it.answerRenewals({});
+    it.orders.clear();
+    it.answer(start, { OrderOutcome::Done }); // by the new incarnation; the page's answer is {"clockMs":N}
+    it.announce("x1", 2);
+    it.pass(Milliseconds(100));
+    CHECK(!it.takeOrder<StartRun>());
+}
+
+TEST_CASE("two restarts before the first is committed leave one registration")
+{
+    JobsFixture it;
+    it.announce("x1", 1);
+    it.answerRenewals({});
+    it.answer(startNext(it), { OrderOutcome::UnknownOutcome });
+    for (uint64_t born = 2; born <= 3; ++born) {
+        ExecutorAnnouncement call;
+        call.record = it.state.executors().begin()->second.record;
+        call.record.set_born_ms(born);
+        call.sequence = 1;
+        it.leader.onCall(++it.lastHandle, std::move(call), it.clock.now(), it.clock.wallNow());
+    }
+    it.commitAndCollect();
+    size_t held = 0;
+    for (const auto& [number, executor] : it.state.executors())
+        held += executor.assignments.contains(firstTask) ? 1 : 0;
+    CHECK(held == 1);
+    CHECK(it.state.executors().size() == 1);
+}
+
+TEST_CASE("a delayed announcement of the previous incarnation does not replace one whose clock was set back")
+{
+    JobsFixture it;
+    it.announce("x1", 200);
+    it.answerRenewals({});
+    it.announce("x1", 150, 1); // taken for a delayed announcement
+    it.passWithRenewals(Milliseconds(50));
+    while (const auto renewal = it.takeOrder<RenewLease>("x1"))
+        it.answer(*renewal, { OrderOutcome::Done, 0, 150 });
+    it.pass(Milliseconds(100));
+    while (const auto renewal = it.takeOrder<RenewLease>("x1"))
+        it.answer(*renewal, { OrderOutcome::Done, 0, 150 });
+    it.announce("x1", 150, 2);
+    it.pass(Milliseconds(50));
+    while (const auto renewal = it.takeOrder<RenewLease>("x1"))
+        it.answer(*renewal, { OrderOutcome::Done, 0, 150 });
+    const auto start = startNext(it);
+    it.answer(start, { OrderOutcome::Done, 0, 150 });
+    it.announce("x2", 1);
+    it.pass(Milliseconds(50));
+    while (const auto renewal = it.takeOrder<RenewLease>("x2"))
+        it.answer(*renewal, { OrderOutcome::Done });
+    it.announce("x1", 200, 9); // sent before the restart, delayed by a partition
+    it.pass(Milliseconds(100));
+    while (const auto renewal = it.takeOrder<RenewLease>("x2"))
+        it.answer(*renewal, { OrderOutcome::Done });
+    it.pass(Milliseconds(100));
+    CHECK(!it.takeOrder<StartRun>());
+}
+
+TEST_CASE("a run in progress is not numbered again after two restarts in quick succession and a third")
+{
+    JobsFixture it;
+    it.announce("x1", 1);
+    it.answerRenewals({});
+    it.answer(startNext(it), { OrderOutcome::UnknownOutcome });
+    it.announce("x2", 1);
+    while (const auto renewal = it.takeOrder<RenewLease>("x2"))
+        it.answer(*renewal, { OrderOutcome::Done });
+    for (uint64_t born = 2; born <= 3; ++born) {
+        ExecutorAnnouncement call;
+        call.record = it.state.executors().begin()->second.record;
+        call.record.set_born_ms(born);
+        call.sequence = 1;
+        call.record.set_draining(born == 3); // so that the task goes to x2
+        it.leader.onCall(++it.lastHandle, std::move(call), it.clock.now(), it.clock.wallNow());
+    }
+    it.commitAndCollect();
+    while (const auto renewal = it.takeOrder<RenewLease>("x1"))
+        it.answer(*renewal, { OrderOutcome::Done, 0, 3 }); // neither listed: not carried out
+    it.announce("x1", 3, 2, true); // The announcement that was refused is repeated.
+    while (const auto renewal = it.takeOrder<RenewLease>("x1"))
+        it.answer(*renewal, { OrderOutcome::Done, 0, 3 });
+    it.pass(Milliseconds(50));
+    const auto second = it.takeOrder<StartRun>();
+    REQUIRE(second);
+    it.answer(*second, { OrderOutcome::Done });
+    it.announce("x1", 4);
+    while (const auto renewal = it.takeOrder<RenewLease>("x1"))
+        it.answer(*renewal, { OrderOutcome::Done, 0, 4 });
+    it.pass(Milliseconds(100));
+    const auto third = it.takeOrder<StartRun>();
+    CHECK(!(third && second->executorId == "x2"));
+}
