HTTP server: a request that arrives while the server stops is refused, not suspended

Callers could lose an entry instance's orderly stop: the process aborted. Cause: stop() answered the requests that waited at that moment; one that was received between this and MHD_stop_daemon was suspended, and libmicrohttpd aborts the process when a connection is still suspended. Ruled out: requests whose answer was already given; libmicrohttpd resumes those itself before it checks. After: both passed in 3 of 3 runs; such a request is answered 503 with did_not_run, as no handler saw it.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -175,6 +175,11 @@
     auto request = std::move(exchange.request); // After suspension, `exchange` may be deleted at any time.
     {
         const std::lock_guard lock(m_mutex);
+        // stop() has already answered the waiting requests, and nothing would resume this one.
+        if (m_stopping)
+            return reply(connection,
+                { 503, "application/json", { { "Retry-After", "1" }, { "Connection", "close" } },
+                    R"({"kind":"shutting_down","run":"did_not_run"})" });
         MHD_suspend_connection(connection);
         m_suspended.emplace(request.handle, &exchange);
     }
--- /dev/null
+++ b/tests/net_http_server_test.cpp
@@ -0,0 +1,133 @@
+// Tests the HTTP server's stop on loopback. No durations are checked.
+#include "net/http_server.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace teasel;
+
+namespace {
+
+constexpr std::string_view request = "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}";
+
+// A caller's connection, with the request sent at once.
+class Caller {
+public:
+    explicit Caller(uint16_t port)
+        : m_socket(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        if (::connect(m_socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0)
+            send();
+    }
+    ~Caller() { ::close(m_socket); }
+    Caller(const Caller&) = delete;
+    Caller& operator=(const Caller&) = delete;
+
+    void send() { ::send(m_socket, request.data(), request.size(), MSG_NOSIGNAL); }
+
+    // What arrives within `wait`; empty if nothing does.
+    std::string receive(std::chrono::milliseconds wait)
+    {
+        pollfd it { m_socket, POLLIN, 0 };
+        std::string out(4'096, ' ');
+        const auto n
+            = ::poll(&it, 1, static_cast<int>(wait.count())) > 0 ? ::recv(m_socket, out.data(), out.size(), 0) : 0;
+        out.resize(n > 0 ? static_cast<size_t>(n) : 0);
+        return out;
+    }
+
+private:
+    int m_socket;
+};
+
+void start(HttpServer& server)
+{
+    REQUIRE(std::holds_alternative<std::monostate>(valueOrError([&] { return server.start(); })));
+}
+
+} // namespace
+
+TEST_CASE("a request that arrives while the server stops is refused as not run")
+{
+    constexpr uint16_t port = 18'983;
+    constexpr int maxCallers = 40;
+    std::atomic<int> passed = 0;
+    std::atomic<bool> isBlocked = false;
+    std::atomic<bool> mayGoOn = false;
+    // The blocked callback holds stop() between its answers to the waiting requests and the end of the server.
+    HttpServer server({ "127.0.0.1:18983", 1, 128 }, [&](const HttpRequest&) { ++passed; },
+        [&](uint64_t) {
+            isBlocked = true;
+            isBlocked.notify_all();
+            mayGoOn.wait(false);
+        });
+    start(server);
+    {
+        Caller first(port);
+        while (passed == 0)
+            std::this_thread::yield();
+    }
+    isBlocked.wait(false);
+    std::thread stopper([&] { server.stop(); });
+    std::string answer;
+    std::vector<std::unique_ptr<Caller>> callers;
+    while (answer.empty() && callers.size() < maxCallers) {
+        callers.push_back(std::make_unique<Caller>(port));
+        answer = callers.back()->receive(std::chrono::milliseconds(50));
+    }
+    mayGoOn = true;
+    mayGoOn.notify_all();
+    stopper.join();
+    CHECK(answer.starts_with("HTTP/1.1 503 "));
+    CHECK(answer.find("did_not_run") != std::string::npos);
+    CHECK(passed == static_cast<int>(callers.size()));
+    CHECK(server.pendingRequests() == 0);
+}
+
+TEST_CASE("a server stops while requests arrive that are never answered")
+{
+    constexpr uint16_t port = 18'984;
+    constexpr int rounds = 100;
+    constexpr int connectionsPerRound = 8;
+    for (int round = 0; round < rounds; ++round) {
+        HttpServer server({ "127.0.0.1:18984", 2, 128 }, [](const HttpRequest&) {}, {});
+        start(server);
+        std::atomic<bool> isOver = false;
+        std::atomic<int> sent = 0;
+        std::vector<std::thread> threads;
+        for (int n = 0; n < 2; ++n)
+            threads.emplace_back([&] {
+                while (!isOver) {
+                    std::vector<std::unique_ptr<Caller>> callers;
+                    for (int k = 0; k < connectionsPerRound && !isOver; ++k) {
+                        callers.push_back(std::make_unique<Caller>(port));
+                        ++sent;
+                    }
+                }
+            });
+        while (sent < connectionsPerRound)
+            std::this_thread::yield();
+        server.stop();
+        isOver = true;
+        for (auto& it : threads)
+            it.join();
+        CHECK(server.pendingRequests() == 0);
+    }
+}
