Listings: one row that can't be read no longer discards the others, and no number wraps

Callers could see the running work of an executor given up. Cause: one malformed row made a renewal's outcome unknown, so that the executor's lease ran out; run numbers were cast to 32 bits and named another run; percent and metric were cast without a check of their range. Ruled out: taking such a listing as complete: it is marked incomplete, so a run that it does not list is not lost. Conclusion: open: an unreadable end is acknowledged with a later one, and its run then counts as lost (jobs/).

--- a/tests/platform_codec_bounds_test.cpp
+++ b/tests/platform_codec_bounds_test.cpp
@@ -65,6 +65,66 @@
 
 } // namespace
 
+TEST_CASE("a run number beyond its range is not that of another run")
+{
+    const auto running = decodeListing(replaceOnce(listing, R"(17",2,)", R"(17",4294967298,)"));
+    CHECK(running.running.empty());
+    const auto ended = decodeListing(replaceOnce(listing, R"(9",1,)", R"(9",4294967297,)"));
+    CHECK(ended.ended.empty());
+    const auto longer = decodeListing(replaceOnce(listing, ".0.1.17", ".0.1.17.3"));
+    CHECK(longer.running.empty());
+}
+
+TEST_CASE("a percentage or metric out of range counts as not reported")
+{
+    for (const char* value : { "-1", "1e300", "-1e300", "18446744073709551615", "\"41\"", "null" }) {
+        CAPTURE(value);
+        const auto percent = decodeListing(replaceOnce(listing, ",41,", fmt::format(",{},", value)));
+        REQUIRE(percent.running.size() == 1);
+        CHECK(percent.running[0].percent == 0);
+        CHECK(percent.running[0].metric == 800);
+        const auto metric = decodeListing(replaceOnce(listing, ",800]", fmt::format(",{}]", value)));
+        REQUIRE(metric.running.size() == 1);
+        CHECK(metric.running[0].percent == 41);
+        CHECK(metric.running[0].metric == -1);
+    }
+}
+
+TEST_CASE("a row that can't be read leaves the others valid and the listing incomplete")
+{
+    for (const char* row : { "7", "[]", "[null,1]", R"(["x",1])", R"(["1.0.0.0",-1])", R"(["1.0.0.0",4294967296])" }) {
+        CAPTURE(row);
+        const auto it = decodeListing(replaceOnce(listing, R"("running":[)", fmt::format(R"("running":[{},)", row)));
+        CHECK(it.outcome == OrderOutcome::Done);
+        REQUIRE(it.running.size() == 1);
+        CHECK(it.running[0].task == task);
+        CHECK(it.ended.size() == 1);
+        CHECK_FALSE(it.isEndListComplete);
+    }
+    for (const char* row :
+        { "7", "[]", R"([57,"x",1,"done"])", R"([57,"1.0.0.0",-1,"done"])", R"([57,"1.0.0.0",1,4])" }) {
+        CAPTURE(row);
+        const auto it = decodeListing(replaceOnce(listing, R"("finished":[)", fmt::format(R"("finished":[{},)", row)));
+        CHECK(it.outcome == OrderOutcome::Done);
+        CHECK(it.running.size() == 1);
+        REQUIRE(it.ended.size() == 1);
+        CHECK(it.ended[0].number == 58);
+        CHECK_FALSE(it.isEndListComplete);
+    }
+    CHECK(decodeListing(std::string(listing)).isEndListComplete);
+}
+
+TEST_CASE("an answer whose incarnation can't be read does not show that an order was executed")
+{
+    for (const char* born : { "-9", "\"9\"", "[9]" }) {
+        CAPTURE(born);
+        const auto body = replaceOnce(listing, R"("born":9)", fmt::format(R"("born":{})", born));
+        CHECK(decodeListing(body).outcome == OrderOutcome::UnknownOutcome);
+        CHECK(decodeOrderOutcome(StopRun { task, 2 }, answered(200, body)).outcome == OrderOutcome::UnknownOutcome);
+    }
+    CHECK(decodeListing(replaceOnce(listing, R"("clockMs":482113)", R"("clockMs":18446744073709551615)")).clockMs == 0);
+}
+
 TEST_CASE("a leave whose incarnation can't be read removes none")
 {
     const auto isRefused = [](std::string body) {
