Keys: the id of a revoked key is never granted again

Operators could find a withdrawn key's id in use again, although OPERATIONS.md says never. Cause: the oldest used ids were dropped above a limit; a change that grants, revokes and grants an id again was checked against the ids of earlier changes only; the bootstrap settings' key was never recorded as used.

--- a/fleet/config_editor.cpp
+++ b/fleet/config_editor.cpp
@@ -128,8 +128,10 @@
 {
     if (!isValidKeyId(key.id()))
         return fail(ErrorKind::BadRequest, "a key id has letters, digits, '-' and '_', at most 64");
-    if (m_usedKeyIds.contains(key.id()) || m_table.key(key.id()) != nullptr)
+    if (m_usedKeyIds.contains(key.id()) || m_grantedKeyIds.contains(key.id()) || m_table.key(key.id()) != nullptr)
         return fail(ErrorKind::RevisionConflict, fmt::format("key id {} was granted before", key.id()));
+    if (m_usedKeyIds.size() + m_grantedKeyIds.size() >= m_maxUsedKeyIds)
+        return fail(ErrorKind::LimitReached, fmt::format("{} keys were granted, no more can be", m_maxUsedKeyIds));
     if (key.hash().size() != s_hashBytes || key.salt().empty())
         return fail(ErrorKind::BadRequest, "a key comes with a salt and a SHA-256 hash");
     if (key.role() == schema::ROLE_UNSPECIFIED)
@@ -140,6 +142,7 @@
     *edit.mutable_grant_key() = key;
     if (key.role() != schema::ROLE_SUBMITTER)
         edit.mutable_grant_key()->set_team_id(0);
+    m_grantedKeyIds.insert(key.id());
     apply(std::move(edit));
     return {};
 }
--- a/fleet/config_editor.h
+++ b/fleet/config_editor.h
@@ -19,15 +19,17 @@
 
 class ConfigEditor {
 public:
-    // `usedKeyIds` holds the ids of granted keys, revoked ones included; FleetLimits::maxUsedKeyIds bounds it.
-    ConfigEditor(ConfigTable& table, const absl::flat_hash_set<std::string>& usedKeyIds)
+    // `usedKeyIds` holds the ids of granted keys, revoked ones included. With `maxUsedKeyIds` of them, no further key is
+    // granted.
+    ConfigEditor(ConfigTable& table, const absl::flat_hash_set<std::string>& usedKeyIds, size_t maxUsedKeyIds)
         : m_table(table)
         , m_usedKeyIds(usedKeyIds)
+        , m_maxUsedKeyIds(maxUsedKeyIds)
     {
     }
 
     // Applies the edits in order. On failure the table is rolled back and the error names the failed edit; its kind is
-    // BadRequest, NotFound or RevisionConflict.
+    // BadRequest, NotFound, RevisionConflict or LimitReached.
     Result<AppliedEdits> run(const google::protobuf::RepeatedPtrField<schema::ConfigEdit>&);
 
 private:
@@ -48,6 +50,8 @@
 
     ConfigTable& m_table;
     const absl::flat_hash_set<std::string>& m_usedKeyIds;
+    const size_t m_maxUsedKeyIds;
+    absl::flat_hash_set<std::string> m_grantedKeyIds; // by the edits of this change
     AppliedEdits m_applied;
     std::vector<schema::ConfigEdit> m_undoEdits;
 };
--- a/fleet/fleet_state.cpp
+++ b/fleet/fleet_state.cpp
@@ -112,7 +112,7 @@
         return answerQuery(change, answer);
     if (answerFromLog(change, answer))
         return;
-    ConfigEditor editor(m_table, m_usedKeyIds);
+    ConfigEditor editor(m_table, m_usedKeyIds, m_limits.maxUsedKeyIds);
     auto outcome = valueOrError([&]() -> Result<AppliedEdits> {
         BOOST_LEAF_CHECK(checkChange(change));
         return editor.run(change.edits());
@@ -225,13 +225,13 @@
 void FleetState::rememberKeyIds(const std::vector<schema::ConfigEdit>& edits)
 {
     for (const auto& it : edits) {
-        const bool grants = it.edit_case() == schema::ConfigEdit::kGrantKey;
-        if (grants && m_usedKeyIds.insert(it.grant_key().id()).second)
-            m_usedKeyOrder.push_back(it.grant_key().id());
-    }
-    while (m_usedKeyOrder.size() > m_limits.maxUsedKeyIds) {
-        m_usedKeyIds.erase(m_usedKeyOrder.front());
-        m_usedKeyOrder.pop_front();
+        // A revoked key may be one of the bootstrap settings, which no change granted.
+        const bool revokes = it.edit_case() == schema::ConfigEdit::kWithdrawKey;
+        if (!revokes && it.edit_case() != schema::ConfigEdit::kGrantKey)
+            continue;
+        const auto& id = revokes ? it.withdraw_key() : it.grant_key().id();
+        if (m_usedKeyIds.insert(id).second)
+            m_usedKeyOrder.push_back(id);
     }
 }
 
--- a/tests/fleet_state_test.cpp
+++ b/tests/fleet_state_test.cpp
@@ -146,6 +146,44 @@
     CHECK(view.digest() == state.digest());
 }
 
+TEST_CASE("a revoked key id is never granted again, not even when many were used")
+{
+    FleetLimits limits;
+    limits.maxUsedKeyIds = 4;
+    FleetState state(bootstrap(), limits);
+    const auto keyOf = [](const char* id) {
+        const auto created = valueOrError([&] { return makeKey(id); });
+        return std::get<0>(created).stored;
+    };
+    state.apply(change("a", 0, { putTeam("red", 4) }));
+    CHECK(isRefused(state.apply(change("b", 0, { grant(keyOf("k0"), 1), revoke("k0"), grant(keyOf("k0"), 1) }))));
+    for (const char* id : { "k1", "k2", "k3", "k4", "k5", "k6" }) {
+        state.apply(change(fmt::format("grant {}", id), 0, { grant(keyOf(id), 1) }));
+        state.apply(change(fmt::format("revoke {}", id), 0, { revoke(id) }));
+    }
+    FleetState restored(bootstrap(), limits);
+    REQUIRE(valueOrError([&] { return restored.restore(state.snapshot()); }).index() == 0);
+    for (const char* id : { "k1", "k2", "k3" }) {
+        CHECK(isRefused(state.apply(change(fmt::format("again {}", id), 0, { grant(keyOf(id), 1) }))));
+        CHECK(isRefused(restored.apply(change(fmt::format("again {}", id), 0, { grant(keyOf(id), 1) }))));
+    }
+    const auto result = state.apply(change("more", 0, { grant(keyOf("k7"), 1) }));
+    CHECK(result.change().failure().kind() == static_cast<uint32_t>(ErrorKind::LimitReached));
+}
+
+TEST_CASE("an operator's key of the bootstrap settings can't be granted again after it was revoked")
+{
+    FleetState state(bootstrap(), {});
+    const auto created = valueOrError([] { return makeKey("root2"); });
+    auto second = grant(std::get<0>(created).stored, 0);
+    second.mutable_grant_key()->set_role(schema::ROLE_OPERATOR);
+    CHECK_FALSE(isRefused(state.apply(change("a", 0, { second }))));
+    CHECK_FALSE(isRefused(state.apply(change("b", 0, { revoke("root") }, "root2"))));
+    auto again = second;
+    again.mutable_grant_key()->set_id("root");
+    CHECK(isRefused(state.apply(change("c", 0, { again }, "root2"))));
+}
+
 TEST_CASE("a view detects gaps and digest mismatches, and a full configuration repairs both")
 {
     FleetState state(bootstrap(), {});
