Deadline-Ms: a deadline far ahead no longer counts as none or as passed

Callers could be answered that no answer came, at once. Cause: a number beyond 64 bits was read as no header, one above 2^63 became a negative time. Ruled out: a negative number; it can't be read and means the default, as before. The limit is an hour; a header with other text behind its number can't be read. Conclusion: call_codec reads the header, front_node only passes it on; net_http_server_test reserves its threads (lint).

--- a/node/front_node.cpp
+++ b/node/front_node.cpp
@@ -2,9 +2,9 @@
 
 #include "node/http_responses.h"
 #include "node/job_plane_common.h"
+#include "platform/call_codec.h"
 #include "platform/order_codec.h"
 
-#include <charconv>
 #include <thread>
 #include <utility>
 
@@ -27,13 +27,6 @@
         return out;
     }
 
-    uint64_t parseMilliseconds(std::string_view text)
-    {
-        uint64_t out = 0;
-        std::from_chars(text.data(), text.data() + text.size(), out);
-        return out;
-    }
-
 } // namespace
 
 FrontNode::FrontNode(schema::FrontSettings settings, ProcessContext context)
@@ -151,7 +144,7 @@
     const auto host = request.header("host");
     call.set_host(std::string(host.substr(0, host.find(':'))));
     call.set_key(std::string(bearerToken(request)));
-    call.set_time_left_ms(parseMilliseconds(request.header("deadline-ms")));
+    call.set_time_left_ms(platform::parseDeadlineMs(request.header("deadline-ms")));
     call.set_body(std::move(request.body));
     const auto handle = request.handle;
     const auto receivedAt = m_context.clock.now();
--- a/tests/net_http_server_test.cpp
+++ b/tests/net_http_server_test.cpp
@@ -113,6 +113,7 @@
         std::atomic<bool> isOver = false;
         std::atomic<int> sent = 0;
         std::vector<std::thread> threads;
+        threads.reserve(2);
         for (int n = 0; n < 2; ++n)
             threads.emplace_back([&] {
                 while (!isOver) {
--- a/tests/platform_codec_bounds_test.cpp
+++ b/tests/platform_codec_bounds_test.cpp
@@ -216,6 +216,15 @@
     CHECK_NOTHROW(encodeAnswer(JobCall(GetConfiguration {}), { CallStatus::BadRequest, "\xff" }));
 }
 
+TEST_CASE("a caller's deadline far ahead does not count as none or as passed")
+{
+    CHECK(parseDeadlineMs("250") == 250);
+    for (const char* header : { "9223372036854775807", "18446744073709551615", "18446744073709551616" })
+        CHECK_MESSAGE(parseDeadlineMs(header) == 3'600'000, header);
+    for (const char* header : { "", "-5", "x", "1e3", "250x", " 250" })
+        CHECK_MESSAGE(parseDeadlineMs(header) == 0, header);
+}
+
 TEST_CASE("no mutation of a message stops a decoder")
 {
     constexpr int rounds = 4'000;
