--- a/fleet/config_editor.h
+++ b/fleet/config_editor.h
@@ -19,8 +19,8 @@
 
 class ConfigEditor {
 public:
-    // `usedKeyIds` holds the ids of granted keys, revoked ones included. With `maxUsedKeyIds` of them, no further key is
-    // granted.
+    // `usedKeyIds` holds the ids of granted keys, revoked ones included. With `maxUsedKeyIds` of them, no further key
+    // is granted.
     ConfigEditor(ConfigTable& table, const absl::flat_hash_set<std::string>& usedKeyIds, size_t maxUsedKeyIds)
         : m_table(table)
         , m_usedKeyIds(usedKeyIds)
