Teasel-Wait-Ms: a negative waiting time counts as none

Operators could give a waiting time a meaning that it has not. Cause: the header's number was limited from above only; the smallest one overflowed the conversion to microseconds. Ruled out: numbers beyond 64 bits; they are read as the largest, and limited to a minute. Conclusion: the header is read in node/http_responses now, where a test reaches it.

--- a/node/config_gateway.cpp
+++ b/node/config_gateway.cpp
@@ -3,8 +3,6 @@
 #include "node/forwarder.h"
 #include "node/http_responses.h"
 
-#include <algorithm>
-#include <cstdlib>
 #include <string>
 #include <utility>
 
@@ -13,17 +11,6 @@
 namespace {
 
     constexpr std::string_view changesPath = "/v1/config/changes";
-    constexpr Milliseconds defaultWait { 3'000 };
-    constexpr Milliseconds maxWait { 60'000 };
-
-    Duration parseWait(const HttpRequest& request)
-    {
-        const std::string text(request.header("teasel-wait-ms"));
-        if (text.empty())
-            return defaultWait;
-        return std::min(maxWait, Milliseconds(std::strtoll(text.c_str(), nullptr, 10)));
-    }
-
     HttpResponse responseFrom(const schema::ChangeAnswer& answer)
     {
         if (answer.state() == schema::CHANGE_STATE_REFUSED) {
--- a/node/http_responses.cpp
+++ b/node/http_responses.cpp
@@ -4,6 +4,8 @@
 #include <google/protobuf/util/json_util.h>
 
 #include <algorithm>
+#include <cstdlib>
+#include <string>
 
 namespace teasel {
 
@@ -64,6 +66,16 @@
     return {};
 }
 
+Duration parseWait(const HttpRequest& request)
+{
+    constexpr Milliseconds defaultWait { 3'000 };
+    constexpr Milliseconds maxWait { 60'000 };
+    const std::string text(request.header("teasel-wait-ms"));
+    if (text.empty())
+        return defaultWait;
+    return std::clamp(Milliseconds(std::strtoll(text.c_str(), nullptr, 10)), Milliseconds(0), maxWait);
+}
+
 std::string_view bearerToken(const HttpRequest& request)
 {
     const auto value = request.header("authorization");
--- a/node/http_responses.h
+++ b/node/http_responses.h
@@ -1,6 +1,7 @@
 // HTTP responses with errors or schema messages as JSON, and the parsing of request bodies and keys.
 #pragma once
 
+#include "core/clock.h"
 #include "core/result.h"
 #include "net/http_server.h"
 
@@ -24,6 +25,9 @@
 // Returns the key in the `Authorization: Bearer` header; empty if there is none.
 std::string_view bearerToken(const HttpRequest&);
 
+// Returns how long an operator waits for a change to be in force, by the `Teasel-Wait-Ms` header.
+Duration parseWait(const HttpRequest&);
+
 // Returns the text as a JSON string literal, with its quotes.
 std::string jsonString(std::string_view);
 
