A job whose only starts never ran counts as pending again

Cause: a job left its queue's count with the first assignment, and did not return when the start never ran. Ruled out: the age of the count; the answers come from the leader. Conclusion: a job has begun once a run has certainly taken place.

--- a/jobs/job_state.cpp
+++ b/jobs/job_state.cpp
@@ -121,12 +121,30 @@
         if (!end.checkpoint().empty())
             task->checkpoint = end.checkpoint();
     }
+    noteBegin(job->second, end.outcome());
     if (end.outcome() == schema::RUN_OUTCOME_DONE)
         markDone(job->second, key);
     else if (end.outcome() == schema::RUN_OUTCOME_FAILED)
         countFailure(job->second, key, end.run());
 }
 
+void JobState::noteBegin(JobRecord& job, schema::RunOutcome outcome)
+{
+    const bool isDoubtful = outcome == schema::RUN_OUTCOME_NEVER_RAN || outcome == schema::RUN_OUTCOME_LOST
+        || outcome == schema::RUN_OUTCOME_LAPSED;
+    job.hasBegun = job.hasBegun || !isDoubtful;
+    if (job.hasBegun || job.phase != JobPhase::Running)
+        return;
+    for (const auto& [number, occurrence] : job.open) {
+        for (const auto& step : occurrence.steps) {
+            if (step.assignedTasks > 0)
+                return;
+        }
+    }
+    job.phase = JobPhase::Queued;
+    ++m_queuedJobs[job.request.queue()];
+}
+
 void JobState::markDone(JobRecord& job, const TaskKey& key)
 {
     const auto& spec = job.request.steps(static_cast<int>(key.step.step));
@@ -316,6 +334,7 @@
         out.set_phase(static_cast<schema::JobPlanePhase>(job.phase));
         out.set_ended_at_ms(job.endedAtMs);
         out.set_occurrences_done(job.occurrencesDone);
+        out.set_has_begun(job.hasBegun);
         for (const auto& [number, occurrence] : job.open) {
             auto& open = *out.add_open();
             open.set_occurrence(number);
@@ -331,6 +350,7 @@
         job.phase = static_cast<JobPhase>(image.phase());
         job.endedAtMs = image.ended_at_ms();
         job.occurrencesDone = image.occurrences_done();
+        job.hasBegun = image.has_begun();
         for (const auto& open : image.open()) {
             auto& occurrence = job.open[open.occurrence()];
             for (const auto& it : open.steps()) {
--- a/jobs/job_state.h
+++ b/jobs/job_state.h
@@ -56,6 +56,7 @@
 struct JobRecord {
     schema::JobRequest request; // steps and payload are cleared when the job ends
     JobPhase phase = JobPhase::Queued;
+    bool hasBegun = false; // a run has certainly taken place
     uint64_t endedAtMs = 0;
     uint32_t occurrencesDone = 0;
     absl::btree_map<uint32_t, OccurrenceRecord> open; // occurrences that have begun and not ended
@@ -128,6 +129,7 @@
     void finishStep(JobRecord&, const StepKey&);
     void endJob(JobRecord&, JobPhase);
     void leaveQueue(const JobRecord&);
+    void noteBegin(JobRecord&, schema::RunOutcome);
     void removeExpiredJobs();
     TaskRecord* mutableTask(const TaskKey&);
     static OccurrenceRecord& openOccurrence(JobRecord&, uint32_t occurrence);
