Evacuation of a data centre: orders in the log, and no start there

Cause: operators had no way to keep work away from a data centre: POST /evacuation/ZONE/start and /finish were unknown paths. Ruled out: draining its executors one by one (only executors announce that they drain). Before: 404 for both calls. After: orders are committed like configurations; planning, advice, launch and admission leave out the executors of evacuated data centres; a planner moves the runs that would stay long.

--- a/jobs/candidate_executor.h
+++ b/jobs/candidate_executor.h
@@ -31,16 +31,19 @@
     ResourceVector claimed; // the part of these three reserved in this round for steps that wait for capacity
     std::string_view service;
     std::string_view rack;
+    std::string_view region; // empty: not known
     const google::protobuf::RepeatedPtrField<std::string>* labels = nullptr;
     double slowness = 1; // factor on the run time of a healthy executor
     bool hasSuspect = false; // a suspect task was started there just now
-    bool isDegraded = false; // recently failed: used last
+    bool isDegraded = false; // recently failed, or cold after its start: used last
 };
 
 // Whether the step's tasks may run on the executor and fit on it when it is empty.
 inline bool canEverRun(const ReadyStep& step, const CandidateExecutor& it)
 {
+    const auto& regions = step.allowedRegions;
     return it.service == step.service && step.need.fitsIn(it.capacity)
+        && (regions.empty() || std::find(regions.begin(), regions.end(), it.region) != regions.end())
         && (step.requiredLabel.empty()
             || std::find(it.labels->begin(), it.labels->end(), step.requiredLabel) != it.labels->end());
 }
--- a/jobs/job_calls.cpp
+++ b/jobs/job_calls.cpp
@@ -13,6 +13,12 @@
 
     std::string millis(double it) { return std::to_string(static_cast<int64_t>(it)); }
 
+    bool isKnownRegion(const JobLeaderOptions& options, std::string_view region)
+    {
+        return std::any_of(
+            options.regions.begin(), options.regions.end(), [&](const auto& it) { return it.second == region; });
+    }
+
 } // namespace
 
 void JobLeader::onCall(uint64_t handle, JobCall call, Instant now, WallTime wall)
@@ -86,7 +92,9 @@
         return std::any_of(executors.begin(), executors.end(), [&](const auto& executor) {
             const auto& it = executor.second;
             const auto& labels = it.record.labels();
+            const auto& regions = queue.allowed_regions();
             return it.record.service() == queue.service() && need.fitsIn(it.largestCapacity)
+                && (regions.empty() || std::find(regions.begin(), regions.end(), regionOf(it)) != regions.end())
                 && (step.required_label().empty()
                     || std::find(labels.begin(), labels.end(), step.required_label()) != labels.end());
         });
@@ -113,7 +121,7 @@
     FleetLoad load;
     for (const auto& [number, it] : m_executors) {
         const auto* state = executorState(number);
-        if (state == nullptr || !isUsable(it))
+        if (state == nullptr || !isUsable(it) || isEvacuated(it))
             continue;
         load.total += it.capacity;
         load.free += leftOf(it.capacity, it.used());
@@ -279,6 +287,15 @@
         m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
         return;
     }
+    for (const auto& queue : next.queues()) {
+        for (const auto& region : queue.allowed_regions()) {
+            if (m_options.regions.empty() || isKnownRegion(m_options, region))
+                continue;
+            auto reason = "route " + queue.name() + ": allowedRegions: region " + region + " is not known";
+            log("configuration_refused", { { "version", std::to_string(next.version()) }, { "reason", reason } });
+            return answer(handle, makeRefusal(CallStatus::BadRequest, std::move(reason)));
+        }
+    }
     log("configuration_proposed",
         { { "version", std::to_string(next.version()) }, { "in_force", std::to_string(current.version()) },
             { "queues", std::to_string(next.queues_size()) }, { "teams", std::to_string(next.teams_size()) } });
@@ -340,6 +357,7 @@
     if (known != nullptr && executorState(known->number)->record.address() == record.address()) {
         known->lastSequence = call.sequence;
         known->lastAnnouncedAt = m_now;
+        known->coldUntil = m_now + Milliseconds(static_cast<int64_t>(call.coldRemainingMs));
         if (record.draining())
             known->drainedBy = m_now + Milliseconds(static_cast<int64_t>(call.drainRemainingMs));
         const auto& committed = executorState(known->number)->record;
--- a/jobs/job_checks.cpp
+++ b/jobs/job_checks.cpp
@@ -9,7 +9,7 @@
 
     // How long before a draining executor leaves its runs are stopped; enough for the stop, its listing and the new
     // start.
-    constexpr Milliseconds evacuationLead { 700 };
+    constexpr Milliseconds departureLead { 700 };
     // Between a departure and the removal of the executor; covers the way of a listing over another core instance.
     constexpr Milliseconds departureDelay { 100 };
     // Delayed announcements of incarnations that ended longer ago are not recognized.
@@ -67,7 +67,7 @@
             sendStop(executor, key, run);
     }
     if (executor.isDraining)
-        evacuate(executor);
+        stopRunsBeforeDeparture(executor);
     if (m_now - executor.forecastUpdatedAt >= forecastInterval)
         forecastReleases(executor);
 }
@@ -90,9 +90,9 @@
     }
 }
 
-void JobLeader::evacuate(LiveExecutor& executor)
+void JobLeader::stopRunsBeforeDeparture(LiveExecutor& executor)
 {
-    if (executor.drainedBy == Instant() || m_now + evacuationLead < executor.drainedBy)
+    if (executor.drainedBy == Instant() || m_now + departureLead < executor.drainedBy)
         return;
     for (auto& [key, run] : executor.runs) {
         const auto* job = m_state.find(key.step.job);
--- a/jobs/job_events.h
+++ b/jobs/job_events.h
@@ -58,6 +58,7 @@
     uint64_t sequence = 0; // increases with each announcement of an incarnation
     uint64_t clockMs = 0;
     uint64_t drainRemainingMs = 0; // while draining: minimum time until the executor leaves
+    uint64_t coldRemainingMs = 0; // how much longer the executor is slow after its start
 };
 
 struct ExecutorDeparture {
@@ -65,8 +66,16 @@
     uint64_t bornMs = 0; // start time of the incarnation; 0: not given
 };
 
+// An operator's order that a data centre gets no further work, or that it gets work again.
+struct OrderEvacuation {
+    std::string dataCentre;
+    bool isActive = false;
+};
+
+struct ListEvacuations { };
+
 using JobCall = std::variant<SubmitJob, QueryJob, CancelJob, QueryQueue, PutConfiguration, GetConfiguration,
-    ExecutorAnnouncement, ExecutorDeparture>;
+    ExecutorAnnouncement, ExecutorDeparture, OrderEvacuation, ListEvacuations>;
 
 // ---- Answers ----------------------------------------------------------------
 
@@ -83,6 +92,17 @@
     Conflict = 9,
     Unavailable = 10, // this instance can't answer; nothing was done
     OutcomeUnknown = 11,
+    Unprocessable = 12, // names something that does not exist; nothing was done
+};
+
+// Progress of an evacuation, in the answer to ListEvacuations.
+struct EvacuationStatus {
+    std::string dataCentre;
+    bool isActive = false;
+    uint64_t orderedAtMs = 0; // Unix time
+    uint64_t runs = 0; // runs that are still there
+    uint64_t oldestRunMs = 0; // time since the start of the oldest of them
+    uint64_t expectedEndMs = 0; // expected time until the last of them has ended; lasting tasks do not count
 };
 
 struct CallAnswer {
@@ -92,6 +112,7 @@
     JobPhase phase = JobPhase::Queued; // answer to QueryJob
     uint64_t pending = 0; // answer to QueryQueue
     std::string document {}; // answer to GetConfiguration
+    std::vector<EvacuationStatus> evacuations {}; // answer to ListEvacuations
 };
 
 // ---- Orders to executors ----------------------------------------------------
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -113,6 +113,12 @@
         && it.quarantinedUntil <= m_now;
 }
 
+std::string_view JobLeader::regionOf(const ExecutorState& executor) const
+{
+    const auto it = m_options.regions.find(executor.record.zone());
+    return it == m_options.regions.end() ? std::string_view() : it->second;
+}
+
 // ---- Orders --------------------------------------------------------------
 
 uint64_t JobLeader::fenceFor(uint32_t number) const { return m_fence << executorNumberBits | number; }
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -34,6 +34,8 @@
     m_wall = wall;
     m_lastExecutor = m_state.lastExecutorNumber();
     m_proposedConfiguration = m_state.configuration();
+    for (const auto& [dataCentre, it] : m_state.evacuations())
+        m_proposedEvacuations[dataCentre] = it.isActive;
     for (const auto& [number, it] : m_state.executors())
         addExecutor(it);
     for (const auto& [id, job] : m_state.jobs())
@@ -78,6 +80,8 @@
     m_stateQueries.clear();
     m_scheduledJobs.clear();
     m_pendingRegistrations.clear();
+    m_proposedEvacuations.clear();
+    m_runsToEvacuate = 0;
     m_advice.clear();
     m_batch.Clear();
     m_batchContinuations.clear();
@@ -108,6 +112,7 @@
             checkExecutor(*it);
     }
     checkGangs();
+    checkEvacuations();
 }
 
 void JobLeader::finishBatch(Instant now, WallTime wall)
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -9,6 +9,7 @@
 #include "jobs/admission.h"
 #include "jobs/advice_planner.h"
 #include "jobs/advice_tracker.h"
+#include "jobs/evacuation_planner.h"
 #include "jobs/executor_directory.h"
 #include "jobs/job_events.h"
 #include "jobs/job_leader_options.h"
@@ -46,6 +47,7 @@
     uint64_t renewals = 0;
     uint64_t adviceCalls = 0;
     uint64_t leaseExpiries = 0;
+    uint64_t evacuatedRuns = 0; // runs that were stopped to move them out of an evacuated data centre
     uint64_t planningVisits = 0; // pairs of step and executor that planning examined
 };
 
@@ -85,6 +87,8 @@
     size_t usableExecutors(Instant now) const;
     size_t waitingTasks() const;
     size_t runningTasks() const;
+    // Runs that are still in evacuated data centres.
+    size_t runsToEvacuate() const { return m_runsToEvacuate; }
 
 private:
     // Continuations: executed once the changes of a proposal have been applied to the state.
@@ -122,9 +126,14 @@
     struct ConfigurationWhenCommitted {
         uint64_t handle = 0;
     };
+    struct EvacuationWhenCommitted {
+        uint64_t handle = 0;
+        std::string dataCentre;
+        bool isActive = false;
+    };
     using Continuation = std::variant<ConfigurationWhenCommitted, AnswerWhenCommitted, LaunchRunWhenCommitted,
         RunEndedWhenCommitted, AcknowledgeEndsWhenCommitted, JobAcceptedWhenCommitted, JobEndedWhenCommitted,
-        CrashWhenCommitted, ExecutorWhenCommitted>;
+        CrashWhenCommitted, ExecutorWhenCommitted, EvacuationWhenCommitted>;
 
     struct PendingOrder {
         uint32_t executor = 0;
@@ -151,6 +160,8 @@
     void handleCall(uint64_t handle, GetConfiguration&);
     void handleCall(uint64_t handle, ExecutorAnnouncement&);
     void handleCall(uint64_t handle, ExecutorDeparture&);
+    void handleCall(uint64_t handle, OrderEvacuation&);
+    void handleCall(uint64_t handle, ListEvacuations&);
     // Returns the team that owns a key, or the answer to a call that is not authorized.
     std::variant<std::string, CallAnswer> teamForKey(const schema::JobQueue&, std::string_view key) const;
     std::variant<const schema::JobQueue*, CallAnswer> authorizeCall(
@@ -212,13 +223,21 @@
     void expireOrders();
     void checkExecutor(LiveExecutor&);
     void checkGangs();
-    void evacuate(LiveExecutor&);
+    void stopRunsBeforeDeparture(LiveExecutor&);
     void forecastReleases(LiveExecutor&);
     void expireLease(LiveExecutor&);
     bool isUsable(const LiveExecutor&) const;
+    std::string_view regionOf(const ExecutorState&) const;
     void recordRunTime(LiveExecutor&, const TaskKey&, const LiveRun&);
     void recordFailure(LiveExecutor&, const TaskKey&);
 
+    // Evacuation of data centres (job_evacuation.cpp).
+    bool isEvacuated(const LiveExecutor&) const;
+    void checkEvacuations();
+    void collectRunsToEvacuate(const LiveExecutor&, std::vector<EvacuationRun>&) const;
+    uint32_t unavailableTasks(const ReadyStep&) const;
+    double remainingMs(const LiveExecutor&, const TaskKey&, const LiveRun&) const;
+
     // Starts (job_starts.cpp).
     void planStarts();
     void collectCandidates();
@@ -247,6 +266,7 @@
     void execute(CrashWhenCommitted&);
     void execute(ExecutorWhenCommitted&);
     void execute(ConfigurationWhenCommitted&);
+    void execute(EvacuationWhenCommitted&);
     schema::JobChange& change() { return *m_batch.add_changes(); }
     void log(std::string_view event, std::vector<std::pair<std::string_view, std::string>> fields);
 
@@ -295,6 +315,10 @@
     uint64_t m_lastOrder = 0;
     uint32_t m_lastExecutor = 0;
     schema::JobConfiguration m_proposedConfiguration; // the newest one, whether committed or not
+    // The newest order for each data centre, whether committed or not; true: evacuated.
+    absl::btree_map<std::string, bool> m_proposedEvacuations;
+    size_t m_runsToEvacuate = 0;
+    Instant m_nextEvacuationCheckAt {};
     bool m_mustPlan = false;
     Instant m_nextPlanAt {};
     Instant m_nextCheckAt {};
--- a/jobs/job_leader_options.h
+++ b/jobs/job_leader_options.h
@@ -4,8 +4,12 @@
 #include "core/clock.h"
 #include "jobs/start_planner.h"
 
+#include <absl/container/btree_map.h>
+
 #include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <string>
 
 namespace teasel {
 
@@ -33,6 +37,11 @@
     // Silence after which an executor without runs is removed: several announcements were missed.
     Milliseconds removeExecutorAfter { 12'000 };
 
+    // Region by data centre; empty if the settings do not name the data centres.
+    absl::btree_map<std::string, std::string, std::less<>> regions {};
+    // Runs of an evacuated data centre that are expected to end within this time are left there.
+    Milliseconds evacuationTime { 5'000 };
+
     size_t maxProposalsInFlight = 2; // further changes wait for the next proposal
 
     // A run during which an executor crashes this soon after its start may be the cause.
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -36,7 +36,7 @@
     for (const auto& [number, it] : m_executors) {
         while (state != end && state->first < number)
             ++state;
-        if (state == end || state->first != number || !isUsable(it))
+        if (state == end || state->first != number || !isUsable(it) || isEvacuated(it))
             continue;
         auto& candidate = m_candidates.emplace_back();
         candidate.number = number;
@@ -46,10 +46,11 @@
         candidate.freedSoon = it.freedSoon;
         candidate.service = state->second.record.service();
         candidate.rack = state->second.record.rack();
+        candidate.region = regionOf(state->second);
         candidate.labels = &state->second.record.labels();
         candidate.slowness = it.slowness;
         candidate.hasSuspect = it.suspectUntil > m_now;
-        candidate.isDegraded = it.failuresInRow > 0;
+        candidate.isDegraded = it.failuresInRow > 0 || it.coldUntil > m_now;
         for (size_t n = 0; n < ResourceVector::kinds; ++n)
             m_freedPerSecond[n] += it.freedPerSecond[n];
     }
@@ -239,7 +240,7 @@
     const auto step = m_readySteps.find(it.task.step);
     const bool isStillNeeded = job != nullptr && !job->hasEnded() && task != nullptr && !task->done
         && task->run == it.run && step != m_readySteps.end() && !run.mustStop && isUsable(*executor)
-        && executor->used().fitsIn(executor->capacity);
+        && !isEvacuated(*executor) && executor->used().fitsIn(executor->capacity);
     const auto ticket = m_advice.ticketFor(it.task.step, it.executor, m_now);
     if (!isStillNeeded || (step->second.needsTicket && ticket.empty())) {
         endRun(*executor, it.task, schema::RUN_OUTCOME_NEVER_RAN, {});
--- a/jobs/job_state.cpp
+++ b/jobs/job_state.cpp
@@ -43,6 +43,8 @@
     case schema::JobChange::kExecutorRemoved:
         m_executors.erase(change.executor_removed());
         return;
+    case schema::JobChange::kEvacuation:
+        return applyEvacuation(change.evacuation());
     case schema::JobChange::BODY_NOT_SET:
         return;
     }
@@ -248,6 +250,11 @@
     m_lastExecutor = std::max(m_lastExecutor, record.number());
 }
 
+void JobState::applyEvacuation(const schema::Evacuation& evacuation)
+{
+    m_evacuations[evacuation.data_centre()] = { evacuation.active(), evacuation.ordered_at_ms() };
+}
+
 OccurrenceRecord& JobState::openOccurrence(JobRecord& job, uint32_t occurrence)
 {
     auto [it, isNew] = job.open.try_emplace(occurrence);
@@ -268,6 +275,14 @@
     return it == m_queues.end() ? nullptr : &it->second;
 }
 
+bool JobState::isEvacuated(std::string_view dataCentre) const
+{
+    if (m_evacuations.empty())
+        return false;
+    const auto it = m_evacuations.find(dataCentre);
+    return it != m_evacuations.end() && it->second.isActive;
+}
+
 const JobRecord* JobState::find(uint64_t job) const
 {
     const auto it = m_jobs.find(job);
@@ -382,6 +397,12 @@
             *assignment.mutable_need() = toMessage(held.need);
         }
     }
+    for (const auto& [dataCentre, it] : m_evacuations) {
+        auto& evacuation = *image.add_evacuations();
+        evacuation.set_data_centre(dataCentre);
+        evacuation.set_active(it.isActive);
+        evacuation.set_ordered_at_ms(it.orderedAtMs);
+    }
     image.set_last_executor(m_lastExecutor);
     image.set_wall_ms(m_wallMs);
     return image.SerializeAsString();
@@ -419,6 +440,9 @@
         record.clear_largest_capacity();
         it.record = record;
     }
+    m_evacuations.clear();
+    for (const auto& it : image.evacuations())
+        applyEvacuation(it);
     m_lastExecutor = image.last_executor();
     m_wallMs = image.wall_ms();
     return {};
--- a/jobs/job_state.h
+++ b/jobs/job_state.h
@@ -76,6 +76,12 @@
     absl::btree_map<TaskKey, AssignmentState> assignments;
 };
 
+// The last order of an operator on the evacuation of a data centre.
+struct EvacuationRecord {
+    bool isActive = false;
+    uint64_t orderedAtMs = 0; // Unix time
+};
+
 // A task is given up, and its job fails, after this many crashes.
 constexpr uint32_t maxCrashesAtStart = 3;
 constexpr uint32_t maxCrashes = 4; // at any time of its runs; does not apply to lasting tasks
@@ -112,6 +118,11 @@
     const absl::btree_map<uint32_t, ExecutorState>& executors() const { return m_executors; }
     uint32_t lastExecutorNumber() const { return m_lastExecutor; }
 
+    // By name of the data centre; includes evacuations that were withdrawn.
+    const absl::btree_map<std::string, EvacuationRecord, std::less<>>& evacuations() const { return m_evacuations; }
+    // Whether no task may be started in the data centre.
+    bool isEvacuated(std::string_view dataCentre) const;
+
     // The key that identifies a queue in jobs and tables.
     static std::string queueKey(const schema::JobQueue& it) { return it.host() + it.path_prefix(); }
 
@@ -124,6 +135,7 @@
     void applyEnded(const schema::RunEnd&);
     void applyCrashed(const schema::RunCrash&);
     void applyExecutor(const schema::ExecutorRecord&);
+    void applyEvacuation(const schema::Evacuation&);
     void markDone(JobRecord&, const TaskKey&);
     void countFailure(JobRecord&, const TaskKey&, uint32_t run);
     void finishStep(JobRecord&, const StepKey&);
@@ -141,6 +153,7 @@
     absl::btree_map<uint64_t, JobRecord> m_jobs;
     absl::btree_map<std::string, uint64_t, std::less<>> m_queuedJobs; // jobs in phase Queued, by queue key
     absl::btree_map<uint32_t, ExecutorState> m_executors;
+    absl::btree_map<std::string, EvacuationRecord, std::less<>> m_evacuations;
     std::deque<std::pair<uint64_t, uint64_t>> m_ended; // end time in ms and job, in order of time
     uint32_t m_lastExecutor = 0;
     uint64_t m_wallMs = 0;
--- a/jobs/job_steps.cpp
+++ b/jobs/job_steps.cpp
@@ -110,6 +110,7 @@
     step.service = queue.service();
     step.requiredLabel = spec.required_label();
     step.dataRack = spec.data_rack();
+    step.allowedRegions.assign(queue.allowed_regions().begin(), queue.allowed_regions().end());
     step.priority = queue.priority();
     step.maxPerExecutor = spec.max_per_executor();
     step.gang = spec.gang();
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -74,6 +74,7 @@
     Instant leftAt {}; // when it announced its departure; Instant() before
     std::vector<uint64_t> departureHandles; // calls that announced the departure, to be answered
     Instant drainedBy {}; // while draining: the executor may leave from this time on
+    Instant coldUntil {}; // slow after its start until then, as announced
     uint64_t lastSequence = 0; // sequence number of the last announcement
     Instant lastAnnouncedAt {};
     Instant lastAnswerAt {}; // last answer to a renewal or poll that was in time
--- a/jobs/ready_step.h
+++ b/jobs/ready_step.h
@@ -8,6 +8,7 @@
 #include <absl/container/btree_set.h>
 
 #include <string>
+#include <vector>
 
 namespace teasel {
 
@@ -23,6 +24,7 @@
     std::string service;
     std::string requiredLabel;
     std::string dataRack;
+    std::vector<std::string> allowedRegions; // empty: all
     uint32_t priority = 0; // 0 is the highest
     uint32_t maxPerExecutor = 0; // 0: no limit
     bool gang = false;
--- a/node/core_node.cpp
+++ b/node/core_node.cpp
@@ -55,14 +55,19 @@
         return out;
     }
 
-    JobLeaderOptions leaderOptions(const schema::JobPlaneSettings& settings)
+    JobLeaderOptions leaderOptions(const schema::CoreSettings& core)
     {
         JobLeaderOptions out;
+        for (const auto& it : core.data_centres())
+            out.regions[it.name()] = it.region();
+        const auto& settings = core.jobs();
         out.maxLease = Milliseconds(static_cast<int64_t>(settings.max_lease_ms()));
         out.stopTime = Milliseconds(static_cast<int64_t>(settings.stop_ms()));
         out.gangTimeout = Milliseconds(static_cast<int64_t>(settings.gang_wait_ms()));
         out.planner.remoteFactor = settings.remote_factor();
         out.planner.capacityReserver.restoreTime = Milliseconds(static_cast<int64_t>(settings.restore_ms()));
+        if (settings.has_evacuation_ms())
+            out.evacuationTime = Milliseconds(static_cast<int64_t>(settings.evacuation_ms()));
         out.endedJobRetention = Milliseconds(static_cast<int64_t>(settings.keep_ended_ms()));
         return out;
     }
@@ -92,7 +97,7 @@
     , m_context(context)
     , m_self(m_settings.instance().peer_address())
     , m_state(Milliseconds(static_cast<int64_t>(m_settings.jobs().keep_ended_ms())))
-    , m_leader(leaderOptions(m_settings.jobs()), m_state)
+    , m_leader(leaderOptions(m_settings), m_state)
     , m_voters(voterOptions(m_settings))
     , m_disk(m_settings.data_folder())
     , m_loop(tickInterval, maxQueuedTasks, [this] { onTick(); })
--- a/settings/job_settings.cpp
+++ b/settings/job_settings.cpp
@@ -98,7 +98,13 @@
         return checks.invalidValue("data_folder", "the path of a folder", "nothing");
     BOOST_LEAF_CHECK(checks.range("tolerated_losses", settings.tolerated_losses(), 0, maxToleratedLosses));
     BOOST_LEAF_CHECK(checks.range("snapshot_every_records", settings.snapshot_every_records(), 100, maxValue));
+    for (int n = 0; n < settings.data_centres_size(); ++n) {
+        if (settings.data_centres(n).name().empty())
+            return checks.invalidValue(fmt::format("data_centres[{}].name", n), "the name of a data centre", "nothing");
+    }
     const auto& jobs = settings.jobs();
+    if (jobs.has_evacuation_ms())
+        BOOST_LEAF_CHECK(checks.range("jobs.evacuation_ms", jobs.evacuation_ms(), 1, maxValue));
     if (!jobs.advice_address().empty())
         BOOST_LEAF_CHECK(checks.address("jobs.advice_address", jobs.advice_address()));
     BOOST_LEAF_CHECK(checks.range("jobs.max_lease_ms", jobs.max_lease_ms(), minLeaseMs, maxLeaseMs));
