Evacuation: review of the server part, tests without a network, emulator, gauge, operator commands

Ruled out: keeping room checks that ignore service, label and region. Before: no test of the evacuation.

--- a/jobs/evacuation_planner.h
+++ b/jobs/evacuation_planner.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "jobs/candidate_executor.h"
 #include "jobs/task_key.h"
 #include "placement/resource_vector.h"
 
@@ -18,14 +19,12 @@
 // A run in an evacuated data centre.
 struct EvacuationRun {
     TaskKey task;
+    const ReadyStep* step = nullptr; // never null; must outlive the call of the planner
     uint32_t executor = 0;
     ResourceVector need;
     double remainingMs = 0; // expected; has no meaning for lasting tasks
-    bool isGang = false;
-    bool isLasting = false;
-    bool hasCheckpoint = false; // can resume where it was stopped
     bool isStopping = false;
-    uint32_t unavailableTasks = 0; // of its step: tasks that are not at work
+    uint32_t unavailableTasks = 0; // of its step: tasks without a run that is listed and not being stopped
     uint32_t mayMiss = 0; // tasks of its step that may be unavailable at once; 0: not given
 };
 
@@ -42,9 +41,10 @@
     {
     }
 
-    // The runs to stop now, as indices into `runs`. `free`: free capacity of each executor outside the evacuated data
+    // The runs to stop now, as indices into `runs`. `candidates`: the usable executors outside the evacuated data
     // centres.
-    std::vector<size_t> runsToStop(std::span<const EvacuationRun> runs, std::span<const ResourceVector> free) const;
+    std::vector<size_t> runsToStop(
+        std::span<const EvacuationRun> runs, std::span<const CandidateExecutor> candidates) const;
 
 private:
     bool mustMove(const EvacuationRun&) const;
--- a/jobs/job_calls.cpp
+++ b/jobs/job_calls.cpp
@@ -289,7 +289,7 @@
     }
     for (const auto& queue : next.queues()) {
         for (const auto& region : queue.allowed_regions()) {
-            if (m_options.regions.empty() || isKnownRegion(m_options, region))
+            if (isKnownRegion(m_options, region))
                 continue;
             auto reason = "route " + queue.name() + ": allowedRegions: region " + region + " is not known";
             log("configuration_refused", { { "version", std::to_string(next.version()) }, { "reason", reason } });
@@ -328,6 +328,7 @@
 void JobLeader::handleCall(uint64_t handle, ExecutorAnnouncement& call)
 {
     auto& record = call.record;
+    const auto coldUntil = m_now + Milliseconds(static_cast<int64_t>(call.coldRemainingMs));
     LiveExecutor* known = nullptr;
     const auto registered = m_directory.withIdOrAddress(record.id(), record.address());
     for (const auto number : registered) {
@@ -357,7 +358,7 @@
     if (known != nullptr && executorState(known->number)->record.address() == record.address()) {
         known->lastSequence = call.sequence;
         known->lastAnnouncedAt = m_now;
-        known->coldUntil = m_now + Milliseconds(static_cast<int64_t>(call.coldRemainingMs));
+        known->coldUntil = coldUntil;
         if (record.draining())
             known->drainedBy = m_now + Milliseconds(static_cast<int64_t>(call.drainRemainingMs));
         const auto& committed = executorState(known->number)->record;
@@ -380,7 +381,7 @@
                     { "committed", describe(known->committed) } });
         m_mustPlan = true;
         *change().mutable_executor() = std::move(record);
-        m_batchContinuations.emplace_back(ExecutorWhenCommitted { known->number });
+        m_batchContinuations.emplace_back(ExecutorWhenCommitted { known->number, coldUntil });
         m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
         return;
     }
@@ -390,7 +391,7 @@
         { { "executor", record.id() }, { "number", std::to_string(record.number()) },
             { "born", std::to_string(record.born_ms()) }, { "address", record.address() },
             { "capacity", describe(toVector(record.capacity())) } });
-    m_batchContinuations.emplace_back(ExecutorWhenCommitted { record.number() });
+    m_batchContinuations.emplace_back(ExecutorWhenCommitted { record.number(), coldUntil });
     m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
     *change().mutable_executor() = record;
     raiseFence(record, record.number());
--- a/jobs/job_checks.cpp
+++ b/jobs/job_checks.cpp
@@ -220,7 +220,7 @@
         assignment.set_executor(successor);
     }
     change().set_executor_removed(number);
-    m_batchContinuations.emplace_back(ExecutorWhenCommitted { number });
+    m_batchContinuations.emplace_back(ExecutorWhenCommitted { number, {} });
     for (const auto handle : std::exchange(executor->departureHandles, {}))
         m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
     absl::erase_if(m_pendingOrders, [&](const auto& it) { return it.second.executor == number; });
--- a/jobs/job_evacuation.cpp
+++ b/jobs/job_evacuation.cpp
@@ -8,7 +8,6 @@
 namespace {
 
     constexpr Milliseconds evacuationCheckInterval { 100 };
-    constexpr uint32_t fullPercent = 100; // progress that a lasting task reports while it is at work
 
 } // namespace
 
@@ -20,13 +19,19 @@
     return state != nullptr && m_state.isEvacuated(state->record.zone());
 }
 
-void JobLeader::handleCall(uint64_t handle, OrderEvacuation& call)
+bool JobLeader::isKnownDataCentre(const std::string& name) const
 {
+    // An order that was accepted must be acknowledged again, also after all executors of the data centre are gone.
+    if (m_options.regions.contains(name) || m_proposedEvacuations.contains(name))
+        return true;
     const auto& executors = m_state.executors();
-    const bool isKnown = m_options.regions.contains(call.dataCentre)
-        || std::any_of(executors.begin(), executors.end(),
-            [&](const auto& it) { return it.second.record.zone() == call.dataCentre; });
-    if (!isKnown) {
+    return std::any_of(
+        executors.begin(), executors.end(), [&](const auto& it) { return it.second.record.zone() == name; });
+}
+
+void JobLeader::handleCall(uint64_t handle, OrderEvacuation& call)
+{
+    if (!isKnownDataCentre(call.dataCentre)) {
         log("evacuation_refused", { { "data_centre", call.dataCentre }, { "reason", "no such data centre" } });
         return answer(handle, { CallStatus::Unprocessable, "no such data centre" });
     }
@@ -91,12 +96,13 @@
     uint32_t available = 0;
     for (const auto& location : m_runIndex.ofStep(step.key)) {
         const auto& run = m_executors.at(location.executor).runs.at(location.task);
-        available += run.stage == RunStage::Running && !run.mustStop && run.percent >= fullPercent ? 1 : 0;
+        available += run.stage == RunStage::Running && run.isListed && !run.mustStop ? 1 : 0;
     }
     return step.count - std::min(step.count, available);
 }
 
-void JobLeader::collectRunsToEvacuate(const LiveExecutor& executor, std::vector<EvacuationRun>& out) const
+void JobLeader::collectRunsToEvacuate(const LiveExecutor& executor, std::vector<EvacuationRun>& out,
+    absl::btree_map<StepKey, uint32_t>& unavailable) const
 {
     for (const auto& [key, run] : executor.runs) {
         if (run.stage != RunStage::Running)
@@ -105,42 +111,69 @@
         const auto* job = m_state.find(key.step.job);
         if (step == m_readySteps.end() || job == nullptr || job->hasEnded())
             continue;
-        const auto& spec = job->request.steps(static_cast<int>(key.step.step));
         auto& it = out.emplace_back();
         it.task = key;
+        it.step = &step->second;
         it.executor = executor.number;
         it.need = run.need;
         it.remainingMs = remainingMs(executor, key, run);
-        it.isGang = step->second.gang;
-        it.isLasting = step->second.lasting;
-        it.hasCheckpoint = step->second.checkpoints;
         it.isStopping = run.mustStop;
-        it.unavailableTasks = it.isLasting ? unavailableTasks(step->second) : 0;
-        it.mayMiss = spec.may_miss();
+        if (!step->second.lasting)
+            continue;
+        it.mayMiss = job->request.steps(static_cast<int>(key.step.step)).may_miss();
+        const auto [counted, isNew] = unavailable.try_emplace(key.step);
+        if (isNew)
+            counted->second = unavailableTasks(step->second);
+        it.unavailableTasks = counted->second;
     }
 }
 
+size_t JobLeader::runsToEvacuate() const
+{
+    size_t out = 0;
+    for (const auto& [dataCentre, runs] : m_runsToEvacuate)
+        out += runs;
+    return out;
+}
+
+void JobLeader::countRunsToEvacuate()
+{
+    absl::btree_map<std::string, size_t, std::less<>> runsLeft;
+    for (const auto& [dataCentre, it] : m_state.evacuations()) {
+        if (it.isActive)
+            runsLeft[dataCentre] = 0;
+    }
+    for (const auto& [number, it] : m_executors) {
+        const auto* state = executorState(number);
+        const auto found = state == nullptr ? runsLeft.end() : runsLeft.find(state->record.zone());
+        if (found != runsLeft.end())
+            found->second += it.runs.size();
+    }
+    for (const auto& [dataCentre, runs] : runsLeft) {
+        const auto before = m_runsToEvacuate.find(dataCentre);
+        if (runs == 0 && (before == m_runsToEvacuate.end() || before->second > 0))
+            log("evacuation_completed", { { "data_centre", dataCentre } });
+    }
+    m_runsToEvacuate = std::move(runsLeft);
+}
+
 void JobLeader::checkEvacuations()
 {
     if (m_state.evacuations().empty() || m_now < m_nextEvacuationCheckAt)
         return;
     m_nextEvacuationCheckAt = m_now + evacuationCheckInterval;
-    size_t runsLeft = 0;
+    countRunsToEvacuate();
     std::vector<EvacuationRun> runs;
-    std::vector<ResourceVector> free;
+    absl::btree_map<StepKey, uint32_t> unavailable;
     for (const auto& [number, it] : m_executors) {
-        if (isEvacuated(it)) {
-            runsLeft += it.runs.size();
-            collectRunsToEvacuate(it, runs);
-        } else if (isUsable(it)) {
-            free.push_back(leftOf(it.capacity, it.used()));
-        }
+        if (isEvacuated(it))
+            collectRunsToEvacuate(it, runs, unavailable);
     }
-    if (runsLeft == 0 && m_runsToEvacuate > 0)
-        log("evacuation_completed", {});
-    m_runsToEvacuate = runsLeft;
+    if (runs.empty())
+        return;
+    collectCandidates();
     const EvacuationPlanner planner({ m_options.evacuationTime });
-    for (const auto n : planner.runsToStop(runs, free)) {
+    for (const auto n : planner.runsToStop(runs, m_candidates)) {
         auto& executor = m_executors.at(runs[n].executor);
         auto& run = executor.runs.at(runs[n].task);
         ++m_counters.evacuatedRuns;
@@ -148,7 +181,7 @@
             { { "task", taskText(runs[n].task) }, { "run", std::to_string(run.run) },
                 { "executor", executorState(executor.number)->record.id() },
                 { "remaining_ms", std::to_string(static_cast<int64_t>(runs[n].remainingMs)) },
-                { "lasting", runs[n].isLasting ? "true" : "false" } });
+                { "lasting", runs[n].step->lasting ? "true" : "false" } });
         requestStop(executor, runs[n].task, run);
     }
 }
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -81,7 +81,7 @@
     m_scheduledJobs.clear();
     m_pendingRegistrations.clear();
     m_proposedEvacuations.clear();
-    m_runsToEvacuate = 0;
+    m_runsToEvacuate.clear();
     m_advice.clear();
     m_batch.Clear();
     m_batchContinuations.clear();
@@ -210,6 +210,7 @@
     // A new incarnation has no runs, so no other leader can have placed tasks on it.
     auto& executor = m_executors[it.number];
     executor.lastAnnouncedAt = m_now;
+    executor.coldUntil = it.coldUntil;
     sendRenewal(executor);
 }
 
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -88,7 +88,7 @@
     size_t waitingTasks() const;
     size_t runningTasks() const;
     // Runs that are still in evacuated data centres.
-    size_t runsToEvacuate() const { return m_runsToEvacuate; }
+    size_t runsToEvacuate() const;
 
 private:
     // Continuations: executed once the changes of a proposal have been applied to the state.
@@ -122,6 +122,7 @@
     };
     struct ExecutorWhenCommitted {
         uint32_t number = 0;
+        Instant coldUntil {}; // as announced with the registration
     };
     struct ConfigurationWhenCommitted {
         uint64_t handle = 0;
@@ -234,7 +235,12 @@
     // Evacuation of data centres (job_evacuation.cpp).
     bool isEvacuated(const LiveExecutor&) const;
     void checkEvacuations();
-    void collectRunsToEvacuate(const LiveExecutor&, std::vector<EvacuationRun>&) const;
+    // Appends the runs of one executor. `unavailable` holds the results of unavailableTasks() for lasting steps.
+    void collectRunsToEvacuate(
+        const LiveExecutor&, std::vector<EvacuationRun>&, absl::btree_map<StepKey, uint32_t>& unavailable) const;
+    // Counts the runs left in each evacuated data centre and logs those that have none any more.
+    void countRunsToEvacuate();
+    bool isKnownDataCentre(const std::string&) const;
     uint32_t unavailableTasks(const ReadyStep&) const;
     double remainingMs(const LiveExecutor&, const TaskKey&, const LiveRun&) const;
 
@@ -317,7 +323,8 @@
     schema::JobConfiguration m_proposedConfiguration; // the newest one, whether committed or not
     // The newest order for each data centre, whether committed or not; true: evacuated.
     absl::btree_map<std::string, bool> m_proposedEvacuations;
-    size_t m_runsToEvacuate = 0;
+    // Runs in each evacuated data centre at the last check; absent until the first check of the evacuation.
+    absl::btree_map<std::string, size_t, std::less<>> m_runsToEvacuate;
     Instant m_nextEvacuationCheckAt {};
     bool m_mustPlan = false;
     Instant m_nextPlanAt {};
--- a/main/teasel_client.cpp
+++ b/main/teasel_client.cpp
@@ -17,6 +17,14 @@
         return response.status == shutdownInfo.httpStatus && readErrorBody(response.body).kind == shutdownInfo.name;
     }
 
+    bool isWorthAnotherServer(const ApiResponse& response, RetryPolicy policy)
+    {
+        if (isShuttingDown(response))
+            return true;
+        return policy == RetryPolicy::AlwaysAtOthers
+            && (response.status >= 500 || response.status == 408 || response.status == 429);
+    }
+
 } // namespace
 
 ApiResult TeaselClient::send(ApiRequest request, RetryPolicy retryPolicy)
@@ -31,7 +39,7 @@
         const auto index = (m_lastWorkingServer + attempt) % m_servers.size();
         auto outcome = m_transport.send(m_servers[index], request);
         if (const auto* response = std::get_if<ApiResponse>(&outcome)) {
-            if (isShuttingDown(*response) && attempt + 1 < attempts)
+            if (isWorthAnotherServer(*response, retryPolicy) && attempt + 1 < attempts)
                 continue;
             m_lastWorkingServer = index;
             return outcome;
--- a/main/teasel_client.h
+++ b/main/teasel_client.h
@@ -13,6 +13,7 @@
 enum class RetryPolicy : uint8_t {
     IfNotSent = 0,
     Always = 1,
+    AlwaysAtOthers = 2, // also after 408, 429 and 5xx, at the next server
 };
 
 class TeaselClient {
--- a/main/teasel_commands.h
+++ b/main/teasel_commands.h
@@ -30,6 +30,7 @@
 void addClassCommands(CLI::App&, Command& selected); // class
 void addNamingCommands(CLI::App&, Command& selected); // scheme, alias, drain
 void addJobCommands(CLI::App&, Command& selected); // job, request
+void addDataCentreCommands(CLI::App&, Command& selected); // data-centre
 
 // Makes `run` the handler of a subcommand; it is called with the parsed options.
 template <class Options, class Run>
--- a/main/teasel_tool.cpp
+++ b/main/teasel_tool.cpp
@@ -67,6 +67,7 @@
     addClassCommands(app, selected);
     addNamingCommands(app, selected);
     addJobCommands(app, selected);
+    addDataCentreCommands(app, selected);
     allowGlobalOptionsAnywhere(app);
     std::reverse(arguments.begin(), arguments.end()); // CLI11 expects them in reverse order
     try {
--- a/node/core_node.cpp
+++ b/node/core_node.cpp
@@ -402,6 +402,15 @@
     call.set_method(request.method);
     call.set_path(request.path);
     call.set_body(std::move(request.body));
+    // Malformed orders are answered at once, also while there is no leader.
+    if (platform::isEvacuation(call.path())) {
+        auto decoded = platform::decodeCall(call);
+        if (auto* answer = std::get_if<schema::RoutedAnswer>(&decoded)) {
+            m_context.log.info("call_invalid",
+                { { "path", call.path() }, { "status", answer->status() }, { "reason", answer->body() } });
+            return m_controlServer.answer(request.handle, toHttpResponse(std::move(*answer)));
+        }
+    }
     const bool isAnnouncement = platform::isAnnouncement(call.path());
     call.set_time_left_ms(static_cast<uint64_t>((isAnnouncement ? announcementTimeout : operatorTimeout).count()));
     const auto handle = request.handle;
@@ -601,6 +610,10 @@
     m_context.metrics.gauge(ProcessGauge::Executors).Set(static_cast<double>(m_leader.usableExecutors(now)));
     m_context.metrics.gauge(ProcessGauge::WaitingTasks).Set(static_cast<double>(m_leader.waitingTasks()));
     m_context.metrics.gauge(ProcessGauge::RunningTasks).Set(static_cast<double>(m_leader.runningTasks()));
+    m_context.metrics.gauge(ProcessGauge::RunsToEvacuate).Set(static_cast<double>(m_leader.runsToEvacuate()));
+    const auto evacuated = m_leader.counters().evacuatedRuns;
+    m_context.metrics.counter(ProcessCounter::EvacuatedRuns)
+        .Increment(static_cast<double>(evacuated - std::exchange(m_reportedEvacuatedRuns, evacuated)));
     m_context.metrics.gauge(ProcessGauge::HeldRequests).Set(static_cast<double>(m_relay.pendingCalls()));
 }
 
--- a/node/core_node.h
+++ b/node/core_node.h
@@ -118,6 +118,7 @@
     Instant m_nextVoterPlan {};
     Instant m_nextInstanceUpdate {};
     Instant m_nextMetricsUpdate {};
+    uint64_t m_reportedEvacuatedRuns = 0; // already added to the counter
     bool m_isStopping = false;
     std::atomic<bool> m_failed = false;
 };
--- a/observability/metrics.cpp
+++ b/observability/metrics.cpp
@@ -34,6 +34,7 @@
         { "teasel_authority_lease_left_seconds", "Time left of the lease on the configuration" },
         { "teasel_leadership_lease_left_seconds", "Time left of the data centre leader's lease" },
         { "teasel_log_records", "Records in the replicated log since its last snapshot" },
+        { "teasel_runs_to_evacuate", "Runs left in evacuated data centres" },
     } };
 
     constexpr std::array<MetricName, static_cast<size_t>(ProcessCounter::Count)> counterNames { {
@@ -46,6 +47,7 @@
         { "teasel_configuration_changes_total", "Revisions of the configuration applied" },
         { "teasel_commits_total", "Commands committed by the replicated log" },
         { "teasel_snapshots_total", "Snapshots written" },
+        { "teasel_evacuated_runs_total", "Runs stopped to move them out of an evacuated data centre" },
     } };
 
     constexpr std::array<const char*, static_cast<size_t>(ControlWork::Count)> workNames { "requests", "placement",
--- a/observability/metrics.h
+++ b/observability/metrics.h
@@ -38,7 +38,8 @@
     AuthorityLeaseLeft = 12, // seconds left of the lease on the configuration
     LeadershipLeaseLeft = 13, // seconds left of the data centre leader's own lease
     LogRecords = 14, // records in the replicated log since its last snapshot
-    Count = 15,
+    RunsToEvacuate = 15, // runs left in evacuated data centres, as the leader knows them
+    Count = 16,
 };
 
 // Counters of the whole process, without labels.
@@ -52,7 +53,8 @@
     ConfigurationChanges = 6,
     Commits = 7, // commands committed by the replicated log
     Snapshots = 8,
-    Count = 9,
+    EvacuatedRuns = 9, // runs that were stopped to move them out of an evacuated data centre
+    Count = 10,
 };
 
 // Categories of work of the control thread whose duration is measured.
--- a/tests/jobs_world.h
+++ b/tests/jobs_world.h
@@ -9,6 +9,7 @@
 #include "jobs/job_leader.h"
 #include "jobs/job_state.h"
 #include "jobs_world_checks.h"
+#include "jobs_world_evacuations.h"
 #include "jobs_world_fleet.h"
 #include "jobs_world_requests.h"
 #include "jobs_world_types.h"
@@ -33,6 +34,7 @@
         , m_random(options.seed)
         , m_checks(m_options, m_clock, m_callers)
         , m_fleet(m_options, m_random, m_clock, m_callers, m_checks)
+        , m_evacuations(m_options, m_clock, m_checks)
         , m_state(Milliseconds(600'000))
     {
         schema::JobCommand command;
@@ -53,6 +55,7 @@
             submitAndCancelJobs();
             step();
         }
+        m_isEnding = true;
         for (auto& it : m_fleet.executors())
             it.silentUntil = std::min(it.silentUntil, m_clock.now());
         awaitOpenJobs(m_options.drainDuration);
@@ -67,6 +70,8 @@
     double leaderSeconds() const { return m_leaderSeconds; }
     size_t completed() const { return m_completed.size(); }
     size_t accepted() const { return m_acceptedJobs.size(); }
+    size_t acknowledgedEvacuations() const { return m_evacuations.acknowledged(); }
+    uint64_t evacuatedRuns() const { return m_evacuatedRuns + m_leader->counters().evacuatedRuns; }
 
 private:
     struct Event {
@@ -92,6 +97,14 @@
             m_checks.recordCommittedEnds(command);
         }
         m_proposed.clear();
+        if (m_leader)
+            m_evacuatedRuns += m_leader->counters().evacuatedRuns;
+        if (m_evacuations.isEnabled()) { // The new leader's instance started from a snapshot.
+            const auto snapshot = m_state.snapshot();
+            if (!m_state.restore(snapshot))
+                m_checks.report("EVACUATION: a snapshot can't be read");
+            m_evacuations.checkState(m_state);
+        }
         m_leader = std::make_unique<JobLeader>(JobLeaderOptions {}, m_state);
         m_leader->setAdviceInstances({ "front-1", "front-2" });
         m_leader->onBecameLeader(m_term, m_clock.now(), wall());
@@ -117,6 +130,7 @@
 
     void perform(AnswerCall& action)
     {
+        m_evacuations.onAnswer(action.handle, action.answer.status);
         const auto it = m_calls.find(action.handle);
         if (it == m_calls.end())
             return;
@@ -161,6 +175,8 @@
 
     void perform(SendOrder& action)
     {
+        if (std::holds_alternative<StartRun>(action.order) && m_state.isEvacuated(action.dataCentre))
+            m_checks.report(fmt::format("EVACUATED: a start is sent to {} after the commit", action.executorId));
         const auto term = m_term;
         const auto number = action.number;
         const auto timeout = [this, term, number, after = action.timeout] {
@@ -257,6 +273,12 @@
             m_fleet.advance(it, 5.0);
             announce(it);
         }
+        m_evacuations.step(
+            [this](OrderEvacuation order) {
+                m_leader->onCall(++m_lastHandle, std::move(order), m_clock.now(), wall());
+                return m_lastHandle;
+            },
+            m_isEnding);
         const auto before = std::clock();
         m_leader->onTick(now, wall());
         m_leader->finishBatch(now, wall());
@@ -265,6 +287,7 @@
         if (now >= m_nextOutcomeCheck) {
             m_nextOutcomeCheck = now + std::chrono::milliseconds(200);
             m_checks.checkOutcomes(m_state);
+            m_evacuations.checkState(m_state);
         }
     }
 
@@ -286,6 +309,7 @@
         it.record.set_born_ms(executor.bornMs);
         it.record.set_address(executor.address);
         it.record.set_service("filling");
+        it.record.set_zone(executor.zone());
         *it.record.mutable_capacity() = toMessage(executor.capacity);
         it.sequence = ++executor.sequence;
         m_leader->onCall(++m_lastHandle, std::move(it), m_clock.now(), wall());
@@ -334,6 +358,8 @@
             const auto id = ++m_lastJob;
             auto& caller = m_callers[id];
             caller.request = randomRequest(id, m_random);
+            if (m_evacuations.isEnabled())
+                makeMovable(caller.request, m_evacuations.random());
             if (m_options.deadlyJobs > 0 && m_random.chance(m_options.deadlyJobs))
                 caller.deadly = chooseDeadlyTask(caller.request, m_random);
         }
@@ -448,6 +474,9 @@
     WorldCallers m_callers;
     JobsWorldChecks m_checks;
     JobsWorldFleet m_fleet;
+    JobsWorldEvacuations m_evacuations;
+    uint64_t m_evacuatedRuns = 0; // by previous leaders
+    bool m_isEnding = false; // no further faults
     JobState m_state;
     std::unique_ptr<JobLeader> m_leader;
     uint64_t m_term = 0;
--- a/tests/jobs_world_checks.h
+++ b/tests/jobs_world_checks.h
@@ -67,6 +67,8 @@
     // ---- What was observed ---------------------------------------------------
 
     void onLeaderChanged() { m_leaderSince = m_clock.now(); }
+    void onEvacuationAcknowledged(const std::string& zone) { m_evacuatedSince.try_emplace(zone, m_clock.now()); }
+    void onEvacuationWithdrawn(const std::string& zone) { m_evacuatedSince.erase(zone); }
 
     void markDone(const TaskKey& key)
     {
@@ -137,6 +139,7 @@
         if (m_failures[start.task] >= maxFailures)
             report(fmt::format("BUDGET: {} starts after {} failures", task, m_failures[start.task]));
         checkCrashBudget(start.task);
+        checkEvacuation(task, executor);
         if (m_options.needsTickets && !isGranted(start.task.step, executor.id))
             report(fmt::format("ROUTE: {} starts on {} without advice", task, executor.id));
     }
@@ -175,6 +178,16 @@
     static constexpr uint32_t startsInBudget = 2; // the third start after these crashes breaks the rule
     static constexpr uint32_t crashesBeforeGivingUp = 2;
 
+    // Orders sent before the evacuation was committed may still arrive within this time.
+    void checkEvacuation(const std::string& task, const WorldExecutor& executor)
+    {
+        constexpr Milliseconds evacuationTime { 5'000 };
+        const auto since = m_evacuatedSince.find(executor.zone());
+        if (since != m_evacuatedSince.end() && m_clock.now() - since->second > evacuationTime)
+            report(fmt::format("EVACUATED: {} starts on {} in {}, evacuated for {} ms", task, executor.id,
+                executor.zone(), std::chrono::duration_cast<Milliseconds>(m_clock.now() - since->second).count()));
+    }
+
     void checkCrashBudget(const TaskKey& key)
     {
         const auto found = m_crashesCausedBy.find(key);
@@ -248,6 +261,7 @@
     const ManualClock& m_clock;
     WorldCallers& m_callers;
     Instant m_leaderSince {};
+    std::map<std::string, Instant> m_evacuatedSince; // acknowledged and not withdrawn since, by data centre
     std::set<TaskKey> m_done;
     std::map<TaskKey, uint32_t> m_failures;
     std::map<StepKey, std::set<uint32_t>> m_failedRuns;
--- a/tests/jobs_world_requests.h
+++ b/tests/jobs_world_requests.h
@@ -52,6 +52,19 @@
     return out;
 }
 
+// Makes some steps such that their runs are moved out of an evacuated data centre: long by their estimate, and with
+// checkpoints.
+inline void makeMovable(schema::JobRequest& request, Random& random)
+{
+    constexpr uint64_t longMs = 20'000;
+    for (auto& step : *request.mutable_steps()) {
+        if (step.gang() || !random.chance(0.3))
+            continue;
+        step.set_checkpoints(true);
+        step.set_estimate_ms(longMs);
+    }
+}
+
 inline DeadlyTask chooseDeadlyTask(const schema::JobRequest& request, Random& random)
 {
     const auto step = static_cast<uint32_t>(random.below(static_cast<uint64_t>(request.steps_size())));
--- a/tests/jobs_world_types.h
+++ b/tests/jobs_world_types.h
@@ -42,9 +42,13 @@
     double changedIds = 0; // share of crashed executors that come back under another id
     double capacityChangesPerSecond = 0;
     Milliseconds maxStopTime { 0 }; // a stopped run holds its capacity for up to this time
+    double evacuationsPerSecond = 0; // orders and withdrawals for each data centre; drawn from a separate generator
     Milliseconds probeDuration { 0 }; // at the end: time within which each executor must run a task of its full size
 };
 
+constexpr size_t worldZones = 3;
+inline std::string worldZone(size_t n) { return "z" + std::to_string(n); }
+
 struct WorldRun {
     uint32_t run = 0;
     std::string payload;
@@ -81,6 +85,9 @@
     };
     std::vector<PastCapacity> pastCapacities;
 
+    // Neighbouring slots share a data centre: advice excludes every third slot, so each has some that are granted.
+    std::string zone() const { return worldZone(slot / 2 % worldZones); }
+
     void changeCapacity(const ResourceVector& next, Instant now)
     {
         pastCapacities.push_back({ capacity, now });
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -91,6 +91,70 @@
     CHECK(std::get<schema::RoutedAnswer>(decodeCall(callersCall("PATCH", "/p/x"))).status() == 405);
 }
 
+// Guards against an order that changes the state although it is malformed, or that reaches the wrong path.
+TEST_CASE("orders on the evacuation of a data centre are decoded, and malformed ones are answered at once")
+{
+    const auto control = [](std::string method, std::string path, std::string body = {}) {
+        auto call = callersCall(std::move(method), std::move(path), std::move(body));
+        call.clear_host();
+        call.set_surface(schema::RoutedCall::CONTROL);
+        return decodeCall(call);
+    };
+    const auto status = [&](std::string method, std::string path, std::string body = {}) {
+        const auto decoded = control(std::move(method), std::move(path), std::move(body));
+        const auto* it = std::get_if<schema::RoutedAnswer>(&decoded);
+        return it == nullptr ? 0 : it->status();
+    };
+    const auto start = std::get<OrderEvacuation>(std::get<JobCall>(control("POST", "/evacuation/a-1/start")));
+    CHECK(start.dataCentre == "a-1");
+    CHECK(start.isActive);
+    const auto finish = std::get<OrderEvacuation>(std::get<JobCall>(control("POST", "/evacuation/a-1/finish")));
+    CHECK(!finish.isActive);
+    CHECK(std::holds_alternative<ListEvacuations>(std::get<JobCall>(control("GET", "/evacuation"))));
+    for (const char* method : { "GET", "PUT", "DELETE" }) {
+        CHECK(status(method, "/evacuation/a/start") == 405);
+        CHECK(status(method, "/evacuation/a/finish") == 405);
+    }
+    CHECK(status("POST", "/evacuation") == 405);
+    CHECK(status("POST", "/evacuation/a/start", "{}") == 400);
+    CHECK(status("POST", "/evacuation/a/finish", " ") == 400);
+    for (const char* path :
+        { "/evacuation/", "/evacuation/a", "/evacuation/a/", "/evacuation//start", "/evacuation/a/stop",
+            "/evacuation/a/start/", "/evacuation/a/start/b", "/evacuations", "/evacuationx/start" })
+        CHECK_MESSAGE(status("POST", path) == 404, path);
+    const JobCall order = OrderEvacuation { "c", true };
+    CHECK(encodeAnswer(order, { CallStatus::Ok, {} }).status() == 200);
+    CHECK(encodeAnswer(order, { CallStatus::Ok, {} }).body().empty());
+    CHECK(encodeAnswer(order, { CallStatus::Unprocessable, "no such data centre" }).status() == 422);
+    CallAnswer list;
+    list.evacuations.push_back({ "a", true, 5, 3, 700, 900 });
+    CHECK(encodeAnswer(ListEvacuations {}, list).body()
+        == R"({"evacuations":[{"active":true,"dataCentre":"a","expectedEndMs":900,"oldestRunMs":700,"orderedAtMs":5,"runs":3}]})");
+}
+
+// Guards against restrictions that are dropped or misread in silence.
+TEST_CASE("regions of a route and the cold start of a service are decoded and checked")
+{
+    const auto text = replaceOnce(
+        replaceOnce(validConfiguration, R"("services":[{)", R"("services":[{"coldStartS":2.5,"coldPerS":0.5,)"),
+        R"("routes":[{)", R"("routes":[{"allowedRegions":["north","south"],)");
+    const auto decoded = valueOrError([&] { return decodeConfiguration(text); });
+    REQUIRE(std::holds_alternative<schema::JobConfiguration>(decoded));
+    const auto& it = std::get<schema::JobConfiguration>(decoded);
+    CHECK(it.queues(0).allowed_regions_size() == 2);
+    CHECK(it.services(0).cold_start_s() == doctest::Approx(2.5));
+    CHECK(it.services(0).cold_per_s() == doctest::Approx(0.5));
+    const auto problem = [&](std::string_view what, std::string_view with) {
+        return failureOf([&] { return decodeConfiguration(replaceOnce(text, what, with)); });
+    };
+    const auto negative = problem(R"("coldStartS":2.5)", R"("coldStartS":-1)");
+    CHECK(negative.find("coldStartS: expected a number from 0 up, found -1") != std::string::npos);
+    CHECK(problem(R"("coldPerS":0.5)", R"("coldPerS":"x")").find("found \"x\"") != std::string::npos);
+    CHECK(problem(R"(["north","south"])", R"(["north",7])").find("allowedRegions: expected text, found 7")
+        != std::string::npos);
+    CHECK(!problem(R"(["north","south"])", R"("north")").empty());
+}
+
 TEST_CASE("a malformed job is refused without a crash")
 {
     const auto problem
@@ -114,6 +178,11 @@
     const auto decoded = valueOrError([&] { return decodeAnnouncement("i-1", validAnnouncement); });
     CHECK(std::get<ExecutorAnnouncement>(decoded).record.rack() == "r1-3");
     CHECK(std::get<ExecutorAnnouncement>(decoded).record.born_ms() == 12);
+    CHECK(std::get<ExecutorAnnouncement>(decoded).coldRemainingMs == 0);
+    const auto cold = replaceOnce(validAnnouncement, R"("sequence":4)", R"("sequence":4,"coldRemainingMs":1500)");
+    const auto decodedCold = valueOrError([&] { return decodeAnnouncement("i-1", cold); });
+    CHECK(std::get<ExecutorAnnouncement>(decodedCold).coldRemainingMs == 1'500);
+    CHECK(!problem(replaceOnce(cold, "1500", "-1")).empty());
     CHECK(!problem(replaceOnce(validAnnouncement, R"("state":"ready")", R"("state":"asleep")")).empty());
     CHECK(!problem(replaceOnce(validAnnouncement, R"("sequence":4,)", "")).empty());
     CHECK(!problem(replaceOnce(validAnnouncement, R"("address":"10.0.0.1:80")", R"("address":80)")).empty());
--- a/tests/settings_reader_test.cpp
+++ b/tests/settings_reader_test.cpp
@@ -1,5 +1,6 @@
 #include "placement.pb.h"
 #include "settings/entry_settings.h"
+#include "settings/job_settings.h"
 #include "settings/state_settings.h"
 
 #include <doctest/doctest.h>
@@ -142,6 +143,33 @@
     CHECK(stateError(state + "replacement: yes\n").starts_with("s.yaml:9: replacement: expected true or false"));
 }
 
+// Guards against a deploy template whose table of data centres is not read, or is read without its regions.
+TEST_CASE("data centres and the evacuation time of a core instance are read and checked")
+{
+    const std::string core = "instance: {id: c1, data_centre: north, peer_address: 127.1.0.1:7000}\n"
+                             "control_address: 127.1.0.1:8080\n"
+                             "data_folder: /var/lib/teasel\n"
+                             "seeds: [127.1.0.1:7000]\n";
+    const auto error
+        = [](const std::string& text) { return messageOf([&] { return parseCoreSettings(text, "c.yaml"); }); };
+    const auto read = valueOrError([&] {
+        return parseCoreSettings(core
+                + "jobs:\n  restore_ms: 300\n  evacuation_ms: 4000\n"
+                  "data_centres: [{ name: \"a\", region: \"r\" },{ name: \"b\", region: \"s\" }]\n",
+            "c.yaml");
+    });
+    REQUIRE(read.index() == 0);
+    const auto& settings = std::get<0>(read);
+    REQUIRE(settings.data_centres_size() == 2);
+    CHECK(settings.data_centres(0).name() == "a");
+    CHECK(settings.data_centres(1).region() == "s");
+    CHECK(settings.jobs().evacuation_ms() == 4'000);
+    CHECK(error(core + "data_centres: []\n") == "");
+    CHECK(error(core + "data_centres: [{ region: r }]\n")
+        == "c.yaml:5: data_centres[0].name: expected the name of a data centre, found nothing");
+    CHECK(error(core + "jobs: {evacuation_ms: 0}\n").starts_with("c.yaml:5: jobs.evacuation_ms: expected"));
+}
+
 TEST_CASE("enum values are read and printed as lower-case names")
 {
     schema::JobSpec spec;
--- a/tests/teasel_tool_test.cpp
+++ b/tests/teasel_tool_test.cpp
@@ -252,6 +252,56 @@
     CHECK(transport.calls[0].headers.back().value == "Bearer op.secret");
 }
 
+// Guards against an order that is given up although another instance can take it, or that is resent after a refusal.
+TEST_CASE("an evacuation is ordered at the next server after an answer without a decision")
+{
+    ScriptedTransport transport;
+    transport.outcomes = { ApiResponse { 503, R"({"error":"no leader"})", {} }, ApiResponse { 200, "", {} } };
+    CHECK(run(transport, { "data-centre", "evacuate", "north-1" }).code == 0);
+    REQUIRE(transport.calls.size() == 2);
+    CHECK(transport.servers == std::vector<std::string> { "http://a", "http://b" });
+    CHECK(transport.calls[1].method == "POST");
+    CHECK(transport.calls[1].path == "/evacuation/north-1/start");
+    CHECK(transport.calls[1].body.empty());
+    ScriptedTransport cut;
+    cut.outcomes = { ApiFailure { true, "cut" }, ApiResponse { 429, "", {} }, ApiResponse { 200, "", {} } };
+    CHECK(run(cut, { "data-centre", "restore", "north-1" }).code == 0);
+    CHECK(cut.calls.back().path == "/evacuation/north-1/finish");
+    ScriptedTransport unknown;
+    unknown.outcomes = { ApiResponse { 422, R"({"error":"no such data centre"})", {} } };
+    const auto refused = run(unknown, { "data-centre", "evacuate", "nowhere" });
+    CHECK(refused.code == 3);
+    CHECK(contains(refused.err, "refused (HTTP 422): no such data centre"));
+    CHECK(unknown.calls.size() == 1);
+    ScriptedTransport silent;
+    const auto unreachable = run(silent, { "data-centre", "evacuate", "north-1" });
+    CHECK(unreachable.code == 4);
+    CHECK(contains(unreachable.err, "repeating it is safe"));
+    CHECK(silent.calls.size() == 6);
+    CHECK(run(silent, { "data-centre", "evacuate", "a/b" }).code == 64);
+}
+
+TEST_CASE("evacuations are listed, and --wait repeats the list until no run is left")
+{
+    const ApiResponse busy { 200,
+        R"({"evacuations":[{"dataCentre":"n","active":true,"orderedAtMs":1,"runs":3,"oldestRunMs":6500,"expectedEndMs":900},{"dataCentre":"s","active":false,"orderedAtMs":1,"runs":2,"oldestRunMs":0,"expectedEndMs":0}]})",
+        {} };
+    const ApiResponse empty { 200,
+        R"({"evacuations":[{"dataCentre":"n","active":true,"orderedAtMs":1,"runs":0,"oldestRunMs":0,"expectedEndMs":0}]})",
+        {} };
+    ScriptedTransport transport;
+    transport.outcomes = { busy };
+    const auto once = run(transport, { "data-centre", "list" });
+    CHECK(once.code == 0);
+    CHECK(contains(once.out, "n            evacuated  3     6.5       0.9"));
+    CHECK(contains(once.out, "s            in use     2"));
+    transport.outcomes = { busy, empty };
+    CHECK(run(transport, { "data-centre", "list", "--wait", "--interval-ms", "1" }).code == 0);
+    CHECK(transport.calls.size() == 3);
+    transport.outcomes = { busy };
+    CHECK(contains(run(transport, { "--json", "data-centre", "list" }).out, "oldestRunMs"));
+}
+
 TEST_CASE("wrong usage exits with 64 and sends nothing")
 {
     ScriptedTransport transport;
