--- a/tests/jobs_evacuation_test.cpp
+++ b/tests/jobs_evacuation_test.cpp
@@ -13,9 +13,11 @@
     return out;
 }
 
+using Ids = std::vector<std::string>;
+
 struct EvacuationFixture : JobsFixture {
-    EvacuationFixture()
-        : JobsFixture(false, twoDataCentres())
+    explicit EvacuationFixture(bool needsTickets = false)
+        : JobsFixture(needsTickets, twoDataCentres())
     {
     }
 
@@ -79,8 +81,6 @@
     }
 };
 
-using Ids = std::vector<std::string>;
-
 } // namespace
 
 TEST_CASE_FIXTURE(EvacuationFixture, "an evacuated data centre gets no starts until the evacuation is withdrawn")
@@ -96,6 +96,29 @@
     CHECK(startedOn().size() == 1);
 }
 
+// Guards against assignments and advice calls for executors on which no start will be sent.
+TEST_CASE("an evacuated data centre gets no assignments and no advice calls")
+{
+    EvacuationFixture plain;
+    plain.addExecutor("x1", "a");
+    plain.order("a", true);
+    plain.submit(EvacuationFixture::request(1, 1));
+    for (int n = 0; n < 50; ++n) {
+        plain.passWithRenewals(Milliseconds(20));
+        CHECK(plain.state.executors().begin()->second.assignments.empty());
+        CHECK(plain.leader.waitingTasks() == 1);
+    }
+    EvacuationFixture advised(true);
+    advised.addExecutor("x1", "a");
+    advised.addExecutor("x2", "b");
+    advised.order("a", true);
+    advised.submit(EvacuationFixture::request(1, 2));
+    advised.passWithRenewals(Milliseconds(500));
+    REQUIRE(!advised.adviceRequests.empty());
+    for (const auto& it : advised.adviceRequests)
+        CHECK(it.executors == Ids { "x2" });
+}
+
 // Guards against a start that is sent after the order's commit because its assignment was committed before.
 TEST_CASE_FIXTURE(EvacuationFixture, "an assignment that was not sent when the order was committed ends as NEVER_RAN")
 {
--- a/tests/jobs_world.h
+++ b/tests/jobs_world.h
@@ -105,7 +105,10 @@
                 m_checks.report("EVACUATION: a snapshot can't be read");
             m_evacuations.checkState(m_state);
         }
-        m_leader = std::make_unique<JobLeader>(JobLeaderOptions {}, m_state);
+        JobLeaderOptions options;
+        for (size_t n = 0; m_evacuations.isEnabled() && n < worldZones; ++n)
+            options.regions[worldZone(n)] = "region";
+        m_leader = std::make_unique<JobLeader>(std::move(options), m_state);
         m_leader->setAdviceInstances({ "front-1", "front-2" });
         m_leader->onBecameLeader(m_term, m_clock.now(), wall());
         m_checks.onLeaderChanged();
--- a/tests/settings_reader_test.cpp
+++ b/tests/settings_reader_test.cpp
@@ -148,6 +148,7 @@
 {
     const std::string core = "instance: {id: c1, data_centre: north, peer_address: 127.1.0.1:7000}\n"
                              "control_address: 127.1.0.1:8080\n"
+                             "metrics_address: 127.1.0.1:8081\n"
                              "data_folder: /var/lib/teasel\n"
                              "seeds: [127.1.0.1:7000]\n";
     const auto error
@@ -166,8 +167,8 @@
     CHECK(settings.jobs().evacuation_ms() == 4'000);
     CHECK(error(core + "data_centres: []\n") == "");
     CHECK(error(core + "data_centres: [{ region: r }]\n")
-        == "c.yaml:5: data_centres[0].name: expected the name of a data centre, found nothing");
-    CHECK(error(core + "jobs: {evacuation_ms: 0}\n").starts_with("c.yaml:5: jobs.evacuation_ms: expected"));
+        == "c.yaml:6: data_centres[0].name: expected the name of a data centre, found nothing");
+    CHECK(error(core + "jobs: {evacuation_ms: 0}\n").starts_with("c.yaml:6: jobs.evacuation_ms: expected"));
 }
 
 TEST_CASE("enum values are read and printed as lower-case names")
