Evacuation: options of the job leader are moved, as lint asks

Cause: the options hold a map since the table of data centres, and were copied. Ruled out: passing a reference; the member is adjusted in the constructor. Before: tools/lint.sh reports jobs/job_leader.cpp. Conclusion: no change of behaviour.

--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace teasel {
 
@@ -16,7 +17,7 @@
 } // namespace
 
 JobLeader::JobLeader(JobLeaderOptions options, const JobState& state)
-    : m_options(options)
+    : m_options(std::move(options))
     , m_state(state)
 {
     // A new leader assumes that the leases of previous leaders are no longer than maxLease.
