--- a/runtimes/run_time_distribution.h
+++ b/runtimes/run_time_distribution.h
@@ -9,7 +9,7 @@
 
 // Run time of a task on a sound executor of speed 1 near its data, in ms. A value that is independent of the model.
 // For an executor of speed s, or away from the data, multiply times that go out by remoteFactor / s, and divide times
-// that go in by it. Shares are clamped to [0.001, 0.999]. Does not throw.
+// that go in by it. Shares are clamped to [0.001, 0.9999]. Does not throw.
 class RunTimeDistribution {
 public:
     struct Parts {
--- a/runtimes/run_time_model.h
+++ b/runtimes/run_time_model.h
@@ -3,13 +3,12 @@
 
 #include "runtimes/executor_speed.h"
 #include "runtimes/executor_speeds.h"
+#include "runtimes/name_map.h"
 #include "runtimes/queue_run_times.h"
 #include "runtimes/run_observation.h"
 #include "runtimes/run_time_distribution.h"
 #include "runtimes/run_time_summary.h"
 
-#include <absl/container/flat_hash_map.h>
-
 #include <string>
 #include <string_view>
 #include <vector>
@@ -43,6 +42,8 @@
     static constexpr size_t maxTeams = 512; // of a queue
     static constexpr size_t maxExecutors = 4'096;
 
+    RunTimeModel();
+
     // Learns from the end of a run. Runs from a checkpoint are ignored.
     void record(const RunObservation&);
     // Predicts the run time of a task. `step` as in RunObservation: if tasks of the same step have ended, their
@@ -68,11 +69,12 @@
     void restore(const RunTimeSummary&);
 
 private:
+    QueueRunTimes& queueAt(std::string_view);
     void normalize();
 
-    absl::flat_hash_map<std::string, QueueRunTimes> m_queues;
+    NameMap<QueueRunTimes> m_queues;
     ExecutorSpeeds m_executors;
-    Estimate m_remote;
+    Estimate m_remote; // logarithm of the factor
     std::vector<RunTimeShift> m_shifts;
     uint64_t m_records = 0;
 };
