--- a/runtimes/queue_run_times.cpp
+++ b/runtimes/queue_run_times.cpp
@@ -20,12 +20,10 @@
     constexpr double teamDecay = 1e-3;
     constexpr double slopeDecay = 1e-5;
 
-    // Cumulative sums in standard deviations. A queue that grows by half moves by about 0.7 of them and is found after
-    // some 25 runs; without a shift there is an alarm about once in several thousand runs.
-    constexpr double shiftSlack = 0.35;
-    constexpr double shiftLimit = 9;
-    constexpr uint64_t shiftSettling = 40; // runs between an alarm and the report
-    constexpr double reportedShift = 0.22; // logarithm of 1.25
+    // Cumulative sums of innovations in standard deviations. A queue that grows by half at unchanged estimates moves by
+    // about 0.7 of them and is found after some 25 steps.
+    constexpr double misfitSlack = 0.35;
+    constexpr double misfitLimit = 9;
 
     double logOf(double ms)
     {
@@ -63,6 +61,8 @@
     if (it.step == 0 && it.tasks == 0)
         out.effectiveNoise = out.noise;
     const double withoutStep = y - expected;
+    out.logMs = y - place.log;
+    m_placeVariance += 0.02 * (place.variance - m_placeVariance);
     out.residual = withoutStep - (step ? step->common.value : 0);
 
     const double scaled = withoutStep / std::sqrt(out.parameterVariance + place.variance + m_variance * spread);
@@ -97,7 +97,14 @@
 
     if (isFirstOfStep) {
         const double scaled = clip(innovation / std::sqrt(variance), 2);
-        detectShift(scaled * influence * reading.noise / reading.effectiveNoise, innovation);
+        const double part = influence * reading.noise / reading.effectiveNoise;
+        detectMisfit(scaled * part, innovation);
+        // Estimates may have grown with the work, so that the predictions still hold. Operators want to know all the
+        // same.
+        if (it.isComplete) {
+            if (const auto moved = m_shiftDetector.add(reading.logMs, weight * part))
+                m_shift = std::exp(*moved);
+        }
     }
     m_level.update(clipped, 1, total, weight * influence);
     m_slope.update(clipped, reading.dx, total, weight * influence);
@@ -153,7 +160,7 @@
     const double dx = estimateMs > 0 ? clampDx(logOf(static_cast<double>(estimateMs)) - m_reference) : 0;
     const double spread = it.spread * it.spread;
     const double parameterVariance
-        = m_level.variance + it.level.variance + dx * dx * (m_slope.variance + it.slope.variance);
+        = m_level.variance + it.level.variance + dx * dx * (m_slope.variance + it.slope.variance) + m_placeVariance;
     const double taskVariance = std::min(m_taskVariance, m_variance) * spread;
     RunTimeDistribution::Parts parts;
     parts.logMs = m_level.value + it.level.value + (m_slope.value + it.slope.value) * dx;
@@ -186,10 +193,10 @@
     return RunTimeDistribution(parts);
 }
 
-void QueueRunTimes::moveLevel(double log)
+void QueueRunTimes::onSpeedsNormalized(double log)
 {
-    m_level.value += log;
-    m_settledLevel += log;
+    m_level.value -= log;
+    m_shiftDetector.move(-log);
 }
 
 QueueRunTimes::Team& QueueRunTimes::teamAt(std::string_view name)
@@ -243,7 +250,6 @@
 {
     m_reference = hasEstimate ? logEstimate : logTook;
     m_level.value = m_reference;
-    m_settledLevel = m_reference;
 }
 
 void QueueRunTimes::learnReference(double logEstimate, double influence)
@@ -253,30 +259,19 @@
     m_referenceSpread += rate * (dx * dx - m_referenceSpread);
     // The prediction for a given estimate stays the same.
     m_reference += rate * dx;
-    moveLevel(rate * dx * m_slope.value);
+    m_level.value += rate * dx * m_slope.value;
 }
 
-void QueueRunTimes::detectShift(double scaled, double raw)
+void QueueRunTimes::detectMisfit(double scaled, double raw)
 {
-    m_high = std::max(0.0, m_high + scaled - shiftSlack);
-    m_low = std::max(0.0, m_low - scaled - shiftSlack);
+    m_high = std::max(0.0, m_high + scaled - misfitSlack);
+    m_low = std::max(0.0, m_low - scaled - misfitSlack);
     m_recentInnovation += 0.15 * (clip(raw, 8) - m_recentInnovation);
-    if (m_high > shiftLimit || m_low > shiftLimit) {
-        m_high = m_low = 0;
-        // The level becomes as uncertain as the runs since the shift suggest, and is then learned anew.
-        m_level.variance = std::max({ m_level.variance, 0.1, m_recentInnovation * m_recentInnovation });
-        if (m_shiftCheckAt == 0)
-            m_shiftCheckAt = m_runs + shiftSettling;
-    }
-    if (m_shiftCheckAt == 0) {
-        m_settledLevel += 0.01 * (m_level.value - m_settledLevel);
-    } else if (m_runs >= m_shiftCheckAt) {
-        const double moved = m_level.value - m_settledLevel;
-        if (std::abs(moved) > reportedShift)
-            m_shift = std::exp(moved);
-        m_settledLevel = m_level.value;
-        m_shiftCheckAt = 0;
-    }
+    if (m_high <= misfitLimit && m_low <= misfitLimit)
+        return;
+    m_high = m_low = 0;
+    // The level becomes as uncertain as the last runs suggest, and is then learned anew.
+    m_level.variance = std::max({ m_level.variance, 0.1, m_recentInnovation * m_recentInnovation });
 }
 
 void QueueRunTimes::closeWindow()
@@ -339,7 +334,6 @@
     m_slope = { bounded(from.slope, 0, 1.2), bounded(from.slopeVariance, 1e-6, slopeVariance) };
     m_variance = bounded(from.variance, 0.01, 2);
     m_taskVariance = bounded(from.taskVariance, 0.0025, 1);
-    m_settledLevel = m_level.value;
     m_runs = from.runs;
     m_residuals = ResidualHistogram(from.residuals, from.runs);
     m_taskResiduals = ResidualHistogram(from.taskResiduals, from.runs);
--- a/runtimes/queue_run_times.h
+++ b/runtimes/queue_run_times.h
@@ -7,6 +7,7 @@
 #include "runtimes/run_observation.h"
 #include "runtimes/run_time_distribution.h"
 #include "runtimes/run_time_summary.h"
+#include "runtimes/shift_detector.h"
 
 #include <optional>
 #include <string>
@@ -36,6 +37,7 @@
     struct Reading {
         Team* team = nullptr;
         double dx = 0; // estimate relative to the reference
+        double logMs = 0; // of the run at a place of factor 1
         double residual = 0; // relative to the prediction with the step's common factor
         double parameterVariance = 0; // of all terms except the place and the step
         double stepVariance = 0;
@@ -55,15 +57,15 @@
     // Moves the levels. `innovation` is the residual after the executor's phase is known, `variance` its total
     // variance, and `weight` (0 to 1) the probability that the run says something on its queue.
     void learn(const RunObservation&, const Reading&, double innovation, double variance, double weight);
-    // Returns the factor of a shift that was established since the last call.
+    // Returns the factor by which the run times were found to have changed since the last call.
     std::optional<double> takeShift();
 
     RunTimeDistribution predict(std::string_view team, uint64_t estimateMs, uint64_t step) const;
     // Returns the prediction for a queue without runs.
     static RunTimeDistribution predictUnknown(uint64_t estimateMs);
 
-    // Adds to the level; used when the speeds of all executors are normalised.
-    void moveLevel(double log);
+    // Follows a division of the speeds of all executors by exp(`log`).
+    void onSpeedsNormalized(double log);
     uint64_t lastRunAt() const { return m_lastRunAt; }
     void setLastRunAt(uint64_t record) { m_lastRunAt = record; }
     uint64_t runs() const { return m_runs; }
@@ -98,7 +100,7 @@
     double clampDx(double dx) const;
     void begin(double logEstimate, bool hasEstimate, double logTook);
     void learnReference(double logEstimate, double influence);
-    void detectShift(double scaled, double raw);
+    void detectMisfit(double scaled, double raw);
     void closeWindow();
     void evictTeams();
 
@@ -108,17 +110,17 @@
     Estimate m_level { 0, levelVariance };
     Estimate m_slope { defaultSlope, slopeVariance };
     double m_reference = 0; // logarithm of the estimate at which the level holds
+    double m_placeVariance = 0; // usual uncertainty of the place
     double m_referenceSpread = 0.5; // variance of estimates around the reference
     double m_variance = defaultVariance;
     double m_taskVariance = defaultTaskVariance;
     ResidualHistogram m_residuals;
     ResidualHistogram m_taskResiduals;
 
-    double m_high = 0; // cumulative sums of the detection of shifts
+    double m_high = 0; // cumulative sums of innovations
     double m_low = 0;
     double m_recentInnovation = 0;
-    double m_settledLevel = 0;
-    uint64_t m_shiftCheckAt = 0; // number of the run; 0: no shift suspected
+    ShiftDetector m_shiftDetector;
     std::optional<double> m_shift;
 
     uint64_t m_runs = 0;
--- a/runtimes/residual_histogram.h
+++ b/runtimes/residual_histogram.h
@@ -12,7 +12,8 @@
 public:
     static constexpr size_t bins = 56;
     static constexpr double lowest = -4.0; // left edge of the first bin
-    static constexpr double binWidth = 0.25;
+    static constexpr double binWidth
+        = 0.35; // up to 15.6: tasks of a step differ by 0.18, and some take 7 times as long (1.95)
     // The share of residuals below the right edge of each bin; the last is 1.
     using Cumulative = std::array<float, bins>;
 
--- a/runtimes/run_time_distribution.cpp
+++ b/runtimes/run_time_distribution.cpp
@@ -16,6 +16,15 @@
 
     double clampShare(double share) { return share > minShare ? std::min(share, maxShare) : minShare; }
 
+    // std::pow() would take most of the time of quantileOfLongest().
+    double power(double base, uint32_t exponent)
+    {
+        double out = 1;
+        for (; exponent > 0; exponent /= 2, base *= base)
+            out *= exponent % 2 != 0 ? base : 1;
+        return out;
+    }
+
 } // namespace
 
 RunTimeDistribution::RunTimeDistribution(const Parts& parts)
@@ -45,7 +54,7 @@
         for (const auto& it : nodes) {
             const double below = ResidualHistogram::shareBelow(
                 m_parts.taskResiduals, (log - m_parts.stepScale * it.at) / m_parts.taskScale);
-            sum += it.weight * std::pow(below, tasks);
+            sum += it.weight * power(below, tasks);
         }
         return sum;
     };
--- a/runtimes/run_time_model.cpp
+++ b/runtimes/run_time_model.cpp
@@ -161,7 +161,7 @@
 {
     const double mean = m_executors.normalize(m_records);
     for (auto& [name, it] : m_queues)
-        it.moveLevel(-mean);
+        it.onSpeedsNormalized(mean);
 }
 
 } // namespace teasel
