--- a/runtimes/queue_run_times.cpp
+++ b/runtimes/queue_run_times.cpp
@@ -75,8 +75,8 @@
     } else {
         m_residuals.addAtLeast(scaled);
     }
-    if (step) {
-        const double scaledTask = out.residual / std::sqrt(out.variance() + place.variance);
+    if (step && step->runs >= 2) { // with one run the step's common factor is too uncertain
+        const double scaledTask = out.residual / std::sqrt(out.noise + place.variance);
         if (it.isComplete)
             m_taskResiduals.add(scaledTask);
         else
--- a/runtimes/run_time_distribution.cpp
+++ b/runtimes/run_time_distribution.cpp
@@ -58,10 +58,12 @@
         }
         return sum;
     };
-    double low = m_parts.scale * ResidualHistogram::quantile(m_parts.residuals, minShare);
-    double high = 3 * m_parts.stepScale
-        + m_parts.taskScale * (ResidualHistogram::lowest + ResidualHistogram::binWidth * ResidualHistogram::bins);
-    for (int n = 0; n < 12; ++n) { // to within about 0.003 in the logarithm
+    // All points are below the share at one end, and above it at the other.
+    const double ofOne
+        = m_parts.taskScale * ResidualHistogram::quantile(m_parts.taskResiduals, std::pow(share, 1.0 / tasks));
+    double low = ofOne + m_parts.stepScale * nodes[0].at;
+    double high = ofOne + m_parts.stepScale * nodes[4].at;
+    for (int n = 0; n < 10; ++n) { // to within about 0.003 in the logarithm
         const double middle = (low + high) / 2;
         (shareOfStep(middle) < share ? low : high) = middle;
     }
--- a/runtimes/run_time_model.h
+++ b/runtimes/run_time_model.h
@@ -44,7 +44,8 @@
 
     RunTimeModel();
 
-    // Learns from the end of a run. Runs from a checkpoint are ignored.
+    // Learns from the end of a run. Runs from a checkpoint, and times that are negative or not finite,
+    // are ignored. Times and estimates are clamped to 1 ms to 7 days.
     void record(const RunObservation&);
     // Predicts the run time of a task. `step` as in RunObservation: if tasks of the same step have ended, their
     // common deviation from the estimate is taken into account. Without any runs the median is the estimate, and
--- a/runtimes/shift_detector.cpp
+++ b/runtimes/shift_detector.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-    constexpr uint32_t learningCount = 30; // values before anything is detected
-    constexpr uint32_t maxCount = 200; // values that determine the mean
-    constexpr double slack = 0.35;
-    constexpr double limit = 8;
+    constexpr uint32_t learningCount = 40; // values before anything is detected
+    constexpr uint32_t maxCount = 400; // values that determine the mean
+    constexpr double slack = 0.38;
+    constexpr double limit = 12;
     constexpr double reportedDistance = 0.22;
 
 } // namespace
@@ -35,13 +35,13 @@
     if (!isHigh && !isLow)
         return std::nullopt;
     const auto& side = isHigh ? m_high : m_low;
-    m_mean = side.values / side.weights;
-    m_count = learningCount;
+    const double mean = side.values / side.weights;
     m_high = m_low = {};
-    const double moved = m_mean - m_reported;
+    m_count = learningCount;
+    const double moved = mean - m_reported;
     if (std::abs(moved) <= reportedDistance)
         return std::nullopt;
-    m_reported = m_mean;
+    m_mean = m_reported = mean;
     return moved;
 }
 
