--- a/bench/runtimes_bench.cpp
+++ b/bench/runtimes_bench.cpp
@@ -136,7 +136,7 @@
     };
 
     enum Method : size_t {
-        Estimate_ = 0,
+        CallersEstimate = 0,
         Regression = 1,
         KeyRuns = 2,
         Model = 3,
@@ -363,8 +363,12 @@
         auto summary = model.summarize();
         const size_t all = summary.bytes();
         summary.executors.clear();
-        fmt::print("  summary {} bytes, {} without executors; one 90% query sums to {:.0f}\n", all, summary.bytes(),
-            sum > 0 ? 1.0 : 0.0);
+        fmt::print("  summary {} bytes, {} without executors\n", all, summary.bytes());
+        fmt::print("  memory in bytes without names: queue {}, team of a queue {}, executor {}\n",
+            QueueRunTimes::memoryBytes(), sizeof(QueueRunTimes::Team) + sizeof(std::string),
+            sizeof(ExecutorSpeeds::Entry) + sizeof(std::string));
+        if (!std::isfinite(sum))
+            fmt::print("  a prediction is not finite\n");
     }
 
     std::vector<Scenario> scenarios(uint64_t seed, size_t runs)
--- a/runtimes/queue_run_times.h
+++ b/runtimes/queue_run_times.h
@@ -66,6 +66,8 @@
 
     // Follows a division of the speeds of all executors by exp(`log`).
     void onSpeedsNormalized(double log);
+    // Returns the memory of a queue without its teams.
+    static constexpr size_t memoryBytes() { return sizeof(QueueRunTimes) + recentSteps * sizeof(Step); }
     uint64_t lastRunAt() const { return m_lastRunAt; }
     void setLastRunAt(uint64_t record) { m_lastRunAt = record; }
     uint64_t runs() const { return m_runs; }
