--- a/tests/run_time_model_test.cpp
+++ b/tests/run_time_model_test.cpp
@@ -1,4 +1,5 @@
 #include "runtimes/run_time_model.h"
+#include "runtimes/shift_detector.h"
 
 #include "tests/run_time_workload.h"
 
@@ -239,6 +240,27 @@
     CHECK(meanError(model, workload, 2'000, false) < 0.33);
 }
 
+// Guards against a shift that is lost because its first alarm is inconclusive, and against reports of noise.
+TEST_CASE("every shift by half is reported once")
+{
+    for (uint64_t seed = 1; seed <= 30; ++seed) {
+        CAPTURE(seed);
+        Random random(seed);
+        ShiftDetector detector;
+        const auto add = [&](double mean) { // standard deviation 0.55
+            return detector.add(mean + 0.55 * (random.unit() + random.unit() + random.unit() - 1.5) * 2, 1).has_value();
+        };
+        size_t before = 0;
+        size_t after = 0;
+        for (int n = 0; n < 400; ++n)
+            before += add(0) ? 1 : 0;
+        for (int n = 0; n < 300; ++n)
+            after += add(std::log(1.5)) ? 1 : 0;
+        CHECK(before == 0);
+        CHECK(after == 1);
+    }
+}
+
 // Guards against an error of the estimate that is made anew for each task of a step.
 TEST_CASE("ended tasks of a step narrow the prediction of the others")
 {
