teasel config check: checks a configuration of the job plane before it is sent

Cause: the server reports only the first fault of a POST /config/put, without its place, and accepts entries that have no effect. Ruled out: a second set of rules in the tool, which could disagree with the server; the decoder decides what an error is. call_codec is unchanged. Before: an operator learned of a removed route, a withdrawn key or a misspelt field from failing calls. After: findings with line and column, and the differences from the version in force, the riskiest first; exit codes 0, 1 and 2.

--- a/main/teasel_output.h
+++ b/main/teasel_output.h
@@ -17,7 +17,9 @@
 // The outcome of a command and exit code of the process.
 enum class ExitCode : int {
     Accepted = 0,
+    Findings = 1, // of `config check`
     Pending = 2,
+    UnusableInput = 2, // of `config check`
     Refused = 3,
     Unreachable = 4,
     Usage = 64,
--- a/main/teasel_status_commands.cpp
+++ b/main/teasel_status_commands.cpp
@@ -1,4 +1,5 @@
 #include "main/teasel_commands.h"
+#include "main/teasel_config_check_command.h"
 #include "main/teasel_json.h"
 #include "settings/settings_reader.h"
 
@@ -86,6 +87,7 @@
     auto& change = *config.add_subcommand("change-status", "Show the outcome of a change");
     change.add_option("change_id", options->changeId, "Id of the change")->required();
     setHandler(change, selected, options, showChange);
+    addConfigCheckCommand(config, selected);
 }
 
 } // namespace teasel
