Job plane: the use of capacity in the log, teams and uneven executors in the load bench

Cause: no log line told whether free capacity was reserved, fragmented or waiting for tickets. Before: "13 to 19% of the cores are free" without a reason.

--- a/jobs/capacity_reserver.h
+++ b/jobs/capacity_reserver.h
@@ -43,6 +43,8 @@
     // Whether the candidate is reserved for a step that was served earlier in this round.
     bool isReserved(size_t candidate) const;
 
+    const absl::flat_hash_set<size_t>& reserved() const { return m_reserved; }
+
     // Reserves capacity for `wanted` tasks of a step on some of these candidates: for all tasks or, unless the step
     // is a gang, for some. Appends the runs to preempt to `stops`.
     void reserveCapacity(const ReadyStep&, int64_t wanted, std::span<const size_t> candidates, Instant now,
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -247,6 +247,8 @@
     // Starts (job_starts.cpp).
     void planStarts();
     void collectCandidates();
+    // Logs once a second how the capacity is used and what waits for it.
+    void logCapacityUse(const StartPlanner&);
     StartConstraints startConstraints() const;
     // Number of tasks of the step on the executor.
     uint32_t tasksOn(const StepKey&, uint32_t number) const;
@@ -328,6 +330,7 @@
     Instant m_nextEvacuationCheckAt {};
     bool m_mustPlan = false;
     Instant m_nextPlanAt {};
+    Instant m_nextCapacityLogAt {};
     Instant m_nextCheckAt {};
     std::vector<JobAction> m_actions;
     JobLeaderCounters m_counters;
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -14,6 +14,7 @@
     constexpr size_t instancesPerParallelCall = 8; // so that one step does not occupy all instances
     constexpr unsigned sequenceBits = 32; // low bits of a call's number; the fence is above them
     constexpr int64_t unboundedTasks = 1'000'000;
+    constexpr Milliseconds capacityLogInterval { 1'000 };
     constexpr Milliseconds planInterval { 10 }; // starts that become possible within this time are planned together
     // Pause between rounds, in microseconds per examined pair of step and executor: ten times the assumed cost of
     // 50 ns, so that planning takes about a tenth of a core however much is waiting.
@@ -120,6 +121,44 @@
     return out;
 }
 
+void JobLeader::logCapacityUse(const StartPlanner& planner)
+{
+    if (m_now < m_nextCapacityLogAt)
+        return;
+    m_nextCapacityLogAt = m_now + capacityLogInterval;
+    ResourceVector total;
+    ResourceVector free;
+    ResourceVector stopping;
+    for (const auto& it : m_candidates) {
+        total += it.capacity;
+        free += it.free;
+        stopping += it.stopping;
+    }
+    int64_t waiting = 0;
+    int64_t waitingGangs = 0;
+    int64_t late = 0;
+    int64_t withTicket = 0;
+    size_t steps = 0;
+    for (const auto& [key, it] : m_readySteps) {
+        const auto need = it.need.amounts[0] * static_cast<int64_t>(it.waiting.size());
+        if (need == 0)
+            continue;
+        ++steps;
+        waiting += need;
+        waitingGangs += it.gang ? need : 0;
+        late += it.latestStart < m_now ? need : 0;
+        withTicket += it.needsTicket && m_advice.executorsWithTicket(key, m_now).empty() ? 0 : need;
+    }
+    log("capacity_use",
+        { { "total_mcpu", std::to_string(total.amounts[0]) }, { "free_mcpu", std::to_string(free.amounts[0]) },
+            { "free_mib", std::to_string(free.amounts[1]) }, { "total_mib", std::to_string(total.amounts[1]) },
+            { "stopping_mcpu", std::to_string(stopping.amounts[0]) },
+            { "reserved_free_mcpu", std::to_string(planner.reservedFree().amounts[0]) },
+            { "waiting_mcpu", std::to_string(waiting) }, { "waiting_gangs_mcpu", std::to_string(waitingGangs) },
+            { "waiting_late_mcpu", std::to_string(late) }, { "waiting_with_ticket_mcpu", std::to_string(withTicket) },
+            { "waiting_steps", std::to_string(steps) }, { "executors", std::to_string(m_candidates.size()) } });
+}
+
 void JobLeader::planStarts()
 {
     if (m_readySteps.empty())
@@ -150,6 +189,7 @@
     }
     if (m_resumeAt >= all.size())
         m_resumeAt = 0;
+    logCapacityUse(planner);
     const auto visits = plan.visits + adviceVisits;
     m_counters.planningVisits += visits;
     m_nextPlanAt = m_now + planInterval + Duration(static_cast<int64_t>(static_cast<double>(visits) * pausePerVisitUs));
--- a/jobs/start_planner.cpp
+++ b/jobs/start_planner.cpp
@@ -86,6 +86,14 @@
     }
 }
 
+ResourceVector StartPlanner::reservedFree() const
+{
+    ResourceVector out;
+    for (const auto n : m_capacityReserver.reserved())
+        out += m_candidates[n].free;
+    return out;
+}
+
 std::vector<size_t> StartPlanner::candidatesOf(const std::optional<std::vector<uint32_t>>& executors) const
 {
     std::vector<size_t> out;
--- a/jobs/start_planner.h
+++ b/jobs/start_planner.h
@@ -53,6 +53,9 @@
     StartPlan plan(std::span<const ReadyStep* const> steps, Instant now,
         uint64_t maxVisits = std::numeric_limits<uint64_t>::max());
 
+    // Free capacity of the executors that are reserved for waiting steps.
+    ResourceVector reservedFree() const;
+
 private:
     struct Placement {
         size_t candidate = 0; // index into m_candidates
--- a/tests/jobs_load.h
+++ b/tests/jobs_load.h
@@ -1,6 +1,6 @@
 // Plays a heavy load on the job plane's leader: a large fleet without faults, an advice service with one queue per
-// calling instance, and callers that do not return after a refusal. Reports what callers get. Everything is driven
-// by simulated time and a seed.
+// calling instance, teams of unequal size, and callers that may return after a refusal. Reports what callers get.
+// Everything is driven by simulated time and a seed.
 #pragma once
 
 #include "core/clock.h"
@@ -53,6 +53,25 @@
     };
 }
 
+// A team that submits jobs. Its `weight` is the rate, in jobs a second, that the configuration grants it.
+struct LoadTeam {
+    std::string name;
+    double share = 1; // of all jobs, relative to the other teams
+    double weight = 1'000; // by default above the rate of each team, so that fairness refuses nothing
+    double hotFactor = 1; // factor on its rate while `hotFrom` to `hotUntil` lasts
+};
+
+// The load of a site of 350 executors with 32 cores that is offered nine tenths of its capacity: about 107 jobs a
+// second.
+inline std::vector<JobKind> contendedSiteKinds()
+{
+    return {
+        { "master", 5.98, 24, 9'000, 13'000, 4'000, 1.0, true, 2.2, 1'000, 1, 442, 6.37, 0.35 },
+        { "cut", 12.3, 37, 3'500, 3'600, 2'200, 0.0, true, 4.0, 3'000, 2, 104, 1.43, 0.45 },
+        { "preview", 88.5, 3.2, 5'000, 7'100, 1'000, 0.3, false, 1.5, 250, 0, 14.3, 0.208, 0.7 },
+    };
+}
+
 struct JobsLoadOptions {
     uint64_t seed = 1;
     size_t executors = 1'100;
@@ -63,12 +82,28 @@
     Milliseconds burstUntil { 4'000 };
     Milliseconds duration { 12'000 };
     std::vector<JobKind> kinds = largeSiteKinds();
+    std::vector<LoadTeam> teams { { "orchard" } };
+    Milliseconds hotFrom { 0 };
+    Milliseconds hotUntil { 0 };
+    unsigned retries = 0; // of a refused caller, at the time that the refusal names
+    std::vector<double> speeds { 1.0 }; // of the executors, in turn; a task takes its run time divided by this
+    double taskSpread = 0; // sigma of the log-normal factor by which the tasks of a step differ
+    JobLeaderOptions leader = defaultLeaderOptions();
+
+    static JobLeaderOptions defaultLeaderOptions()
+    {
+        JobLeaderOptions out;
+        out.maxLease = Milliseconds(10'000);
+        out.gangTimeout = Milliseconds(5'000);
+        out.planner.capacityReserver.restoreTime = Milliseconds(600);
+        return out;
+    }
 };
 
-// What callers of one kind got. A job counts in the second in which it was submitted.
-struct KindReport {
+// What callers of one kind or team got. A job counts in the second in which it was submitted first.
+struct LoadReport {
     uint64_t submitted = 0;
-    uint64_t refused = 0;
+    uint64_t refused = 0; // for good
     uint64_t inTime = 0; // completed within the latency objective
     uint64_t late = 0;
     double inTimeWork = 0; // core-seconds
@@ -81,8 +116,9 @@
         : m_options(std::move(options))
         , m_random(m_options.seed)
         , m_state(Milliseconds(600'000))
-        , m_leader(leaderOptions(), m_state)
+        , m_leader(m_options.leader, m_state)
         , m_reports(m_options.kinds.size())
+        , m_teamReports(m_options.teams.size())
     {
         schema::JobCommand command;
         *command.add_changes()->mutable_configuration() = configuration();
@@ -93,7 +129,7 @@
         m_leader.setAdviceInstances(instances);
         m_leader.onBecameLeader(1, m_clock.now(), m_clock.wallNow());
         for (size_t n = 0; n < m_options.executors; ++n) {
-            m_executors.push_back({ fmt::format("x{}", n) });
+            m_executors.push_back({ fmt::format("x{}", n), m_options.speeds[n % m_options.speeds.size()] });
             schedule(std::chrono::milliseconds(n % 1'500), [this, n] { announce(n); });
         }
     }
@@ -113,7 +149,8 @@
         m_drained = std::chrono::duration_cast<Milliseconds>(m_clock.now() - m_end);
     }
 
-    const std::vector<KindReport>& reports() const { return m_reports; }
+    const std::vector<LoadReport>& reports() const { return m_reports; } // by kind
+    const std::vector<LoadReport>& teamReports() const { return m_teamReports; }
     size_t openJobs() const { return m_open.size(); }
     // Time from the end of the load until all jobs had ended.
     Milliseconds drained() const { return m_drained; }
@@ -142,6 +179,7 @@
     };
     struct Executor {
         std::string id;
+        double speed = 1;
         uint64_t sequence = 0;
         absl::btree_map<TaskKey, Run> runs {};
         std::deque<EndedTask> ended {};
@@ -150,6 +188,9 @@
     };
     struct OpenJob {
         size_t kind = 0;
+        size_t team = 0;
+        unsigned retriesLeft = 0;
+        schema::JobRequest request; // as submitted
         Instant submittedAt {};
         Instant dueAt {};
         double work = 0;
@@ -164,19 +205,9 @@
         bool operator<(const Event& other) const { return at != other.at ? at > other.at : order > other.order; }
     };
 
-    static JobLeaderOptions leaderOptions()
-    {
-        JobLeaderOptions out;
-        out.maxLease = Milliseconds(10'000);
-        out.gangTimeout = Milliseconds(5'000);
-        out.planner.capacityReserver.restoreTime = Milliseconds(600);
-        return out;
-    }
-
     schema::JobConfiguration configuration() const
     {
         constexpr uint64_t ticketValidMs = 2'500;
-        constexpr double weight = 1'000; // above the rate of each team, so that fairness refuses nothing
         schema::JobConfiguration out;
         out.set_version(1);
         for (const auto& it : m_options.kinds) {
@@ -197,10 +228,12 @@
             }
         }
         out.add_services()->set_name("filling");
-        auto& team = *out.add_teams();
-        team.set_name("orchard");
-        team.add_keys("key");
-        team.set_weight(weight);
+        for (const auto& it : m_options.teams) {
+            auto& team = *out.add_teams();
+            team.set_name(it.name);
+            team.add_keys("key-" + it.name);
+            team.set_weight(it.weight);
+        }
         return out;
     }
 
@@ -247,13 +280,57 @@
 
     // ---- Callers -----------------------------------------------------------
 
+    double teamRate(const LoadTeam& it) const
+    {
+        const auto sinceBegin = m_clock.now() - m_began;
+        const bool isHot = sinceBegin >= m_options.hotFrom && sinceBegin < m_options.hotUntil;
+        return it.share * (isHot ? it.hotFactor : 1);
+    }
+
+    // Load of all teams relative to their usual load.
+    double teamLoad() const
+    {
+        double usual = 0;
+        double load = 0;
+        for (const auto& it : m_options.teams) {
+            usual += it.share;
+            load += teamRate(it);
+        }
+        return load / usual;
+    }
+
+    size_t drawTeam()
+    {
+        double total = 0;
+        for (const auto& it : m_options.teams)
+            total += teamRate(it);
+        double left = m_random.unit() * total;
+        for (size_t n = 0; n + 1 < m_options.teams.size(); ++n) {
+            left -= teamRate(m_options.teams[n]);
+            if (left < 0)
+                return n;
+        }
+        return m_options.teams.size() - 1;
+    }
+
+    // A log-normal factor with mean 1.
+    double drawSpread()
+    {
+        if (m_options.taskSpread == 0)
+            return 1;
+        constexpr double twoPi = 6.283185307179586;
+        const double normal = std::sqrt(-2 * std::log(1 - m_random.unit())) * std::cos(twoPi * m_random.unit());
+        return std::exp(m_options.taskSpread * normal - m_options.taskSpread * m_options.taskSpread / 2);
+    }
+
     double drawSize(double mean) { return std::min(3 * mean, -mean * std::log(1 - m_random.unit()) * 0.75 + mean / 4); }
 
     void scheduleNextJob(size_t kind)
     {
         const auto sinceBegin = m_clock.now() - m_began;
         const bool isBurst = sinceBegin >= m_options.burstFrom && sinceBegin < m_options.burstUntil;
-        const double rate = m_options.kinds[kind].jobsPerSecond * m_options.scale * (isBurst ? m_options.burst : 1);
+        const double rate
+            = m_options.kinds[kind].jobsPerSecond * m_options.scale * (isBurst ? m_options.burst : 1) * teamLoad();
         const auto delay = Duration(static_cast<int64_t>(-std::log(1 - m_random.unit()) / rate * 1e6));
         schedule(delay, [this, kind] {
             if (m_clock.now() >= m_end)
@@ -279,19 +356,30 @@
         step.mutable_need()->set_memory_mib(static_cast<uint64_t>(std::max(500.0, drawSize(it.memoryMib))));
         const double objectiveMs = it.slackFactor * (taskMs + it.adviceMs + 30 * it.adviceMsPerExecutor)
             + static_cast<double>(it.targetLatencyMs);
-        OpenJob job { kind, m_clock.now(), m_clock.now() + Duration(static_cast<int64_t>(objectiveMs * 1'000)),
-            step.count() * static_cast<double>(step.need().milli_cpus()) / 1'000 * taskMs / 1'000, taskMs, step.gang(),
+        const double work
+            = step.count() * static_cast<double>(step.need().milli_cpus()) / 1'000 * taskMs / 1'000; // core-seconds
+        OpenJob job { kind, drawTeam(), m_options.retries, request, m_clock.now(),
+            m_clock.now() + Duration(static_cast<int64_t>(objectiveMs * 1'000)), work, taskMs, step.gang(),
             step.count() };
-        ++m_reports[kind].submitted;
-        m_reports[kind].work += job.work;
+        for (auto* report : { &m_reports[kind], &m_teamReports[job.team] }) {
+            ++report->submitted;
+            report->work += work;
+        }
         count(m_submittedPerSecond, job.submittedAt);
-        m_open.emplace(m_lastJob, job);
+        m_open.emplace(m_lastJob, std::move(job));
+        send(m_lastJob);
+    }
+
+    void send(uint64_t id)
+    {
+        const auto& job = m_open.at(id);
         const auto handle = ++m_lastHandle;
-        m_calls[handle] = m_lastJob;
-        const auto path = "/" + it.name + "/" + jobIdText(m_lastJob);
+        m_calls[handle] = id;
+        const auto path = "/" + m_options.kinds[job.kind].name + "/" + jobIdText(id);
+        const auto key = "key-" + m_options.teams[job.team].name;
         measure([&] {
-            m_leader.onCall(handle, SubmitJob { "farm.example", path, "key", std::move(request) }, m_clock.now(),
-                m_clock.wallNow());
+            m_leader.onCall(
+                handle, SubmitJob { "farm.example", path, key, job.request }, m_clock.now(), m_clock.wallNow());
         });
     }
 
@@ -309,11 +397,20 @@
         if (call == m_calls.end())
             return;
         const auto job = m_open.find(call->second);
-        if (job != m_open.end() && action.answer.status != CallStatus::Accepted) {
-            ++m_reports[job->second.kind].refused;
-            m_open.erase(job);
-        }
         m_calls.erase(call);
+        if (job == m_open.end() || action.answer.status == CallStatus::Accepted)
+            return;
+        if (job->second.retriesLeft > 0 && m_clock.now() + action.answer.retryAfter < m_end) {
+            --job->second.retriesLeft;
+            schedule(action.answer.retryAfter, [this, id = job->first] {
+                if (m_open.contains(id))
+                    send(id);
+            });
+            return;
+        }
+        ++m_reports[job->second.kind].refused;
+        ++m_teamReports[job->second.team].refused;
+        m_open.erase(job);
     }
 
     void perform(JobLogLine& line)
@@ -324,14 +421,13 @@
         if (found == m_open.end())
             return;
         const auto& job = found->second;
-        auto& report = m_reports[job.kind];
-        if (m_clock.now() <= job.dueAt) {
-            ++report.inTime;
-            report.inTimeWork += job.work;
-            count(m_inTimePerSecond, job.submittedAt);
-        } else {
-            ++report.late;
+        const bool isInTime = m_clock.now() <= job.dueAt;
+        for (auto* report : { &m_reports[job.kind], &m_teamReports[job.team] }) {
+            ++(isInTime ? report->inTime : report->late);
+            report->inTimeWork += isInTime ? job.work : 0;
         }
+        if (isInTime)
+            count(m_inTimePerSecond, job.submittedAt);
         m_open.erase(found);
     }
 
@@ -440,7 +536,8 @@
 
     void startWork(Executor& executor, const TaskKey& task, uint32_t run, double taskMs)
     {
-        schedule(Duration(static_cast<int64_t>(taskMs * 1'000)), [this, &executor, task, run] {
+        const double tookMs = taskMs * drawSpread() / executor.speed;
+        schedule(Duration(static_cast<int64_t>(tookMs * 1'000)), [this, &executor, task, run] {
             const auto it = executor.runs.find(task);
             if (it != executor.runs.end() && it->second.run == run)
                 end(executor, task, schema::RUN_OUTCOME_DONE);
@@ -495,7 +592,8 @@
     ManualClock m_clock;
     JobState m_state;
     JobLeader m_leader;
-    std::vector<KindReport> m_reports;
+    std::vector<LoadReport> m_reports;
+    std::vector<LoadReport> m_teamReports;
     std::deque<Executor> m_executors; // references to elements stay valid
     std::priority_queue<Event> m_events;
     uint64_t m_lastEvent = 0;
