Trial: admission by forecast, late work after work in time, limits by team

Cause: a job was accepted by its own wait alone, so that later and more urgent jobs made it late. Ruled out: nothing yet.

--- a/jobs/admission.cpp
+++ b/jobs/admission.cpp
@@ -15,6 +15,23 @@
 
 } // namespace
 
+std::string_view nameOf(AdmissionReason reason)
+{
+    switch (reason) {
+    case AdmissionReason::None:
+        return "none";
+    case AdmissionReason::Capacity:
+        return "capacity";
+    case AdmissionReason::TeamCap:
+        return "team_cap";
+    case AdmissionReason::TeamWeight:
+        return "team_weight";
+    case AdmissionReason::Count:
+        break;
+    }
+    return "unknown";
+}
+
 void Admission::setWeights(const absl::btree_map<std::string, double>& weights)
 {
     absl::btree_map<std::string, Bucket> next;
@@ -69,6 +86,7 @@
     if (verdict.waitMs <= maxWaitMs)
         return verdict;
     verdict.isAccepted = false;
+    verdict.reason = AdmissionReason::Capacity;
     verdict.retryAfter = Milliseconds(
         static_cast<int64_t>(std::ceil(std::max(minRetryMs, verdict.waitMs - maxWaitMs) / 1'000) * 1'000));
     return verdict;
--- a/jobs/admission.h
+++ b/jobs/admission.h
@@ -20,6 +20,7 @@
     ResourceVector initialNeed; // of all tasks that can start at once
     double slackMs = 0; // how long these tasks may wait for the job to meet its objective
     std::string team;
+    bool isMostUrgent = false; // of a queue that is served before all others
 };
 
 // An amount of each resource per unit of time, in the units of ResourceVector.
@@ -33,8 +34,21 @@
     ResourceRate freedPerSecond {}; // expected rate at which ending runs free capacity
 };
 
+// Why a job is refused.
+enum class AdmissionReason : uint8_t {
+    None = 0,
+    Capacity = 1, // it, or a job accepted before it, could not end in time
+    TeamCap = 2, // its team uses all that its cap allows for too long
+    TeamWeight = 3, // its team is beyond its weight, and the fleet has nothing to lend
+    Count = 4,
+};
+
+std::string_view nameOf(AdmissionReason);
+
 struct AdmissionVerdict {
     bool isAccepted = true;
+    bool isBorrowed = false; // its team is beyond its weight
+    AdmissionReason reason = AdmissionReason::None;
     Milliseconds retryAfter { 0 };
     double waitMs = 0; // expected time until its tasks can start
 };
--- a/jobs/job_calls.cpp
+++ b/jobs/job_calls.cpp
@@ -110,14 +110,13 @@
             demand.initialNeed += needOf(step) * static_cast<int64_t>(step.count());
     }
     const double pathMs = criticalPathMs(request, 0);
+    demand.isMostUrgent = queue.priority() == 0;
     demand.slackMs = (queue.slack_factor() - 1) * pathMs + static_cast<double>(queue.target_latency_ms());
     return demand;
 }
 
-void JobLeader::refreshLoadSummary()
+FleetLoad JobLeader::collectFleetLoad() const
 {
-    if (!m_loadSummary.isOutdated(m_now))
-        return;
     FleetLoad load;
     for (const auto& [number, it] : m_executors) {
         const auto* state = executorState(number);
@@ -128,6 +127,13 @@
         for (size_t n = 0; n < ResourceVector::kinds; ++n)
             load.freedPerSecond[n] += it.freedPerSecond[n];
     }
+    return load;
+}
+
+void JobLeader::refreshLoadSummary()
+{
+    if (!m_loadSummary.isOutdated(m_now))
+        return;
     // Late steps come after all steps that can still meet their objective. A team at its cap uses no further
     // capacity.
     std::vector<LoadSummary::Demand> demands;
@@ -137,7 +143,7 @@
         const auto tasks = std::min<int64_t>(static_cast<int64_t>(it.waiting.size()), tasksLeftInCap(it.team, it.need));
         demands.push_back({ it.latestStart, it.need * tasks });
     }
-    m_loadSummary.rebuild(load, std::move(demands), m_now);
+    m_loadSummary.rebuild(collectFleetLoad(), std::move(demands), m_now);
 }
 
 void JobLeader::handleCall(uint64_t handle, SubmitJob& call)
@@ -172,14 +178,16 @@
     refreshLoadSummary();
     const auto latestStart = m_now + Duration(static_cast<int64_t>(demand.slackMs * 1'000));
     const auto load = m_loadSummary.aheadOf(latestStart);
-    const auto verdict = m_admission.decide(demand, load, m_now);
+    const auto verdict
+        = m_options.isContentionControlled ? decideByForecast(demand) : m_admission.decide(demand, load, m_now);
     log(verdict.isAccepted ? "job_accepted" : "job_refused",
         { { "job", jobIdText(id) }, { "queue", request.queue() }, { "team", team },
             { "configuration", std::to_string(m_state.configuration().version()) },
             { "expected_wait_ms", millis(verdict.waitMs) }, { "slack_ms", millis(demand.slackMs) },
             { "ahead_mcpu", std::to_string(load.ahead.amounts[0]) },
             { "free_mcpu", std::to_string(load.free.amounts[0]) }, { "free_mib", std::to_string(load.free.amounts[1]) },
-            { "total_mcpu", std::to_string(load.total.amounts[0]) },
+            { "total_mcpu", std::to_string(load.total.amounts[0]) }, { "reason", std::string(nameOf(verdict.reason)) },
+            { "borrowed", verdict.isBorrowed ? "true" : "false" },
             { "retry_after_ms", std::to_string(verdict.retryAfter.count()) } });
     if (!verdict.isAccepted) {
         ++m_counters.refused;
@@ -188,6 +196,8 @@
     }
     ++m_counters.accepted;
     m_loadSummary.add({ latestStart, demand.initialNeed });
+    m_forecastAdmission.recordAccepted(demand, request.queue(), verdict.isBorrowed, m_now);
+    request.set_borrowed(verdict.isBorrowed);
     m_pendingSubmissions.insert(id);
     *change().mutable_accepted() = std::move(request);
     m_batchContinuations.emplace_back(JobAcceptedWhenCommitted { id });
@@ -310,6 +320,7 @@
     for (const auto& team : m_state.configuration().teams())
         weights[team.name()] = team.weight();
     m_admission.setWeights(weights);
+    m_forecastAdmission.setWeights(weights);
     log("configuration_in_force", { { "version", std::to_string(m_state.configuration().version()) } });
     answer(it.handle, {});
 }
--- a/jobs/job_evacuation.cpp
+++ b/jobs/job_evacuation.cpp
@@ -55,6 +55,7 @@
 {
     m_nextEvacuationCheckAt = m_now;
     m_loadSummary.clear();
+    m_forecastBuiltAt = {};
     m_mustPlan = true;
     log("evacuation_in_force", { { "data_centre", it.dataCentre }, { "active", it.isActive ? "true" : "false" } });
     answer(it.handle, {});
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -53,6 +53,8 @@
     for (const auto& it : m_state.configuration().teams())
         weights[it.name()] = it.weight();
     m_admission.setWeights(weights);
+    m_forecastAdmission.setWeights(weights);
+    replayRecentJobs();
     log("leadership_began",
         { { "fence", std::to_string(fence) }, { "executors", std::to_string(m_executors.size()) },
             { "jobs", std::to_string(m_state.jobs().size()) }, { "waiting_tasks", std::to_string(waitingTasks()) },
@@ -68,6 +70,9 @@
     m_directory.clear();
     m_runIndex.clear();
     m_loadSummary.clear();
+    m_forecastAdmission.clear();
+    m_forecastBuiltAt = {};
+    m_waitingOfTeam.clear();
     m_readySteps.clear();
     m_assemblingGangs.clear();
     m_teamUsage.clear();
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -11,6 +11,7 @@
 #include "jobs/advice_tracker.h"
 #include "jobs/evacuation_planner.h"
 #include "jobs/executor_directory.h"
+#include "jobs/forecast_admission.h"
 #include "jobs/job_events.h"
 #include "jobs/job_leader_options.h"
 #include "jobs/job_state.h"
@@ -26,6 +27,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
+#include <array>
 #include <deque>
 #include <span>
 #include <string>
@@ -38,6 +40,8 @@
 struct JobLeaderCounters {
     uint64_t accepted = 0;
     uint64_t refused = 0;
+    std::array<uint64_t, static_cast<size_t>(AdmissionReason::Count)> refusedFor {}; // by reason
+    uint64_t borrowed = 0; // accepted beyond the weight of their team
     uint64_t starts = 0;
     uint64_t startsRefused = 0;
     uint64_t unknownStartOutcomes = 0;
@@ -173,6 +177,13 @@
     void answerStateQueries(uint64_t job, bool all);
     void answerTimedOutStateQueries();
     void refreshLoadSummary();
+    FleetLoad collectFleetLoad() const;
+    // Contention control (job_admission.cpp).
+    void refreshForecast();
+    void addExpectedCapacity(FleetLoad&) const;
+    AdmissionVerdict decideByForecast(const JobDemand&);
+    double capWaitMs(const JobDemand&) const;
+    void replayRecentJobs();
     JobDemand demandOf(const schema::JobRequest&, const schema::JobQueue&) const;
 
     // Jobs and their steps (job_steps.cpp).
@@ -249,6 +260,8 @@
     void collectCandidates();
     // Logs once a second how the capacity is used and what waits for it.
     void logCapacityUse(const StartPlanner&);
+    // Whether more work that can be in time waits than the candidates have room for.
+    bool isContended(std::span<const ReadyStep* const>) const;
     StartConstraints startConstraints() const;
     // Number of tasks of the step on the executor.
     uint32_t tasksOn(const StepKey&, uint32_t number) const;
@@ -309,6 +322,11 @@
     AdviceTracker m_advice;
     RunTimes m_runTimes;
     Admission m_admission;
+    ForecastAdmission m_forecastAdmission;
+    CapacityForecast m_forecast;
+    Instant m_forecastBuiltAt {};
+    double m_unusableShare = 0; // share of the fleet that stays free although work waits; a moving average
+    absl::flat_hash_map<std::string, ResourceVector> m_waitingOfTeam; // of work that can be in time
     LoadSummary m_loadSummary;
 
     std::vector<CandidateExecutor> m_candidates; // of the current round of planning
--- a/jobs/job_leader_options.h
+++ b/jobs/job_leader_options.h
@@ -42,6 +42,10 @@
     // Runs of an evacuated data centre that are expected to end within this time are left there.
     Milliseconds evacuationTime { 5'000 };
 
+    // Whether admission forecasts all accepted work and keeps the teams' shares, and late work waits for work that can
+    // be in time while the fleet is full.
+    bool isContentionControlled = false;
+
     size_t maxProposalsInFlight = 2; // further changes wait for the next proposal
 
     // A run during which an executor crashes this soon after its start may be the cause.
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -159,6 +159,19 @@
             { "waiting_steps", std::to_string(steps) }, { "executors", std::to_string(m_candidates.size()) } });
 }
 
+bool JobLeader::isContended(std::span<const ReadyStep* const> steps) const
+{
+    ResourceVector free;
+    for (const auto& it : m_candidates)
+        free += it.free;
+    ResourceVector waiting;
+    for (const auto* it : steps) {
+        if (it->lateFrom >= m_now && !it->lasting)
+            waiting += it->need * static_cast<int64_t>(it->waiting.size());
+    }
+    return !waiting.fitsIn(free);
+}
+
 void JobLeader::planStarts()
 {
     if (m_readySteps.empty())
@@ -171,7 +184,7 @@
     }
     if (m_candidates.empty() || steps.empty())
         return;
-    sortByUrgency(steps, m_now);
+    sortByUrgency(steps, m_now, m_options.isContentionControlled && isContended(steps));
     const auto adviceVisits = requestAdviceFor(steps);
     const auto constraints = startConstraints();
     StartPlanner planner(m_candidates, constraints, m_options.planner);
--- a/jobs/job_steps.cpp
+++ b/jobs/job_steps.cpp
@@ -128,6 +128,8 @@
     step.expiresAt = step.dueAt + Duration(static_cast<int64_t>(objectiveMs * lateFactor * 1'000));
     const double slackMs = objectiveMs - criticalPathMs(request, 0);
     step.latestStart = step.dueAt - Duration(static_cast<int64_t>(criticalPathMs(request, key.step) * 1'000));
+    step.lateFrom = step.latestStart;
+    step.isBorrowed = request.borrowed();
     if (spec.gang())
         step.latestStart -= Duration(static_cast<int64_t>(slackMs * unusableGangSlack * 1'000));
     step.readySince = m_now;
@@ -168,7 +170,7 @@
         if (task->crashesAtStart > 0)
             step->second.suspects.insert(key.index);
         if (step->second.lasting)
-            step->second.readySince = step->second.latestStart = m_now;
+            step->second.readySince = step->second.latestStart = step->second.lateFrom = m_now;
         m_mustPlan = true;
     }
 }
--- a/jobs/ready_step.h
+++ b/jobs/ready_step.h
@@ -34,7 +34,9 @@
     bool needsTicket = false;
     double taskMs = 0; // expected run time of one task
     Instant dueAt {}; // when the job has to end to meet its latency objective
-    Instant latestStart {}; // latest start at which the job can still end by dueAt
+    Instant latestStart {}; // latest start at which the job can still end by dueAt; earlier for gangs
+    Instant lateFrom {}; // from this time on, the job is not expected to end by dueAt
+    bool isBorrowed = false; // beyond what the team is owed
     Instant expiresAt {}; // when completing the job stops being of use
     Instant readySince {};
 };
--- a/jobs/start_planner.cpp
+++ b/jobs/start_planner.cpp
@@ -24,6 +24,18 @@
         Late = 5,
     };
 
+    // The order while the fleet is full: room that a late step uses is missing for one that can end in time.
+    Rank contendedRankOf(const ReadyStep& it, Instant now)
+    {
+        if (it.lasting)
+            return Rank::Lasting;
+        if (it.lateFrom < now)
+            return it.priority == 0 && now < it.expiresAt ? Rank::LateOfUse : Rank::Late;
+        if (it.priority == 0)
+            return Rank::MostUrgentQueue;
+        return it.gang || it.latestStart - now < urgentSlack ? Rank::Urgent : Rank::Relaxed;
+    }
+
     Rank rankOf(const ReadyStep& it, Instant now)
     {
         if (it.lasting)
@@ -37,15 +49,16 @@
 
 } // namespace
 
-void sortByUrgency(std::vector<const ReadyStep*>& steps, Instant now)
+void sortByUrgency(std::vector<const ReadyStep*>& steps, Instant now, bool isContended)
 {
     std::vector<std::pair<Rank, const ReadyStep*>> ranked;
     ranked.reserve(steps.size());
     for (const auto* it : steps)
-        ranked.emplace_back(rankOf(*it, now), it);
-    std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) {
-        return std::tie(a.first, a.second->latestStart, a.second->key)
-            < std::tie(b.first, b.second->latestStart, b.second->key);
+        ranked.emplace_back(isContended ? contendedRankOf(*it, now) : rankOf(*it, now), it);
+    const auto isBorrowed = [&](const ReadyStep& it) { return isContended && it.isBorrowed; };
+    std::sort(ranked.begin(), ranked.end(), [&](const auto& a, const auto& b) {
+        return std::make_tuple(a.first, isBorrowed(*a.second), a.second->latestStart, a.second->key)
+            < std::make_tuple(b.first, isBorrowed(*b.second), b.second->latestStart, b.second->key);
     });
     std::transform(ranked.begin(), ranked.end(), steps.begin(), [](const auto& it) { return it.second; });
 }
--- a/jobs/start_planner.h
+++ b/jobs/start_planner.h
@@ -41,8 +41,9 @@
     CapacityReserverOptions capacityReserver;
 };
 
-// Sorts steps into the order in which they are served.
-void sortByUrgency(std::vector<const ReadyStep*>&, Instant now);
+// Sorts steps into the order in which they are served. With `isContended`, late steps come after all steps that can
+// still end in time, and borrowed work after owed work of the same urgency.
+void sortByUrgency(std::vector<const ReadyStep*>&, Instant now, bool isContended = false);
 
 class StartPlanner {
 public:
--- a/node/core_node.cpp
+++ b/node/core_node.cpp
@@ -68,6 +68,7 @@
         out.planner.capacityReserver.restoreTime = Milliseconds(static_cast<int64_t>(settings.restore_ms()));
         if (settings.has_evacuation_ms())
             out.evacuationTime = Milliseconds(static_cast<int64_t>(settings.evacuation_ms()));
+        out.isContentionControlled = settings.contention_control();
         out.endedJobRetention = Milliseconds(static_cast<int64_t>(settings.keep_ended_ms()));
         return out;
     }
