Trial: a wait by how fast the work of a queue was started lately

Cause: gangs start more slowly than the free capacity suggests. Ruled out: the cap of a team, which counts only more urgent work now.

--- a/jobs/admission.cpp
+++ b/jobs/admission.cpp
@@ -26,6 +26,8 @@
         return "team_cap";
     case AdmissionReason::TeamWeight:
         return "team_weight";
+    case AdmissionReason::Queue:
+        return "queue";
     case AdmissionReason::Count:
         break;
     }
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -181,8 +181,11 @@
     // Contention control (job_admission.cpp).
     void refreshForecast();
     void addExpectedCapacity(FleetLoad&) const;
-    AdmissionVerdict decideByForecast(const JobDemand&);
+    AdmissionVerdict decideByForecast(const JobDemand&, std::string_view queue);
+    // How long the tasks of a job wait until its team is below its cap.
     double capWaitMs(const JobDemand&) const;
+    // How long they wait if the work of their queue goes on starting as it did lately.
+    double queueWaitMs(const JobDemand&, std::string_view queue);
     void replayRecentJobs();
     JobDemand demandOf(const schema::JobRequest&, const schema::JobQueue&) const;
 
@@ -326,7 +329,11 @@
     CapacityForecast m_forecast;
     Instant m_forecastBuiltAt {};
     double m_unusableShare = 0; // share of the fleet that stays free although work waits; a moving average
-    absl::flat_hash_map<std::string, ResourceVector> m_waitingOfTeam; // of work that can be in time
+    ArrivalRates m_startRates; // by queue
+    // Waiting work that can be in time, by team, by team for the most urgent queues alone, and by queue.
+    absl::flat_hash_map<std::string, ResourceVector> m_waitingOfTeam;
+    absl::flat_hash_map<std::string, ResourceVector> m_urgentOfTeam;
+    absl::flat_hash_map<std::string, ResourceVector> m_waitingOfQueue;
     LoadSummary m_loadSummary;
 
     std::vector<CandidateExecutor> m_candidates; // of the current round of planning
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -184,10 +184,12 @@
     }
     if (m_candidates.empty() || steps.empty())
         return;
-    sortByUrgency(steps, m_now, m_options.isContentionControlled && isContended(steps));
+    auto plannerOptions = m_options.planner;
+    plannerOptions.isContended = m_options.isContentionControlled && isContended(steps);
+    sortByUrgency(steps, m_now, plannerOptions.isContended);
     const auto adviceVisits = requestAdviceFor(steps);
     const auto constraints = startConstraints();
-    StartPlanner planner(m_candidates, constraints, m_options.planner);
+    StartPlanner planner(m_candidates, constraints, plannerOptions);
     // A round that reached its limit is continued by the next one, which spends half of its visits on the most urgent
     // steps again.
     const std::span<const ReadyStep* const> all(steps);
@@ -265,6 +267,7 @@
     LiveRun run;
     run.run = last + 1;
     run.need = step.need;
+    m_startRates.record(step.queue, step.need, 0, false, m_now);
     run.team = step.team;
     run.queue = step.queue;
     run.assignedAt = run.startedAt = m_now;
--- a/jobs/start_planner.cpp
+++ b/jobs/start_planner.cpp
@@ -257,7 +257,7 @@
 
 void StartPlanner::reserveCapacity(const ReadyStep& step, int64_t wanted, Instant now, StartPlan& out)
 {
-    if (rankOf(step, now) == Rank::Late)
+    if ((m_options.isContended ? contendedRankOf(step, now) : rankOf(step, now)) == Rank::Late)
         return;
     auto candidates = candidatesOf(m_constraints.allowedLater(step));
     std::erase_if(candidates, [&](size_t n) { return !canEverRun(step, m_candidates[n]); });
--- a/jobs/start_planner.h
+++ b/jobs/start_planner.h
@@ -37,6 +37,7 @@
 };
 
 struct StartPlannerOptions {
+    bool isContended = false; // more work that can be in time waits than there is room for
     double remoteFactor = 1.5; // factor on the run time of a task away from its data; from the platform's contract
     CapacityReserverOptions capacityReserver;
 };
