--- a/jobs/admission.cpp
+++ b/jobs/admission.cpp
@@ -26,8 +26,6 @@
         return "team_cap";
     case AdmissionReason::TeamWeight:
         return "team_weight";
-    case AdmissionReason::Queue:
-        return "queue";
     case AdmissionReason::Count:
         break;
     }
--- a/jobs/admission.h
+++ b/jobs/admission.h
@@ -40,8 +40,7 @@
     Capacity = 1, // it, or a job accepted before it, could not end in time
     TeamCap = 2, // its team uses all that its cap allows for too long
     TeamWeight = 3, // its team is beyond its weight, and the fleet has nothing to lend
-    Queue = 4, // the work of its queue starts too slowly
-    Count = 5,
+    Count = 4,
 };
 
 std::string_view nameOf(AdmissionReason);
--- a/jobs/arrival_rates.h
+++ b/jobs/arrival_rates.h
@@ -1,4 +1,4 @@
-// Rates at which work of each queue is accepted, or started, as moving averages. Tells admission control how much
+// Rates at which work of each queue is accepted, as moving averages. Tells admission control how much
 // capacity the more urgent queues will need while a job waits.
 #pragma once
 
@@ -39,15 +39,6 @@
         return out;
     }
 
-    ExpectedArrivals of(std::string_view queue, Instant now)
-    {
-        const auto it = m_queues.find(queue);
-        if (it == m_queues.end())
-            return {};
-        decay(it->second, now);
-        return it->second.arrivals;
-    }
-
     void clear() { m_queues.clear(); }
 
 private:
--- a/jobs/forecast_admission.cpp
+++ b/jobs/forecast_admission.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 AdmissionVerdict ForecastAdmission::decide(
-    const JobDemand& demand, const CapacityForecast& forecast, double capWaitMs, double queueWaitMs, Instant now)
+    const JobDemand& demand, const CapacityForecast& forecast, double capWaitMs, Instant now)
 {
     AdmissionVerdict verdict;
     const double usableSlackMs = std::max(0.0, demand.slackMs) * usableSlackShare;
@@ -45,9 +45,6 @@
     if (isMissing(missing)) {
         verdict.reason = AdmissionReason::Capacity;
         verdict.waitMs = usableSlackMs + forecast.timeToFreeMs(missing);
-    } else if (queueWaitMs > usableSlackMs) {
-        verdict.reason = AdmissionReason::Queue;
-        verdict.waitMs = queueWaitMs;
     } else if (capWaitMs > usableSlackMs) {
         verdict.reason = AdmissionReason::TeamCap;
         verdict.waitMs = capWaitMs;
@@ -70,7 +67,7 @@
     double retryMs = std::max(0.0, waitMs);
     if (reason == AdmissionReason::TeamWeight)
         retryMs = std::chrono::duration<double, std::milli>(m_shares.reserveReturn(demand.team, now)).count();
-    if (reason == AdmissionReason::Capacity || reason == AdmissionReason::Queue) {
+    if (reason == AdmissionReason::Capacity) {
         // Callers return in turn, each when the need of those before it has been met.
         ResourceAmounts need {};
         for (size_t n = 0; n < ResourceVector::kinds; ++n)
--- a/jobs/forecast_admission.h
+++ b/jobs/forecast_admission.h
@@ -19,10 +19,8 @@
     // Sets the rate of jobs that each team is owed, in jobs a second.
     void setWeights(const absl::btree_map<std::string, double>& weights) { m_shares.setWeights(weights); }
 
-    // `capWaitMs`: how long the job waits until its team is below its cap; `queueWaitMs`: how long if its queue goes on
-    // being served as it was lately, which tells how hard capacity of the right shape is to find.
-    AdmissionVerdict decide(
-        const JobDemand&, const CapacityForecast&, double capWaitMs, double queueWaitMs, Instant now);
+    // `capWaitMs`: how long the job waits until its team is below its cap.
+    AdmissionVerdict decide(const JobDemand&, const CapacityForecast&, double capWaitMs, Instant now);
 
     // Records a job that was accepted; a new leader replays the jobs of the last seconds.
     void recordAccepted(const JobDemand&, std::string_view queue, bool isBorrowed, Instant at);
--- a/jobs/job_admission.cpp
+++ b/jobs/job_admission.cpp
@@ -16,9 +16,6 @@
     constexpr double unusableShareSeconds = 4; // of the moving average
     constexpr double contendedShare = 0.1; // of the fleet: work that waits is no longer just being placed
     constexpr Milliseconds replayedTime { 10'000 };
-    // Less waiting work of a queue than this share of the fleet does not tell how fast it is started.
-    constexpr double minBacklogShare = 0.03;
-    constexpr double minStartShare = 0.01; // of the fleet per second
     constexpr double minCapTurnover = 0.1; // share of its cap that a team frees in a second, at least
 
 } // namespace
@@ -44,7 +41,6 @@
     std::vector<ForecastDemand> demands;
     m_waitingOfTeam.clear();
     m_urgentOfTeam.clear();
-    m_waitingOfQueue.clear();
     ResourceVector waiting;
     for (const auto& [key, it] : m_readySteps) {
         if (it.lateFrom < m_now || it.lasting || it.waiting.empty())
@@ -52,7 +48,6 @@
         const auto tasks = std::min<int64_t>(static_cast<int64_t>(it.waiting.size()), tasksLeftInCap(it.team, it.need));
         const auto need = it.need * static_cast<int64_t>(it.waiting.size());
         m_waitingOfTeam[it.team] += need;
-        m_waitingOfQueue[it.queue] += need;
         if (it.priority == 0)
             m_urgentOfTeam[it.team] += need;
         if (tasks == 0)
@@ -104,22 +99,10 @@
     return out;
 }
 
-double JobLeader::queueWaitMs(const JobDemand& demand, std::string_view queue)
-{
-    const auto total = static_cast<double>(m_forecast.supply().total.amounts[0]);
-    const auto found = m_waitingOfQueue.find(std::string(queue));
-    const double waiting = found == m_waitingOfQueue.end() ? 0 : static_cast<double>(found->second.amounts[0]);
-    if (waiting < minBacklogShare * total)
-        return 0;
-    const double rate = std::max(m_startRates.of(queue, m_now).needPerSecond[0], total * minStartShare);
-    return (waiting + static_cast<double>(demand.initialNeed.amounts[0]) / 2) / rate * 1'000;
-}
-
-AdmissionVerdict JobLeader::decideByForecast(const JobDemand& demand, std::string_view queue)
+AdmissionVerdict JobLeader::decideByForecast(const JobDemand& demand)
 {
     refreshForecast();
-    const auto verdict
-        = m_forecastAdmission.decide(demand, m_forecast, capWaitMs(demand), queueWaitMs(demand, queue), m_now);
+    const auto verdict = m_forecastAdmission.decide(demand, m_forecast, capWaitMs(demand), m_now);
     if (!verdict.isAccepted) {
         ++m_counters.refusedFor[static_cast<size_t>(verdict.reason)];
         return verdict;
@@ -127,7 +110,6 @@
     m_counters.borrowed += verdict.isBorrowed ? 1 : 0;
     m_forecast.add({ m_now, demand.initialNeed, demand.isMostUrgent });
     m_waitingOfTeam[demand.team] += demand.initialNeed;
-    m_waitingOfQueue[std::string(queue)] += demand.initialNeed;
     if (demand.isMostUrgent)
         m_urgentOfTeam[demand.team] += demand.initialNeed;
     return verdict;
--- a/jobs/job_calls.cpp
+++ b/jobs/job_calls.cpp
@@ -178,8 +178,8 @@
     refreshLoadSummary();
     const auto latestStart = m_now + Duration(static_cast<int64_t>(demand.slackMs * 1'000));
     const auto load = m_loadSummary.aheadOf(latestStart);
-    const auto verdict = m_options.isContentionControlled ? decideByForecast(demand, request.queue())
-                                                          : m_admission.decide(demand, load, m_now);
+    const auto verdict
+        = m_options.isContentionControlled ? decideByForecast(demand) : m_admission.decide(demand, load, m_now);
     log(verdict.isAccepted ? "job_accepted" : "job_refused",
         { { "job", jobIdText(id) }, { "queue", request.queue() }, { "team", team },
             { "configuration", std::to_string(m_state.configuration().version()) },
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -72,10 +72,9 @@
     m_loadSummary.clear();
     m_forecastAdmission.clear();
     m_forecastBuiltAt = {};
-    m_startRates.clear();
     m_waitingOfTeam.clear();
     m_urgentOfTeam.clear();
-    m_waitingOfQueue.clear();
+    m_heldExecutors.clear();
     m_readySteps.clear();
     m_assemblingGangs.clear();
     m_teamUsage.clear();
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -181,11 +181,9 @@
     // Contention control (job_admission.cpp).
     void refreshForecast();
     void addExpectedCapacity(FleetLoad&) const;
-    AdmissionVerdict decideByForecast(const JobDemand&, std::string_view queue);
+    AdmissionVerdict decideByForecast(const JobDemand&);
     // How long the tasks of a job wait until its team is below its cap.
     double capWaitMs(const JobDemand&) const;
-    // How long they wait if the work of their queue goes on starting as it did lately.
-    double queueWaitMs(const JobDemand&, std::string_view queue);
     void replayRecentJobs();
     JobDemand demandOf(const schema::JobRequest&, const schema::JobQueue&) const;
 
@@ -329,11 +327,9 @@
     CapacityForecast m_forecast;
     Instant m_forecastBuiltAt {};
     double m_unusableShare = 0; // share of the fleet that stays free although work waits; a moving average
-    ArrivalRates m_startRates; // by queue
-    // Waiting work that can be in time, by team, by team for the most urgent queues alone, and by queue.
+    // Waiting work that can be in time, by team, and by team for the most urgent queues alone.
     absl::flat_hash_map<std::string, ResourceVector> m_waitingOfTeam;
     absl::flat_hash_map<std::string, ResourceVector> m_urgentOfTeam;
-    absl::flat_hash_map<std::string, ResourceVector> m_waitingOfQueue;
     LoadSummary m_loadSummary;
 
     std::vector<CandidateExecutor> m_candidates; // of the current round of planning
@@ -356,6 +352,7 @@
     bool m_mustPlan = false;
     Instant m_nextPlanAt {};
     Instant m_nextCapacityLogAt {};
+    absl::flat_hash_set<uint32_t> m_heldExecutors; // reserved for waiting gangs in the last round
     Instant m_nextCheckAt {};
     std::vector<JobAction> m_actions;
     JobLeaderCounters m_counters;
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -51,6 +51,7 @@
         candidate.labels = &state->second.record.labels();
         candidate.slowness = it.slowness;
         candidate.hasSuspect = it.suspectUntil > m_now;
+        candidate.isHeld = m_options.isContentionControlled && m_heldExecutors.contains(number);
         candidate.isDegraded = it.failuresInRow > 0 || it.coldUntil > m_now;
         for (size_t n = 0; n < ResourceVector::kinds; ++n)
             m_freedPerSecond[n] += it.freedPerSecond[n];
@@ -204,6 +205,7 @@
     }
     if (m_resumeAt >= all.size())
         m_resumeAt = 0;
+    m_heldExecutors = planner.heldExecutors();
     logCapacityUse(planner);
     const auto visits = plan.visits + adviceVisits;
     m_counters.planningVisits += visits;
@@ -267,7 +269,6 @@
     LiveRun run;
     run.run = last + 1;
     run.need = step.need;
-    m_startRates.record(step.queue, step.need, 0, false, m_now);
     run.team = step.team;
     run.queue = step.queue;
     run.assignedAt = run.startedAt = m_now;
--- a/jobs/start_planner.cpp
+++ b/jobs/start_planner.cpp
@@ -107,6 +107,14 @@
     return out;
 }
 
+absl::flat_hash_set<uint32_t> StartPlanner::heldExecutors() const
+{
+    absl::flat_hash_set<uint32_t> out;
+    for (const auto n : m_capacityReserver.reserved())
+        out.insert(m_candidates[n].number);
+    return out;
+}
+
 std::vector<size_t> StartPlanner::candidatesOf(const std::optional<std::vector<uint32_t>>& executors) const
 {
     std::vector<size_t> out;
@@ -159,7 +167,9 @@
     const double leftMs = std::chrono::duration<double, std::milli>(step.latestStart - now).count() + step.taskMs;
     const bool endsInTime = step.taskMs * slowness <= leftMs;
     const double fill = 1 - (candidate.free - step.need).dominantShareOf(candidate.capacity);
-    return (endsInTime ? 4.0 : 0.0) - slowness + fill - (candidate.isDegraded ? 8.0 : 0.0);
+    // A gang that collects capacity would start later with each task that is placed in between.
+    const bool isForOthers = candidate.isHeld && !step.gang;
+    return (endsInTime ? 4.0 : 0.0) - slowness + fill - (candidate.isDegraded ? 8.0 : 0.0) - (isForOthers ? 2.0 : 0.0);
 }
 
 void StartPlanner::restrictToOneRack(const ReadyStep& step, size_t wanted, std::vector<Placement>& placements) const
--- a/jobs/start_planner.h
+++ b/jobs/start_planner.h
@@ -57,6 +57,8 @@
 
     // Free capacity of the executors that are reserved for waiting steps.
     ResourceVector reservedFree() const;
+    // These executors.
+    absl::flat_hash_set<uint32_t> heldExecutors() const;
 
 private:
     struct Placement {
