--- a/jobs/advice_planner.cpp
+++ b/jobs/advice_planner.cpp
@@ -161,10 +161,8 @@
             consider(order[n], 0);
     } else {
         // The fullest executors with room, so that large free blocks remain for gangs; then any.
-        for (size_t n = firstWithRoom(step) + 1; n > 0 && found.size() < wanted; --n) {
-            if (!m_candidates[order[n - 1]].isHeld)
-                consider(order[n - 1], 1);
-        }
+        for (size_t n = firstWithRoom(step) + 1; n > 0 && found.size() < wanted; --n)
+            consider(order[n - 1], 1);
         if (found.empty()) {
             for (size_t n = 0; n < order.size() && found.size() < wanted; ++n)
                 consider(order[n], 0);
--- a/jobs/candidate_executor.h
+++ b/jobs/candidate_executor.h
@@ -35,7 +35,6 @@
     const google::protobuf::RepeatedPtrField<std::string>* labels = nullptr;
     double slowness = 1; // factor on the run time of a healthy executor
     bool hasSuspect = false; // a suspect task was started there just now
-    bool isHeld = false; // reserved for a waiting gang in the last round: other steps use it last
     bool isDegraded = false; // recently failed, or cold after its start: used last
 };
 
--- a/jobs/capacity_forecast.cpp
+++ b/jobs/capacity_forecast.cpp
@@ -107,9 +107,10 @@
     return withoutDemand(out, curve.added);
 }
 
-ResourceAmounts CapacityForecast::spareNow() const
+ResourceAmounts CapacityForecast::spareNow(bool onlyMostUrgent) const
 {
-    return withoutDemand(withoutDemand(supplyAt(0, false), m_all.total), m_all.added);
+    const auto& curve = onlyMostUrgent ? m_mostUrgent : m_all;
+    return withoutDemand(withoutDemand(supplyAt(0, onlyMostUrgent), curve.total), curve.added);
 }
 
 double CapacityForecast::timeToFreeMs(const ResourceAmounts& missing) const
--- a/jobs/forecast_admission.cpp
+++ b/jobs/forecast_admission.cpp
@@ -49,8 +49,9 @@
         verdict.reason = AdmissionReason::TeamCap;
         verdict.waitMs = capWaitMs;
     } else if (verdict.isBorrowed) {
-        auto spare = forecast.spareNow();
-        for (size_t n = 0; n < ResourceVector::kinds; ++n)
+        // The most urgent work displaces other work, and uses little of the fleet.
+        auto spare = forecast.spareNow(demand.isMostUrgent);
+        for (size_t n = 0; n < ResourceVector::kinds && !demand.isMostUrgent; ++n)
             spare[n] -= unlentShare * static_cast<double>(forecast.supply().total.amounts[n]);
         if (isMissing(missingFor(spare, demand.initialNeed, 1)))
             verdict.reason = AdmissionReason::TeamWeight;
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -74,7 +74,6 @@
     m_forecastBuiltAt = {};
     m_waitingOfTeam.clear();
     m_urgentOfTeam.clear();
-    m_heldExecutors.clear();
     m_readySteps.clear();
     m_assemblingGangs.clear();
     m_teamUsage.clear();
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -352,7 +352,6 @@
     bool m_mustPlan = false;
     Instant m_nextPlanAt {};
     Instant m_nextCapacityLogAt {};
-    absl::flat_hash_set<uint32_t> m_heldExecutors; // reserved for waiting gangs in the last round
     Instant m_nextCheckAt {};
     std::vector<JobAction> m_actions;
     JobLeaderCounters m_counters;
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -51,7 +51,6 @@
         candidate.labels = &state->second.record.labels();
         candidate.slowness = it.slowness;
         candidate.hasSuspect = it.suspectUntil > m_now;
-        candidate.isHeld = m_options.isContentionControlled && m_heldExecutors.contains(number);
         candidate.isDegraded = it.failuresInRow > 0 || it.coldUntil > m_now;
         for (size_t n = 0; n < ResourceVector::kinds; ++n)
             m_freedPerSecond[n] += it.freedPerSecond[n];
@@ -185,12 +184,10 @@
     }
     if (m_candidates.empty() || steps.empty())
         return;
-    auto plannerOptions = m_options.planner;
-    plannerOptions.isContended = m_options.isContentionControlled && isContended(steps);
-    sortByUrgency(steps, m_now, plannerOptions.isContended);
+    sortByUrgency(steps, m_now, m_options.isContentionControlled && isContended(steps));
     const auto adviceVisits = requestAdviceFor(steps);
     const auto constraints = startConstraints();
-    StartPlanner planner(m_candidates, constraints, plannerOptions);
+    StartPlanner planner(m_candidates, constraints, m_options.planner);
     // A round that reached its limit is continued by the next one, which spends half of its visits on the most urgent
     // steps again.
     const std::span<const ReadyStep* const> all(steps);
@@ -205,7 +202,6 @@
     }
     if (m_resumeAt >= all.size())
         m_resumeAt = 0;
-    m_heldExecutors = planner.heldExecutors();
     logCapacityUse(planner);
     const auto visits = plan.visits + adviceVisits;
     m_counters.planningVisits += visits;
--- a/jobs/start_planner.cpp
+++ b/jobs/start_planner.cpp
@@ -24,18 +24,6 @@
         Late = 5,
     };
 
-    // The order while the fleet is full: room that a late step uses is missing for one that can end in time.
-    Rank contendedRankOf(const ReadyStep& it, Instant now)
-    {
-        if (it.lasting)
-            return Rank::Lasting;
-        if (it.lateFrom < now)
-            return it.priority == 0 && now < it.expiresAt ? Rank::LateOfUse : Rank::Late;
-        if (it.priority == 0)
-            return Rank::MostUrgentQueue;
-        return it.gang || it.latestStart - now < urgentSlack ? Rank::Urgent : Rank::Relaxed;
-    }
-
     Rank rankOf(const ReadyStep& it, Instant now)
     {
         if (it.lasting)
@@ -54,7 +42,7 @@
     std::vector<std::pair<Rank, const ReadyStep*>> ranked;
     ranked.reserve(steps.size());
     for (const auto* it : steps)
-        ranked.emplace_back(isContended ? contendedRankOf(*it, now) : rankOf(*it, now), it);
+        ranked.emplace_back(rankOf(*it, now), it);
     const auto isBorrowed = [&](const ReadyStep& it) { return isContended && it.isBorrowed; };
     std::sort(ranked.begin(), ranked.end(), [&](const auto& a, const auto& b) {
         return std::make_tuple(a.first, isBorrowed(*a.second), a.second->latestStart, a.second->key)
@@ -107,14 +95,6 @@
     return out;
 }
 
-absl::flat_hash_set<uint32_t> StartPlanner::heldExecutors() const
-{
-    absl::flat_hash_set<uint32_t> out;
-    for (const auto n : m_capacityReserver.reserved())
-        out.insert(m_candidates[n].number);
-    return out;
-}
-
 std::vector<size_t> StartPlanner::candidatesOf(const std::optional<std::vector<uint32_t>>& executors) const
 {
     std::vector<size_t> out;
@@ -167,9 +147,7 @@
     const double leftMs = std::chrono::duration<double, std::milli>(step.latestStart - now).count() + step.taskMs;
     const bool endsInTime = step.taskMs * slowness <= leftMs;
     const double fill = 1 - (candidate.free - step.need).dominantShareOf(candidate.capacity);
-    // A gang that collects capacity would start later with each task that is placed in between.
-    const bool isForOthers = candidate.isHeld && !step.gang;
-    return (endsInTime ? 4.0 : 0.0) - slowness + fill - (candidate.isDegraded ? 8.0 : 0.0) - (isForOthers ? 2.0 : 0.0);
+    return (endsInTime ? 4.0 : 0.0) - slowness + fill - (candidate.isDegraded ? 8.0 : 0.0);
 }
 
 void StartPlanner::restrictToOneRack(const ReadyStep& step, size_t wanted, std::vector<Placement>& placements) const
@@ -267,7 +245,7 @@
 
 void StartPlanner::reserveCapacity(const ReadyStep& step, int64_t wanted, Instant now, StartPlan& out)
 {
-    if ((m_options.isContended ? contendedRankOf(step, now) : rankOf(step, now)) == Rank::Late)
+    if (rankOf(step, now) == Rank::Late)
         return;
     auto candidates = candidatesOf(m_constraints.allowedLater(step));
     std::erase_if(candidates, [&](size_t n) { return !canEverRun(step, m_candidates[n]); });
--- a/jobs/start_planner.h
+++ b/jobs/start_planner.h
@@ -37,13 +37,12 @@
 };
 
 struct StartPlannerOptions {
-    bool isContended = false; // more work that can be in time waits than there is room for
     double remoteFactor = 1.5; // factor on the run time of a task away from its data; from the platform's contract
     CapacityReserverOptions capacityReserver;
 };
 
-// Sorts steps into the order in which they are served. With `isContended`, late steps come after all steps that can
-// still end in time, and borrowed work after owed work of the same urgency.
+// Sorts steps into the order in which they are served. With `isContended`, borrowed work comes after owed
+// work of the same urgency.
 void sortByUrgency(std::vector<const ReadyStep*>&, Instant now, bool isContended = false);
 
 class StartPlanner {
@@ -57,8 +56,6 @@
 
     // Free capacity of the executors that are reserved for waiting steps.
     ResourceVector reservedFree() const;
-    // These executors.
-    absl::flat_hash_set<uint32_t> heldExecutors() const;
 
 private:
     struct Placement {
