Contention control: the most urgent work is limited by the forecast only, wide jobs are not refused for their own size

Cause: preview clips of a team beyond its weight were refused although they use little of the fleet.

--- a/jobs/capacity_forecast.cpp
+++ b/jobs/capacity_forecast.cpp
@@ -107,10 +107,9 @@
     return withoutDemand(out, curve.added);
 }
 
-ResourceAmounts CapacityForecast::spareNow(bool onlyMostUrgent) const
+ResourceAmounts CapacityForecast::spareNow() const
 {
-    const auto& curve = onlyMostUrgent ? m_mostUrgent : m_all;
-    return withoutDemand(withoutDemand(supplyAt(0, onlyMostUrgent), curve.total), curve.added);
+    return withoutDemand(withoutDemand(supplyAt(0, false), m_all.total), m_all.added);
 }
 
 double CapacityForecast::timeToFreeMs(const ResourceAmounts& missing) const
--- a/jobs/capacity_forecast.h
+++ b/jobs/capacity_forecast.h
@@ -46,8 +46,8 @@
     // smallest of it over time, negative if there is too much demand already. Kinds that the fleet lacks are unlimited.
     ResourceAmounts headroom(Instant latestStart, bool isMostUrgent) const;
 
-    // The capacity left now after all waiting work has been served, or that of the most urgent queues only.
-    ResourceAmounts spareNow(bool onlyMostUrgent) const;
+    // The capacity left now after all waiting work has been served.
+    ResourceAmounts spareNow() const;
 
     // Expected time until this much more capacity has come free beyond the expected arrivals.
     double timeToFreeMs(const ResourceAmounts& missing) const;
--- a/jobs/forecast_admission.cpp
+++ b/jobs/forecast_admission.cpp
@@ -10,7 +10,9 @@
     // Share of its slack that a job may wait: run times are known to a factor of two at best, and a step ends with its
     // longest task.
     constexpr double usableSlackShare = 0.6;
-    constexpr double ownNeedShare = 0.5; // on average, half of the tasks of a job start before a task of it
+    // Share of its own need that counts as ahead of a job. Little, so that wide jobs are not refused more often than
+    // narrow ones that wait behind the same work.
+    constexpr double ownNeedShare = 0.1;
     // Share of the fleet that is not lent, for what other teams are owed within the time of a run.
     constexpr double unlentShare = 0.1;
     constexpr double msPerSecond = 1'000;
@@ -48,10 +50,10 @@
     } else if (capWaitMs > usableSlackMs) {
         verdict.reason = AdmissionReason::TeamCap;
         verdict.waitMs = capWaitMs;
-    } else if (verdict.isBorrowed) {
-        // The most urgent work displaces other work, and uses little of the fleet.
-        auto spare = forecast.spareNow(demand.isMostUrgent);
-        for (size_t n = 0; n < ResourceVector::kinds && !demand.isMostUrgent; ++n)
+    } else if (verdict.isBorrowed && !demand.isMostUrgent) {
+        // The most urgent work uses little of the fleet and displaces other work: the forecast alone limits it.
+        auto spare = forecast.spareNow();
+        for (size_t n = 0; n < ResourceVector::kinds; ++n)
             spare[n] -= unlentShare * static_cast<double>(forecast.supply().total.amounts[n]);
         if (isMissing(missingFor(spare, demand.initialNeed, 1)))
             verdict.reason = AdmissionReason::TeamWeight;
