--- a/jobs/job_checks.cpp
+++ b/jobs/job_checks.cpp
@@ -19,8 +19,6 @@
     constexpr double freedSoonMs = 1'500;
     // Lower bound for estimates: shorter tasks do not predict how soon capacity comes free.
     constexpr double minTaskMs = 100;
-    constexpr double slownessWeight = 0.2; // weight of the newest run in the moving average
-    constexpr double maxSlowness = 8.0;
     constexpr unsigned maxQuarantineDoublings = 2;
 
 } // namespace
@@ -226,21 +224,6 @@
     absl::erase_if(m_pendingOrders, [&](const auto& it) { return it.second.executor == number; });
 }
 
-void JobLeader::recordRunTime(LiveExecutor& executor, const TaskKey& key, const LiveRun& run)
-{
-    executor.failuresInRow = 0;
-    executor.quarantineCount = 0;
-    const auto* job = m_state.find(key.step.job);
-    if (!run.isFromStart || job == nullptr || job->hasEnded())
-        return;
-    const auto& spec = job->request.steps(static_cast<int>(key.step.step));
-    const double took = std::chrono::duration<double, std::milli>(m_now - run.startedAt).count();
-    const double expected = std::max(1.0, expectedMs(job->request, spec));
-    const double ratio = std::min(maxSlowness, std::max(0.3, took / expected));
-    executor.slowness += slownessWeight * (ratio - executor.slowness);
-    m_runTimes.onDone(run.queue, spec.estimate_ms(), took);
-}
-
 void JobLeader::recordFailure(LiveExecutor& executor, const TaskKey& key)
 {
     if (executor.lastFailedJob != key.step.job || executor.failuresInRow == 0)
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -38,6 +38,8 @@
     m_directory.add(executor.number, state.record.id(), state.record.address());
     executor.isDraining = state.record.draining();
     executor.capacity = state.capacity;
+    if (m_options.usesLearnedSpeeds)
+        executor.slowness = 1 / m_runTimeModel.speedOf(state.record.id()).factor;
     executor.addedAt = m_now;
     executor.lastAnnouncedAt = m_now;
     executor.nextRenewalAt = m_now;
@@ -436,6 +438,10 @@
             { "executor",
                 executorState(executor.number) == nullptr ? "" : executorState(executor.number)->record.id() },
             { "outcome", schema::RunOutcome_Name(outcome) }, { "ran_ms", millis(m_now - run.startedAt) } });
+    const bool isCensored = outcome == schema::RUN_OUTCOME_STOPPED || outcome == schema::RUN_OUTCOME_LAPSED
+        || outcome == schema::RUN_OUTCOME_LOST;
+    if (isCensored && run.stage == RunStage::Running)
+        learnRunTime(executor, key, run, false);
     run.stage = RunStage::Ending;
     executor.committed -= run.need;
     if (run.mustStop)
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -37,6 +37,7 @@
     m_proposedConfiguration = m_state.configuration();
     for (const auto& [dataCentre, it] : m_state.evacuations())
         m_proposedEvacuations[dataCentre] = it.isActive;
+    restoreRunTimes();
     for (const auto& [number, it] : m_state.executors())
         addExecutor(it);
     for (const auto& [id, job] : m_state.jobs())
@@ -120,6 +121,7 @@
     }
     checkGangs();
     checkEvacuations();
+    recordLearnedRunTimes();
 }
 
 void JobLeader::finishBatch(Instant now, WallTime wall)
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -21,6 +21,7 @@
 #include "jobs/run_index.h"
 #include "jobs/run_times.h"
 #include "jobs/start_planner.h"
+#include "runtimes/run_time_model.h"
 
 #include <absl/container/btree_map.h>
 #include <absl/container/btree_set.h>
@@ -241,7 +242,11 @@
     void expireLease(LiveExecutor&);
     bool isUsable(const LiveExecutor&) const;
     std::string_view regionOf(const ExecutorState&) const;
+    // Run times (job_run_times.cpp).
     void recordRunTime(LiveExecutor&, const TaskKey&, const LiveRun&);
+    void learnRunTime(const LiveExecutor&, const TaskKey&, const LiveRun&, bool isComplete);
+    void restoreRunTimes();
+    void recordLearnedRunTimes();
     void recordFailure(LiveExecutor&, const TaskKey&);
 
     // Evacuation of data centres (job_evacuation.cpp).
@@ -322,6 +327,9 @@
     std::deque<std::pair<std::string, uint64_t>> m_goneInOrder; // of m_goneIncarnations, oldest first
     AdviceTracker m_advice;
     RunTimes m_runTimes;
+    RunTimeModel m_runTimeModel;
+    bool m_hasNewRunTimes = false;
+    Instant m_nextRunTimeRecordAt {};
     Admission m_admission;
     ForecastAdmission m_forecastAdmission;
     CapacityForecast m_forecast;
--- a/jobs/job_leader_options.h
+++ b/jobs/job_leader_options.h
@@ -46,6 +46,11 @@
     // be in time while the fleet is full.
     bool isContentionControlled = false;
 
+    // Whether learned run times give the expected times of steps, and learned speeds the slowness of executors.
+    bool usesLearnedRunTimes = false;
+    bool usesLearnedSpeeds = false;
+    Milliseconds runTimeRecordInterval { 5'000 }; // between two records of what was learned
+
     size_t maxProposalsInFlight = 2; // further changes wait for the next proposal
 
     // A run during which an executor crashes this soon after its start may be the cause.
--- a/jobs/job_state.cpp
+++ b/jobs/job_state.cpp
@@ -45,6 +45,9 @@
         return;
     case schema::JobChange::kEvacuation:
         return applyEvacuation(change.evacuation());
+    case schema::JobChange::kRunTimes:
+        m_runTimes = change.run_times();
+        return;
     case schema::JobChange::BODY_NOT_SET:
         return;
     }
@@ -403,6 +406,7 @@
         evacuation.set_active(it.isActive);
         evacuation.set_ordered_at_ms(it.orderedAtMs);
     }
+    *image.mutable_run_times() = m_runTimes;
     image.set_last_executor(m_lastExecutor);
     image.set_wall_ms(m_wallMs);
     return image.SerializeAsString();
@@ -443,6 +447,7 @@
     m_evacuations.clear();
     for (const auto& it : image.evacuations())
         applyEvacuation(it);
+    m_runTimes = image.run_times();
     m_lastExecutor = image.last_executor();
     m_wallMs = image.wall_ms();
     return {};
--- a/jobs/job_state.h
+++ b/jobs/job_state.h
@@ -117,6 +117,8 @@
     uint64_t queuedJobs(std::string_view queueKey) const;
     const absl::btree_map<uint32_t, ExecutorState>& executors() const { return m_executors; }
     uint32_t lastExecutorNumber() const { return m_lastExecutor; }
+    // What a leader recorded last about run times.
+    const schema::RunTimeImage& runTimes() const { return m_runTimes; }
 
     // By name of the data centre; includes evacuations that were withdrawn.
     const absl::btree_map<std::string, EvacuationRecord, std::less<>>& evacuations() const { return m_evacuations; }
@@ -155,6 +157,7 @@
     absl::btree_map<uint32_t, ExecutorState> m_executors;
     absl::btree_map<std::string, EvacuationRecord, std::less<>> m_evacuations;
     std::deque<std::pair<uint64_t, uint64_t>> m_ended; // end time in ms and job, in order of time
+    schema::RunTimeImage m_runTimes;
     uint32_t m_lastExecutor = 0;
     uint64_t m_wallMs = 0;
 };
--- a/jobs/job_steps.cpp
+++ b/jobs/job_steps.cpp
@@ -21,11 +21,6 @@
 
 } // namespace
 
-double JobLeader::expectedMs(const schema::JobRequest& request, const schema::JobStep& step) const
-{
-    return m_runTimes.expectedMs(request.queue(), step.estimate_ms());
-}
-
 double JobLeader::criticalPathMs(const schema::JobRequest& request, uint32_t step) const
 {
     // Steps depend on earlier steps only, so one pass from the last step finds the longest path.
--- a/node/core_node.cpp
+++ b/node/core_node.cpp
@@ -69,6 +69,8 @@
         if (settings.has_evacuation_ms())
             out.evacuationTime = Milliseconds(static_cast<int64_t>(settings.evacuation_ms()));
         out.isContentionControlled = settings.contention_control();
+        out.usesLearnedRunTimes = settings.run_times().order();
+        out.usesLearnedSpeeds = settings.run_times().placement();
         out.endedJobRetention = Milliseconds(static_cast<int64_t>(settings.keep_ended_ms()));
         return out;
     }
