An announcement ends no run before the executor itself has answered

Callers saw one task run twice: an announcement of another id at an executor's address, or of its id with another start time or address, ended the runs of an executor that answered, and they were started again elsewhere within 200 ms. Cause: handleCall(ExecutorAnnouncement) removed what was registered under the id or address, and endRunsInProgress() ended runs without hasCertainlyEnded(). A delayed announcement, a step of a clock or another writer is enough. An id that answers at another address in the same life moves there. Ruled out: start times decide (clocks step), announcements alone for ids that were taken as ended. Conclusion: evidence comes from the executor or its lease.

--- /dev/null
+++ b/jobs/job_announcements.cpp
@@ -0,0 +1,230 @@
+// JobLeader: announcements and departures of executors. What another writer or a delayed message says is no evidence
+// that an incarnation has ended: only an answer from its address or the end of its lease is.
+#include "jobs/job_leader.h"
+
+#include <algorithm>
+
+namespace teasel {
+
+namespace {
+
+    constexpr Milliseconds retryWhenUnavailable { 1'000 };
+    constexpr Milliseconds claimLifetime { 4'000 }; // after its last announcement; two of these were missed
+    // An announcement with a sequence number this far behind is not late: the one before it was false.
+    constexpr uint64_t maxAnnouncementsBehind = 10'000;
+
+    bool isLate(uint64_t sequence, uint64_t last)
+    {
+        return sequence <= last && last - sequence < maxAnnouncementsBehind;
+    }
+
+    bool isSameLife(const schema::ExecutorRecord& a, const schema::ExecutorRecord& b)
+    {
+        return a.id() == b.id() && a.born_ms() == b.born_ms();
+    }
+
+} // namespace
+
+void JobLeader::handleCall(uint64_t handle, ExecutorAnnouncement& call)
+{
+    auto& record = call.record;
+    const auto coldUntil = m_now + Milliseconds(static_cast<int64_t>(call.coldRemainingMs));
+    const auto registered = m_directory.withIdOrAddress(record.id(), record.address());
+    for (const auto number : registered) {
+        const auto* state = executorState(number);
+        if (state == nullptr || !isSameLife(state->record, record) || state->record.address() != record.address())
+            continue;
+        auto& executor = m_executors.at(number);
+        if (executor.isReplaced || isLate(call.sequence, executor.lastSequence))
+            return answer(handle, {});
+        return updateExecutor(handle, executor, call);
+    }
+    if (const auto it = m_pendingRegistrations.find(record.id()); it != m_pendingRegistrations.end()) {
+        if (it->second == record.born_ms())
+            return answer(handle, {});
+        // What moves to the previous incarnation must be committed before it can move on.
+        return answer(
+            handle, { CallStatus::Unavailable, "the previous incarnation is being registered", retryWhenUnavailable });
+    }
+    if (registered.empty() && !m_goneIncarnations.contains({ record.id(), record.born_ms() })) {
+        raiseFence(record, m_lastExecutor + 1);
+        registerExecutor(std::move(record), coldUntil);
+        m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
+        return;
+    }
+    ExecutorClaim claim { std::move(record), call.sequence, coldUntil, m_now };
+    const auto number = m_claims.add(std::move(claim));
+    if (m_claims.find(number)->probedAt == Instant())
+        probeClaim(number);
+    answer(handle, {});
+}
+
+void JobLeader::updateExecutor(uint64_t handle, LiveExecutor& executor, ExecutorAnnouncement& call)
+{
+    auto& record = call.record;
+    const auto coldUntil = m_now + Milliseconds(static_cast<int64_t>(call.coldRemainingMs));
+    executor.lastSequence = call.sequence;
+    executor.lastAnnouncedAt = m_now;
+    executor.coldUntil = coldUntil;
+    if (record.draining())
+        executor.drainedBy = m_now + Milliseconds(static_cast<int64_t>(call.drainRemainingMs));
+    const auto& committed = executorState(executor.number)->record;
+    if (!record.has_capacity())
+        *record.mutable_capacity() = committed.capacity();
+    const bool isDrainChange = record.draining() != committed.draining();
+    const bool isCapacityChange = toVector(record.capacity()) != toVector(committed.capacity());
+    executor.capacity = toVector(record.capacity());
+    if (!isDrainChange && !isCapacityChange)
+        return answer(handle, {});
+    executor.isDraining = executor.isDraining || record.draining();
+    record.set_number(executor.number);
+    if (isDrainChange)
+        log("executor_draining",
+            { { "executor", record.id() }, { "leaves_in_ms", std::to_string(call.drainRemainingMs) },
+                { "runs", std::to_string(executor.runs.size()) } });
+    if (isCapacityChange)
+        log("executor_capacity_changed",
+            { { "executor", record.id() }, { "capacity", describe(executor.capacity) },
+                { "committed", describe(executor.committed) } });
+    m_mustPlan = true;
+    *change().mutable_executor() = std::move(record);
+    m_batchContinuations.emplace_back(ExecutorWhenCommitted { executor.number, coldUntil });
+    m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
+}
+
+uint32_t JobLeader::registerExecutor(schema::ExecutorRecord record, Instant coldUntil)
+{
+    record.set_number(++m_lastExecutor);
+    m_pendingRegistrations[record.id()] = record.born_ms();
+    log("executor_registered",
+        { { "executor", record.id() }, { "number", std::to_string(record.number()) },
+            { "born", std::to_string(record.born_ms()) }, { "address", record.address() },
+            { "capacity", describe(toVector(record.capacity())) } });
+    m_batchContinuations.emplace_back(ExecutorWhenCommitted { m_lastExecutor, coldUntil });
+    *change().mutable_executor() = std::move(record);
+    return m_lastExecutor;
+}
+
+// ---- Claims ----------------------------------------------------------------
+
+void JobLeader::logClaim(std::string_view event, const ExecutorClaim& claim, std::string_view reason)
+{
+    log(event,
+        { { "executor", claim.record.id() }, { "born", std::to_string(claim.record.born_ms()) },
+            { "address", claim.record.address() }, { "sequence", std::to_string(claim.sequence) },
+            { "reason", std::string(reason) } });
+}
+
+void JobLeader::probeClaim(uint32_t number)
+{
+    const auto& claim = *m_claims.find(number);
+    if (claim.probedAt == Instant())
+        logClaim("executor_claimed", claim, "it contradicts what is known");
+    const auto fence = nextFence();
+    // If the claim is false, the registered incarnation answers and refuses orders with its previous fence.
+    for (const auto registered : m_directory.withId(claim.record.id())) {
+        auto& executor = m_executors.at(registered);
+        executor.fence = fence;
+        executor.acknowledgementsInFlight.clear();
+    }
+    ++m_counters.renewals;
+    const auto order = ++m_lastOrder;
+    m_actions.emplace_back(SendOrder { order, claim.record.address(), claim.record.id(), fence, m_options.renewalSlack,
+        RenewLease {}, number, claim.record.zone() });
+    m_claims.recordProbe(number, order, m_now, m_now + m_options.renewalSlack + m_options.renewalRetry);
+}
+
+void JobLeader::checkClaims()
+{
+    for (const auto& it : m_claims.takeOlderThan(m_now - claimLifetime))
+        logClaim("executor_claim_dropped", it, "neither confirmed nor announced again");
+    for (const auto number : m_claims.dueForProbe(m_now))
+        probeClaim(number);
+}
+
+void JobLeader::onClaimProbed(uint32_t number, const OrderResult& result)
+{
+    auto& claim = *m_claims.find(number);
+    if (result.outcome == OrderOutcome::OtherIncarnation)
+        return refuteClaim(number, "another executor answers at the address");
+    // A list without a start time does not tell which incarnation answers.
+    if (result.outcome != OrderOutcome::Done || (result.bornMs == 0 && claim.record.born_ms() != 0)) {
+        claim.nextProbeAt = m_now + m_options.renewalRetry;
+        return;
+    }
+    if (result.bornMs != claim.record.born_ms())
+        return refuteClaim(number, "another incarnation answers");
+    confirmClaim(number, claim.probedAt);
+}
+
+void JobLeader::refuteClaim(uint32_t number, std::string_view reason)
+{
+    logClaim("executor_claim_refuted", *m_claims.find(number), reason);
+    m_claims.remove(number);
+}
+
+void JobLeader::confirmClaim(uint32_t number, Instant askedAt)
+{
+    auto& claim = *m_claims.find(number);
+    const auto contradicted = m_directory.withIdOrAddress(claim.record.id(), claim.record.address());
+    // The one that was asked later and answered is the later one.
+    const bool isOutdated = std::any_of(contradicted.begin(), contradicted.end(),
+        [&](const auto it) { return m_executors.at(it).answeredOrderSentAt >= askedAt; });
+    if (isOutdated || m_pendingRegistrations.contains(claim.record.id())) {
+        claim.nextProbeAt = m_now + m_options.renewalRetry;
+        return;
+    }
+    logClaim("executor_claim_confirmed", claim, "it answers");
+    m_goneIncarnations.erase({ claim.record.id(), claim.record.born_ms() });
+    auto record = std::move(claim.record);
+    const auto coldUntil = claim.coldUntil;
+    m_claims.remove(number);
+    for (const auto it : contradicted) {
+        const auto* state = executorState(it);
+        if (state == nullptr || !isSameLife(state->record, record) || m_executors.at(it).isReplaced)
+            continue;
+        log("executor_moved",
+            { { "executor", record.id() }, { "from", state->record.address() }, { "to", record.address() } });
+        record.set_number(it);
+        *change().mutable_executor() = std::move(record);
+        m_batchContinuations.emplace_back(ExecutorWhenCommitted { it, coldUntil });
+        return;
+    }
+    const auto id = record.id();
+    const auto successor = registerExecutor(std::move(record), coldUntil);
+    for (const auto it : contradicted) {
+        const auto* previous = executorState(it);
+        if (const auto* executor = findExecutor(it); executor != nullptr && !executor->isReplaced)
+            recordCrash(*executor);
+        // Orders name an id, so those in flight to an incarnation with another id are refused.
+        const bool isSameId = previous != nullptr && previous->record.id() == id;
+        rememberGone(it);
+        removeIncarnation(it, "another incarnation has answered",
+            isSameId ? RunEvidence::IncarnationEnded : RunEvidence::AddressTaken, isSameId ? successor : 0);
+    }
+}
+
+// ---- Departures ------------------------------------------------------------
+
+void JobLeader::handleCall(uint64_t handle, ExecutorDeparture& call)
+{
+    for (const auto number : m_directory.withId(call.id)) {
+        const auto* state = executorState(number);
+        if (state == nullptr)
+            continue;
+        auto& executor = m_executors.at(number);
+        // Without a start time it may be the delayed departure of a previous incarnation. Executors drain before they
+        // leave.
+        const bool isMeant = call.bornMs == 0 ? executor.isDraining : call.bornMs == state->record.born_ms();
+        if (!isMeant)
+            continue;
+        // Listings that it made before it left may still be on their way; checkExecutor() removes it.
+        if (!executor.hasLeft())
+            executor.leftAt = m_now;
+        executor.departureHandles.push_back(handle);
+        return;
+    }
+    answer(handle, {});
+}
+
+} // namespace teasel
--- a/jobs/job_checks.cpp
+++ b/jobs/job_checks.cpp
@@ -12,7 +12,7 @@
     constexpr Milliseconds departureLead { 700 };
     // Between a departure and the removal of the executor; covers the way of a listing over another core instance.
     constexpr Milliseconds departureDelay { 100 };
-    // Delayed announcements of incarnations that ended longer ago are not recognized.
+    // An announcement of an incarnation that ended longer ago is not doubted.
     constexpr size_t maxGoneIncarnations = 10'000;
     constexpr Milliseconds forecastInterval { 150 };
     // Horizon within which a gang may wait for capacity; half the run time of a large task.
@@ -147,7 +147,7 @@
     rememberGone(executor.number);
     raiseFence(state->record, ++m_lastExecutor);
     recordCrash(executor);
-    endRunsInProgress(executor);
+    endRunsInProgress(executor, RunEvidence::IncarnationEnded);
     absl::erase_if(m_pendingOrders, [&](const auto& it) { return it.second.executor == executor.number; });
 }
 
@@ -169,7 +169,7 @@
     if (!std::exchange(executor->isReplaced, true))
         executor->replacedAt = m_now;
     executor->nextRenewalAt = Instant::max();
-    endRunsInProgress(*executor);
+    endRunsInProgress(*executor, evidence);
     std::vector<TaskKey> inFlight;
     for (const auto& [key, run] : executor->runs) {
         if (run.mayStillStart())
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -269,6 +269,10 @@
 
 void JobLeader::onOrderResult(uint64_t number, OrderResult result, Instant now)
 {
+    if (const auto claim = m_claims.takeProbe(number)) {
+        m_now = now;
+        return onClaimProbed(*claim, result);
+    }
     const auto found = m_pendingOrders.find(number);
     if (found == m_pendingOrders.end())
         return;
@@ -290,7 +294,10 @@
         return;
     }
     if (result.bornMs != 0 && state->record.born_ms() != 0 && result.bornMs != state->record.born_ms()) {
+        const auto claim = m_claims.find(state->record.id(), result.bornMs, state->record.address());
         awaitSuccessor(*executor);
+        if (claim)
+            confirmClaim(*claim, order.sentAt);
         return;
     }
     if (result.clockMs != 0) {
@@ -375,6 +382,7 @@
                 { "assigned", std::to_string(executor.runs.size()) } });
     else if (silence > m_options.suspectAfter)
         log("executor_regained", { { "executor", state->record.id() }, { "silent_ms", millis(silence) } });
+    executor.answeredOrderSentAt = std::max(executor.answeredOrderSentAt, order.sentAt);
     executor.acknowledgedEnds = std::max(executor.acknowledgedEnds, order.acknowledgedEnds);
     if (!order.isTimedOut) // A late answer does not show that the executor is reachable now.
         executor.lastAnswerAt = m_now;
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -88,6 +88,7 @@
     }
     m_stateQueries.clear();
     m_scheduledJobs.clear();
+    m_claims.clear();
     m_pendingRegistrations.clear();
     m_proposedEvacuations.clear();
     m_runsToEvacuate.clear();
@@ -120,6 +121,7 @@
         if (auto* it = findExecutor(number))
             checkExecutor(*it);
     }
+    checkClaims();
     checkGangs();
     checkEvacuations();
     recordLearnedRunTimes();
@@ -214,6 +216,7 @@
     m_pendingRegistrations.erase(state->record.id());
     if (auto* known = findExecutor(it.number)) {
         known->isDraining = state->record.draining();
+        m_directory.add(known->number, state->record.id(), state->record.address());
         return;
     }
     addExecutor(*state);
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -10,6 +10,7 @@
 #include "jobs/advice_planner.h"
 #include "jobs/advice_tracker.h"
 #include "jobs/evacuation_planner.h"
+#include "jobs/executor_claims.h"
 #include "jobs/executor_directory.h"
 #include "jobs/forecast_admission.h"
 #include "jobs/job_events.h"
@@ -162,7 +163,7 @@
         bool isTimedOut = false; // its timeout has passed; a late result is processed like that of a poll
     };
 
-    // Calls (job_calls.cpp).
+    // Calls (job_calls.cpp; those of executors: job_announcements.cpp).
     void handleCall(uint64_t handle, SubmitJob&);
     void handleCall(uint64_t handle, QueryJob&);
     void handleCall(uint64_t handle, CancelJob&);
@@ -203,6 +204,19 @@
     double criticalPathMs(const schema::JobRequest&, uint32_t step) const;
     double expectedMs(const schema::JobRequest&, const schema::JobStep&) const;
 
+    // Registration (job_announcements.cpp).
+    void updateExecutor(uint64_t handle, LiveExecutor&, ExecutorAnnouncement&);
+    // Returns the number of the new incarnation.
+    uint32_t registerExecutor(schema::ExecutorRecord, Instant coldUntil);
+    void checkClaims();
+    // Asks the executor of a claim for its list of runs.
+    void probeClaim(uint32_t claim);
+    void onClaimProbed(uint32_t claim, const OrderResult&);
+    void refuteClaim(uint32_t claim, std::string_view reason);
+    // Registers the incarnation, which has answered an order sent at `askedAt`, in place of those that it contradicts.
+    void confirmClaim(uint32_t claim, Instant askedAt);
+    void logClaim(std::string_view event, const ExecutorClaim&, std::string_view reason);
+
     // Executors (job_executors.cpp; periodic checks: job_checks.cpp).
     void addExecutor(const ExecutorState&);
     LiveExecutor* findExecutor(uint32_t number);
@@ -212,7 +226,7 @@
     // is one (0: none), until that one's first listing; otherwise the removal waits until all have certainly ended.
     void removeIncarnation(uint32_t number, std::string_view reason, RunEvidence, uint32_t successor = 0);
     void awaitSuccessor(LiveExecutor&);
-    // An incarnation that has certainly ended is not registered again.
+    // An incarnation that has ended is registered again only if it answers.
     void rememberGone(uint32_t number);
     // Records that an executor crashed under its runs, and which of these may be the cause.
     void recordCrash(const LiveExecutor&);
@@ -265,7 +279,7 @@
     void processLateEnd(const LiveExecutor&, const EndedTask&);
     void resolveAbsentRuns(LiveExecutor&, const PendingOrder&, const OrderResult&);
     void expireLease(LiveExecutor&);
-    void endRunsInProgress(LiveExecutor&);
+    void endRunsInProgress(LiveExecutor&, RunEvidence);
     void endRun(LiveExecutor&, const TaskKey&, RunEvidence, schema::RunOutcome, std::string checkpoint = {});
 
     // Run times (job_run_times.cpp).
@@ -349,6 +363,7 @@
     // Delayed answers to queries about running jobs, by job.
     absl::btree_map<uint64_t, std::vector<StateQuery>> m_stateQueries;
     absl::btree_set<uint64_t> m_scheduledJobs; // jobs with occurrences that have not begun
+    ExecutorClaims m_claims;
     // Start times (born_ms) of executors whose registration is not committed, by executor id.
     absl::btree_map<std::string, uint64_t> m_pendingRegistrations;
     absl::btree_set<std::pair<std::string, uint64_t>> m_goneIncarnations; // id and start time (born_ms)
--- a/jobs/job_run_ends.cpp
+++ b/jobs/job_run_ends.cpp
@@ -63,6 +63,8 @@
 
 bool JobLeader::hasCertainlyEnded(const LiveRun& run, RunEvidence evidence, Instant shownAt) const
 {
+    if (run.stage == RunStage::Committing) // Its start was not sent.
+        return true;
     switch (evidence) {
     case RunEvidence::NotSent:
     case RunEvidence::Refused:
@@ -203,7 +205,7 @@
         endRunIfCertain(executor, it, RunEvidence::LeaseExpired, m_now, schema::RUN_OUTCOME_LAPSED);
 }
 
-void JobLeader::endRunsInProgress(LiveExecutor& executor)
+void JobLeader::endRunsInProgress(LiveExecutor& executor, RunEvidence evidence)
 {
     std::vector<TaskKey> keys;
     for (const auto& [key, run] : executor.runs) {
@@ -211,7 +213,7 @@
             keys.push_back(key);
     }
     for (const auto& it : keys)
-        endRun(executor, it, RunEvidence::IncarnationEnded, schema::RUN_OUTCOME_LOST);
+        endRunIfCertain(executor, it, evidence, m_now, schema::RUN_OUTCOME_LOST);
 }
 
 void JobLeader::endRun(LiveExecutor& executor, const TaskKey& key, RunEvidence evidence, schema::RunOutcome outcome,
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -97,6 +97,7 @@
     uint64_t lastSequence = 0; // sequence number of the last announcement
     Instant lastAnnouncedAt {};
     Instant lastAnswerAt {}; // last answer to a renewal or poll that was in time
+    Instant answeredOrderSentAt {}; // when the newest renewal or poll was sent that it has answered
     LeaseClock clock;
     ResourceVector capacity; // as announced last; also before it is committed
     ResourceVector committed; // may exceed a capacity that has shrunk
--- a/jobs/run_evidence.h
+++ b/jobs/run_evidence.h
@@ -15,7 +15,7 @@
     AbsentAtTakeover = 5, // the first listing under this leader's fence lacks it
     AbsentAfterStartExpired = 6, // a listing that was requested after its start had expired lacks it
     LeaseExpired = 7, // the lease of the incarnation has expired
-    IncarnationEnded = 8, // the incarnation has ended; another may follow under its id
+    IncarnationEnded = 8, // another incarnation has answered under its id; a further one may follow
     Left = 9, // the incarnation announced that it ends
     AddressTaken = 10, // an executor with another id answers at the address and refuses the start
 };
--- a/tests/jobs_announcements_test.cpp
+++ b/tests/jobs_announcements_test.cpp
@@ -81,13 +81,12 @@
 TEST_CASE("an announcement that the executor itself does not confirm does not start its tasks elsewhere")
 {
     constexpr auto farFuture = std::numeric_limits<uint64_t>::max();
-    for (const auto& odd :
-        { Announcement { "z1", "a1", firstBorn }, Announcement { "z1", "a1", firstBorn + 1 },
-            Announcement { "z1", "a1", farFuture }, Announcement { "y1", "a1", firstBorn - 1 },
-            Announcement { "y1", "a1", firstBorn + 1 }, Announcement { "y1", "a1", farFuture },
-            Announcement { "y1", "a9", firstBorn }, Announcement { "y1", "a9", firstBorn + 1 } }) {
-        CAPTURE(odd.id);
-        CAPTURE(odd.address);
+    for (const auto& odd : { Announcement { "z1", "a1", firstBorn }, Announcement { "z1", "a1", firstBorn + 1 },
+             Announcement { "z1", "a1", farFuture }, Announcement { "y1", "a1", firstBorn - 1 },
+             Announcement { "y1", "a1", firstBorn + 1 }, Announcement { "y1", "a1", farFuture },
+             Announcement { "y1", "a9", firstBorn }, Announcement { "y1", "a9", firstBorn + 1 } }) {
+        CAPTURE(std::string(odd.id));
+        CAPTURE(std::string(odd.address));
         CAPTURE(odd.born);
         JobsFixture it;
         startOnY1(it);
@@ -96,3 +95,113 @@
         CHECK(!executors.timeToNextStart(Milliseconds(10'000)));
     }
 }
+
+TEST_CASE("a task starts elsewhere within 0.3 s after the next executor at the address has answered")
+{
+    for (const auto& next : { Announcement { "z1", "a1", 1 }, Announcement { "y1", "a1", firstBorn + 1 },
+             Announcement { "y1", "a1", firstBorn - 1 }, Announcement { "y1", "a9", firstBorn + 1 } }) {
+        CAPTURE(std::string(next.id));
+        CAPTURE(next.born);
+        JobsFixture it;
+        startOnY1(it);
+        it.orders.clear();
+        it.announceAt(next.id, next.address, next.born);
+        Milliseconds time { 0 };
+        for (; time < Milliseconds(1'000) && !it.takeOrder<StartRun>(); time += step) {
+            it.pass(step);
+            while (const auto renewal = it.takeOrder<RenewLease>()) {
+                const bool isNext = renewal->executorId == next.id && renewal->address == next.address;
+                if (isNext)
+                    it.answer(*renewal, { OrderOutcome::Done, 0, next.born });
+                else if (renewal->executorId == "x2")
+                    it.answer(*renewal, { OrderOutcome::Done });
+            }
+        }
+        CHECK(time <= Milliseconds(300));
+        CHECK(it.state.executors().size() == 2);
+    }
+}
+
+TEST_CASE("an executor that answers at another address keeps its runs")
+{
+    JobsFixture it;
+    startOnY1(it);
+    it.announceAt("y1", "a9", firstBorn, 2);
+    for (int n = 0; n < 500; ++n) {
+        it.pass(step);
+        while (const auto renewal = it.takeOrder<RenewLease>()) {
+            if (renewal->executorId == "x2")
+                it.answer(*renewal, { OrderOutcome::Done });
+            else if (renewal->address == "a9")
+                it.answer(*renewal, { OrderOutcome::Done, 0, firstBorn, { { firstTask, 1, {}, 50, -1 } }, {}, true });
+        }
+    }
+    CHECK(!it.takeOrder<StartRun>());
+    CHECK(!it.takeOrder<StopRun>());
+    CHECK(it.state.executors().begin()->second.assignments.contains(firstTask));
+    CHECK(it.state.executors().begin()->second.record.address() == "a9");
+}
+
+TEST_CASE("an executor gets orders that it accepts after another writer has announced it")
+{
+    JobsFixture it;
+    startOnY1(it);
+    uint64_t fence = 0;
+    const auto passFenced = [&](Milliseconds time) {
+        for (Milliseconds n { 0 }; n < time; n += step) {
+            it.pass(step);
+            while (const auto renewal = it.takeOrder<RenewLease>()) {
+                const bool isStale = renewal->executorId == "y1" && renewal->fence < fence;
+                if (renewal->executorId == "y1")
+                    fence = std::max(fence, renewal->fence);
+                if (renewal->executorId == "x2")
+                    it.answer(*renewal, { OrderOutcome::Done });
+                else if (isStale)
+                    it.answer(*renewal, { OrderOutcome::StaleFence });
+                else
+                    it.answer(
+                        *renewal, { OrderOutcome::Done, 0, firstBorn, { { firstTask, 1, {}, 50, -1 } }, {}, true });
+            }
+        }
+    };
+    for (uint64_t n = 1; n <= 20; ++n) {
+        it.announceAt("y1", "a1", firstBorn + n);
+        passFenced(Milliseconds(400));
+    }
+    CHECK(!it.takeOrder<StartRun>());
+    it.submit(JobsFixture::request(8, 7)); // 14 cores: more than one executor has
+    passFenced(Milliseconds(100));
+    const auto start = it.takeOrder<StartRun>("y1");
+    REQUIRE(start);
+    CHECK(start->fence >= fence);
+}
+
+TEST_CASE("a false sequence number of an announcement does not make the true ones look late")
+{
+    JobsFixture it;
+    startOnY1(it);
+    it.announceAt("y1", "a1", firstBorn, std::numeric_limits<uint32_t>::max());
+    it.announceAt("y1", "a1", firstBorn, 2, true);
+    CHECK(it.state.executors().begin()->second.record.draining());
+}
+
+TEST_CASE("an answer of an incarnation that was asked before its successor does not displace the successor")
+{
+    JobsFixture it;
+    startOnY1(it);
+    it.orders.clear();
+    it.announceAt("z1", "a1", 1);
+    const auto early = it.takeOrder<RenewLease>("z1");
+    REQUIRE(early);
+    it.announceAt("z2", "a1", 2);
+    it.pass(step);
+    const auto late = it.takeOrder<RenewLease>("z2");
+    REQUIRE(late);
+    it.answer(*late, { OrderOutcome::Done, 0, 2 });
+    it.pass(Milliseconds(100));
+    while (const auto renewal = it.takeOrder<RenewLease>("z2"))
+        it.answer(*renewal, { OrderOutcome::Done, 0, 2 });
+    it.answer(*early, { OrderOutcome::Done, 0, 1 });
+    it.pass(Milliseconds(100));
+    CHECK(it.state.executors().rbegin()->second.record.id() == "z2");
+}
--- a/tests/jobs_fixture.h
+++ b/tests/jobs_fixture.h
@@ -96,6 +96,7 @@
         it.record.mutable_capacity()->set_memory_mib(16'000);
         it.sequence = sequence;
         it.drainRemainingMs = draining ? 2'000 : 0;
+        announcedBorn[id] = born;
         leader.onCall(++lastHandle, std::move(it), clock.now(), clock.wallNow());
         commitAndCollect();
     }
@@ -140,6 +141,10 @@
         if (result.outcome != OrderOutcome::UnknownOutcome && result.outcome != OrderOutcome::NotSent)
             result.clockMs = static_cast<uint64_t>(
                 std::chrono::duration_cast<Milliseconds>(clock.now().time_since_epoch()).count());
+        // Lists of runs have the start time of the incarnation; by default that of the last one announced.
+        if (result.outcome == OrderOutcome::Done && result.bornMs == 0
+            && std::holds_alternative<RenewLease>(order.order))
+            result.bornMs = announcedBorn[order.executorId];
         leader.onOrderResult(order.number, std::move(result), clock.now());
         commitAndCollect();
     }
@@ -183,6 +188,7 @@
     std::map<uint64_t, Instant> sentAt; // by order number
     std::vector<AnswerCall> answers;
     std::vector<AskAdvice> adviceRequests;
+    std::map<std::string, uint64_t> announcedBorn; // start time in the last announcement, by id
     uint64_t lastHandle = 0;
 };
 
