A departure ends no run before its executor's lease has expired or another one answers

Callers saw one task run twice: a departure that its executor had not sent ended its runs after 0.1 s. Cause: the evidence 'left' was the message alone. A departed executor gets no further starts and is marked as draining in the log, and its departure is acknowledged at once; its runs end by a list, another incarnation's answer or the lease. Ruled out: a refused connection as evidence (cuts can refuse connections).

--- a/jobs/job_announcements.cpp
+++ b/jobs/job_announcements.cpp
@@ -218,10 +218,18 @@
         const bool isMeant = call.bornMs == 0 ? executor.isDraining : call.bornMs == state->record.born_ms();
         if (!isMeant)
             continue;
-        // Listings that it made before it left may still be on their way; checkExecutor() removes it.
-        if (!executor.hasLeft())
+        if (!executor.hasLeft()) {
+            log("executor_leaves", { { "executor", call.id }, { "runs", std::to_string(executor.runs.size()) } });
             executor.leftAt = m_now;
-        executor.departureHandles.push_back(handle);
+        }
+        if (state->record.draining())
+            break;
+        // It gets no further work from the next leader either.
+        auto record = state->record;
+        record.set_draining(true);
+        *change().mutable_executor() = std::move(record);
+        m_batchContinuations.emplace_back(ExecutorWhenCommitted { number, executor.coldUntil });
+        m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
         return;
     }
     answer(handle, {});
--- a/jobs/job_checks.cpp
+++ b/jobs/job_checks.cpp
@@ -31,19 +31,19 @@
             removeIncarnation(executor.number, "no successor announced itself", RunEvidence::IncarnationEnded);
         return;
     }
-    if (executor.hasLeft()) {
-        if (m_now - executor.leftAt >= departureDelay) {
-            rememberGone(executor.number);
-            removeIncarnation(executor.number, "left", RunEvidence::Left);
-        }
-        return;
-    }
     const bool isSilent = m_now - std::max(executor.lastAnswerAt, executor.addedAt) > m_options.suspectAfter;
     if (isSilent && !executor.runs.empty()) {
         const auto earliestExpiry = executor.addedAt + longestValidity(m_options.maxLease);
         if (m_now >= (executor.hasAcceptedFence ? executor.clock.expiresAt() : earliestExpiry))
             expireLease(executor);
     }
+    const bool hasOpenRuns = std::any_of(
+        executor.runs.begin(), executor.runs.end(), [](const auto& it) { return it.second.stage != RunStage::Ending; });
+    if (executor.hasLeft() && !hasOpenRuns && m_now - executor.leftAt >= departureDelay) {
+        rememberGone(executor.number);
+        removeIncarnation(executor.number, "left", RunEvidence::IncarnationEnded);
+        return;
+    }
     const auto lastContactAt = std::max({ executor.lastAnnouncedAt, executor.lastAnswerAt, m_leadingSince });
     if (executor.runs.empty() && m_now - lastContactAt > m_options.removeExecutorAfter) {
         removeIncarnation(executor.number, "silent", RunEvidence::IncarnationEnded);
@@ -194,8 +194,6 @@
     executor->isRemovalProposed = true;
     change().set_executor_removed(number);
     m_batchContinuations.emplace_back(ExecutorWhenCommitted { number, {} });
-    for (const auto handle : std::exchange(executor->departureHandles, {}))
-        m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
 }
 
 void JobLeader::recordFailure(LiveExecutor& executor, const TaskKey& key)
--- a/jobs/job_run_ends.cpp
+++ b/jobs/job_run_ends.cpp
@@ -77,9 +77,6 @@
     case RunEvidence::AbsentAtTakeover:
     case RunEvidence::AbsentAfterStartExpired:
         return run.isListed || shownAt >= run.startExpiresAt;
-    case RunEvidence::Left:
-        return run.isStartAnswered || run.isListed
-            || shownAt >= run.startExpiresAt + longestValidity(m_options.maxLease);
     // A later incarnation may have carried out the start just before its expiry and grants a lease of its own.
     case RunEvidence::LeaseExpired:
     case RunEvidence::IncarnationEnded:
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -91,7 +91,6 @@
     bool isRemovalDue = false; // has ended; it is removed when all of its runs have ended
     bool isRemovalProposed = false;
     Instant leftAt {}; // when it announced its departure; Instant() before
-    std::vector<uint64_t> departureHandles; // calls that announced the departure, to be answered
     Instant drainedBy {}; // while draining: the executor may leave from this time on
     Instant coldUntil {}; // slow after its start until then, as announced
     uint64_t lastSequence = 0; // sequence number of the last announcement
--- a/jobs/run_evidence.h
+++ b/jobs/run_evidence.h
@@ -16,8 +16,7 @@
     AbsentAfterStartExpired = 6, // a listing that was requested after its start had expired lacks it
     LeaseExpired = 7, // the lease of the incarnation has expired
     IncarnationEnded = 8, // another incarnation has answered under its id; a further one may follow
-    Left = 9, // the incarnation announced that it ends
-    AddressTaken = 10, // an executor with another id answers at the address and refuses the start
+    AddressTaken = 9, // an executor with another id answers at the address and refuses the start
 };
 
 constexpr std::string_view toText(RunEvidence it)
@@ -41,8 +40,6 @@
         return "lease_expired";
     case RunEvidence::IncarnationEnded:
         return "incarnation_ended";
-    case RunEvidence::Left:
-        return "left";
     case RunEvidence::AddressTaken:
         return "address_taken";
     }
