A start that an unhealthy executor refused ends when a listing lacks it

Callers saw one task run twice, and an executor over its room: a start was refused with 429 or 503 while another copy of it had been carried out, and the refusal alone ended the run. Cause: RunEvidence::Refused held for any refusal. Those that hold for each copy (409) stay proof; after one by an unhealthy executor a list of its runs is requested, and the run ends if the list lacks it. Ruled out: that the executor's word decides: it speaks of one copy only.

--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -334,17 +334,21 @@
             { "executor", state == nullptr ? "" : state->record.id() },
             { "end", std::to_string(static_cast<int>(result.outcome)) },
             { "after_ms", millis(m_now - order.sentAt) } });
-    // A refusal as old also comes if the start was received twice and its run has ended.
-    if (result.outcome == OrderOutcome::UnknownOutcome || result.outcome == OrderOutcome::StaleRun) {
-        ++m_counters.unknownStartOutcomes;
+    // A refusal as old also comes if the start was received twice and its run has ended; one by an unhealthy executor
+    // says nothing about another copy of the start.
+    run.isRefused = result.outcome == OrderOutcome::Refused;
+    if (run.isRefused) {
+        ++m_counters.startsRefused;
+        recordFailure(executor, order.task);
+    }
+    if (run.isRefused || result.outcome == OrderOutcome::UnknownOutcome || result.outcome == OrderOutcome::StaleRun) {
+        m_counters.unknownStartOutcomes += run.isRefused ? 0 : 1;
         run.stage = RunStage::UnknownOutcome;
         run.unknownSince = m_now;
         executor.pollAt = m_now;
         return;
     }
     ++m_counters.startsRefused;
-    if (result.outcome == OrderOutcome::Refused)
-        recordFailure(executor, order.task);
     const bool isSent = result.outcome != OrderOutcome::NotSent;
     endRun(executor, order.task, isSent ? RunEvidence::Refused : RunEvidence::NotSent, schema::RUN_OUTCOME_NEVER_RAN);
 }
--- a/jobs/job_run_ends.cpp
+++ b/jobs/job_run_ends.cpp
@@ -71,6 +71,7 @@
     case RunEvidence::EndListed:
     case RunEvidence::AbsentWhileRunning:
     case RunEvidence::AddressTaken:
+    case RunEvidence::AbsentAfterRefusal:
         return true;
     // A stop and a fence bind this incarnation only: if it restarts, the next one carries out the start.
     case RunEvidence::AbsentAfterStop:
@@ -167,6 +168,8 @@
             neverRan.emplace_back(key, RunEvidence::AbsentAfterStartExpired);
         else if (isStopped || run.stage == RunStage::Inherited)
             neverRan.emplace_back(key, isStopped ? RunEvidence::AbsentAfterStop : RunEvidence::AbsentAtTakeover);
+        else if (run.stage == RunStage::UnknownOutcome && order.sentAt > run.unknownSince && run.isRefused)
+            neverRan.emplace_back(key, RunEvidence::AbsentAfterRefusal);
         else if (run.stage == RunStage::UnknownOutcome && order.sentAt > run.unknownSince)
             requestStop(executor, key, run);
         else if (run.stage == RunStage::Running && order.sentAt > run.lastSeenAt) // Listings may arrive out of order.
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -39,6 +39,7 @@
     Instant startExpiresAt {}; // its start takes effect before this time or never
     bool isPolledAfterExpiry = false; // a poll was sent because its start had expired
     bool isStartAnswered = false;
+    bool isRefused = false; // its start was refused; a listing has to show that no other copy of it took effect
     bool isListed = false; // a listing has shown it
     bool isMoved = false; // its start was sent to an earlier incarnation
     bool isFromStart = true; // started from the beginning, not from a checkpoint
--- a/jobs/run_evidence.h
+++ b/jobs/run_evidence.h
@@ -8,7 +8,7 @@
 
 enum class RunEvidence : uint8_t {
     NotSent = 0, // no byte of its start was sent
-    Refused = 1, // the executor refused its start
+    Refused = 1, // the executor refused its start for a reason that holds for each copy of it
     EndListed = 2, // the executor listed its end
     AbsentWhileRunning = 3, // a listing lacks the run, which ran there before
     AbsentAfterStop = 4, // a listing that was requested after an answered stop lacks it
@@ -17,6 +17,7 @@
     LeaseExpired = 7, // the lease of the incarnation has expired
     IncarnationEnded = 8, // another incarnation has answered under its id; a further one may follow
     AddressTaken = 9, // an executor with another id answers at the address and refuses the start
+    AbsentAfterRefusal = 10, // a listing that was requested after the executor had refused its start lacks it
 };
 
 constexpr std::string_view toText(RunEvidence it)
@@ -42,6 +43,8 @@
         return "incarnation_ended";
     case RunEvidence::AddressTaken:
         return "address_taken";
+    case RunEvidence::AbsentAfterRefusal:
+        return "absent_after_refusal";
     }
     return "";
 }
--- a/tests/jobs_refusals_test.cpp
+++ b/tests/jobs_refusals_test.cpp
@@ -83,3 +83,42 @@
     it.answerRenewals({}, { { 2, running.task, 1, schema::RUN_OUTCOME_DONE, {} } });
     CHECK(it.state.find(7)->phase == JobPhase::Completed);
 }
+
+TEST_CASE("a start that an unhealthy executor refused is given up when a listing lacks it, not earlier")
+{
+    constexpr Milliseconds step { 20 };
+    JobsFixture it;
+    it.announce("x1", 1);
+    it.answerRenewals({});
+    const auto start = startNext(it);
+    it.announce("x2");
+    while (const auto renewal = it.takeOrder<RenewLease>("x2"))
+        it.answer(*renewal, { OrderOutcome::Done });
+    it.answer(start, { OrderOutcome::Refused }); // 429 or 503; an earlier copy of the order may have been carried out
+    std::vector<SendOrder> fromFirst;
+    const auto passWithoutFirst = [&](Milliseconds time) {
+        for (Milliseconds n { 0 }; n < time; n += step) {
+            it.pass(step);
+            while (const auto renewal = it.takeOrder<RenewLease>("x2"))
+                it.answer(*renewal, { OrderOutcome::Done });
+            while (const auto renewal = it.takeOrder<RenewLease>("x1"))
+                fromFirst.push_back(*renewal);
+        }
+    };
+    passWithoutFirst(Milliseconds(500));
+    CHECK(!it.takeOrder<StartRun>());
+    REQUIRE(!fromFirst.empty());
+    SUBCASE("it is listed")
+    {
+        it.answer(fromFirst.back(), { OrderOutcome::Done, 0, 1, { { firstTask, 1, {}, 50, -1 } }, {}, true });
+        passWithoutFirst(Milliseconds(500));
+        CHECK(!it.takeOrder<StartRun>());
+        CHECK(!it.takeOrder<StopRun>());
+    }
+    SUBCASE("it is not listed")
+    {
+        it.answer(fromFirst.back(), { OrderOutcome::Done, 0, 1 });
+        passWithoutFirst(Milliseconds(200));
+        CHECK(it.takeOrder<StartRun>());
+    }
+}
