A message that is nested too deeply is refused before it is parsed

Callers could end the core (SIGSEGV): a job's fillRatio or a configuration's slackFactor of 60,000 lists. Cause: JsonFields::fraction() writes the odd value into its error by recursion. A text of more than 32 levels is no JSON for us now, wherever one is read: calls, configurations, announcements, answers of executors and of the advice service. The platform's messages have at most 5. Ruled out: the parser itself and the destruction of a value, which do not recurse.

--- /dev/null
+++ b/tests/platform_odd_entries_test.cpp
@@ -0,0 +1,72 @@
+// Odd entries of other writers: nested too deeply, with numbers too large, with addresses that name no machine.
+#include "platform/call_codec.h"
+#include "platform/json_fields.h"
+#include "platform/order_codec.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+using namespace teasel;
+using namespace teasel::platform;
+
+namespace {
+
+const TaskKey task { { 0x5c0e7a21d94b36f8, 0, 1 }, 17 };
+
+std::string nested(size_t lists) { return std::string(lists, '[') + std::string(lists, ']'); }
+
+template <class Function> bool fails(Function&& function)
+{
+    const auto outcome = valueOrError(std::forward<Function>(function));
+    return std::holds_alternative<Error>(outcome);
+}
+
+HttpOutcome answered(std::string body)
+{
+    HttpOutcome out;
+    out.result = HttpCallResult::Answered;
+    out.status = 200;
+    out.body = std::move(body);
+    return out;
+}
+
+std::string announcement(std::string_view address, std::string_view sequence = "4", std::string_view born = "12",
+    std::string_view labels = R"(["a","r1-3"])")
+{
+    return fmt::format(
+        R"({{"service":"s","address":"{}","zone":"z","state":"ready","capacity":{{"cpu":16000}},"labels":{},"sequence":{},"born":{}}})",
+        address, labels, sequence, born);
+}
+
+bool isRefused(const std::string& body)
+{
+    return fails([&] { return decodeAnnouncement("i-1", body); });
+}
+
+} // namespace
+
+TEST_CASE("a value that is nested 60,000 lists deep ends no process")
+{
+    const auto deep = nested(60'000);
+    const auto job = fmt::format(R"({{"spec":"x","steps":[{{"count":1,"fillRatio":{}}}]}})", deep);
+    CHECK(fails([&] { return decodeJob("5c0e7a21d94b36f8", job); }));
+    for (const char* field : { "slackFactor", "allowedRegions", "recommendation", "timeoutMs" }) {
+        const auto configuration = fmt::format(
+            R"({{"version":7,"routes":[{{"name":"r","host":"a","pathPrefix":"/","service":"s","timeoutMs":5,"{}":{}}}],"services":[{{"name":"s"}}]}})",
+            field, deep);
+        CHECK_MESSAGE(fails([&] { return decodeConfiguration(configuration); }), field);
+    }
+    CHECK(isRefused(announcement("10.0.0.1:80", "4", "12", deep)));
+    CHECK(isRefused(announcement("10.0.0.1:80", deep)));
+    const auto listing = fmt::format(R"({{"clockMs":5,"born":9,"running":[{}],"finished":[]}})", deep);
+    CHECK(decodeOrderOutcome(RenewLease {}, answered(listing)).outcome == OrderOutcome::UnknownOutcome);
+    CHECK(decodeOrderOutcome(StopRun { task, 1 }, answered(fmt::format(R"({{"clockMs":{}}})", deep))).clockMs == 0);
+    CHECK(!decodeAdviceOutcome(1, answered(fmt::format(R"({{"granted":{}}})", deep))).answered());
+}
+
+TEST_CASE("brackets in text do not count as nesting")
+{
+    const auto spec = std::string(1'000, '[') + R"(\"\\)" + std::string(1'000, '{');
+    const auto job = fmt::format(R"({{"spec":"{}","steps":[{{"count":1}}]}})", spec);
+    CHECK(!fails([&] { return decodeJob("5c0e7a21d94b36f8", job); }));
+}
