Announcements and lists with addresses or numbers out of range name no executor and no end

Another writer's entry with an address as 10.0.0.1:99999, :0, host:80 or 0.0.0.0:80 was registered; a sequence or a start time of 2^64-1 made the true announcements look late; an end numbered 2^64-1 made the leader acknowledge all later ends unseen. Cause: any text without separators was an address, any 64-bit number a time. Ruled out: dropping the whole list: rows before an odd one hold, and the list counts as incomplete. Conclusion: an odd entry names no executor; the others hold.

--- a/net/address.cpp
+++ b/net/address.cpp
@@ -60,4 +60,14 @@
     return ntohs(reinterpret_cast<const sockaddr_in6*>(&m_storage)->sin6_port);
 }
 
+bool SocketAddress::isUnicast() const
+{
+    if (family() == AF_INET) {
+        const auto host = ntohl(reinterpret_cast<const sockaddr_in*>(&m_storage)->sin_addr.s_addr);
+        return host != INADDR_ANY && host != INADDR_BROADCAST && !IN_MULTICAST(host);
+    }
+    const auto& host = reinterpret_cast<const sockaddr_in6*>(&m_storage)->sin6_addr;
+    return !IN6_IS_ADDR_UNSPECIFIED(&host) && !IN6_IS_ADDR_MULTICAST(&host);
+}
+
 } // namespace teasel
--- a/net/address.h
+++ b/net/address.h
@@ -22,6 +22,9 @@
     int family() const { return m_storage.ss_family; }
     uint16_t port() const;
 
+    // Whether it names one machine: neither an unspecified, a multicast nor the broadcast address.
+    bool isUnicast() const;
+
 private:
     sockaddr_storage m_storage = {};
     socklen_t m_size = 0;
--- a/tests/platform_odd_entries_test.cpp
+++ b/tests/platform_odd_entries_test.cpp
@@ -70,3 +70,48 @@
     const auto job = fmt::format(R"({{"spec":"{}","steps":[{{"count":1}}]}})", spec);
     CHECK(!fails([&] { return decodeJob("5c0e7a21d94b36f8", job); }));
 }
+
+TEST_CASE("an announcement whose address names no machine is refused")
+{
+    for (const char* address : { "10.0.0.1:99999", "10.0.0.1:65536", "10.0.0.1:0", "10.0.0.1:", ":80", ":0", "host:80",
+             "10.0.0.1", "10.0.0:80", "10.0.0.1:-1", "10.0.0.1:80:80", "0.0.0.0:80", "255.255.255.255:80",
+             "224.0.0.1:80", "[::]:80", "::1" })
+        CHECK_MESSAGE(isRefused(announcement(address)), address);
+    for (const char* address : { "10.0.0.1:80", "10.0.0.1:65535", "127.0.0.1:1", "[fd00::1]:80" })
+        CHECK_MESSAGE(!isRefused(announcement(address)), address);
+}
+
+TEST_CASE("an announcement with a sequence number or a start time out of range is refused")
+{
+    constexpr auto largest = "18446744073709551615";
+    CHECK(!isRefused(announcement("10.0.0.1:80", "4294967295", "1765000000000")));
+    for (const char* value : { largest, "9223372036854775808", "1e300", "-1", "1.5e19", "\"4\"", "[4]", "{}" }) {
+        CHECK_MESSAGE(isRefused(announcement("10.0.0.1:80", value)), value);
+        CHECK_MESSAGE(isRefused(announcement("10.0.0.1:80", "4", value)), value);
+    }
+    CHECK(isRefused(announcement("10.0.0.1:80", "4294967296")));
+    schema::RoutedCall leave;
+    leave.set_surface(schema::RoutedCall::CONTROL);
+    leave.set_method("POST");
+    leave.set_path("/instances/i-1/leave");
+    leave.set_body(fmt::format(R"({{"born":{}}})", largest));
+    CHECK(std::holds_alternative<schema::RoutedAnswer>(decodeCall(leave)));
+}
+
+TEST_CASE("an end with an odd number is not acknowledged, nor are those after it")
+{
+    const auto ends = [](std::string_view rows) {
+        return decodeOrderOutcome(
+            RenewLease {}, answered(fmt::format(R"({{"clockMs":5,"born":9,"running":[],"finished":[{}]}})", rows)));
+    };
+    const auto good = ends(R"([1,"1.0.0.0",1,"done"],[2,"1.0.0.1",1,"done"])");
+    CHECK(good.ended.size() == 2);
+    CHECK(good.isEndListComplete);
+    for (const char* odd : { "18446744073709551615", "9223372036854775808", "1", "0" }) {
+        CAPTURE(odd);
+        const auto it
+            = ends(fmt::format(R"([1,"1.0.0.0",1,"done"],[{},"1.0.0.1",1,"done"],[3,"1.0.0.2",1,"done"])", odd));
+        CHECK(it.ended.size() == 1);
+        CHECK(!it.isEndListComplete);
+    }
+}
