A late renewal can't extend the lease of a run that a later life began unseen

Cause: the wait counted one lease from the expiry of the start. A start now carries a higher fence than the renewals in flight, so those sent before it are refused; unanswered ones sent after it, and other unanswered starts, prolong the wait. Ruled out: no renewals while a start is unanswered (other runs would lapse).

--- a/jobs/job_announcements.cpp
+++ b/jobs/job_announcements.cpp
@@ -122,11 +122,8 @@
         logClaim("executor_claimed", claim, "it contradicts what is known");
     const auto fence = nextFence();
     // If the claim is false, the registered incarnation answers and refuses orders with its previous fence.
-    for (const auto registered : m_directory.withId(claim.record.id())) {
-        auto& executor = m_executors.at(registered);
-        executor.fence = fence;
-        executor.acknowledgementsInFlight.clear();
-    }
+    for (const auto registered : m_directory.withId(claim.record.id()))
+        m_executors.at(registered).fence = fence;
     ++m_counters.renewals;
     const auto order = ++m_lastOrder;
     m_actions.emplace_back(SendOrder { order, claim.record.address(), claim.record.id(), fence, m_options.renewalSlack,
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -157,13 +157,17 @@
     order.sentAt = m_now;
     order.timeoutAt = m_now + timeout + resultGrace;
     const auto number = ++m_lastOrder;
-    if (order.acknowledgedEnds > 0)
-        executor.acknowledgementsInFlight.insert(number);
-    // A later incarnation that carries out this start late refuses the acknowledgements that were sent before it. They
-    // would make it forget the end of the run, which no listing has shown.
-    if (order.kind == PendingOrder::Kind::Start && !executor.acknowledgementsInFlight.empty()) {
-        executor.acknowledgementsInFlight.clear();
+    // A later incarnation that carries out this start late refuses the renewals that were sent before it. They would
+    // make it forget the end of the run, which no listing has shown, or extend the lease of the run.
+    const bool isBeforeStart = order.kind == PendingOrder::Kind::Start
+        && std::any_of(executor.renewalsInFlight.begin(), executor.renewalsInFlight.end(),
+            [&](const auto& it) { return it.second.fence == executor.fence; });
+    if (isBeforeStart)
         executor.fence = nextFence();
+    if (order.acknowledgedEnds > 0 || order.renewsLease) {
+        absl::erase_if(executor.renewalsInFlight,
+            [&](const auto& it) { return m_now - it.second.sentAt > m_options.maxStartDelay; });
+        executor.renewalsInFlight[number] = { m_now, executor.fence, order.renewsLease };
     }
     m_pendingOrders.emplace(number, order);
     m_actions.emplace_back(SendOrder { number, state->record.address(), state->record.id(), executor.fence, timeout,
@@ -286,7 +290,7 @@
     if (executor == nullptr || state == nullptr)
         return;
     if (result.outcome != OrderOutcome::UnknownOutcome)
-        executor->acknowledgementsInFlight.erase(number);
+        executor->renewalsInFlight.erase(number);
     if (result.outcome == OrderOutcome::OtherIncarnation) { // It has another id and refuses all orders for this one.
         recordCrash(*executor);
         rememberGone(order.executor);
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -264,7 +264,9 @@
     // Ends of runs (job_run_ends.cpp).
     // The only place that decides whether a run has certainly ended: neither in progress in any incarnation of its
     // executor, nor about to begin because its start is still on its way. `shownAt`: when the evidence was requested.
-    bool hasCertainlyEnded(const LiveRun&, RunEvidence, Instant shownAt) const;
+    bool hasCertainlyEnded(const LiveExecutor&, const LiveRun&, RunEvidence, Instant shownAt) const;
+    // From this time on, no incarnation of the executor has a lease for a run whose start it may have carried out late.
+    Instant lateLeaseExpiry(const LiveExecutor&, const LiveRun&) const;
     // Ends the run, or lets it wait for the expiry of its start if it may still begin.
     void endRunIfCertain(LiveExecutor&, const TaskKey&, RunEvidence, Instant shownAt, schema::RunOutcome);
     // When a start that an earlier leader sent has expired.
--- a/jobs/job_run_ends.cpp
+++ b/jobs/job_run_ends.cpp
@@ -61,7 +61,23 @@
     m_batchContinuations.emplace_back(LateEndWhenCommitted { it.task });
 }
 
-bool JobLeader::hasCertainlyEnded(const LiveRun& run, RunEvidence evidence, Instant shownAt) const
+Instant JobLeader::lateLeaseExpiry(const LiveExecutor& executor, const LiveRun& run) const
+{
+    auto lastOrderAt = run.startExpiresAt;
+    // A renewal or another start that is carried out after this one extends the lease.
+    for (const auto& [number, it] : executor.renewalsInFlight) {
+        if (it.extendsLease && it.sentAt >= run.assignedAt)
+            lastOrderAt = std::max(lastOrderAt, it.sentAt + m_options.maxStartDelay);
+    }
+    for (const auto& [key, other] : executor.runs) {
+        if (other.mayStillStart())
+            lastOrderAt = std::max(lastOrderAt, other.startExpiresAt);
+    }
+    return lastOrderAt + longestValidity(m_options.maxLease);
+}
+
+bool JobLeader::hasCertainlyEnded(
+    const LiveExecutor& executor, const LiveRun& run, RunEvidence evidence, Instant shownAt) const
 {
     if (run.stage == RunStage::Committing) // Its start was not sent.
         return true;
@@ -81,7 +97,7 @@
     // A later incarnation may have carried out the start just before its expiry and grants a lease of its own.
     case RunEvidence::LeaseExpired:
     case RunEvidence::IncarnationEnded:
-        return run.isListed || shownAt >= run.startExpiresAt + longestValidity(m_options.maxLease);
+        return run.isListed || shownAt >= lateLeaseExpiry(executor, run);
     }
     return false;
 }
@@ -92,7 +108,7 @@
     auto& run = executor.runs.at(key);
     const auto* job = m_state.find(key.step.job);
     const bool isNeeded = job != nullptr && !job->hasEnded(); // otherwise its task is not started again
-    if (!isNeeded || hasCertainlyEnded(run, evidence, shownAt))
+    if (!isNeeded || hasCertainlyEnded(executor, run, evidence, shownAt))
         return endRun(executor, key, evidence, outcome);
     if (run.stage == RunStage::AwaitingStartExpiry)
         return;
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -8,7 +8,6 @@
 #include "placement/resource_vector.h"
 
 #include <absl/container/btree_map.h>
-#include <absl/container/btree_set.h>
 
 #include <string>
 #include <vector>
@@ -113,8 +112,14 @@
     Instant pollAt = Instant::max();
     uint64_t committedEnds = 0; // ends up to this number are committed
     uint64_t acknowledgedEnds = 0; // ends up to this number were acknowledged in an order that was answered
-    // Orders that acknowledge ends, were sent under the present fence, and may still be carried out.
-    absl::btree_set<uint64_t> acknowledgementsInFlight;
+    struct RenewalInFlight {
+        Instant sentAt {};
+        uint64_t fence = 0;
+        bool extendsLease = false;
+    };
+    // Orders, by number, that acknowledge ends or extend the lease and may still be carried out, possibly by a later
+    // incarnation.
+    absl::btree_map<uint64_t, RenewalInFlight> renewalsInFlight;
     uint64_t processedEnds = 0; // ends up to this number have been processed
     uint64_t leaseExpiries = 0; // number of times its lease expired
 
--- a/tests/jobs_late_starts_test.cpp
+++ b/tests/jobs_late_starts_test.cpp
@@ -253,3 +253,61 @@
     CHECK(seen == maxListed);
     CHECK(isStartedAgain);
 }
+
+TEST_CASE("a later life that carries out a start late refuses lease renewals that were sent before it")
+{
+    JobsFixture it;
+    it.announce("x1");
+    it.answerRenewals({});
+    it.pass(Milliseconds(100));
+    const auto renewal = it.takeOrder<RenewLease>("x1");
+    REQUIRE(renewal);
+    REQUIRE(std::get<RenewLease>(renewal->order).leaseUntilMs > 0);
+    it.submit(JobsFixture::request(7, 1));
+    it.pass(step);
+    const auto start = it.takeOrder<StartRun>("x1");
+    REQUIRE(start);
+    CHECK(start->fence > renewal->fence);
+}
+
+TEST_CASE("a task is not started elsewhere while a late renewal may extend the lease of a later life")
+{
+    JobLeaderOptions options;
+    options.maxStartDelay = Milliseconds(8'000);
+    JobsFixture it(true, options);
+    it.announce("x1");
+    it.answerRenewals({});
+    it.submit(JobsFixture::request(7, 1));
+    const auto grant = [&](const char* executor) {
+        while (!it.adviceRequests.empty()) {
+            const auto request = it.adviceRequests.front();
+            it.adviceRequests.erase(it.adviceRequests.begin());
+            it.leader.onAdvice(request.number, true, { { executor, "ticket" } }, it.clock.now());
+            it.commitAndCollect();
+        }
+    };
+    it.pass(step);
+    grant("x1");
+    REQUIRE(it.takeOrder<StartRun>("x1")); // never answered; its ticket is valid for 2 s
+    it.answerRenewals({}); // requested before the start
+    it.announce("x2");
+    std::optional<Instant> renewedAt;
+    const auto sentAt = it.clock.now();
+    std::optional<Duration> again;
+    while (!again && it.clock.now() - sentAt < std::chrono::seconds(30)) {
+        it.pass(step);
+        grant("x2");
+        while (const auto renewal = it.takeOrder<RenewLease>("x2"))
+            it.answer(*renewal, { OrderOutcome::Done });
+        while (const auto renewal = it.takeOrder<RenewLease>("x1")) {
+            if (std::get<RenewLease>(renewal->order).leaseUntilMs > 0)
+                renewedAt = it.clock.now();
+        }
+        if (it.takeOrder<StartRun>())
+            again = it.clock.now() - sentAt;
+    }
+    REQUIRE(renewedAt);
+    REQUIRE(again);
+    CHECK(*again >= *renewedAt - sentAt + Milliseconds(14'000)); // its delay and a whole lease
+    CHECK(*again <= *renewedAt - sentAt + Milliseconds(15'000));
+}
