A list of runs without a start time proves nothing, and an announcement without one names no executor

Cause: a missing start time was taken as the registered one. Ruled out: answers to starts and stops, which need not have it.

--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -304,6 +304,11 @@
             confirmClaim(*claim, order.sentAt);
         return;
     }
+    if (order.kind == PendingOrder::Kind::Renewal && result.outcome == OrderOutcome::Done && result.bornMs == 0
+        && state->record.born_ms() != 0) { // It may be of another incarnation.
+        log("list_without_start_time", { { "executor", state->record.id() } });
+        result = {};
+    }
     if (result.clockMs != 0) {
         // A previous leader may have renewed the lease until just before.
         if (!executor->clock.isKnown())
--- a/tests/jobs_late_starts_test.cpp
+++ b/tests/jobs_late_starts_test.cpp
@@ -311,3 +311,20 @@
     CHECK(*again >= *renewedAt - sentAt + Milliseconds(14'000)); // its delay and a whole lease
     CHECK(*again <= *renewedAt - sentAt + Milliseconds(15'000));
 }
+
+TEST_CASE("a list of runs without a start time does not show that a run has ended")
+{
+    JobsFixture it;
+    it.announce("x1");
+    it.answerRenewals({});
+    it.submit(JobsFixture::request(7, 1));
+    it.pass(step);
+    it.answer(*it.takeOrder<StartRun>(), { OrderOutcome::Done });
+    it.passWithRenewals(Milliseconds(1'500), { { { { 7, 0, 0 }, 0 }, 1, {}, 50, -1 } });
+    it.announcedBorn["x1"] = 0;
+    it.passWithRenewals(Milliseconds(2'500));
+    CHECK(!it.takeOrder<StartRun>());
+    it.announcedBorn["x1"] = 1;
+    it.passWithRenewals(Milliseconds(1'500));
+    CHECK(it.takeOrder<StartRun>());
+}
--- a/tests/platform_odd_entries_test.cpp
+++ b/tests/platform_odd_entries_test.cpp
@@ -85,7 +85,8 @@
 {
     constexpr auto largest = "18446744073709551615";
     CHECK(!isRefused(announcement("10.0.0.1:80", "4294967295", "1765000000000")));
-    for (const char* value : { largest, "9223372036854775808", "1e300", "-1", "1.5e19", "\"4\"", "[4]", "{}" }) {
+    for (const char* value :
+        { largest, "9223372036854775808", "1e300", "-1", "1.5e19", "\"4\"", "[4]", "{}", "null" }) {
         CHECK_MESSAGE(isRefused(announcement("10.0.0.1:80", value)), value);
         CHECK_MESSAGE(isRefused(announcement("10.0.0.1:80", "4", value)), value);
     }
