An executor that moves to another address replaces the one that was registered there

Cause: a move changed the address alone; the executor registered there before stayed until it was silent for 12 s. Ruled out: a 421 as the only way (no order to it may be due). Before: jobs_announcements, 'keeps its runs': 3 executors registered. Conclusion: a confirmed claim replaces all that it contradicts.

--- a/jobs/job_announcements.cpp
+++ b/jobs/job_announcements.cpp
@@ -176,31 +176,42 @@
     auto record = std::move(claim.record);
     const auto coldUntil = claim.coldUntil;
     m_claims.remove(number);
-    for (const auto it : contradicted) {
+    const auto moved = std::find_if(contradicted.begin(), contradicted.end(), [&](const auto it) {
         const auto* state = executorState(it);
-        if (state == nullptr || !isSameLife(state->record, record) || m_executors.at(it).isReplaced)
-            continue;
-        log("executor_moved",
-            { { "executor", record.id() }, { "from", state->record.address() }, { "to", record.address() } });
-        record.set_number(it);
-        *change().mutable_executor() = std::move(record);
-        m_batchContinuations.emplace_back(ExecutorWhenCommitted { it, coldUntil });
-        return;
-    }
+        return state != nullptr && isSameLife(state->record, record) && !m_executors.at(it).isReplaced;
+    });
     const auto id = record.id();
-    const auto successor = registerExecutor(std::move(record), coldUntil);
+    uint32_t successor = 0;
+    if (moved == contradicted.end()) {
+        successor = registerExecutor(std::move(record), coldUntil);
+    } else {
+        successor = *moved;
+        moveExecutor(successor, std::move(record), coldUntil);
+    }
     for (const auto it : contradicted) {
         const auto* previous = executorState(it);
-        if (const auto* executor = findExecutor(it); executor != nullptr && !executor->isReplaced)
-            recordCrash(*executor);
-        // Orders name an id, so those in flight to an incarnation with another id are refused.
-        const bool isSameId = previous != nullptr && previous->record.id() == id;
+        if (it == successor || previous == nullptr)
+            continue;
+        if (!m_executors.at(it).isReplaced)
+            recordCrash(m_executors.at(it));
         rememberGone(it);
+        // Orders name an id, so those in flight to an incarnation with another id are refused.
+        const bool isSameId = previous->record.id() == id;
         removeIncarnation(it, "another incarnation has answered",
             isSameId ? RunEvidence::IncarnationEnded : RunEvidence::AddressTaken, isSameId ? successor : 0);
     }
 }
 
+void JobLeader::moveExecutor(uint32_t number, schema::ExecutorRecord record, Instant coldUntil)
+{
+    log("executor_moved",
+        { { "executor", record.id() }, { "from", executorState(number)->record.address() },
+            { "to", record.address() } });
+    record.set_number(number);
+    *change().mutable_executor() = std::move(record);
+    m_batchContinuations.emplace_back(ExecutorWhenCommitted { number, coldUntil });
+}
+
 // ---- Departures ------------------------------------------------------------
 
 void JobLeader::handleCall(uint64_t handle, ExecutorDeparture& call)
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -208,6 +208,8 @@
     void updateExecutor(uint64_t handle, LiveExecutor&, ExecutorAnnouncement&);
     // Returns the number of the new incarnation.
     uint32_t registerExecutor(schema::ExecutorRecord, Instant coldUntil);
+    // Changes the address of an incarnation.
+    void moveExecutor(uint32_t number, schema::ExecutorRecord, Instant coldUntil);
     void checkClaims();
     // Asks the executor of a claim for its list of runs.
     void probeClaim(uint32_t claim);
--- a/tests/jobs_announcements_test.cpp
+++ b/tests/jobs_announcements_test.cpp
@@ -126,13 +126,14 @@
 {
     JobsFixture it;
     startOnY1(it);
+    it.announceAt("z9", "a9", 1); // it was there before
     it.announceAt("y1", "a9", firstBorn, 2);
     for (int n = 0; n < 500; ++n) {
         it.pass(step);
         while (const auto renewal = it.takeOrder<RenewLease>()) {
             if (renewal->executorId == "x2")
                 it.answer(*renewal, { OrderOutcome::Done });
-            else if (renewal->address == "a9")
+            else if (renewal->executorId == "y1" && renewal->address == "a9")
                 it.answer(*renewal, { OrderOutcome::Done, 0, firstBorn, { { firstTask, 1, {}, 50, -1 } }, {}, true });
         }
     }
@@ -140,6 +141,7 @@
     CHECK(!it.takeOrder<StopRun>());
     CHECK(it.state.executors().begin()->second.assignments.contains(firstTask));
     CHECK(it.state.executors().begin()->second.record.address() == "a9");
+    CHECK(it.state.executors().size() == 2);
 }
 
 TEST_CASE("an executor gets orders that it accepts after another writer has announced it")
