An answered start waits for one lease only, as before

Cause: the wait for late renewals also held tasks whose start was answered but not listed yet, up to 22 s. Conclusion: the wait holds for starts without an answer.

--- a/jobs/job_run_ends.cpp
+++ b/jobs/job_run_ends.cpp
@@ -64,6 +64,8 @@
 Instant JobLeader::lateLeaseExpiry(const LiveExecutor& executor, const LiveRun& run) const
 {
     auto lastOrderAt = run.startExpiresAt;
+    if (run.isStartAnswered)
+        return lastOrderAt + longestValidity(m_options.maxLease);
     // A renewal or another start that is carried out after this one extends the lease.
     for (const auto& [number, it] : executor.renewalsInFlight) {
         if (it.extendsLease && it.sentAt >= run.assignedAt)
