--- a/jobs/executor_claims.cpp
+++ b/jobs/executor_claims.cpp
@@ -1,36 +1,47 @@
 #include "jobs/executor_claims.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace teasel {
 
-ExecutorClaims::Key ExecutorClaims::keyOf(const ExecutorClaim& it)
-{
-    return { it.record.id(), it.record.born_ms(), it.record.address() };
-}
-
 uint32_t ExecutorClaims::add(ExecutorClaim claim)
 {
-    const auto [known, isNew] = m_numbers.try_emplace(keyOf(claim), m_lastNumber + 1);
+    Key key { claim.record.id(), claim.record.born_ms(), claim.record.address() };
+    const auto [known, isNew] = m_numbers.try_emplace(key, m_lastNumber + 1);
     const auto number = known->second;
     if (isNew) {
         ++m_lastNumber;
         claim.nextProbeAt = claim.announcedAt;
-        m_claims[number].claim = std::move(claim);
-        if (m_claims.size() > maxClaims)
-            remove(m_claims.begin()->first);
+        m_claims[number] = { std::move(key), std::move(claim), 0 };
+        limitClaims(std::get<0>(m_claims[number].key));
         return number;
     }
     auto& it = m_claims.at(number).claim;
     it.announcedAt = claim.announcedAt;
+    // A drain holds whatever the number of the announcement.
+    const bool isDraining = claim.record.draining() || it.record.draining();
     if (claim.sequence > it.sequence) {
         it.record = std::move(claim.record);
         it.sequence = claim.sequence;
         it.coldUntil = claim.coldUntil;
     }
+    it.record.set_draining(isDraining);
     return number;
 }
 
+void ExecutorClaims::limitClaims(const std::string& id)
+{
+    std::vector<uint32_t> ofId;
+    for (auto it = m_numbers.lower_bound(Key { id, 0, {} }); it != m_numbers.end() && std::get<0>(it->first) == id;
+         ++it)
+        ofId.push_back(it->second);
+    if (ofId.size() > maxClaimsOfId)
+        remove(*std::min_element(ofId.begin(), ofId.end()));
+    if (m_claims.size() > maxClaims)
+        remove(m_claims.begin()->first);
+}
+
 ExecutorClaim* ExecutorClaims::find(uint32_t number)
 {
     const auto it = m_claims.find(number);
@@ -48,7 +59,7 @@
     const auto it = m_claims.find(number);
     if (it == m_claims.end())
         return;
-    m_numbers.erase(keyOf(it->second.claim));
+    m_numbers.erase(it->second.key);
     m_probes.erase(it->second.probe);
     m_claims.erase(it);
 }
--- a/jobs/executor_claims.h
+++ b/jobs/executor_claims.h
@@ -28,7 +28,8 @@
 
 class ExecutorClaims {
 public:
-    // Adds a claim, or renews the one with the same id, start time and address. Returns its number.
+    // Adds a claim, or renews the one with the same id, start time and address. Returns its number. Only the newest few
+    // claims of an id are kept.
     uint32_t add(ExecutorClaim);
     ExecutorClaim* find(uint32_t number);
     std::optional<uint32_t> find(const std::string& id, uint64_t bornMs, const std::string& address) const;
@@ -49,14 +50,16 @@
 
 private:
     static constexpr size_t maxClaims = 10'000;
+    static constexpr size_t maxClaimsOfId = 4;
 
     using Key = std::tuple<std::string, uint64_t, std::string>; // id, start time, address
     struct Entry {
+        Key key;
         ExecutorClaim claim;
         uint64_t probe = 0; // number of the last order that asked; 0: none is pending
     };
 
-    static Key keyOf(const ExecutorClaim&);
+    void limitClaims(const std::string& id);
 
     absl::btree_map<uint32_t, Entry> m_claims; // in the order of their first announcements
     absl::btree_map<Key, uint32_t> m_numbers;
--- a/jobs/job_announcements.cpp
+++ b/jobs/job_announcements.cpp
@@ -11,7 +11,9 @@
     constexpr Milliseconds retryWhenUnavailable { 1'000 };
     constexpr Milliseconds claimLifetime { 4'000 }; // after its last announcement; two of these were missed
     // An announcement with a sequence number this far behind is not late: the one before it was false.
-    constexpr uint64_t maxAnnouncementsBehind = 10'000;
+    constexpr uint64_t maxAnnouncementsBehind = 100;
+    // An executor that is still in touch this long after its departure has not left.
+    constexpr Milliseconds departureTimeout { 5'000 };
 
     bool isLate(uint64_t sequence, uint64_t last)
     {
@@ -35,7 +37,9 @@
         if (state == nullptr || !isSameLife(state->record, record) || state->record.address() != record.address())
             continue;
         auto& executor = m_executors.at(number);
-        if (executor.isReplaced || isLate(call.sequence, executor.lastSequence))
+        // A drain holds whatever the number of the announcement.
+        const bool isIgnored = isLate(call.sequence, executor.lastSequence) && !record.draining();
+        if (executor.isReplaced || isIgnored)
             return answer(handle, {});
         return updateExecutor(handle, executor, call);
     }
@@ -48,7 +52,7 @@
     }
     if (registered.empty() && !m_goneIncarnations.contains({ record.id(), record.born_ms() })) {
         raiseFence(record, m_lastExecutor + 1);
-        registerExecutor(std::move(record), coldUntil);
+        registerExecutor(std::move(record), { 0, coldUntil, call.sequence });
         m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
         return;
     }
@@ -63,7 +67,14 @@
 {
     auto& record = call.record;
     const auto coldUntil = m_now + Milliseconds(static_cast<int64_t>(call.coldRemainingMs));
-    executor.lastSequence = call.sequence;
+    if (!isLate(call.sequence, executor.lastSequence))
+        executor.lastSequence = call.sequence;
+    const bool hasStayed
+        = executor.hasLeft() && !record.draining() && executor.answeredOrderSentAt > executor.leftAt + departureTimeout;
+    if (hasStayed) {
+        log("executor_departure_refuted", { { "executor", record.id() } });
+        executor.leftAt = Instant();
+    }
     executor.lastAnnouncedAt = m_now;
     executor.coldUntil = coldUntil;
     if (record.draining())
@@ -74,7 +85,10 @@
     const bool isDrainChange = record.draining() != committed.draining();
     const bool isCapacityChange = toVector(record.capacity()) != toVector(committed.capacity());
     executor.capacity = toVector(record.capacity());
-    if (!isDrainChange && !isCapacityChange)
+    const bool isOtherChange = record.service() != committed.service() || record.zone() != committed.zone()
+        || !std::equal(
+            record.labels().begin(), record.labels().end(), committed.labels().begin(), committed.labels().end());
+    if (!isDrainChange && !isCapacityChange && !isOtherChange)
         return answer(handle, {});
     executor.isDraining = executor.isDraining || record.draining();
     record.set_number(executor.number);
@@ -92,7 +106,7 @@
     m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
 }
 
-uint32_t JobLeader::registerExecutor(schema::ExecutorRecord record, Instant coldUntil)
+uint32_t JobLeader::registerExecutor(schema::ExecutorRecord record, ExecutorWhenCommitted announced)
 {
     record.set_number(++m_lastExecutor);
     m_pendingRegistrations[record.id()] = record.born_ms();
@@ -100,7 +114,8 @@
         { { "executor", record.id() }, { "number", std::to_string(record.number()) },
             { "born", std::to_string(record.born_ms()) }, { "address", record.address() },
             { "capacity", describe(toVector(record.capacity())) } });
-    m_batchContinuations.emplace_back(ExecutorWhenCommitted { m_lastExecutor, coldUntil });
+    announced.number = m_lastExecutor;
+    m_batchContinuations.emplace_back(announced);
     *change().mutable_executor() = std::move(record);
     return m_lastExecutor;
 }
@@ -122,8 +137,11 @@
         logClaim("executor_claimed", claim, "it contradicts what is known");
     const auto fence = nextFence();
     // If the claim is false, the registered incarnation answers and refuses orders with its previous fence.
-    for (const auto registered : m_directory.withId(claim.record.id()))
-        m_executors.at(registered).fence = fence;
+    for (const auto registered : m_directory.withId(claim.record.id())) {
+        const auto* state = executorState(registered);
+        if (state != nullptr && state->record.address() == claim.record.address())
+            m_executors.at(registered).fence = fence;
+    }
     ++m_counters.renewals;
     const auto order = ++m_lastOrder;
     m_actions.emplace_back(SendOrder { order, claim.record.address(), claim.record.id(), fence, m_options.renewalSlack,
@@ -174,7 +192,7 @@
     logClaim("executor_claim_confirmed", claim, "it answers");
     m_goneIncarnations.erase({ claim.record.id(), claim.record.born_ms() });
     auto record = std::move(claim.record);
-    const auto coldUntil = claim.coldUntil;
+    const ExecutorWhenCommitted announced { 0, claim.coldUntil, claim.sequence, askedAt };
     m_claims.remove(number);
     const auto moved = std::find_if(contradicted.begin(), contradicted.end(), [&](const auto it) {
         const auto* state = executorState(it);
@@ -183,10 +201,10 @@
     const auto id = record.id();
     uint32_t successor = 0;
     if (moved == contradicted.end()) {
-        successor = registerExecutor(std::move(record), coldUntil);
+        successor = registerExecutor(std::move(record), announced);
     } else {
         successor = *moved;
-        moveExecutor(successor, std::move(record), coldUntil);
+        moveExecutor(successor, record.address());
     }
     for (const auto it : contradicted) {
         const auto* previous = executorState(it);
@@ -202,14 +220,15 @@
     }
 }
 
-void JobLeader::moveExecutor(uint32_t number, schema::ExecutorRecord record, Instant coldUntil)
+void JobLeader::moveExecutor(uint32_t number, const std::string& address)
 {
-    log("executor_moved",
-        { { "executor", record.id() }, { "from", executorState(number)->record.address() },
-            { "to", record.address() } });
-    record.set_number(number);
+    auto record = executorState(number)->record;
+    log("executor_moved", { { "executor", record.id() }, { "from", record.address() }, { "to", address } });
+    record.set_address(address);
     *change().mutable_executor() = std::move(record);
-    m_batchContinuations.emplace_back(ExecutorWhenCommitted { number, coldUntil });
+    ExecutorWhenCommitted moved { number, m_executors.at(number).coldUntil };
+    moved.hasMoved = true;
+    m_batchContinuations.emplace_back(moved);
 }
 
 // ---- Departures ------------------------------------------------------------
--- a/jobs/job_checks.cpp
+++ b/jobs/job_checks.cpp
@@ -93,7 +93,10 @@
         return;
     for (auto& [key, run] : executor.runs) {
         const auto* job = m_state.find(key.step.job);
-        if (job != nullptr && !job->hasEnded() && job->request.steps(static_cast<int>(key.step.step)).checkpoints())
+        if (job == nullptr || job->hasEnded())
+            continue;
+        const auto& step = job->request.steps(static_cast<int>(key.step.step));
+        if (step.checkpoints() || step.lasting())
             requestStop(executor, key, run);
     }
 }
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -159,15 +159,18 @@
     const auto number = ++m_lastOrder;
     // A later incarnation that carries out this start late refuses the renewals that were sent before it. They would
     // make it forget the end of the run, which no listing has shown, or extend the lease of the run.
-    const bool isBeforeStart = order.kind == PendingOrder::Kind::Start
-        && std::any_of(executor.renewalsInFlight.begin(), executor.renewalsInFlight.end(),
-            [&](const auto& it) { return it.second.fence == executor.fence; });
-    if (isBeforeStart)
+    const bool isStart = order.kind == PendingOrder::Kind::Start;
+    const bool mayOvertake = isStart
+        && std::any_of(executor.ordersInFlight.begin(), executor.ordersInFlight.end(),
+            [&](const auto& it) { return !it.second.isStart && it.second.fence == executor.fence; });
+    if (mayOvertake)
         executor.fence = nextFence();
-    if (order.acknowledgedEnds > 0 || order.renewsLease) {
-        absl::erase_if(executor.renewalsInFlight,
-            [&](const auto& it) { return m_now - it.second.sentAt > m_options.maxStartDelay; });
-        executor.renewalsInFlight[number] = { m_now, executor.fence, order.renewsLease };
+    if (order.expiresAt == Instant())
+        order.expiresAt = m_now + m_options.maxStartDelay;
+    if (isStart || order.acknowledgedEnds > 0 || order.renewsLease) {
+        absl::erase_if(executor.ordersInFlight, [&](const auto& it) { return m_now > it.second.expiresAt; });
+        executor.ordersInFlight[number]
+            = { m_now, order.expiresAt, executor.fence, isStart, isStart || order.renewsLease };
     }
     m_pendingOrders.emplace(number, order);
     m_actions.emplace_back(SendOrder { number, state->record.address(), state->record.id(), executor.fence, timeout,
@@ -227,7 +230,8 @@
     RenewLease renewal;
     renewal.acknowledgedEnds = order.acknowledgedEnds;
     const bool isNew = !executor.clock.isKnown();
-    const bool isSuspect = m_now - executor.lastAnswerAt > m_options.suspectAfter;
+    const bool isLeaving = executor.hasLeft() && executor.answeredOrderSentAt <= executor.leftAt;
+    const bool isSuspect = isLeaving || m_now - executor.lastAnswerAt > m_options.suspectAfter;
     // A suspect executor's lease is not renewed, so that it is certain when it expires.
     if (!isNew && !isSuspect) {
         renewal.leaseUntilMs = executor.clock.executorNow(m_now) + static_cast<uint64_t>(m_options.lease.count());
@@ -290,7 +294,9 @@
     if (executor == nullptr || state == nullptr)
         return;
     if (result.outcome != OrderOutcome::UnknownOutcome)
-        executor->renewalsInFlight.erase(number);
+        executor->ordersInFlight.erase(number);
+    if (result.outcome == OrderOutcome::OtherIncarnation && order.sentAt <= executor->movedAt) // at its earlier address
+        result = {};
     if (result.outcome == OrderOutcome::OtherIncarnation) { // It has another id and refuses all orders for this one.
         recordCrash(*executor);
         rememberGone(order.executor);
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -216,7 +216,11 @@
     m_pendingRegistrations.erase(state->record.id());
     if (auto* known = findExecutor(it.number)) {
         known->isDraining = state->record.draining();
-        m_directory.add(known->number, state->record.id(), state->record.address());
+        if (it.hasMoved) {
+            known->movedAt = m_now;
+            known->fence = nextFence();
+            m_directory.add(known->number, state->record.id(), state->record.address());
+        }
         return;
     }
     addExecutor(*state);
@@ -224,6 +228,8 @@
     auto& executor = m_executors[it.number];
     executor.lastAnnouncedAt = m_now;
     executor.coldUntil = it.coldUntil;
+    executor.lastSequence = it.sequence;
+    executor.answeredOrderSentAt = it.answeredOrderSentAt;
     sendRenewal(executor);
 }
 
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -132,7 +132,11 @@
     };
     struct ExecutorWhenCommitted {
         uint32_t number = 0;
-        Instant coldUntil {}; // as announced with the registration
+        // As announced with the registration.
+        Instant coldUntil {};
+        uint64_t sequence = 0;
+        Instant answeredOrderSentAt {}; // when the order was sent whose answer confirmed it
+        bool hasMoved = false; // to another address
     };
     struct ConfigurationWhenCommitted {
         uint64_t handle = 0;
@@ -157,6 +161,7 @@
         } kind = Kind::Renewal;
         Instant sentAt {};
         Instant timeoutAt {};
+        Instant expiresAt {}; // takes effect before this time or never
         bool renewsLease = false;
         uint64_t acknowledgedEnds = 0;
         bool isPoll = false; // sent in addition to the pending renewal
@@ -207,9 +212,9 @@
     // Registration (job_announcements.cpp).
     void updateExecutor(uint64_t handle, LiveExecutor&, ExecutorAnnouncement&);
     // Returns the number of the new incarnation.
-    uint32_t registerExecutor(schema::ExecutorRecord, Instant coldUntil);
+    uint32_t registerExecutor(schema::ExecutorRecord, ExecutorWhenCommitted announced);
     // Changes the address of an incarnation.
-    void moveExecutor(uint32_t number, schema::ExecutorRecord, Instant coldUntil);
+    void moveExecutor(uint32_t number, const std::string& address);
     void checkClaims();
     // Asks the executor of a claim for its list of runs.
     void probeClaim(uint32_t claim);
--- a/jobs/job_run_ends.cpp
+++ b/jobs/job_run_ends.cpp
@@ -67,13 +67,9 @@
     if (run.isStartAnswered)
         return lastOrderAt + longestValidity(m_options.maxLease);
     // A renewal or another start that is carried out after this one extends the lease.
-    for (const auto& [number, it] : executor.renewalsInFlight) {
+    for (const auto& [number, it] : executor.ordersInFlight) {
         if (it.extendsLease && it.sentAt >= run.assignedAt)
-            lastOrderAt = std::max(lastOrderAt, it.sentAt + m_options.maxStartDelay);
-    }
-    for (const auto& [key, other] : executor.runs) {
-        if (other.mayStillStart())
-            lastOrderAt = std::max(lastOrderAt, other.startExpiresAt);
+            lastOrderAt = std::max(lastOrderAt, it.expiresAt);
     }
     return lastOrderAt + longestValidity(m_options.maxLease);
 }
@@ -99,7 +95,7 @@
     // A later incarnation may have carried out the start just before its expiry and grants a lease of its own.
     case RunEvidence::LeaseExpired:
     case RunEvidence::IncarnationEnded:
-        return run.isListed || shownAt >= lateLeaseExpiry(executor, run);
+        return run.isListed || run.isRefused || shownAt >= lateLeaseExpiry(executor, run);
     }
     return false;
 }
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -326,6 +326,7 @@
             = m_now + std::chrono::duration_cast<Duration>(m_options.gangTimeout * gangAssemblyShare);
     PendingOrder order;
     order.kind = PendingOrder::Kind::Start;
+    order.expiresAt = run.startExpiresAt;
     order.task = it.task;
     order.run = it.run;
     sendOrder(*executor, order, std::move(start), m_options.orderTimeout);
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -63,8 +63,8 @@
     // Whether its start got no answer and may still be executed.
     bool mayStartInLaterIncarnation() const
     {
-        return stage == RunStage::Starting || stage == RunStage::UnknownOutcome || stage == RunStage::Inherited
-            || stage == RunStage::AwaitingStartExpiry;
+        return stage == RunStage::Starting || (stage == RunStage::UnknownOutcome && !isRefused)
+            || stage == RunStage::Inherited || stage == RunStage::AwaitingStartExpiry;
     }
 
     // Whether its start may still be executed, by this incarnation of the executor or the next.
@@ -91,6 +91,7 @@
     bool isRemovalDue = false; // has ended; it is removed when all of its runs have ended
     bool isRemovalProposed = false;
     Instant leftAt {}; // when it announced its departure; Instant() before
+    Instant movedAt {}; // when its address changed
     Instant drainedBy {}; // while draining: the executor may leave from this time on
     Instant coldUntil {}; // slow after its start until then, as announced
     uint64_t lastSequence = 0; // sequence number of the last announcement
@@ -112,14 +113,16 @@
     Instant pollAt = Instant::max();
     uint64_t committedEnds = 0; // ends up to this number are committed
     uint64_t acknowledgedEnds = 0; // ends up to this number were acknowledged in an order that was answered
-    struct RenewalInFlight {
+    struct OrderInFlight {
         Instant sentAt {};
+        Instant expiresAt {}; // takes effect before this time or never
         uint64_t fence = 0;
+        bool isStart = false;
         bool extendsLease = false;
     };
     // Orders, by number, that acknowledge ends or extend the lease and may still be carried out, possibly by a later
     // incarnation.
-    absl::btree_map<uint64_t, RenewalInFlight> renewalsInFlight;
+    absl::btree_map<uint64_t, OrderInFlight> ordersInFlight;
     uint64_t processedEnds = 0; // ends up to this number have been processed
     uint64_t leaseExpiries = 0; // number of times its lease expired
 
