A confirmed claim leaves no number behind that ends the process when its executor is announced again

Conclusion: a claim is taken out together with its number; the announcement is a claim again and waits for an answer.

--- a/jobs/job_announcements.cpp
+++ b/jobs/job_announcements.cpp
@@ -173,9 +173,9 @@
     }
     logClaim("executor_claim_confirmed", claim, "it answers");
     m_goneIncarnations.erase({ claim.record.id(), claim.record.born_ms() });
-    auto record = std::move(claim.record);
-    const auto coldUntil = claim.coldUntil;
-    m_claims.remove(number);
+    auto confirmed = m_claims.take(number);
+    auto& record = confirmed.record;
+    const auto coldUntil = confirmed.coldUntil;
     const auto moved = std::find_if(contradicted.begin(), contradicted.end(), [&](const auto it) {
         const auto* state = executorState(it);
         return state != nullptr && isSameLife(state->record, record) && !m_executors.at(it).isReplaced;
--- a/tests/jobs_announcements_test.cpp
+++ b/tests/jobs_announcements_test.cpp
@@ -207,3 +207,24 @@
     it.pass(Milliseconds(100));
     CHECK(it.state.executors().rbegin()->second.record.id() == "z2");
 }
+
+TEST_CASE("an announcement of a replaced executor that was claimed before does not end the process")
+{
+    JobsFixture it;
+    startOnY1(it);
+    it.orders.clear();
+    const auto replaceAtA1 = [&](const std::string& id, uint64_t born) {
+        it.announceAt(id, "a1", born);
+        it.pass(step);
+        while (const auto renewal = it.takeOrder<RenewLease>(id))
+            it.answer(*renewal, { OrderOutcome::Done, 0, born });
+        it.pass(Milliseconds(100));
+        CHECK(it.state.executors().rbegin()->second.record.id() == id);
+    };
+    replaceAtA1("z1", 1);
+    replaceAtA1("z2", 2);
+    it.announceAt("z1", "a1", 1, 2);
+    it.pass(Milliseconds(100));
+    CHECK(it.state.executors().rbegin()->second.record.id() == "z2");
+    CHECK(it.takeOrder<RenewLease>("z1"));
+}
