A claim that is confirmed after its executor was registered does not cancel the executor's draining

Cause: an executor can be registered by its next announcement while its claim is open (its predecessor was removed by other evidence in between); confirmClaim() then replaced the committed record by the older one of the claim, which is not draining. Ruled out: the announcements themselves, whose order is kept by their sequence numbers; the test shows the record draining before the confirmation and not after it. Before: jobs_announcements_test with the new case: 7 of 8 pass, CHECK( it.state.executors().rbegin()->second.record.draining() ) is NOT correct. After: 8 of 8. Conclusion: a claim moves an executor only to another address. A real move still takes the record of the claim as it is.

--- a/jobs/job_announcements.cpp
+++ b/jobs/job_announcements.cpp
@@ -186,7 +186,9 @@
         successor = registerExecutor(std::move(record), coldUntil);
     } else {
         successor = *moved;
-        moveExecutor(successor, std::move(record), coldUntil);
+        // An executor that was registered meanwhile may have announced more since.
+        if (executorState(successor)->record.address() != record.address())
+            moveExecutor(successor, std::move(record), coldUntil);
     }
     for (const auto it : contradicted) {
         const auto* previous = executorState(it);
--- a/tests/jobs_announcements_test.cpp
+++ b/tests/jobs_announcements_test.cpp
@@ -228,3 +228,32 @@
     CHECK(it.state.executors().rbegin()->second.record.id() == "z2");
     CHECK(it.takeOrder<RenewLease>("z1"));
 }
+
+TEST_CASE("an executor that was registered while its claim was open stays draining when the claim is confirmed")
+{
+    JobsFixture it;
+    startOnY1(it);
+    it.announceAt("z1", "a1", 1, 1);
+    it.pass(step);
+    const auto probe = it.takeOrder<RenewLease>("z1");
+    REQUIRE(probe);
+    for (Milliseconds n { 0 }; n < Milliseconds(2'000) && it.state.executors().size() == 2; n += step) {
+        it.pass(step);
+        while (const auto renewal = it.takeOrder<RenewLease>("y1"))
+            it.answer(*renewal, { OrderOutcome::OtherIncarnation });
+    }
+    REQUIRE(it.state.executors().size() == 1);
+    it.announceAt("z1", "a1", 1, 2);
+    it.pass(step);
+    REQUIRE(it.state.executors().rbegin()->second.record.id() == "z1");
+    it.announceAt("z1", "a1", 1, 3, true);
+    REQUIRE(it.state.executors().rbegin()->second.record.draining());
+    for (Milliseconds n { 0 }; n < Milliseconds(2'000); n += step) {
+        it.pass(step);
+        while (const auto renewal = it.takeOrder<RenewLease>("z1"))
+            it.answer(*renewal, { OrderOutcome::Done, 0, 1 });
+    }
+    it.answer(*probe, { OrderOutcome::Done, 0, 1 });
+    it.pass(Milliseconds(100));
+    CHECK(it.state.executors().rbegin()->second.record.draining());
+}
