Starts refused for their ticket or lease are settled by a list as well, and a claim is taken out as a whole

Ruled out: room and old, which keep their meaning. Conclusion: only a refusal for room ends a run at once.

--- a/jobs/job_announcements.cpp
+++ b/jobs/job_announcements.cpp
@@ -180,28 +180,26 @@
 
 void JobLeader::confirmClaim(uint32_t number, Instant askedAt)
 {
-    auto& claim = *m_claims.find(number);
-    const auto contradicted = m_directory.withIdOrAddress(claim.record.id(), claim.record.address());
+    auto& known = *m_claims.find(number);
+    const auto contradicted = m_directory.withIdOrAddress(known.record.id(), known.record.address());
     // The one that was asked later and answered is the later one.
     const bool isOutdated = std::any_of(contradicted.begin(), contradicted.end(),
         [&](const auto it) { return m_executors.at(it).answeredOrderSentAt >= askedAt; });
-    if (isOutdated || m_pendingRegistrations.contains(claim.record.id())) {
-        claim.nextProbeAt = m_now + m_options.renewalRetry;
+    if (isOutdated || m_pendingRegistrations.contains(known.record.id())) {
+        known.nextProbeAt = m_now + m_options.renewalRetry;
         return;
     }
-    logClaim("executor_claim_confirmed", claim, "it answers");
-    m_goneIncarnations.erase({ claim.record.id(), claim.record.born_ms() });
-    auto record = std::move(claim.record);
-    const ExecutorWhenCommitted announced { 0, claim.coldUntil, claim.sequence, askedAt };
-    m_claims.remove(number);
+    logClaim("executor_claim_confirmed", known, "it answers");
+    const auto claim = m_claims.take(number);
+    const auto& record = claim.record;
+    m_goneIncarnations.erase({ record.id(), record.born_ms() });
     const auto moved = std::find_if(contradicted.begin(), contradicted.end(), [&](const auto it) {
         const auto* state = executorState(it);
         return state != nullptr && isSameLife(state->record, record) && !m_executors.at(it).isReplaced;
     });
-    const auto id = record.id();
     uint32_t successor = 0;
     if (moved == contradicted.end()) {
-        successor = registerExecutor(std::move(record), announced);
+        successor = registerExecutor(record, { 0, claim.coldUntil, claim.sequence, askedAt });
     } else {
         successor = *moved;
         moveExecutor(successor, record.address());
@@ -214,7 +212,7 @@
             recordCrash(m_executors.at(it));
         rememberGone(it);
         // Orders name an id, so those in flight to an incarnation with another id are refused.
-        const bool isSameId = previous->record.id() == id;
+        const bool isSameId = previous->record.id() == record.id();
         removeIncarnation(it, "another incarnation has answered",
             isSameId ? RunEvidence::IncarnationEnded : RunEvidence::AddressTaken, isSameId ? successor : 0);
     }
@@ -223,6 +221,8 @@
 void JobLeader::moveExecutor(uint32_t number, const std::string& address)
 {
     auto record = executorState(number)->record;
+    if (record.address() == address) // It was registered meanwhile.
+        return;
     log("executor_moved", { { "executor", record.id() }, { "from", record.address() }, { "to", address } });
     record.set_address(address);
     *change().mutable_executor() = std::move(record);
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -350,8 +350,9 @@
             { "end", std::to_string(static_cast<int>(result.outcome)) },
             { "after_ms", millis(m_now - order.sentAt) } });
     // A refusal as old also comes if the start was received twice and its run has ended. One by an unhealthy executor,
-    // or for a fence that has risen since, says nothing about another copy of the start.
-    run.isRefused = result.outcome == OrderOutcome::Refused || result.outcome == OrderOutcome::StaleFence;
+    // or for a fence, ticket or lease, says nothing about another copy of the start that arrived earlier.
+    run.isRefused = result.outcome == OrderOutcome::Refused || result.outcome == OrderOutcome::StaleFence
+        || result.outcome == OrderOutcome::InvalidTicket || result.outcome == OrderOutcome::LeaseExpired;
     m_counters.startsRefused += run.isRefused ? 1 : 0;
     if (result.outcome == OrderOutcome::Refused)
         recordFailure(executor, order.task);
