A call whose text is not UTF-8 ends no connection between instances

Cause: text fields of messages are UTF-8, and a peer closed the connection on an envelope that it couldn't parse. One call or announcement with a path such as /instances/%ff/heartbeat cut the instance that relayed it off the leader, with all that was under way (orders, results, votes, records), and was sent again until its time limit. Ruled out: JSON bodies (the parser refuses other bytes), ids in registered announcements (printable ASCII only). The relay answers such a call with 400 at once; an envelope that can't be parsed is lost alone. Conclusion: neither a caller nor an announcement can cut an instance off.

--- a/net/peer_session.cpp
+++ b/net/peer_session.cpp
@@ -134,10 +134,12 @@
         if (m_inputBuffer.size() - consumed - lengthBytes < n)
             break;
         schema::Envelope envelope;
-        if (!envelope.ParseFromArray(m_inputBuffer.data() + consumed + lengthBytes, static_cast<int>(n)))
-            return false;
+        // The length shows where the next envelope begins: one that can't be parsed is lost alone.
+        const bool isReadable
+            = envelope.ParseFromArray(m_inputBuffer.data() + consumed + lengthBytes, static_cast<int>(n));
         consumed += lengthBytes + n;
-        m_receiver(std::move(envelope));
+        if (isReadable)
+            m_receiver(std::move(envelope));
     }
     m_inputBuffer.erase(0, consumed);
     return true;
--- a/node/leader_relay.cpp
+++ b/node/leader_relay.cpp
@@ -1,5 +1,6 @@
 #include "node/leader_relay.h"
 
+#include "core/utf8.h"
 #include "node/order_age.h"
 
 #include <algorithm>
@@ -9,6 +10,7 @@
 
 namespace {
 
+    constexpr uint32_t statusBadRequest = 400;
     constexpr uint32_t statusUnavailable = 503;
     constexpr uint32_t statusUnknown = 504;
 
@@ -21,6 +23,12 @@
         return out;
     }
 
+    // Whether the leader can parse the call: text in messages is UTF-8.
+    bool isSendable(const schema::RoutedCall& it)
+    {
+        return isUtf8(it.method()) && isUtf8(it.host()) && isUtf8(it.path()) && isUtf8(it.key()) && isUtf8(it.body());
+    }
+
 } // namespace
 
 LeaderRelay::LeaderRelay(LeaderRelayOptions options, Send send, LeaderChanged leaderChanged)
@@ -36,6 +44,10 @@
 
 void LeaderRelay::call(schema::RoutedCall call, Done done, Instant now)
 {
+    if (!isSendable(call)) {
+        done(errorAnswer(statusBadRequest, "the call is not in UTF-8"));
+        return;
+    }
     if (m_pendingCalls.size() >= m_options.maxPendingCalls) {
         done(errorAnswer(statusUnavailable, "too many calls wait for an answer at this instance"));
         return;
--- /dev/null
+++ b/tests/peer_odd_messages_test.cpp
@@ -0,0 +1,112 @@
+// Odd messages between the system's own processes.
+#include "core/boot_clock.h"
+#include "core/utf8.h"
+#include "net/peer_network.h"
+#include "node/leader_relay.h"
+
+#include <doctest/doctest.h>
+
+#include <future>
+#include <string>
+#include <utility>
+
+using namespace teasel;
+
+namespace {
+
+constexpr const char* receiverAddress = "127.0.0.1:18994";
+constexpr const char* senderAddress = "127.0.0.1:18995";
+constexpr std::chrono::seconds patience { 20 };
+
+PeerNetworkOptions options(const char* address)
+{
+    PeerNetworkOptions out;
+    out.id = out.listenAddress = address;
+    out.idsAreAddresses = true;
+    return out;
+}
+
+schema::Envelope call(uint64_t number, const std::string& path)
+{
+    schema::Envelope out;
+    out.mutable_routed_call()->set_number(number);
+    out.mutable_routed_call()->set_path(path);
+    return out;
+}
+
+// Sends a message, this one and another one; returns whether the last arrives, and over how many connections.
+std::pair<bool, uint64_t> sendAround(schema::Envelope odd)
+{
+    const BootClock clock;
+    std::promise<void> last;
+    PeerNetwork receiver(options(receiverAddress), {}, clock, [&](const schema::Envelope& it) {
+        if (it.routed_call().number() == 3)
+            last.set_value();
+    });
+    PeerNetwork sender(options(senderAddress), {}, clock, [](const schema::Envelope&) {});
+    REQUIRE(std::holds_alternative<std::monostate>(valueOrError([&] { return receiver.start(); })));
+    sender.send(receiverAddress, call(1, "/a"));
+    sender.send(receiverAddress, std::move(odd));
+    sender.send(receiverAddress, call(3, "/a"));
+    REQUIRE(std::holds_alternative<std::monostate>(valueOrError([&] { return sender.start(); })));
+    const bool hasArrived = last.get_future().wait_for(patience) == std::future_status::ready;
+    const auto connections = sender.stats().connectionsEstablished;
+    sender.stop();
+    receiver.stop();
+    return { hasArrived, connections };
+}
+
+} // namespace
+
+TEST_CASE("a message whose text is not UTF-8 does not end the connection")
+{
+    const auto [hasArrived, connections] = sendAround(call(2, "/instances/\xff/heartbeat"));
+    CHECK(hasArrived);
+    CHECK(connections == 1);
+}
+
+TEST_CASE("a call whose text is not UTF-8 is answered at once and not forwarded")
+{
+    size_t sent = 0;
+    LeaderRelayOptions options;
+    options.self = "front";
+    LeaderRelay relay(
+        options, [&](std::string_view, const schema::Envelope& it) { sent += it.has_routed_call() ? 1 : 0; },
+        [](const std::string&, uint64_t) {});
+    const Instant now { Milliseconds(1'000) };
+    schema::CoreView view;
+    view.set_is_leader(true);
+    view.set_term(1);
+    relay.onView("core", view, now);
+    using Set = void (*)(schema::RoutedCall&, const std::string&);
+    const Set fields[] { [](schema::RoutedCall& it, const std::string& text) { it.set_method(text); },
+        [](schema::RoutedCall& it, const std::string& text) { it.set_host(text); },
+        [](schema::RoutedCall& it, const std::string& text) { it.set_path(text); },
+        [](schema::RoutedCall& it, const std::string& text) { it.set_key(text); },
+        [](schema::RoutedCall& it, const std::string& text) { it.set_body(text); } };
+    for (const auto& set : fields) {
+        schema::RoutedCall odd;
+        set(odd, "a\xff");
+        uint32_t status = 0;
+        relay.call(
+            std::move(odd), [&](const schema::RoutedAnswer& it) { status = it.status(); }, now);
+        CHECK(status == 400);
+        CHECK(sent == 0);
+    }
+    schema::RoutedCall good;
+    good.set_path("/blend/\xc3\xa9");
+    relay.call(
+        std::move(good), [](const schema::RoutedAnswer&) {}, now);
+    CHECK(sent == 1);
+}
+
+TEST_CASE("UTF-8 is told from other bytes as the messages' parser tells it")
+{
+    for (const char* text : { "", "a", "\xc3\xa9", "\xe2\x82\xac", "\xf0\x9f\x98\x80", "\xf4\x8f\xbf\xbf",
+             "\xed\x9f\xbf", "\xff", "\x80", "\xc3", "\xc0\x80", "\xc1\xbf", "\xe0\x9f\xbf", "\xed\xa0\x80",
+             "\xf0\x8f\xbf\xbf", "\xf4\x90\x80\x80", "\xf8\x88\x80\x80\x80", "\xe2\x82", "a\xc3z" }) {
+        schema::RoutedCall it;
+        it.set_path(text);
+        CHECK_MESSAGE(isUtf8(text) == schema::RoutedCall().ParsePartialFromString(it.SerializePartialAsString()), text);
+    }
+}
