A message that is larger than a peer accepts is not sent

Cause: a peer closes the connection on an envelope of more than 8 MiB; the sender sent it all the same. Results of executors with long lists, relayed in one batch, cut the instance that relayed them off the leader, with the results of all other executors. Ruled out: the limit of an executor's answer (4 MiB each): two of them make a batch that is too large. Before: setarch -R build/peer_odd_messages_test, second case: the message after the large one does not arrive in 20 s. After: passes; the large message is dropped and counted, the connection stays.

--- a/net/peer_network.cpp
+++ b/net/peer_network.cpp
@@ -92,6 +92,10 @@
     envelope.set_from(m_options.id);
     envelope.set_incarnation(m_options.incarnation);
     auto framed = frameEnvelope(envelope);
+    if (framed.size() > maxEnvelopeBytes) { // The peer would close the connection, and other messages would be lost.
+        ++m_messagesDropped;
+        return;
+    }
     bool wasEmpty = false;
     {
         const std::lock_guard lock(m_mutex);
--- a/tests/peer_odd_messages_test.cpp
+++ b/tests/peer_odd_messages_test.cpp
@@ -2,6 +2,7 @@
 #include "core/boot_clock.h"
 #include "core/utf8.h"
 #include "net/peer_network.h"
+#include "net/peer_session.h"
 #include "node/leader_relay.h"
 
 #include <doctest/doctest.h>
@@ -65,6 +66,13 @@
     CHECK(connections == 1);
 }
 
+TEST_CASE("a message that is larger than a peer accepts is not sent")
+{
+    const auto [hasArrived, connections] = sendAround(call(2, std::string(maxEnvelopeBytes + 1, 'a')));
+    CHECK(hasArrived);
+    CHECK(connections == 1);
+}
+
 TEST_CASE("a call whose text is not UTF-8 is answered at once and not forwarded")
 {
     size_t sent = 0;
