The end of a run that was never assigned does not count its task as done

Cause: an executor's row of an end counted as the late end of its task whatever its run number, also run 0 or 2^32-1, so that one odd row ended a task that another executor was running (a job lost or completed unrun). Runs are assigned before they start, so that no true row has a number above the last assigned one. Ruled out: rows that name no job, occurrence, step or index (JobState::find() gives no task), several rows of one task: cases here. Conclusion: a late end is one of a run that was assigned.

--- a/jobs/job_run_ends.cpp
+++ b/jobs/job_run_ends.cpp
@@ -42,9 +42,9 @@
 {
     const auto* job = m_state.find(it.task.step.job);
     const auto* task = m_state.find(it.task);
-    // Without a task, its occurrence has not begun or has ended.
-    const bool isCounted = job != nullptr && !job->hasEnded() && task != nullptr && !task->done
-        && !job->request.steps(static_cast<int>(it.task.step.step)).lasting();
+    // Without a task, its occurrence has not begun or has ended. Runs are assigned before they start.
+    const bool isCounted = job != nullptr && !job->hasEnded() && task != nullptr && !task->done && it.run > 0
+        && it.run <= task->run && !job->request.steps(static_cast<int>(it.task.step.step)).lasting();
     const auto assigned = executor.runs.find(it.task);
     log(isCounted ? "late_end_counted" : "end_ignored",
         { { "task", taskText(it.task) }, { "run", std::to_string(it.run) },
--- /dev/null
+++ b/tests/jobs_odd_lists_test.cpp
@@ -0,0 +1,87 @@
+// Odd rows in the lists of an executor: tasks and runs that do not exist, far too many rows, ends with odd numbers.
+#include "jobs_fixture.h"
+
+#include <cstdint>
+
+using namespace teasel;
+
+namespace {
+
+const TaskKey task { { 7, 0, 0 }, 0 };
+
+SendOrder startNext(JobsFixture& it)
+{
+    it.submit(JobsFixture::request(7, 1));
+    it.pass(Milliseconds(20));
+    const auto start = it.takeOrder<StartRun>();
+    REQUIRE(start);
+    return *start;
+}
+
+// One executor that runs the first run of the only task of job 7.
+void startOne(JobsFixture& it)
+{
+    it.announce("x1", 1);
+    it.answerRenewals({});
+    it.answer(startNext(it), { OrderOutcome::Done });
+    it.passWithRenewals(Milliseconds(100), { { task, 1, {}, 50, -1 } });
+}
+
+bool isRunning(const JobsFixture& it)
+{
+    const auto* job = it.state.find(7);
+    return job != nullptr && job->phase == JobPhase::Running && job->assignedTasks() == 1;
+}
+
+const TaskKey oddTasks[] { { { 7, 0, 1 }, 0 }, { { 7, 0, UINT32_MAX }, 0 }, { { 7, 1, 0 }, 0 },
+    { { 7, UINT32_MAX, 0 }, 0 }, { { 7, 0, 0 }, 1 }, { { 7, 0, 0 }, UINT32_MAX }, { { 0, 0, 0 }, 0 },
+    { { UINT64_MAX, UINT32_MAX, UINT32_MAX }, UINT32_MAX } };
+
+} // namespace
+
+TEST_CASE("rows of tasks that do not exist change no job")
+{
+    JobsFixture it;
+    startOne(it);
+    std::vector<RunningTask> running { { task, 1, {}, 50, -1 } };
+    std::vector<EndedTask> ended;
+    for (const auto& key : oddTasks) {
+        for (const uint32_t run : { 0U, 1U, 2U, UINT32_MAX }) {
+            running.push_back({ key, run, "c", UINT32_MAX, INT64_MAX });
+            ended.push_back({ ended.size() + 1, key, run, schema::RUN_OUTCOME_DONE, "c" });
+            ended.push_back({ ended.size() + 1, key, run, schema::RUN_OUTCOME_FAILED, "c" });
+        }
+    }
+    it.pass(Milliseconds(1'000));
+    it.answerRenewals(running, ended);
+    it.passWithRenewals(Milliseconds(200), { { task, 1, {}, 50, -1 } });
+    CHECK(isRunning(it));
+    CHECK(it.state.jobs().size() == 1);
+    CHECK(it.state.find(7)->open.size() == 1);
+}
+
+TEST_CASE("the end of a run that was never assigned does not count its task as done")
+{
+    for (const uint32_t run : { 0U, 2U, UINT32_MAX }) {
+        CAPTURE(run);
+        JobsFixture it;
+        startOne(it);
+        it.pass(Milliseconds(1'000));
+        it.answerRenewals({ { task, 1, {}, 50, -1 } }, { { 1, task, run, schema::RUN_OUTCOME_DONE, {} } });
+        it.passWithRenewals(Milliseconds(200), { { task, 1, {}, 50, -1 } });
+        CHECK(isRunning(it));
+    }
+}
+
+TEST_CASE("several rows of one task do not end its run")
+{
+    JobsFixture it;
+    startOne(it);
+    it.pass(Milliseconds(1'000));
+    std::vector<RunningTask> running;
+    for (const uint32_t run : { 0U, 1U, 1U, 2U, UINT32_MAX, 1U })
+        running.push_back({ task, run, {}, 50, -1 });
+    it.answerRenewals(running);
+    it.passWithRenewals(Milliseconds(200), running);
+    CHECK(isRunning(it));
+}
