The number of one end does not make the later ends look old

Cause: the leader acknowledged ends up to the largest number that an executor had listed. One odd number made the executor forget all ends up to it, and the leader took the later true ones for known: a task that was done was given up and run again. Ruled out: numbers above 10^12 and falling ones (platform/order_codec); one below was still taken. The end itself counts; its number is not acknowledged if it is more than 100,000 ahead of the last one. Conclusion: only the first list that a leader reads has no number to compare with; there the codec's bound holds.

--- a/jobs/job_run_ends.cpp
+++ b/jobs/job_run_ends.cpp
@@ -8,6 +8,7 @@
 namespace {
 
     constexpr Milliseconds listingDelay { 60 }; // between the end of a run and its listing
+    constexpr uint64_t maxEndsBetweenListings = 100'000;
 
     std::string millis(Duration it) { return std::to_string(std::chrono::duration_cast<Milliseconds>(it).count()); }
 
@@ -19,7 +20,9 @@
     for (const auto& it : result.ended) {
         if (it.number <= executor.processedEnds)
             continue;
-        newest = std::max(newest, it.number);
+        // A number far ahead of the others is not acknowledged: the executor would forget the ends up to it.
+        if (newest == 0 || it.number <= newest + maxEndsBetweenListings)
+            newest = std::max(newest, it.number);
         const auto run = executor.runs.find(it.task);
         if (run == executor.runs.end() || run->second.run != it.run || run->second.stage == RunStage::Ending) {
             if (it.outcome == schema::RUN_OUTCOME_DONE)
--- a/tests/jobs_odd_lists_test.cpp
+++ b/tests/jobs_odd_lists_test.cpp
@@ -85,3 +85,20 @@
     it.passWithRenewals(Milliseconds(200), running);
     CHECK(isRunning(it));
 }
+
+TEST_CASE("the number of one end does not make the later ends look old")
+{
+    for (const uint64_t odd : { uint64_t(999'999'999'999), uint64_t(1) << 63, UINT64_MAX }) {
+        CAPTURE(odd);
+        JobsFixture it;
+        startOne(it);
+        it.pass(Milliseconds(1'000));
+        const std::vector<RunningTask> running { { task, 1, {}, 50, -1 } };
+        it.answerRenewals(running, { { 1, { { 9, 0, 0 }, 0 }, 1, schema::RUN_OUTCOME_STOPPED, {} } });
+        it.pass(Milliseconds(1'000));
+        it.answerRenewals(running, { { odd, { { 9, 0, 0 }, 1 }, 1, schema::RUN_OUTCOME_STOPPED, {} } });
+        it.pass(Milliseconds(1'000));
+        it.answerRenewals({}, { { 2, task, 1, schema::RUN_OUTCOME_DONE, {} } });
+        CHECK(it.state.find(7)->phase == JobPhase::Completed);
+    }
+}
