A list of 100,000 rows that are not assigned causes no flood of orders

Cause: the leader sent a stop, with a log line and an open order, for each listed row that was not assigned, at every listing: one executor's list could fill the leader's queues and the batches of orders to the others. Ruled out: the capacity that such rows use (counted as before, below 2^63 for 100,000 rows of the largest capacity). Conclusion: an odd list costs a bounded number of orders.

--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -18,6 +18,7 @@
     constexpr unsigned unansweredStopsBeforeBlocked = 3; // consecutive stops without an answer
     constexpr unsigned fenceCounterBits = 32; // low bits of a fence; the leader's term is above them
     constexpr Milliseconds listingDelay { 60 }; // between the end of a run and its listing
+    constexpr size_t maxStrayStopsPerListing = 250;
 
     std::string millis(Duration it) { return std::to_string(std::chrono::duration_cast<Milliseconds>(it).count()); }
 
@@ -410,12 +411,20 @@
 void JobLeader::processRunningList(LiveExecutor& executor, const PendingOrder& order, const OrderResult& result)
 {
     ResourceVector strays;
+    size_t strayStops = 0;
     for (const auto& it : result.running) {
         const auto found = executor.runs.find(it.task);
         if (found == executor.runs.end() || found->second.run != it.run) {
             // Not assigned any more: for example, a delayed start took effect after the run was stopped.
             if (found != executor.runs.end() && found->second.run > it.run && order.sentAt < found->second.assignedAt)
                 continue;
+            const auto* job = m_state.find(it.task.step.job);
+            const bool isNeedKnown = job != nullptr && !job->hasEnded()
+                && it.task.step.step < static_cast<uint32_t>(job->request.steps_size());
+            strays += isNeedKnown ? needOf(job->request.steps(static_cast<int>(it.task.step.step))) : executor.capacity;
+            executor.pollAt = std::min(executor.pollAt, m_now + m_options.stopTime + listingDelay);
+            if (++strayStops > maxStrayStopsPerListing) // The next listing shows the others again.
+                continue;
             log("stray_run_stopped",
                 { { "task", taskText(it.task) }, { "run", std::to_string(it.run) },
                     { "executor", executorState(executor.number)->record.id() },
@@ -426,11 +435,6 @@
             stop.task = it.task;
             stop.run = it.run;
             sendOrder(executor, stop, StopRun { it.task, it.run }, m_options.orderTimeout);
-            const auto* job = m_state.find(it.task.step.job);
-            const bool isNeedKnown = job != nullptr && !job->hasEnded()
-                && it.task.step.step < static_cast<uint32_t>(job->request.steps_size());
-            strays += isNeedKnown ? needOf(job->request.steps(static_cast<int>(it.task.step.step))) : executor.capacity;
-            executor.pollAt = std::min(executor.pollAt, m_now + m_options.stopTime + listingDelay);
             continue;
         }
         auto& run = found->second;
@@ -465,15 +469,6 @@
     }
 }
 
-void JobLeader::stopGang(const StepKey& key)
-{
-    m_assemblingGangs.erase(key);
-    for (const auto& it : m_runIndex.ofStep(key)) {
-        if (auto* run = findRun(it))
-            requestStop(*findExecutor(it.executor), it.task, *run);
-    }
-}
-
 void JobLeader::expireOrders()
 {
     std::vector<uint64_t> timedOut;
--- a/jobs/job_run_ends.cpp
+++ b/jobs/job_run_ends.cpp
@@ -275,4 +275,13 @@
         stopGang(key.step);
 }
 
+void JobLeader::stopGang(const StepKey& key)
+{
+    m_assemblingGangs.erase(key);
+    for (const auto& it : m_runIndex.ofStep(key)) {
+        if (auto* run = findRun(it))
+            requestStop(*findExecutor(it.executor), it.task, *run);
+    }
+}
+
 } // namespace teasel
--- a/tests/jobs_odd_lists_test.cpp
+++ b/tests/jobs_odd_lists_test.cpp
@@ -86,6 +86,25 @@
     CHECK(isRunning(it));
 }
 
+TEST_CASE("a list of 100,000 rows that are not assigned causes no flood of orders")
+{
+    JobsFixture it;
+    startOne(it);
+    std::vector<RunningTask> running { { task, 1, {}, 50, -1 } };
+    for (uint32_t n = 0; n < 100'000; ++n)
+        running.push_back({ { { 9, 0, 0 }, n }, 1, {}, 50, -1 });
+    it.pass(Milliseconds(1'000));
+    const auto renewal = it.takeOrder<RenewLease>();
+    REQUIRE(renewal);
+    it.orders.clear();
+    it.answer(*renewal, { OrderOutcome::Done, 0, 0, running, {}, true });
+    const auto stops = std::count_if(it.orders.begin(), it.orders.end(),
+        [](const auto& order) { return std::holds_alternative<StopRun>(order.order); });
+    CHECK(stops > 0);
+    CHECK(stops <= 500);
+    CHECK(isRunning(it));
+}
+
 TEST_CASE("the number of one end does not make the later ends look old")
 {
     for (const uint64_t odd : { uint64_t(999'999'999'999), uint64_t(1) << 63, UINT64_MAX }) {
