A relayed order without a body is no stop, and relayed lists hold only what executors report

Cause: jobs/order_messages took an order whose body this version does not know for a stop, cast times above 2^63 to negative ones, and took outcomes that are no value of the enumeration, or that only the leader decides on (lost, never ran), as they came. Ruled out: enumerations of an order's outcome (checked before), percent and figure (shown and forecast only). An invalid order is answered as of unknown outcome. Conclusion: messages of orders are range-checked at the instance that reads them.

--- a/jobs/order_messages.cpp
+++ b/jobs/order_messages.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+    constexpr uint64_t maxWaitMs = 3'600'000;
+    constexpr uint64_t maxClockMs = 4'000'000'000'000; // as Unix time: the year 2096
+    constexpr uint64_t maxEndNumber = 1'000'000'000'000;
+
     void fillTask(const TaskKey& task, uint32_t run, schema::RelayedOrder& out)
     {
         fillRef(task, *out.mutable_task());
@@ -44,6 +48,12 @@
 
     Milliseconds milliseconds(uint64_t n) { return Milliseconds(static_cast<int64_t>(n)); }
 
+    // The way in which an executor says that a run has ended; like an unknown word, an unknown value means stopped.
+    schema::RunOutcome reportedOutcome(schema::RunOutcome it)
+    {
+        return it >= schema::RUN_OUTCOME_DONE && it <= schema::RUN_OUTCOME_ALONE ? it : schema::RUN_OUTCOME_STOPPED;
+    }
+
 } // namespace
 
 schema::RelayedOrder toMessage(const SendOrder& order)
@@ -58,6 +68,14 @@
     return out;
 }
 
+bool isValid(const schema::RelayedOrder& order)
+{
+    const bool isTimely = order.timeout_ms() > 0 && order.timeout_ms() <= maxWaitMs
+        && order.hold().wait_ms() <= maxWaitMs && order.hold().lease_until_ms() <= maxClockMs + maxWaitMs
+        && order.start().lease_until_ms() <= maxClockMs + maxWaitMs;
+    return isTimely && order.body_case() != schema::RelayedOrder::BODY_NOT_SET;
+}
+
 SendOrder fromMessage(const schema::RelayedOrder& order)
 {
     SendOrder out { order.number(), order.address(), order.executor(), order.fence(), milliseconds(order.timeout_ms()),
@@ -116,13 +134,20 @@
     out.outcome = result.end() <= static_cast<uint32_t>(OrderOutcome::UnknownOutcome)
         ? static_cast<OrderOutcome>(result.end())
         : OrderOutcome::UnknownOutcome;
-    out.clockMs = result.clock_ms();
+    out.clockMs = result.clock_ms() <= maxClockMs ? result.clock_ms() : 0;
     out.bornMs = result.born_ms();
-    out.isEndListComplete = !result.cut();
+    if (out.bornMs > maxClockMs) // The incarnation that answered is not known.
+        out = {};
     for (const auto& it : result.running())
         out.running.push_back({ toKey(it.task()), it.run(), it.checkpoint(), it.percent(), it.figure() });
-    for (const auto& it : result.ended())
-        out.ended.push_back({ it.end_number(), toKey(it.task()), it.run(), it.outcome(), it.checkpoint() });
+    uint64_t last = 0;
+    for (const auto& it : result.ended()) {
+        if (it.end_number() <= last || it.end_number() > maxEndNumber)
+            break;
+        last = it.end_number();
+        out.ended.push_back({ last, toKey(it.task()), it.run(), reportedOutcome(it.outcome()), it.checkpoint() });
+    }
+    out.isEndListComplete = !result.cut() && out.ended.size() == static_cast<size_t>(result.ended_size());
     return out;
 }
 
--- a/node/core_node.cpp
+++ b/node/core_node.cpp
@@ -565,6 +565,10 @@
     }
     for (const auto& it : batch.orders()) {
         const auto number = it.number();
+        if (!isValid(it)) {
+            addResult(toMessage(number, {}));
+            continue;
+        }
         sendOrder(fromMessage(it), [this, number, addResult](const OrderResult& result) {
             m_loop.postAlways([addResult, message = toMessage(number, result)] { addResult(message); });
         });
--- a/tests/peer_odd_messages_test.cpp
+++ b/tests/peer_odd_messages_test.cpp
@@ -1,6 +1,7 @@
 // Odd messages between the system's own processes.
 #include "core/boot_clock.h"
 #include "core/utf8.h"
+#include "jobs/order_messages.h"
 #include "net/peer_network.h"
 #include "net/peer_session.h"
 #include "node/leader_relay.h"
@@ -118,3 +119,55 @@
         CHECK_MESSAGE(isUtf8(text) == schema::RoutedCall().ParsePartialFromString(it.SerializePartialAsString()), text);
     }
 }
+
+TEST_CASE("a relayed order without a body or with times out of range is no order")
+{
+    const SendOrder order { 1, "10.0.0.1:80", "x1", 1, Milliseconds(400), StopRun { { { 7, 0, 0 }, 0 }, 1 } };
+    CHECK(isValid(toMessage(order)));
+    auto unknown = toMessage(order);
+    unknown.clear_stop();
+    CHECK(!isValid(unknown));
+    for (const uint64_t odd : { uint64_t(1) << 63, UINT64_MAX }) {
+        auto timeout = toMessage(order);
+        timeout.set_timeout_ms(odd);
+        CHECK(!isValid(timeout));
+        auto wait = toMessage(order);
+        wait.mutable_hold()->set_wait_ms(odd);
+        CHECK(!isValid(wait));
+        auto lease = toMessage(order);
+        lease.mutable_hold()->set_lease_until_ms(odd);
+        CHECK(!isValid(lease));
+        auto start = toMessage(order);
+        start.mutable_start()->set_lease_until_ms(odd);
+        CHECK(!isValid(start));
+    }
+}
+
+TEST_CASE("relayed lists hold only what executors report")
+{
+    const TaskKey task { { 7, 0, 0 }, 0 };
+    const OrderResult good { OrderOutcome::Done, 5, 9, { { task, 1, {}, 50, -1 } },
+        { { 1, task, 1, schema::RUN_OUTCOME_DONE, {} }, { 2, task, 1, schema::RUN_OUTCOME_ALONE, {} } }, true };
+    CHECK(fromMessage(toMessage(1, good)).ended[1].outcome == schema::RUN_OUTCOME_ALONE);
+    CHECK(fromMessage(toMessage(1, good)).isEndListComplete);
+    for (const int odd : { 0, 7, 8, 9, 1'000'000, -1 }) {
+        auto message = toMessage(1, good);
+        message.mutable_ended(1)->set_outcome(static_cast<schema::RunOutcome>(odd));
+        CHECK(fromMessage(message).ended[1].outcome == schema::RUN_OUTCOME_STOPPED);
+    }
+    for (const uint64_t odd : { uint64_t(0), uint64_t(1), uint64_t(1) << 63, UINT64_MAX }) {
+        auto message = toMessage(1, good);
+        message.mutable_ended(1)->set_end_number(odd);
+        CHECK(fromMessage(message).ended.size() == 1);
+        CHECK(!fromMessage(message).isEndListComplete);
+    }
+    auto clock = toMessage(1, good);
+    clock.set_clock_ms(UINT64_MAX);
+    CHECK(fromMessage(clock).clockMs == 0);
+    auto born = toMessage(1, good);
+    born.set_born_ms(UINT64_MAX);
+    CHECK(fromMessage(born).outcome == OrderOutcome::UnknownOutcome);
+    auto outcome = toMessage(1, good);
+    outcome.set_end(UINT32_MAX);
+    CHECK(fromMessage(outcome).outcome == OrderOutcome::UnknownOutcome);
+}
