A job with more due occurrences than can be open does not fill the leader

Cause: the limit of 64 open occurrences counted only those with an assigned task; all other due ones became ready at once. One request with repeatCount and a start in the past made every leader in turn allocate without end. Ruled out: steps and tasks of a request (checked on submission); times (bounded by the codec, the sum can't overflow in 64 ahead). Conclusion: an odd repeatCount ends no leader; further occurrences begin as earlier ones end.

--- a/jobs/job_steps.cpp
+++ b/jobs/job_steps.cpp
@@ -61,7 +61,8 @@
         ++it;
         const auto& request = job->request;
         const auto nowMs = static_cast<uint64_t>(m_wall.time_since_epoch().count());
-        for (uint32_t n = job->occurrencesDone; n < request.occurrences(); ++n) {
+        const auto end = std::min<uint64_t>(request.occurrences(), uint64_t(job->occurrencesDone) + maxOpenOccurrences);
+        for (uint32_t n = job->occurrencesDone; n < end; ++n) {
             const auto dueMs = request.first_at_ms() + n * request.period_ms();
             if (dueMs > nowMs || job->open.size() > maxOpenOccurrences)
                 break;
