An occurrence that has ended does not run again

Callers' repeating jobs (repeatCount) ran a task again that was done: the report TWICE, by another way. Found while reading what an odd repeatCount does. Cause: an ended occurrence was forgotten, and only their number was kept. One that ended before an earlier one lay above that number and began again, with run 1; after a change of leaders an earlier one that had not begun lay below it and was left out. Conclusion: neither an end, a tick, a new leader nor an assignment begins an occurrence that has ended.

--- a/jobs/job_state.cpp
+++ b/jobs/job_state.cpp
@@ -88,6 +88,9 @@
     const auto executor = m_executors.find(assignment.executor());
     if (job == m_jobs.end() || job->second.hasEnded() || executor == m_executors.end())
         return;
+    if (!job->second.open.contains(key.step.occurrence)
+        && key.step.occurrence < job->second.firstUnfinishedOccurrence())
+        return;
     openOccurrence(job->second, key.step.occurrence);
     auto* task = mutableTask(key);
     if (task == nullptr || task->done || assignment.run() < task->run)
@@ -157,6 +160,12 @@
     return n;
 }
 
+uint32_t JobRecord::unfinishedOccurrences() const
+{
+    return static_cast<uint32_t>(
+        std::count_if(open.begin(), open.end(), [](const auto& it) { return !it.second.isDone(); }));
+}
+
 void JobState::noteBegin(JobRecord& job, schema::RunOutcome outcome)
 {
     const bool isDoubtful = outcome == schema::RUN_OUTCOME_NEVER_RAN || outcome == schema::RUN_OUTCOME_LOST
@@ -196,7 +205,9 @@
     if (occurrence.doneSteps < occurrence.steps.size())
         return;
     ++job.occurrencesDone;
-    job.open.erase(key.occurrence);
+    auto first = job.firstUnfinishedOccurrence();
+    for (auto it = job.open.find(first); it != job.open.end() && it->second.isDone(); it = job.open.find(++first))
+        job.open.erase(it);
     if (job.occurrencesDone >= std::max(1U, job.request.occurrences()))
         endJob(job, JobPhase::Completed);
 }
--- a/jobs/job_state.h
+++ b/jobs/job_state.h
@@ -52,6 +52,8 @@
 struct OccurrenceRecord {
     std::vector<StepRecord> steps;
     uint32_t doneSteps = 0;
+
+    bool isDone() const { return doneSteps == steps.size(); }
 };
 
 struct JobRecord {
@@ -60,10 +62,19 @@
     bool hasBegun = false; // a run has certainly taken place
     uint64_t endedAtMs = 0;
     uint32_t occurrencesDone = 0;
-    absl::btree_map<uint32_t, OccurrenceRecord> open; // occurrences that have begun and not ended
+    // Occurrences that have begun and not ended, and those that have ended before an earlier one, so that they do not
+    // begin again.
+    absl::btree_map<uint32_t, OccurrenceRecord> open;
 
     bool hasEnded() const { return phase >= JobPhase::Completed; }
     uint32_t assignedTasks() const;
+    // Number of occurrences that have begun and not ended.
+    uint32_t unfinishedOccurrences() const;
+    // All earlier occurrences have ended.
+    uint32_t firstUnfinishedOccurrence() const
+    {
+        return occurrencesDone - (static_cast<uint32_t>(open.size()) - unfinishedOccurrences());
+    }
 };
 
 struct AssignmentState {
--- a/jobs/job_steps.cpp
+++ b/jobs/job_steps.cpp
@@ -43,7 +43,7 @@
     if (job == nullptr || job->hasEnded())
         return;
     const auto all = std::max(1U, job->request.occurrences());
-    if (job->occurrencesDone + job->open.size() < all)
+    if (job->occurrencesDone + job->unfinishedOccurrences() < all)
         m_scheduledJobs.insert(id);
     for (const auto& [occurrence, it] : job->open)
         openReadySteps(id, occurrence);
@@ -62,9 +62,9 @@
         const auto& request = job->request;
         const auto nowMs = static_cast<uint64_t>(m_wall.time_since_epoch().count());
         const auto end = std::min<uint64_t>(request.occurrences(), uint64_t(job->occurrencesDone) + maxOpenOccurrences);
-        for (uint32_t n = job->occurrencesDone; n < end; ++n) {
+        for (uint32_t n = job->firstUnfinishedOccurrence(); n < end; ++n) {
             const auto dueMs = request.first_at_ms() + n * request.period_ms();
-            if (dueMs > nowMs || job->open.size() > maxOpenOccurrences)
+            if (dueMs > nowMs || job->unfinishedOccurrences() > maxOpenOccurrences)
                 break;
             if (!m_readySteps.contains({ id, n, 0 }) && !job->open.contains(n))
                 openReadySteps(id, n);
@@ -81,6 +81,8 @@
     if (queue == nullptr)
         return;
     const auto open = job->open.find(occurrence);
+    if (open == job->open.end() && occurrence < job->firstUnfinishedOccurrence())
+        return;
     for (int n = 0; n < job->request.steps_size(); ++n) {
         const StepKey key { id, occurrence, static_cast<uint32_t>(n) };
         if (m_readySteps.contains(key))
