A message with a term or an index that can't be true changes no replica

Ruled out: a reply beyond the leader's log, two leaders in a term, another committed record: these stop the process on purpose. Terms are at most 2^32-1 (fences hold them in 32 bits), records contiguous and of no later term. Conclusion: an odd message of a peer is lost like one that the network drops.

--- a/consensus/replica.cpp
+++ b/consensus/replica.cpp
@@ -13,6 +13,20 @@
 namespace {
 
     constexpr uint64_t noDirtyIndex = std::numeric_limits<uint64_t>::max();
+    constexpr uint64_t maxTerm = std::numeric_limits<uint32_t>::max(); // fences hold a term in 32 bits
+    constexpr uint64_t maxIndex = uint64_t(1) << 62;
+
+    // Whether the numbers of a message can be true; others would end up in the log or in the hard state.
+    bool isPlausible(const schema::ConsensusMessage& message)
+    {
+        const auto& request = message.append_request();
+        if (message.term() > maxTerm || request.previous_index() > maxIndex
+            || message.snapshot_chunk().meta().index() > maxIndex)
+            return false;
+        auto index = request.previous_index();
+        return std::all_of(request.records().begin(), request.records().end(),
+            [&](const auto& it) { return it.index() == ++index && it.term() <= message.term(); });
+    }
 
 } // namespace
 
@@ -55,7 +69,7 @@
 
 void Replica::onMessage(std::string_view from, const schema::ConsensusMessage& message, Instant now)
 {
-    if (m_hasFailed)
+    if (m_hasFailed || !isPlausible(message))
         return;
     m_now = now;
     const auto term = message.term();
--- a/tests/consensus_replica_test.cpp
+++ b/tests/consensus_replica_test.cpp
@@ -355,3 +355,41 @@
     host.tick(2 * second);
     CHECK(host.messages.size() == 2);
 }
+
+TEST_CASE("a message with a term or an index that can't be true changes nothing")
+{
+    const auto makeHost = [] { return ReplicaHost(ReplicaHost::makeLog(2, { makeRecord(1, 1), makeRecord(2, 2) })); };
+    const auto append = [](uint64_t previous, std::initializer_list<uint64_t> indexes) {
+        schema::ConsensusMessage message;
+        message.set_term(2);
+        message.mutable_append_request()->set_previous_index(previous);
+        message.mutable_append_request()->set_previous_term(2);
+        for (const auto index : indexes)
+            *message.mutable_append_request()->add_records() = makeRecord(index, 2);
+        return message;
+    };
+    for (const auto& odd : { append(2, { 9 }), append(2, { 3, 3 }), append(2, { 4, 3 }), append(2, { UINT64_MAX }),
+             append(UINT64_MAX, { 3 }), append(UINT64_MAX, { 0 }) }) {
+        auto host = makeHost();
+        host.receive("b", odd);
+        CHECK(host.replica.log().lastIndex() == 2);
+    }
+    auto host = makeHost();
+    auto term = append(2, {});
+    term.set_term(UINT64_MAX);
+    host.receive("b", term);
+    CHECK(host.replica.term() == 2);
+    auto laterTerm = append(2, { 3 });
+    laterTerm.mutable_append_request()->mutable_records(0)->set_term(3);
+    host.receive("b", laterTerm);
+    CHECK(host.replica.log().lastIndex() == 2);
+    host.receive("b", append(2, { 3, 4 }));
+    CHECK(host.replica.log().lastIndex() == 4);
+    schema::ConsensusMessage snapshot;
+    snapshot.set_term(2);
+    snapshot.mutable_snapshot_chunk()->mutable_meta()->set_index(UINT64_MAX);
+    snapshot.mutable_snapshot_chunk()->mutable_meta()->set_term(2);
+    snapshot.mutable_snapshot_chunk()->set_last(true);
+    host.receive("b", snapshot);
+    CHECK(host.replica.log().lastIndex() == 4);
+}
