A checkpoint of a megabyte and a list of 100,000 rows fill neither the log nor the messages

Cause: a checkpoint of any length went into the replicated log, where a record above 8 MiB can't be sent to any other replica, and a list of any length was relayed in one message. Ruled out: a shorter limit of the whole answer: the executor's other rows would be lost with the odd one.

--- a/tests/platform_odd_entries_test.cpp
+++ b/tests/platform_odd_entries_test.cpp
@@ -116,3 +116,37 @@
         CHECK(!it.isEndListComplete);
     }
 }
+
+TEST_CASE("a checkpoint of a megabyte counts as none")
+{
+    const std::string large(1 << 20, 'c');
+    const auto it = decodeOrderOutcome(RenewLease {},
+        answered(fmt::format(
+            R"({{"clockMs":5,"born":9,"running":[["1.0.0.0",1,"{}",5]],"finished":[[1,"1.0.0.1",1,"stopped","{}"]]}})",
+            large, large)));
+    REQUIRE(it.running.size() == 1);
+    CHECK(it.running[0].checkpoint.empty());
+    REQUIRE(it.ended.size() == 1);
+    CHECK(it.ended[0].checkpoint.empty());
+    CHECK(it.isEndListComplete);
+}
+
+TEST_CASE("of 100,000 rows some are read, and the list counts as incomplete")
+{
+    std::string running;
+    std::string ended;
+    for (int n = 1; n <= 100'000; ++n) {
+        running += fmt::format(R"({}["1.0.0.{}",1])", n == 1 ? "" : ",", n);
+        ended += fmt::format(R"({}[{},"1.0.0.{}",1,"done"])", n == 1 ? "" : ",", n, n);
+    }
+    const auto listing = [](const std::string& rows, const std::string& ends) {
+        return decodeOrderOutcome(RenewLease {},
+            answered(fmt::format(R"({{"clockMs":5,"born":9,"running":[{}],"finished":[{}]}})", rows, ends)));
+    };
+    const auto longRunning = listing(running, "");
+    CHECK(longRunning.running.size() == 10'000);
+    CHECK(!longRunning.isEndListComplete);
+    const auto longEnded = listing("", ended);
+    CHECK(longEnded.ended.size() == 500);
+    CHECK(!longEnded.isEndListComplete);
+}
