--- a/jobs/job_state.cpp
+++ b/jobs/job_state.cpp
@@ -1,5 +1,7 @@
 #include "jobs/job_state.h"
 
+#include "jobs/job_image_check.h"
+
 #include <algorithm>
 
 namespace teasel {
@@ -15,7 +17,8 @@
 std::string JobState::apply(uint64_t, std::string_view command)
 {
     schema::JobCommand parsed;
-    parsed.ParseFromArray(command.data(), static_cast<int>(command.size()));
+    if (!parsed.ParseFromArray(command.data(), static_cast<int>(command.size())))
+        return {};
     m_wallMs = std::max(m_wallMs, parsed.wall_ms());
     for (const auto& it : parsed.changes())
         applyChange(it);
@@ -451,6 +454,8 @@
     schema::JobPlaneImage image;
     if (!image.ParseFromArray(snapshot.data(), static_cast<int>(snapshot.size())))
         return fail(ErrorKind::StateUnavailable, "cannot parse the snapshot of the job plane");
+    if (!std::all_of(image.jobs().begin(), image.jobs().end(), isConsistent))
+        return fail(ErrorKind::StateUnavailable, "a job in the snapshot has tasks that its request does not have");
     m_configuration = image.configuration();
     m_configurationIndex.rebuild(m_configuration);
     m_queues.clear();
