Long lists of several executors are relayed in messages that a peer accepts

Cause: all orders, and all results, for one instance went into one message, whatever their size; one above 8 MiB is now dropped, and was the end of the connection before, so that one executor's long list lost the answers of all others. Ruled out: one result alone: an answer is at most 4 MiB, and its list at most 10,000 runs and 500 ends. Before: flushOrders() sent the 40 results of the test (above 8 MiB, checked there) as one message. Conclusion: a long list costs its own executor's answer at most.

--- a/node/core_node.cpp
+++ b/node/core_node.cpp
@@ -1,5 +1,7 @@
 #include "node/core_node.h"
 
+#include "node/batch_parts.h"
+
 #include "jobs/order_messages.h"
 #include "node/job_plane_common.h"
 #include "node/order_age.h"
@@ -534,15 +536,19 @@
 void CoreNode::flushOrders()
 {
     for (auto& [sender, batch] : m_orderBatches) {
-        schema::Envelope out;
-        *out.mutable_order_batch() = std::move(batch);
-        m_network.send(sender, std::move(out));
+        for (auto& part : partsOf(std::move(batch))) {
+            schema::Envelope out;
+            *out.mutable_order_batch() = std::move(part);
+            m_network.send(sender, std::move(out));
+        }
     }
     m_orderBatches.clear();
     for (auto& [leader, batch] : m_resultBatches) {
-        schema::Envelope out;
-        *out.mutable_result_batch() = std::move(batch);
-        m_network.send(leader.first, std::move(out));
+        for (auto& part : partsOf(std::move(batch))) {
+            schema::Envelope out;
+            *out.mutable_result_batch() = std::move(part);
+            m_network.send(leader.first, std::move(out));
+        }
     }
     m_resultBatches.clear();
 }
--- a/tests/peer_odd_messages_test.cpp
+++ b/tests/peer_odd_messages_test.cpp
@@ -4,6 +4,7 @@
 #include "jobs/order_messages.h"
 #include "net/peer_network.h"
 #include "net/peer_session.h"
+#include "node/batch_parts.h"
 #include "node/leader_relay.h"
 
 #include <doctest/doctest.h>
@@ -171,3 +172,24 @@
     outcome.set_end(UINT32_MAX);
     CHECK(fromMessage(outcome).outcome == OrderOutcome::UnknownOutcome);
 }
+
+TEST_CASE("long lists of several executors are relayed in messages that a peer accepts")
+{
+    schema::ResultBatch batch;
+    batch.set_term(4);
+    for (uint64_t n = 1; n <= 40; ++n) {
+        auto& result = *batch.add_results();
+        result.set_number(n);
+        result.add_running()->set_checkpoint(std::string(n == 7 ? 3 << 20 : 300'000, 'c'));
+    }
+    CHECK(batch.ByteSizeLong() > maxEnvelopeBytes);
+    uint64_t last = 0;
+    for (const auto& part : partsOf(batch)) {
+        CHECK(part.term() == 4);
+        CHECK(part.ByteSizeLong() < maxEnvelopeBytes);
+        CHECK(part.results_size() > 0);
+        for (const auto& it : part.results())
+            CHECK(it.number() == ++last);
+    }
+    CHECK(last == 40);
+}
