--- a/jobs/job_run_ends.cpp
+++ b/jobs/job_run_ends.cpp
@@ -8,6 +8,7 @@
 namespace {
 
     constexpr Milliseconds listingDelay { 60 }; // between the end of a run and its listing
+    constexpr uint64_t maxEndsBetweenListings = 100'000;
 
     std::string millis(Duration it) { return std::to_string(std::chrono::duration_cast<Milliseconds>(it).count()); }
 
@@ -19,7 +20,9 @@
     for (const auto& it : result.ended) {
         if (it.number <= executor.processedEnds)
             continue;
-        newest = std::max(newest, it.number);
+        // A number far ahead of the others is not acknowledged: the executor would forget the ends up to it.
+        if (newest == 0 || it.number <= newest + maxEndsBetweenListings)
+            newest = std::max(newest, it.number);
         const auto run = executor.runs.find(it.task);
         if (run == executor.runs.end() || run->second.run != it.run || run->second.stage == RunStage::Ending) {
             if (it.outcome == schema::RUN_OUTCOME_DONE)
@@ -42,9 +45,9 @@
 {
     const auto* job = m_state.find(it.task.step.job);
     const auto* task = m_state.find(it.task);
-    // Without a task, its occurrence has not begun or has ended.
-    const bool isCounted = job != nullptr && !job->hasEnded() && task != nullptr && !task->done
-        && !job->request.steps(static_cast<int>(it.task.step.step)).lasting();
+    // Without a task, its occurrence has not begun or has ended. Runs are assigned before they start.
+    const bool isCounted = job != nullptr && !job->hasEnded() && task != nullptr && !task->done && it.run > 0
+        && it.run <= task->run && !job->request.steps(static_cast<int>(it.task.step.step)).lasting();
     const auto assigned = executor.runs.find(it.task);
     log(isCounted ? "late_end_counted" : "end_ignored",
         { { "task", taskText(it.task) }, { "run", std::to_string(it.run) },
@@ -270,4 +273,13 @@
         stopGang(key.step);
 }
 
+void JobLeader::stopGang(const StepKey& key)
+{
+    m_assemblingGangs.erase(key);
+    for (const auto& it : m_runIndex.ofStep(key)) {
+        if (auto* run = findRun(it))
+            requestStop(*findExecutor(it.executor), it.task, *run);
+    }
+}
+
 } // namespace teasel
--- a/jobs/job_state.cpp
+++ b/jobs/job_state.cpp
@@ -1,5 +1,7 @@
 #include "jobs/job_state.h"
 
+#include "jobs/job_image_check.h"
+
 #include <algorithm>
 
 namespace teasel {
@@ -15,7 +17,8 @@
 std::string JobState::apply(uint64_t, std::string_view command)
 {
     schema::JobCommand parsed;
-    parsed.ParseFromArray(command.data(), static_cast<int>(command.size()));
+    if (!parsed.ParseFromArray(command.data(), static_cast<int>(command.size())))
+        return {};
     m_wallMs = std::max(m_wallMs, parsed.wall_ms());
     for (const auto& it : parsed.changes())
         applyChange(it);
@@ -88,6 +91,9 @@
     const auto executor = m_executors.find(assignment.executor());
     if (job == m_jobs.end() || job->second.hasEnded() || executor == m_executors.end())
         return;
+    if (!job->second.open.contains(key.step.occurrence)
+        && key.step.occurrence < job->second.firstUnfinishedOccurrence())
+        return;
     openOccurrence(job->second, key.step.occurrence);
     auto* task = mutableTask(key);
     if (task == nullptr || task->done || assignment.run() < task->run)
@@ -157,6 +163,12 @@
     return n;
 }
 
+uint32_t JobRecord::unfinishedOccurrences() const
+{
+    return static_cast<uint32_t>(
+        std::count_if(open.begin(), open.end(), [](const auto& it) { return !it.second.isDone(); }));
+}
+
 void JobState::noteBegin(JobRecord& job, schema::RunOutcome outcome)
 {
     const bool isDoubtful = outcome == schema::RUN_OUTCOME_NEVER_RAN || outcome == schema::RUN_OUTCOME_LOST
@@ -196,7 +208,9 @@
     if (occurrence.doneSteps < occurrence.steps.size())
         return;
     ++job.occurrencesDone;
-    job.open.erase(key.occurrence);
+    auto first = job.firstUnfinishedOccurrence();
+    for (auto it = job.open.find(first); it != job.open.end() && it->second.isDone(); it = job.open.find(++first))
+        job.open.erase(it);
     if (job.occurrencesDone >= std::max(1U, job.request.occurrences()))
         endJob(job, JobPhase::Completed);
 }
@@ -440,6 +454,8 @@
     schema::JobPlaneImage image;
     if (!image.ParseFromArray(snapshot.data(), static_cast<int>(snapshot.size())))
         return fail(ErrorKind::StateUnavailable, "cannot parse the snapshot of the job plane");
+    if (!std::all_of(image.jobs().begin(), image.jobs().end(), isConsistent))
+        return fail(ErrorKind::StateUnavailable, "a job in the snapshot has tasks that its request does not have");
     m_configuration = image.configuration();
     m_configurationIndex.rebuild(m_configuration);
     m_queues.clear();
