A restarted worker ignores the orders that were meant for its previous incarnation

Callers could see one task run twice: orders in flight start a task on the next incarnation of a worker, whose own orders then renew its lease beyond the end that the leader waits for (suspected in the postmortem of 2026-12-04). Cause: WorkerOrders did not say which incarnation they answer. They do now, and the agent ignores those for another. Ruled out: the numbering of orders: the new incarnation has applied none yet.

--- a/placement/worker_agent.cpp
+++ b/placement/worker_agent.cpp
@@ -63,7 +63,7 @@
 void WorkerAgent::onOrders(const schema::WorkerOrders& orders, Instant sentAt, Instant now)
 {
     onTick(now);
-    if (orders.epoch() < m_epoch)
+    if (orders.incarnation() != m_options.incarnation || orders.epoch() < m_epoch)
         return;
     if (orders.epoch() == m_epoch && orders.sequence() <= m_appliedSequence)
         return;
--- a/placement/worker_agent.h
+++ b/placement/worker_agent.h
@@ -56,8 +56,8 @@
     // Builds the report to send now.
     schema::WorkerReport makeReport(Instant now);
 
-    // Applies the reply to the report sent at `sentAt`. Orders of an earlier epoch, or
-    // older than orders already applied, are ignored.
+    // Applies the reply to the report sent at `sentAt`. Orders for another incarnation, of
+    // an earlier epoch, or older than orders already applied, are ignored.
     void onOrders(const schema::WorkerOrders&, Instant sentAt, Instant now);
 
     // Ends all tasks immediately if the lease has expired.
--- a/tests/placement_random_test.cpp
+++ b/tests/placement_random_test.cpp
@@ -493,18 +493,16 @@
         const auto orders = leader.placement->onReport(message, m_now);
         if (m_now < worker.partitionedUntil || dropped())
             return;
-        schedule(delay(), [this, &worker, orders, sentAt, incarnation = message.incarnation()] {
-            deliverOrders(worker, orders, sentAt, incarnation);
-        });
+        schedule(delay(), [this, &worker, orders, sentAt] { deliverOrders(worker, orders, sentAt); });
     }
 
-    void deliverOrders(SimWorker& worker, const schema::WorkerOrders& orders, Instant sentAt, uint64_t incarnation)
+    // Orders in flight also reach the next incarnation of a worker.
+    void deliverOrders(SimWorker& worker, const schema::WorkerOrders& orders, Instant sentAt)
     {
-        if (!worker.alive || worker.options.incarnation != incarnation)
+        if (!worker.alive)
             return;
         if (worker.paused) {
-            worker.inbox.emplace_back(
-                [this, &worker, orders, sentAt, incarnation] { deliverOrders(worker, orders, sentAt, incarnation); });
+            worker.inbox.emplace_back([this, &worker, orders, sentAt] { deliverOrders(worker, orders, sentAt); });
             return;
         }
         worker.agent->onOrders(orders, sentAt, m_now);
