A worker that was removed and reports again carries out its orders

Callers could see tasks that wait though a worker has room: a worker that was cut off for longer than its lease, and whose process went on, ignored all orders, renewals of its lease included, until they were as many as before the cut. Cause: the orders to a worker were numbered from 1 again when it was removed and added within an epoch; the worker ignores numbers that it has seen. The numbers of an epoch never repeat now. The ignored starts counted as received, too, and held the room. Ruled out: a lower number as proof of a restart: late orders have it, too.

--- a/placement/order_writer.cpp
+++ b/placement/order_writer.cpp
@@ -8,7 +8,7 @@
     schema::WorkerOrders orders;
     orders.set_epoch(m_state.epoch);
     orders.set_incarnation(worker.incarnation);
-    orders.set_sequence(++worker.orderSequence);
+    orders.set_sequence(++m_state.orderSequence);
     orders.set_lease_ms(static_cast<uint64_t>(m_state.options.workerLease.count()));
     orders.set_next_ms(static_cast<uint64_t>(m_state.options.reportInterval.count()));
     worker.leaseEnd = now + m_state.options.workerLease + m_state.options.clockMargin;
--- a/placement/placement_state.h
+++ b/placement/placement_state.h
@@ -70,6 +70,7 @@
     PlacementStats stats;
     Random random;
     Epoch epoch = 0;
+    uint64_t orderSequence = 0; // of the last orders to any worker; never repeats within an epoch
     bool leading = false;
     bool jobsReceived = false; // job records have been received in this epoch
     bool workPending = false; // a change may allow further placements
--- a/placement/worker_table.h
+++ b/placement/worker_table.h
@@ -50,7 +50,6 @@
     std::string displayName;
     uint64_t incarnation = 0;
     uint64_t reportSequence = 0;
-    uint64_t orderSequence = 0; // sequence of the last orders sent
     ResourceVector capacity;
     ResourceVector committed;
     ResourceVector claimed; // held for a gang or a preempting task
--- a/tests/placement_orders_test.cpp
+++ b/tests/placement_orders_test.cpp
@@ -5,6 +5,24 @@
 
 using namespace teasel;
 
+TEST_CASE("a worker that reports again after its lease expired carries out new orders")
+{
+    PlacementFixture it;
+    it.addWorker("w0");
+    it.waitForRecovery();
+    it.workers[0].disconnected = true;
+    it.run(Milliseconds(12'000));
+    REQUIRE(it.leader.stats().workers == 0);
+    it.workers[0].disconnected = false;
+    it.submit({ .id = "one" });
+    it.run(Milliseconds(1'500));
+    CHECK(it.running("one") == 1);
+    it.run(Milliseconds(10'000));
+    CHECK(it.running("one") == 1);
+    CHECK(it.workers[0].starts == 1);
+    CHECK(it.leader.stats().quarantines == 0);
+}
+
 TEST_CASE("a restarted worker does not carry out orders that were meant for its previous incarnation")
 {
     PlacementFixture it;
