An announcement of an earlier incarnation of an executor changes nothing

Callers could see an executor run one request more than its slots: a delayed announcement of the life before, which runs nothing, freed the slot of an attempt that the present life still ran and that no holder waited for. Cause: the pool ignored such an announcement, but the leader took its list and count as evidence, and its labels. Ruled out: the second that an attempt has to be closed: it covers delays below it only. Before: requests_announcements: 0 attempts in flight after the delayed announcement. Conclusion: only the latest incarnation is evidence; a late announcement of the same one still is (requests_late_announcements).

--- a/requests/dispatch_leader.cpp
+++ b/requests/dispatch_leader.cpp
@@ -75,6 +75,8 @@
     if (!m_leading)
         return reply;
     const auto n = m_pool.ordinalOf(announce.name());
+    if (announce.incarnation() < m_pool.at(n).incarnation)
+        return reply;
     const auto labelsBefore = m_labels.version();
     if (!m_labels.put(n, announce, m_options.dataCentre)) {
         reply.set_known(false);
