A report with a task index that no job can have doesn't end the leader

Callers could see the placement leader end (SIGSEGV), and each next one that got the report: an entry of another writer with the index 2^32-1. An index of 4 billion made it allocate that many tasks. Cause: the task table grew to any reported index; index + 1 wrapped to 0. Indices that no job has are no tasks now. Ruled out: dropping the whole report: its other entries hold, and the worker keeps its lease. Before: placement_reports: SIGSEGV. Conclusion: reported amounts and run times out of range are still taken as they are; not looked at.

--- a/placement/feasibility.cpp
+++ b/placement/feasibility.cpp
@@ -1,5 +1,7 @@
 #include "placement/feasibility.h"
 
+#include "placement/job_limits.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <vector>
@@ -8,7 +10,6 @@
 
 namespace {
 
-    constexpr uint32_t maxTasks = 1'000'000;
     constexpr std::array<const char*, ResourceVector::kinds> kindNames { "milli-CPUs", "MiB of memory",
         "accelerators" };
 
@@ -18,8 +19,8 @@
 {
     if (spec.kind() == schema::JOB_KIND_UNSPECIFIED)
         return fail(ErrorKind::BadRequest, "a job needs a kind");
-    if (spec.tasks() == 0 || spec.tasks() > maxTasks)
-        return fail(ErrorKind::BadRequest, fmt::format("a job has 1 to {} tasks", maxTasks));
+    if (spec.tasks() == 0 || spec.tasks() > maxTasksPerJob)
+        return fail(ErrorKind::BadRequest, fmt::format("a job has 1 to {} tasks", maxTasksPerJob));
     if (toVector(spec.resources()) == ResourceVector {})
         return fail(ErrorKind::BadRequest, "a task needs some processors, memory or accelerators");
     if (spec.min_available() > spec.tasks())
--- a/placement/report_reconciler.cpp
+++ b/placement/report_reconciler.cpp
@@ -1,5 +1,7 @@
 #include "placement/report_reconciler.h"
 
+#include "placement/job_limits.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 
@@ -104,6 +106,8 @@
 {
     m_reportSequence = report.sequence();
     for (const auto& it : report.tasks()) {
+        if (it.index() >= maxTaskIndices)
+            continue;
         const TaskRef ref { m_state.tasks.intern(it.job_id(), now), it.index() };
         m_state.tasks.ensureTask(ref.job, ref.index);
         if (isLive(it.state())) {
