Test: one report with the highest incarnation costs a worker no more than its lease

Ruled out: a worker kept out for good: it is removed with its lease and registers again. Before: placement_reports: passes on the code before (no change of logic). Conclusion: placement/ bears such a report; requests/ does not, see requests_late_announcements.

--- a/tests/placement_reports_test.cpp
+++ b/tests/placement_reports_test.cpp
@@ -28,3 +28,25 @@
     CHECK(it.leader.stats().tasksPlaced == 1);
     CHECK(it.leader.jobView("one").running() == 1);
 }
+
+TEST_CASE("one report with the highest incarnation and sequence costs a worker no more than its lease")
+{
+    PlacementFixture it;
+    it.addWorker("w0");
+    it.waitForRecovery();
+    it.submit({ .id = "one" });
+    it.run(Milliseconds(1'000));
+    REQUIRE(it.running("one") == 1);
+    auto odd = it.workers[0].agent.makeReport(it.now);
+    odd.set_incarnation(UINT64_MAX);
+    odd.set_sequence(UINT64_MAX);
+    odd.clear_tasks();
+    it.leader.onReport(odd, it.now);
+    size_t maxRunning = 0;
+    for (int i = 0; i < 150; ++i) {
+        it.run(PlacementFixture::tick);
+        maxRunning = std::max(maxRunning, it.running("one"));
+    }
+    CHECK(maxRunning == 1);
+    CHECK(it.running("one") == 1);
+}
