A configuration that is nested too deeply does not end `teasel config check`

Cause: the checker records the path of each field, and a path holds those above it: 60,000 levels need gigabytes. Ruled out: the server itself, which counts the levels before it parses (platform/json_fields). Before: (ulimit -v 4000000; build/teasel config check FILE), 60,000 lists or objects: std::bad_alloc, exit code 134, 5.0 to 6.5 s. Conclusion: a deep text is one finding.

--- a/tests/platform_configuration_check_test.cpp
+++ b/tests/platform_configuration_check_test.cpp
@@ -43,8 +43,8 @@
 
     std::vector<Finding> changes(const std::string& inForce, const std::string& next)
     {
-        const auto before = checkConfigurationText(inForce);
-        const auto after = checkConfigurationText(next);
+        const auto before = teasel::platform::checkConfigurationText(inForce);
+        const auto after = teasel::platform::checkConfigurationText(next);
         REQUIRE(before.configuration);
         REQUIRE(after.configuration);
         return differences(*before.configuration, *after.configuration);
@@ -107,7 +107,7 @@
 
 TEST_CASE("a valid configuration has no findings, also with the fields of the platform that the server ignores")
 {
-    const auto check = checkConfigurationText(valid);
+    const auto check = teasel::platform::checkConfigurationText(valid);
     CHECK_MESSAGE(check.findings.empty(), textOf(check.findings));
     REQUIRE(check.configuration);
     CHECK(check.configuration->document() == valid);
@@ -118,16 +118,16 @@
 {
     for (const auto& it : refusedChanges) {
         const auto text = replaced(valid, it.old, it.by);
-        const auto check = checkConfigurationText(text);
+        const auto check = teasel::platform::checkConfigurationText(text);
         CHECK_MESSAGE(textOf(check.findings).find(it.expected) != std::string::npos, textOf(check.findings));
         CHECK_FALSE(isAccepted(text));
         CHECK_FALSE(check.configuration);
         CHECK(check.has(Severity::Error));
-        CHECK(check.findings[0].severity == Severity::Error);
+        CHECK(check.findings[0].severity == teasel::platform::Severity::Error);
     }
     for (const auto& it : questionableChanges) {
         const auto text = replaced(valid, it.old, it.by);
-        const auto check = checkConfigurationText(text);
+        const auto check = teasel::platform::checkConfigurationText(text);
         CHECK_MESSAGE(isAccepted(text), text);
         CHECK_FALSE_MESSAGE(check.has(Severity::Error), textOf(check.findings));
         CHECK_MESSAGE(check.findings.empty() == it.expected.empty(), textOf(check.findings));
@@ -148,7 +148,7 @@
                 auto changed = document;
                 changed[at] = Json::parse(value);
                 const auto text = changed.dump();
-                const auto check = checkConfigurationText(text);
+                const auto check = teasel::platform::checkConfigurationText(text);
                 CHECK_MESSAGE(check.has(Severity::Error) == !isAccepted(text), text << "\n" << textOf(check.findings));
                 // Errors that the server doesn't share become warnings: only limits may have such.
                 for (const auto& it : check.configuration ? check.findings : std::vector<Finding>())
@@ -179,7 +179,7 @@
         { "{\n\"a\": [1, 2", "2:11 " }, { "{} x", "1:4 " }, { "[]", "1:1 " }, { "{\"a\":\n 1e999}", "2:" },
         { "{\"\xff\": 1}", "1:3 " } };
     for (const auto& [text, place] : rows) {
-        const auto check = checkConfigurationText(text);
+        const auto check = teasel::platform::checkConfigurationText(text);
         CHECK_FALSE(check.isJsonObject);
         REQUIRE(check.findings.size() == 1);
         CHECK_MESSAGE(textOf(check.findings).starts_with(place), textOf(check.findings));
@@ -266,3 +266,18 @@
 }
 
 } // namespace teasel::platform
+
+TEST_CASE("a configuration that is nested too deeply is one error, with its place")
+{
+    std::string objects;
+    for (int n = 0; n < 2'000; ++n)
+        objects += "{\"a\":";
+    const auto lists = std::string(2'000, '[');
+    for (const auto& deep : { objects + "1" + std::string(2'000, '}'), lists + std::string(2'000, ']') }) {
+        const auto check = teasel::platform::checkConfigurationText("{\"version\":1,\n\"routes\":" + deep + "}");
+        REQUIRE(check.findings.size() == 1);
+        CHECK(check.findings[0].severity == teasel::platform::Severity::Error);
+        CHECK(check.findings[0].place.line == 2);
+        CHECK(check.findings[0].message.find("nested too deeply") != std::string::npos);
+    }
+}
