A late leave of a member's earlier incarnation does not end the lease of the present one

Callers could see a key or setting in use that was reported as withdrawn everywhere: the leader of a data centre took a member for gone, and its revision out of the count, while the member that had restarted under its name held a lease. Cause: any leave ended the lease; the number of the message, which rises over restarts, was not compared. Ruled out: dropping every older message: a member whose clock stepped back would get no lease until the leader changes. Before: fleet_session: 0 ms of the lease left after the late leave; 8 of 9 cases pass. Conclusion: an older renewal still lowers or raises the serial of the portions that the member is taken to know; not looked at.

--- a/fleet/session.cpp
+++ b/fleet/session.cpp
@@ -114,6 +114,8 @@
     const auto it = m_members.find(std::string(from));
     if (!leads() || it == m_members.end() || renew.data_centre() != m_options.dataCentre)
         return;
+    if (renew.leaving() && renew.sequence() < it->second.sequence)
+        return;
     answerMember(it->first, it->second, renew, now);
     renewIfDue(now);
 }
--- a/tests/fleet_session_test.cpp
+++ b/tests/fleet_session_test.cpp
@@ -262,4 +262,21 @@
     }
 }
 
+TEST_CASE("a late leave of a member's earlier incarnation does not end the lease of the present one")
+{
+    Fixture it;
+    it.session.onGrant(it.grant(), it.clock.now());
+    schema::MemberRenew renew;
+    renew.set_data_centre("x");
+    renew.set_sequence(2'000);
+    it.session.onMemberRenew("m", renew, it.clock.now());
+    renew.set_sequence(1'000);
+    renew.set_leaving(true);
+    it.session.onMemberRenew("m", renew, it.clock.now());
+    it.clock.advance(Milliseconds(1'000));
+    it.session.onTick(it.clock.now());
+    REQUIRE(it.latestRenewal().members_size() == 1);
+    CHECK(it.last.members(0).lease_left_ms() > 0);
+}
+
 } // namespace teasel
