A late announcement of a confirmed and replaced incarnation no longer ends the leader

Callers would see the leader's process end: the second claim with the id, start time and address of a confirmed one threw. Cause: confirmClaim() moved the record out of the claim before ExecutorClaims::remove() built its key from it, so the key stayed in the index and add() looked up a claim that was gone. take() removes first and returns the claim. Ruled out: a fault of the emulator: jobs_announcements shows it with four announcements. Conclusion: claims that leave the table take their key along.

--- a/jobs/executor_claims.cpp
+++ b/jobs/executor_claims.cpp
@@ -53,6 +53,13 @@
     m_claims.erase(it);
 }
 
+ExecutorClaim ExecutorClaims::take(uint32_t number)
+{
+    auto out = m_claims.at(number).claim;
+    remove(number);
+    return out;
+}
+
 void ExecutorClaims::clear()
 {
     m_claims.clear();
--- a/jobs/executor_claims.h
+++ b/jobs/executor_claims.h
@@ -33,6 +33,7 @@
     ExecutorClaim* find(uint32_t number);
     std::optional<uint32_t> find(const std::string& id, uint64_t bornMs, const std::string& address) const;
     void remove(uint32_t number);
+    ExecutorClaim take(uint32_t number); // removes and returns it
     void clear();
     size_t size() const { return m_claims.size(); }
 
--- a/jobs/job_announcements.cpp
+++ b/jobs/job_announcements.cpp
@@ -162,20 +162,20 @@
 
 void JobLeader::confirmClaim(uint32_t number, Instant askedAt)
 {
-    auto& claim = *m_claims.find(number);
-    const auto contradicted = m_directory.withIdOrAddress(claim.record.id(), claim.record.address());
+    auto& known = *m_claims.find(number);
+    const auto contradicted = m_directory.withIdOrAddress(known.record.id(), known.record.address());
     // The one that was asked later and answered is the later one.
     const bool isOutdated = std::any_of(contradicted.begin(), contradicted.end(),
         [&](const auto it) { return m_executors.at(it).answeredOrderSentAt >= askedAt; });
-    if (isOutdated || m_pendingRegistrations.contains(claim.record.id())) {
-        claim.nextProbeAt = m_now + m_options.renewalRetry;
+    if (isOutdated || m_pendingRegistrations.contains(known.record.id())) {
+        known.nextProbeAt = m_now + m_options.renewalRetry;
         return;
     }
-    logClaim("executor_claim_confirmed", claim, "it answers");
+    logClaim("executor_claim_confirmed", known, "it answers");
+    auto claim = m_claims.take(number);
     m_goneIncarnations.erase({ claim.record.id(), claim.record.born_ms() });
     auto record = std::move(claim.record);
     const auto coldUntil = claim.coldUntil;
-    m_claims.remove(number);
     const auto moved = std::find_if(contradicted.begin(), contradicted.end(), [&](const auto it) {
         const auto* state = executorState(it);
         return state != nullptr && isSameLife(state->record, record) && !m_executors.at(it).isReplaced;
--- a/tests/jobs_announcements_test.cpp
+++ b/tests/jobs_announcements_test.cpp
@@ -187,6 +187,26 @@
     CHECK(it.state.executors().begin()->second.record.draining());
 }
 
+TEST_CASE("a late announcement of an incarnation that was confirmed and replaced does not end the leader")
+{
+    JobsFixture it;
+    it.announce("x1", 1);
+    it.answerRenewals({});
+    const auto replaceBy = [&](uint64_t born) {
+        it.announce("x1", born);
+        it.passWithRenewals(Milliseconds(400));
+        REQUIRE(it.state.executors().size() == 1);
+        CHECK(it.state.executors().begin()->second.record.born_ms() == born);
+    };
+    replaceBy(2);
+    replaceBy(3);
+    it.announce("x1", 2, 2);
+    it.pass(Milliseconds(100));
+    while (const auto renewal = it.takeOrder<RenewLease>())
+        it.answer(*renewal, { OrderOutcome::Done, 0, 3 });
+    CHECK(it.state.executors().begin()->second.record.born_ms() == 3);
+}
+
 TEST_CASE("an answer of an incarnation that was asked before its successor does not displace the successor")
 {
     JobsFixture it;
