A start refused for its fence, ticket or lease ends when a listing lacks it

Callers saw one task run twice, and an executor over its room, when a start arrived twice: the first copy was carried out, the second came after an order with a higher fence, was refused for its fence, and the refusal alone ended the run. Since each start after a renewal raises the fence, so this became frequent. Cause: only a refusal by an unhealthy executor needed a listing; one for a fence, ticket or lease binds no earlier copy either. Ruled out: a refusal for room: an earlier copy that runs there is answered 200, one that ended as old. Conclusion: a refusal ends a run alone only if it holds for each copy of the start.

--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -343,13 +343,13 @@
             { "executor", state == nullptr ? "" : state->record.id() },
             { "end", std::to_string(static_cast<int>(result.outcome)) },
             { "after_ms", millis(m_now - order.sentAt) } });
-    // A refusal as old also comes if the start was received twice and its run has ended; one by an unhealthy executor
-    // says nothing about another copy of the start.
-    run.isRefused = result.outcome == OrderOutcome::Refused;
-    if (run.isRefused) {
-        ++m_counters.startsRefused;
+    // A refusal as old also comes if the start was received twice and its run has ended; one by an unhealthy executor,
+    // or for a fence, ticket or lease, says nothing about another copy of the start that arrived earlier.
+    run.isRefused = result.outcome == OrderOutcome::Refused || result.outcome == OrderOutcome::StaleFence
+        || result.outcome == OrderOutcome::InvalidTicket || result.outcome == OrderOutcome::LeaseExpired;
+    m_counters.startsRefused += run.isRefused ? 1 : 0;
+    if (result.outcome == OrderOutcome::Refused)
         recordFailure(executor, order.task);
-    }
     if (run.isRefused || result.outcome == OrderOutcome::UnknownOutcome || result.outcome == OrderOutcome::StaleRun) {
         m_counters.unknownStartOutcomes += run.isRefused ? 0 : 1;
         run.stage = RunStage::UnknownOutcome;
--- a/tests/jobs_refusals_test.cpp
+++ b/tests/jobs_refusals_test.cpp
@@ -84,8 +84,14 @@
     CHECK(it.state.find(7)->phase == JobPhase::Completed);
 }
 
-TEST_CASE("a start that an unhealthy executor refused is given up when a listing lacks it, not earlier")
+TEST_CASE(
+    "a refused start of which another copy may have been carried out is given up when a listing lacks it, not earlier")
 {
+    auto outcome = OrderOutcome::Refused; // 429 or 503
+    SUBCASE("by an unhealthy executor") { }
+    SUBCASE("for its fence") { outcome = OrderOutcome::StaleFence; }
+    SUBCASE("for its ticket") { outcome = OrderOutcome::InvalidTicket; }
+    SUBCASE("for its lease") { outcome = OrderOutcome::LeaseExpired; }
     constexpr Milliseconds step { 20 };
     JobsFixture it;
     it.announce("x1", 1);
@@ -94,7 +100,7 @@
     it.announce("x2");
     while (const auto renewal = it.takeOrder<RenewLease>("x2"))
         it.answer(*renewal, { OrderOutcome::Done });
-    it.answer(start, { OrderOutcome::Refused }); // 429 or 503; an earlier copy of the order may have been carried out
+    it.answer(start, { outcome });
     std::vector<SendOrder> fromFirst;
     const auto passWithoutFirst = [&](Milliseconds time) {
         for (Milliseconds n { 0 }; n < time; n += step) {
