The seeded tests of the job plane share one loop over seeds

Cause: jobs_random, jobs_hazards_random and jobs_rebirth_random each had a copy of the loop; a fourth test needs it. Ruled out: a change of what is played or checked: the options, defaults and checks are the same. Conclusion: jobs_seed_loop.h plays the seeds and names the failed ones by rule.

--- a/tests/jobs_rebirth_random_test.cpp
+++ b/tests/jobs_rebirth_random_test.cpp
@@ -1,33 +1,17 @@
 // Seeded runs of the job plane with executors that crash behind a cut and start again under their ids, which carry out
 // starts that were sent to their earlier lives. One seed in three plays tickets that are bound to the id, one a queue
-// without advice, one all hazards. TEASEL_SEEDS and TEASEL_FIRST_SEED select the number of seeds and the first one;
-// TEASEL_TRACE prints the leader's log.
-#include "jobs_world.h"
-
-#include <doctest/doctest.h>
-#include <fmt/ranges.h>
+// without advice, one all hazards.
+#include "jobs_seed_loop.h"
 
 #include <array>
-#include <cstdlib>
-#include <map>
-#include <set>
-#include <string>
 
 using namespace teasel;
 
 namespace {
 
-uint64_t fromEnvironment(const char* name, uint64_t fallback)
-{
-    const char* text = std::getenv(name);
-    return text ? std::strtoull(text, nullptr, 10) : fallback;
-}
-
 JobsWorldOptions rebirths(uint64_t seed)
 {
     JobsWorldOptions options;
-    options.seed = seed;
-    options.trace = std::getenv("TEASEL_TRACE") != nullptr;
     options.holdMax = Milliseconds(6'000);
     options.maxStopTime = Milliseconds(195); // the contract's 200 ms, less the emulator's step
     options.lateOrders = 0.05;
@@ -54,47 +38,24 @@
     return options;
 }
 
-constexpr uint64_t enoughForEachHazard = 30; // seeds; fewer are a replay
-
 std::string variantOf(uint64_t seed)
 {
-    static const std::array<const char*, 6> names { "tickets of 2.5 s bound to the id", "no tickets",
-        "all hazards, tickets bound to the id", "tickets of 6 s bound to the id", "no tickets",
-        "all hazards, tickets bound to the life" };
+    static const std::array<const char*, 6> names { ", tickets of 2.5 s bound to the id", ", no tickets",
+        ", all hazards, tickets bound to the id", ", tickets of 6 s bound to the id", ", no tickets",
+        ", all hazards, tickets bound to the life" };
     return names[seed % names.size()];
 }
 
-// The rule that a violation names: "seed 7: LIMIT: ...".
-std::string ruleOf(const std::string& violation)
-{
-    const auto from = violation.find(": ") + 2;
-    return violation.substr(from, violation.find(':', from) - from);
-}
-
 } // namespace
 
 TEST_CASE("no task runs twice when a later life of an executor carries out a start that was sent to an earlier one")
 {
-    const uint64_t first = fromEnvironment("TEASEL_FIRST_SEED", 1);
-    const uint64_t seeds = fromEnvironment("TEASEL_SEEDS", 50);
-    size_t completed = 0;
-    HazardCounts counts;
-    std::map<std::string, std::set<uint64_t>> seedsByRule;
-    for (uint64_t seed = first; seed < first + seeds; ++seed) {
-        JobsWorld world(rebirths(seed));
-        for (const auto& it : world.run()) {
-            FAIL_CHECK(fmt::format("TEASEL_FIRST_SEED={} TEASEL_SEEDS=1 build/jobs_rebirth_random_test\n{}", seed, it));
-            seedsByRule[ruleOf(it) + ", " + variantOf(seed)].insert(seed);
-        }
-        completed += world.completed();
-        counts += world.hazardCounts();
-    }
-    for (const auto& [rule, failed] : seedsByRule)
-        fmt::print("{}: {} seeds: {}\n", rule, failed.size(), fmt::join(failed, " "));
+    const auto result = runSeeds("jobs_rebirth_random_test", 50, rebirths, variantOf);
+    const auto& counts = result.hazards;
     fmt::print("jobs ended: {}; executors restarted while cut off: {}; starts carried out by a later life: {}, {} of "
                "them while cut off; starts refused for their ticket: {}; ends that a later life forgot for an "
                "acknowledgement sent to an earlier one: {}\n",
-        completed, counts.rebirths, counts.startsByLaterLife, counts.startsWhileCut, counts.invalidTickets,
+        result.completed, counts.rebirths, counts.startsByLaterLife, counts.startsWhileCut, counts.invalidTickets,
         counts.forgottenEnds);
     fmt::print("announcements lost: {}, late: {}, {} of them after the registration of the sender's next life\n",
         counts.lostAnnouncements, counts.lateAnnouncements, counts.announcementsAfterNextLife);
@@ -103,8 +64,9 @@
     fmt::print("ends of members of gangs that came after the first: {}\n", counts.delayedGangEnds);
     fmt::print("refused by unhealthy executors: starts {}, stops {}, renewals {}\n", counts.refusedStarts,
         counts.refusedStops, counts.refusedRenewals);
-    if (seeds < enoughForEachHazard)
+    if (!result.hasEnoughForEachHazard())
         return;
+    const auto seeds = result.seeds;
     CHECK(counts.rebirths > seeds);
     CHECK(counts.startsByLaterLife > 0);
     CHECK(counts.startsWhileCut > 0);
