The emulator plays announcements and departures of other writers, steps of clocks and executors that leave

An order now goes to its address, where another id refuses it; it was given to the executor with the id, wherever that was.

--- a/tests/jobs_world.h
+++ b/tests/jobs_world.h
@@ -8,6 +8,7 @@
 #include "core/random.h"
 #include "jobs/job_leader.h"
 #include "jobs/job_state.h"
+#include "jobs_world_announcements.h"
 #include "jobs_world_checks.h"
 #include "jobs_world_evacuations.h"
 #include "jobs_world_faults.h"
@@ -38,6 +39,7 @@
         , m_hazards(m_options, m_clock)
         , m_fleet(m_options, m_random, m_clock, m_callers, m_checks, m_hazards)
         , m_faults(m_options, m_clock, m_hazards, m_fleet)
+        , m_announcements(m_options, m_clock, m_hazards, m_fleet)
         , m_evacuations(m_options, m_clock, m_checks)
         , m_state(Milliseconds(600'000))
     {
@@ -272,6 +274,8 @@
             performActions();
         }
         m_faults.step(m_isEnding);
+        m_announcements.step(
+            [this](auto it) { m_leader->onCall(++m_lastHandle, std::move(it), m_clock.now(), wall()); }, m_isEnding);
         for (auto& it : m_fleet.executors()) {
             m_fleet.advance(it, 5.0);
             announce(it);
@@ -307,7 +311,7 @@
         if (m_clock.now() < executor.nextAnnouncement || executor.silentUntil > m_clock.now())
             return;
         executor.nextAnnouncement = m_clock.now() + std::chrono::milliseconds(1'500);
-        auto it = executor.nextAnnouncementMessage();
+        auto it = executor.nextAnnouncementMessage(m_clock.now());
         const auto delay = m_hazards.announcementDelay();
         if (delay == Milliseconds(0)) {
             m_leader->onCall(++m_lastHandle, std::move(it), m_clock.now(), wall());
@@ -471,6 +475,7 @@
     JobsWorldHazards m_hazards;
     JobsWorldFleet m_fleet;
     JobsWorldFaults m_faults;
+    JobsWorldAnnouncements m_announcements;
     JobsWorldEvacuations m_evacuations;
     uint64_t m_evacuatedRuns = 0; // by previous leaders
     bool m_isEnding = false; // no further faults
--- a/tests/jobs_world_fleet.h
+++ b/tests/jobs_world_fleet.h
@@ -6,6 +6,7 @@
 #include "jobs_world_hazards.h"
 #include "jobs_world_types.h"
 
+#include <set>
 #include <utility>
 
 namespace teasel {
@@ -51,16 +52,18 @@
         return deadly && deadly->step == start->task.step.step && deadly->index == start->task.index;
     }
 
-    // An order names an executor's id: one that is still in flight when the executor restarts reaches the next
-    // incarnation, which refuses it if its id is another.
+    // An order goes to an address and names an executor's id: one that is still in flight when the executor restarts
+    // reaches the next incarnation, which refuses it if its id is another.
     std::optional<OrderResult> deliver(const SendOrder& order, uint64_t sentToBorn, bool isLate)
     {
         const auto* found = addressee(order);
         if (!canReceive(order) && !(found != nullptr && isLate && m_options.lateOrdersPassCuts))
             return std::nullopt;
         auto& executor = *addressee(order);
-        if (executor.id != order.executorId)
+        if (executor.id != order.executorId) {
+            ++m_hazards.counts().ordersForOtherIds;
             return OrderResult { OrderOutcome::OtherIncarnation };
+        }
         if (m_hazards.refuses(executor, order))
             return OrderResult { OrderOutcome::Refused };
         auto result = execute(executor, order, executor.bornMs != sentToBorn);
@@ -85,11 +88,22 @@
         next.id = executor.id;
         next.address = executor.address;
         if (!isBehindCut && m_options.changedIds > 0 && m_random.chance(m_options.changedIds)) {
-            // Numbers of one slot differ by multiples of the number of executors.
-            next.id = fmt::format("x{}", std::stoul(executor.id.substr(1)) + m_options.executors);
+            next.id = nextIdAfter(executor);
             if (m_random.chance(0.5))
                 next.address = next.id;
         }
+        if (next.id == executor.id && m_hazards.stepsClock())
+            next.bornMs = unusedBornBefore(executor.bornMs);
+        executor = std::move(next);
+    }
+
+    // Another executor follows at its address.
+    void end(WorldExecutor& executor)
+    {
+        m_checks.recordCrash(executor, std::nullopt, true);
+        auto next = makeExecutor(executor.slot);
+        next.id = nextIdAfter(executor);
+        next.address = executor.address;
         executor = std::move(next);
     }
 
@@ -137,7 +151,8 @@
         it.slot = slot;
         it.id = fmt::format("x{}", slot);
         it.address = it.id;
-        it.bornMs = ++m_lastIncarnation;
+        it.bornMs = ++m_lastBorn;
+        m_usedBorns.insert(it.bornMs);
         it.bornAt = m_clock.now();
         it.clockRate = 0.98 + m_random.unit() * 0.02;
         it.capacity = fullCapacity();
@@ -145,6 +160,20 @@
         return it;
     }
 
+    // Numbers of one slot differ by multiples of the number of executors.
+    std::string nextIdAfter(const WorldExecutor& it) const
+    {
+        return fmt::format("x{}", std::stoul(it.id.substr(1)) + m_options.executors);
+    }
+
+    uint64_t unusedBornBefore(uint64_t born)
+    {
+        do {
+            born -= m_hazards.clockStepMs();
+        } while (!m_usedBorns.insert(born).second);
+        return born;
+    }
+
     void crashBecauseOf(WorldExecutor& executor, const TaskKey& key)
     {
         crash(executor, TaskKey(key));
@@ -153,14 +182,9 @@
 
     WorldExecutor* addressee(const SendOrder& order)
     {
-        WorldExecutor* out = nullptr;
-        for (auto& it : m_executors) {
-            if (it.id == order.executorId)
-                return &it;
-            if (it.address == order.address)
-                out = &it;
-        }
-        return out;
+        const auto it = std::find_if(
+            m_executors.begin(), m_executors.end(), [&](const auto& one) { return one.address == order.address; });
+        return it == m_executors.end() ? nullptr : &*it;
     }
 
     uint64_t clockOf(const WorldExecutor& it) const
@@ -318,7 +342,8 @@
     JobsWorldHazards& m_hazards;
     std::vector<WorldExecutor> m_executors;
     std::optional<Milliseconds> m_plannedCrash;
-    uint64_t m_lastIncarnation = 0;
+    uint64_t m_lastBorn = 1'000'000'000; // start time of the latest incarnation without a step of the clock
+    std::set<uint64_t> m_usedBorns;
 };
 
 } // namespace teasel
--- a/tests/jobs_world_hazards.h
+++ b/tests/jobs_world_hazards.h
@@ -29,6 +29,21 @@
     size_t refusedStops = 0;
     size_t refusedRenewals = 0;
     size_t delayedGangEnds = 0; // of single members
+    size_t clockSteps = 0; // lives with an earlier start time than the one before
+    size_t listsWithoutBorn = 0;
+    size_t ordersForOtherIds = 0; // refused by the executor at the address
+    // Announcements of other writers: of another id at a live executor's address, of a live executor's id with another
+    // start time or address, and with a sequence number far ahead.
+    size_t falseIds = 0;
+    size_t earlierStartTimes = 0;
+    size_t laterStartTimes = 0;
+    size_t farStartTimes = 0;
+    size_t falseAddresses = 0;
+    size_t farSequences = 0;
+    size_t falseDepartures = 0;
+    size_t falseDeparturesWithBorn = 0; // of these
+    size_t departures = 0;
+    size_t lostDepartures = 0; // of these; the leader was not told
 
     HazardCounts& operator+=(const HazardCounts& other)
     {
@@ -46,6 +61,19 @@
         refusedStops += other.refusedStops;
         refusedRenewals += other.refusedRenewals;
         delayedGangEnds += other.delayedGangEnds;
+        clockSteps += other.clockSteps;
+        listsWithoutBorn += other.listsWithoutBorn;
+        ordersForOtherIds += other.ordersForOtherIds;
+        falseIds += other.falseIds;
+        earlierStartTimes += other.earlierStartTimes;
+        laterStartTimes += other.laterStartTimes;
+        farStartTimes += other.farStartTimes;
+        falseAddresses += other.falseAddresses;
+        farSequences += other.farSequences;
+        falseDepartures += other.falseDepartures;
+        falseDeparturesWithBorn += other.falseDeparturesWithBorn;
+        departures += other.departures;
+        lostDepartures += other.lostDepartures;
         return *this;
     }
 };
@@ -115,11 +143,12 @@
     // The contract has the start time of an incarnation only in announcements and in lists of runs.
     void editAnswer(const SendOrder& order, OrderResult& result)
     {
-        if (m_options.answersWithoutBorn == 0 || std::holds_alternative<RenewLease>(order.order)
-            || !m_random.chance(m_options.answersWithoutBorn))
+        const bool isList = std::holds_alternative<RenewLease>(order.order);
+        const auto share = isList ? m_options.listsWithoutBorn : m_options.answersWithoutBorn;
+        if (share == 0 || !m_random.chance(share))
             return;
         result.bornMs = 0;
-        ++m_counts.answersWithoutBorn;
+        ++(isList ? m_counts.listsWithoutBorn : m_counts.answersWithoutBorn);
     }
 
     bool refuses(const WorldExecutor& executor, const SendOrder& order)
@@ -149,6 +178,16 @@
 
     // ---- Rebirths --------------------------------------------------------------
 
+    bool stepsClock()
+    {
+        if (m_options.clockSteps == 0 || !m_random.chance(m_options.clockSteps))
+            return false;
+        ++m_counts.clockSteps;
+        return true;
+    }
+
+    uint64_t clockStepMs() { return 1 + m_random.below(10'000); }
+
     void recordStartByLaterLife(const WorldExecutor& executor)
     {
         ++m_counts.startsByLaterLife;
--- a/tests/jobs_world_types.h
+++ b/tests/jobs_world_types.h
@@ -64,6 +64,11 @@
     double unhealthyPerSecond = 0; // an executor refuses most orders for up to 3 s, without carrying them out
     Milliseconds maxGangEndDelay { 0 }; // until a member of a gang learns of the end of another one
     bool lateOrdersPassCuts = false; // late orders also reach executors that are cut off
+    double clockSteps = 0; // share of next lives with an earlier start time than the life before
+    double listsWithoutBorn = 0; // share of lists of runs
+    double falseAnnouncementsPerSecond = 0; // by other writers; each contradicts a live executor
+    double falseDeparturesPerSecond = 0; // of live executors that did not send them
+    double departuresPerSecond = 0; // an executor drains, leaves and ends; another id follows at its address
 };
 
 constexpr size_t worldZones = 3;
@@ -106,6 +111,7 @@
     Instant silentUntil {};
     Instant unhealthyUntil {};
     Instant nextAnnouncement {};
+    std::optional<Instant> leavesAt {}; // it drains until then
     struct PastCapacity {
         ResourceVector capacity;
         Instant until {};
@@ -115,7 +121,20 @@
     // Neighbouring slots share a data centre: advice excludes every third slot, so each has some that are granted.
     std::string zone() const { return worldZone(slot / 2 % worldZones); }
 
-    ExecutorAnnouncement nextAnnouncementMessage()
+    ExecutorAnnouncement nextAnnouncementMessage(Instant now)
+    {
+        auto out = announcementMessage();
+        out.sequence = ++sequence;
+        if (!leavesAt)
+            return out;
+        out.record.set_draining(true);
+        const auto left = std::chrono::duration_cast<Milliseconds>(*leavesAt - now);
+        out.drainRemainingMs = static_cast<uint64_t>(std::max(left, Milliseconds(0)).count());
+        return out;
+    }
+
+    // What it says of itself while it does not drain, without a sequence number.
+    ExecutorAnnouncement announcementMessage() const
     {
         ExecutorAnnouncement out;
         out.record.set_id(id);
@@ -124,7 +143,6 @@
         out.record.set_service("filling");
         out.record.set_zone(zone());
         *out.record.mutable_capacity() = toMessage(capacity);
-        out.sequence = ++sequence;
         return out;
     }
 
