--- a/jobs/executor_claims.h
+++ b/jobs/executor_claims.h
@@ -37,7 +37,6 @@
     // Removes and returns a claim.
     ExecutorClaim take(uint32_t number);
     void clear();
-    size_t size() const { return m_claims.size(); }
 
     // Records that an order asks the executor of a claim for its list of runs; the claim is due again at `retryAt`.
     void recordProbe(uint32_t number, uint64_t order, Instant now, Instant retryAt);
--- a/net/address.cpp
+++ b/net/address.cpp
@@ -70,4 +70,11 @@
     return !IN6_IS_ADDR_UNSPECIFIED(&host) && !IN6_IS_ADDR_MULTICAST(&host);
 }
 
+bool isMachineAddress(std::string_view text)
+{
+    const auto parsed = valueOrError([&] { return SocketAddress::parse(text); });
+    const auto* address = std::get_if<SocketAddress>(&parsed);
+    return address != nullptr && address->port() != 0 && address->isUnicast();
+}
+
 } // namespace teasel
--- a/net/address.h
+++ b/net/address.h
@@ -30,4 +30,8 @@
     socklen_t m_size = 0;
 };
 
+// Whether a text is an address at which one machine can be reached: SocketAddress::parse() reads it, the host is
+// unicast and the port is not 0.
+bool isMachineAddress(std::string_view text);
+
 } // namespace teasel
--- a/node/core_node.cpp
+++ b/node/core_node.cpp
@@ -1,8 +1,7 @@
 #include "node/core_node.h"
 
-#include "node/batch_parts.h"
-
 #include "jobs/order_messages.h"
+#include "node/batch_parts.h"
 #include "node/job_plane_common.h"
 #include "node/order_age.h"
 #include "platform/call_codec.h"
