--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,51 +1,51 @@
-"""Tasks that last fail now and then; is each restarted?"""
+"""An executor loses power just before the traffic ends; is each accepted submission at work finish_s later?"""
 
 import asyncio
 import os
-import random
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "common"))
-from fleet import TROUBLE, run_case  # noqa: E402
+from fleet import BOUNDS, TROUBLE, run_case  # noqa: E402
 
-QUEUE = "serve"
-JOBS = 6
-STEPS = [{"count": 1, "cpu": 2000, "memMb": 1000, "estimateMs": 1000, "longRunning": True}]
-WATCHED_S = 70
-# LOST: from 6 s after its last run, for 3 s; and half a second for what the stand-ins take to see it.
-IDLE_S = 6 + 3 + 0.5
+QUEUE = "weigh"
+JOBS = 100
+POWER_LOST_AT_JOB = 76  # 1.5 s before the end of the traffic
+STEPS = [{"count": 1, "cpu": 2000, "memMb": 1000, "estimateMs": 800}]
+IDLE_S = 3  # without a run, from finish_s after the end of the traffic
 
 
 async def scenario(fleet):
-    times = random.Random(1)
-
-    def work(task, run, spec):
-        return (times.uniform(2, 10), "failed") if TROUBLE else (None, "done")
-
-    await fleet.start([QUEUE], executors=2, work=work)
-    jobs = [await fleet.submit(QUEUE, STEPS, front=n % 2) for n in range(JOBS)]
-    accepted = fleet.record.now()
-    last_at_work = {job: accepted for job in jobs}
-    longest = (0, None)
-    while fleet.record.now() < accepted + WATCHED_S:
-        now = fleet.record.now()
-        running = {task.split(".")[0] for it in fleet.executors for task in it.runs}
-        used = sum(2000 for it in fleet.executors for _ in it.runs)
-        if 2 * used >= sum(it.capacity["cpu"] for it in fleet.executors):
-            return False, "the stand-in has more at work than it hands in"
-        for job in jobs:
-            if job in running:
-                last_at_work[job] = now
-            longest = max(longest, (now - last_at_work[job], job), key=lambda it: it[0])
-        if longest[0] > IDLE_S + 2:
-            break
-        await asyncio.sleep(0.05)
-    fleet.record.write("longest_idle", job=longest[1], seconds=round(longest[0], 2))
-    idle = sorted(round(fleet.record.now() - it, 1) for it in last_at_work.values())
-    fleet.record.write("idle_at_the_end", seconds=idle)
-    text = f"a task that lasts had no run for {longest[0]:.1f} s; all executors are sound; at the end the tasks were without a run for {idle} s"
-    return longest[0] <= IDLE_S, text
+    await fleet.start([QUEUE], executors=7, work=lambda task, run, spec: (0.8, "done"))
+    accepted = set()
+
+    async def hand_in(n):
+        await asyncio.sleep(0.06 * n)
+        if TROUBLE and n == POWER_LOST_AT_JOB:
+            fleet.busiest_executor().go_dark()
+        accepted.add(await fleet.submit(QUEUE, STEPS, front=n % 2))
+
+    await asyncio.gather(*(hand_in(n) for n in range(JOBS)))
+    traffic_ended = fleet.record.now()
+    fleet.record.write("traffic_ended")
+    await asyncio.sleep(BOUNDS["finish_s"])
+    idle = {job for job in accepted if await fleet.state(QUEUE, job) != "completed"}
+    since = fleet.record.now()
+    fleet.record.write("not_completed", jobs=sorted(idle))
+    while idle and fleet.record.now() < since + IDLE_S:
+        for it in fleet.executors:
+            idle -= {task.split(".")[0] for task in it.runs}
+        idle -= {task.split(".")[0] for at, _, task, _ in fleet.starts if at >= since}
+        await asyncio.sleep(0.02)
+    if not idle:
+        return True, "each accepted submission had ended or was at work"
+    fleet.record.write("idle", jobs=sorted(idle))
+    await asyncio.sleep(12)
+    begun = {task.split(".")[0]: round(at - traffic_ended, 1) for at, _, task, _ in fleet.starts}
+    when = sorted(begun.get(job, "never") for job in idle)
+    return False, (f"{len(idle)} accepted submissions had nothing running from {BOUNDS['finish_s']} s to "
+                   f"{BOUNDS['finish_s'] + IDLE_S} s after the end of the traffic, with {len(fleet.executors) - 1} sound "
+                   f"executors idle; they began {when} s after it")
 
 
 run_case(HERE, scenario)
