--- a/review/4/case.py
+++ b/review/4/case.py
@@ -13,7 +13,7 @@
 QUEUE = "weigh"
 STEPS = [{"count": 2, "cpu": 2000, "memMb": 1000, "estimateMs": 800}]
 FREEZE_S = 3.5
-LEAVES_AFTER_S = 0.4
+LEAVES_AFTER_S = 0.25
 
 
 async def scenario(fleet):
@@ -25,6 +25,7 @@
         fleet.record.write("front_freezes", front=0)
         fleet.front[0].signal(signal.SIGSTOP)
         asyncio.get_running_loop().call_later(FREEZE_S, fleet.front[0].signal, signal.SIGCONT)
+        await asyncio.sleep(0.05)  # the stop takes effect a moment after the signal
     await fleet.client("POST", QUEUE, job, {"spec": f"work of {job}", "steps": STEPS}, front=0, timeout=LEAVES_AFTER_S)
     fleet.record.write("client_leaves", job=job)
     cancelled = None
