Consensus: each leader records the voters, which replaced disks know only from the log

Cause: teasel-core names the voters at the first start only. A replaced disk was readmitted and voted, but mayCampaign() was false on it. The record repeats the set in force, so no quorum changes.

--- a/consensus/memory_log.h
+++ b/consensus/memory_log.h
@@ -31,6 +31,9 @@
     const schema::VoterSet& voters() const { return m_voters.back().set; }
     uint64_t votersIndex() const { return m_voters.back().index; }
 
+    // Whether a record after the snapshot names the voters. Otherwise they come from the snapshot or the settings.
+    bool hasVotersRecord() const { return votersIndex() > m_snapshot.index(); }
+
     // The voter set before the last change; the current one if the snapshot already includes that change.
     const schema::VoterSet& previousVoters() const
     {
--- a/consensus/replica.h
+++ b/consensus/replica.h
@@ -146,6 +146,7 @@
     void onSnapshotReply(std::string_view from, uint64_t term, const schema::SnapshotReply&);
     uint64_t appendRecord(schema::LogRecord);
     uint64_t appendBarrier();
+    uint64_t appendVoters(schema::VoterSet);
     Result<schema::VoterSet> votersAfter(const VoterChange&) const;
     void advanceLeader();
     void advanceTransfer();
--- a/consensus/replica_election.cpp
+++ b/consensus/replica_election.cpp
@@ -135,6 +135,10 @@
     m_votes.clear();
     m_leaderState.startTerm(m_hardState.term(), m_now);
     m_actions.emplace_back(BecameLeader { m_hardState.term() });
+    // A replaced disk knows the voters only from the log. The record precedes the barrier, so that a replica that has
+    // reached a barrier of this term has it.
+    if (!m_log.hasVotersRecord())
+        appendVoters(m_log.voters());
     m_barrierIndex = appendBarrier();
 }
 
--- a/consensus/replica_replication.cpp
+++ b/consensus/replica_replication.cpp
@@ -189,6 +189,13 @@
     return appendRecord(std::move(record));
 }
 
+uint64_t Replica::appendVoters(schema::VoterSet voters)
+{
+    schema::LogRecord record;
+    *record.mutable_voters() = std::move(voters);
+    return appendRecord(std::move(record));
+}
+
 void Replica::onAppendReply(std::string_view from, uint64_t term, const schema::AppendReply& reply)
 {
     if (term > m_hardState.term())
@@ -261,9 +268,7 @@
     if (m_committedIndex < m_barrierIndex || m_committedIndex < m_log.votersIndex())
         return fail(ErrorKind::RevisionConflict, "another change of the voters is not committed yet");
     BOOST_LEAF_AUTO(next, votersAfter(change));
-    schema::LogRecord record;
-    *record.mutable_voters() = std::move(next);
-    const auto index = appendRecord(std::move(record));
+    const auto index = appendVoters(std::move(next));
     m_leaderState.updateMembers(now);
     return index;
 }
--- a/tests/consensus_random_test.cpp
+++ b/tests/consensus_random_test.cpp
@@ -76,6 +76,7 @@
         options.repeatProbability = 0.02;
         options.delayProbability = 0.02;
         options.snapshotEvery = seed % 3 == 0 ? 400 : 40;
+        options.replacementsKnowVoters = seed % 8 < 2;
         return options;
     }
 
--- a/tests/consensus_simulation.h
+++ b/tests/consensus_simulation.h
@@ -83,6 +83,7 @@
     double delayProbability = 0; // the delay is up to 1 s
     uint64_t snapshotEvery = 40;
     uint64_t retainedRecords = 10;
+    bool replacementsKnowVoters = true; // the settings of a replaced replica name the voters
 };
 
 struct SimulationCounters {
@@ -125,7 +126,8 @@
         auto& node = *m_nodes[i];
         ReplicatedLogOptions options;
         options.replica.id = nameOf(i);
-        options.replica.bootstrap = m_bootstrap;
+        if (!node.isReplacement || m_options.replacementsKnowVoters)
+            options.replica.bootstrap = m_bootstrap;
         options.replica.seed = random.engine()();
         options.replica.maxBatchBytes = 200;
         options.replica.snapshotChunkBytes = 100;
