Stopping: each call that was read is answered, within the grace time of the settings

Cause: HttpServer::stop() queued its answers and ended libmicrohttpd before they were sent. The front waited 5 s, whatever graceS is, for calls that come all the time. Core instances that stop did the same. Why it works: during a stop the relay answers each call before the grace time ends (504 if it was forwarded, 503 if not); later requests are refused before they are passed on; the server ends only when all answers have been handed to the kernel.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -18,6 +18,8 @@
 namespace {
 
     constexpr std::chrono::milliseconds disconnectCheckInterval { 100 };
+    // On stop, for callers that read their answers slowly or not at all.
+    constexpr std::chrono::milliseconds sendTimeout { 300 };
 
     std::string lowerCase(std::string_view text)
     {
@@ -54,6 +56,7 @@
     MHD_Connection* connection = nullptr;
     int fd = -1;
     bool tooLarge = false;
+    bool isComplete = false; // the request was read completely
     bool dispatched = false;
     bool answered = false;
     HttpResponse response;
@@ -101,6 +104,12 @@
         close(fd);
 }
 
+void HttpServer::refuseNewRequests()
+{
+    const std::lock_guard lock(m_mutex);
+    m_refusing = true;
+}
+
 void HttpServer::stop()
 {
     if (m_daemon == nullptr)
@@ -108,7 +117,7 @@
     std::vector<uint64_t> unanswered;
     {
         const std::lock_guard lock(m_mutex);
-        m_stopping = true;
+        m_stopping = m_refusing = true;
         for (const auto& [handle, exchange] : m_suspended)
             unanswered.push_back(handle);
     }
@@ -117,12 +126,20 @@
         m_watcher.join();
     for (const auto handle : unanswered)
         answer(handle,
-            { 503, "application/json", { { "Retry-After", "1" } },
+            { 504, "application/json", { { "Retry-After", "1" }, { "Connection", "close" } },
                 R"({"kind":"shutting_down","run":"may_have_run"})" });
+    waitForAnswersSent();
+    // A request that is read from here on is refused and answered in the same pass of the server's thread.
     MHD_stop_daemon(m_daemon);
     m_daemon = nullptr;
 }
 
+void HttpServer::waitForAnswersSent()
+{
+    std::unique_lock lock(m_mutex);
+    m_answersSent.wait_for(lock, sendTimeout, [this] { return m_unsentAnswers == 0; });
+}
+
 size_t HttpServer::pendingRequests() const
 {
     const std::lock_guard lock(m_mutex);
@@ -162,6 +179,10 @@
         *n = 0;
         return MHD_YES;
     }
+    if (!std::exchange(exchange.isComplete, true)) {
+        const std::lock_guard lock(m_mutex);
+        ++m_unsentAnswers;
+    }
     if (exchange.tooLarge)
         return replyTooLarge(connection);
     if (exchange.dispatched) {
@@ -175,8 +196,8 @@
     auto request = std::move(exchange.request); // After suspension, `exchange` may be deleted at any time.
     {
         const std::lock_guard lock(m_mutex);
-        // stop() has already answered the waiting requests, and nothing would resume this one.
-        if (m_stopping)
+        // After stop() has answered the waiting requests, nothing would resume this one.
+        if (m_refusing)
             return reply(connection,
                 { 503, "application/json", { { "Retry-After", "1" }, { "Connection", "close" } },
                     R"({"kind":"shutting_down","run":"did_not_run"})" });
@@ -217,10 +238,16 @@
     return reply(connection, { 413, "application/json", { { "Connection", "close" } }, std::string(tooLargeBody) });
 }
 
-void HttpServer::onCompleted(void*, MHD_Connection*, void** state, MHD_RequestTerminationCode)
+void HttpServer::onCompleted(void* self, MHD_Connection*, void** state, MHD_RequestTerminationCode)
 {
-    delete static_cast<Exchange*>(*state);
+    const std::unique_ptr<Exchange> exchange(static_cast<Exchange*>(*state));
     *state = nullptr;
+    if (exchange == nullptr || !exchange->isComplete)
+        return;
+    auto& server = *static_cast<HttpServer*>(self);
+    const std::lock_guard lock(server.m_mutex);
+    if (--server.m_unsentAnswers == 0)
+        server.m_answersSent.notify_all();
 }
 
 void HttpServer::watchForDisconnects()
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -71,7 +71,11 @@
     // Stops accepting connections; existing connections stay open.
     void stopListening();
 
-    // Answers all waiting requests with 503 and stops the server.
+    // From now on requests are answered at once with 503 and are not passed to the handler.
+    void refuseNewRequests();
+
+    // Answers the waiting requests with 504, since they may have run, and new ones with 503. Stops the server once all
+    // answers have been sent, or after a short time limit.
     void stop();
 
     // Answers a request. Ignored if the request has already been answered. Thread-safe.
@@ -92,6 +96,7 @@
     MHD_Result reply(MHD_Connection*, const HttpResponse&) const;
     MHD_Result replyTooLarge(MHD_Connection*) const;
     void watchForDisconnects();
+    void waitForAnswersSent();
 
     HttpServerOptions m_options;
     Handler m_handler;
@@ -101,6 +106,9 @@
 
     mutable std::mutex m_mutex;
     std::condition_variable m_watcherWakeup;
+    std::condition_variable m_answersSent;
+    size_t m_unsentAnswers = 0; // to requests that were read completely; guarded by m_mutex
+    bool m_refusing = false; // guarded by m_mutex
     absl::flat_hash_map<uint64_t, Exchange*> m_suspended; // guarded by m_mutex
     bool m_stopping = false; // guarded by m_mutex
     std::thread m_watcher;
--- a/node/core_node.cpp
+++ b/node/core_node.cpp
@@ -28,8 +28,8 @@
     // Maximum time without a registration; orders sent through a silent instance would be delayed.
     constexpr Milliseconds orderSenderTimeout { 900 };
     constexpr Milliseconds handoverDelay { 600 };
-    // Maximum wait for open calls on stop; the next leader answers the rest.
-    constexpr Milliseconds drainTimeout { 1'500 };
+    // On stop, calls that the leader has not answered by then are answered as unknown.
+    constexpr Milliseconds stopTime { 2'100 };
     constexpr size_t maxRefusals = 20'000;
     // One lease renewal, one poll and four other orders at a time. An executor accepts 64 connections, and those of
     // instances that lost power stay open there.
@@ -175,15 +175,18 @@
 {
     if (std::exchange(m_isStopping, true))
         return;
-    m_loop.postAlways([this] {
+    const auto begin = m_context.clock.now();
+    const auto grace = Milliseconds(static_cast<int64_t>(m_settings.stop_grace_ms()));
+    const auto answerBy = begin + std::min(stopTime, grace / 2);
+    m_loop.postAlways([this, answerBy] {
         m_relay.setStopping();
+        m_relay.answerAllBy(answerBy);
         if (m_log)
             m_log->transferLeadership(m_context.clock.now());
     });
-    std::this_thread::sleep_for(handoverDelay);
-    const auto end = m_context.clock.now() + drainTimeout;
-    while (m_controlServer.pendingRequests() > 0 && m_context.clock.now() < end)
-        std::this_thread::sleep_for(tickInterval);
+    std::this_thread::sleep_for(std::min<Duration>(handoverDelay, answerBy - begin));
+    m_controlServer.stopListening();
+    drainRequests(m_controlServer, m_context.clock, answerBy, begin + grace);
     m_controlServer.stop();
     m_metricsServer.stop();
     m_httpClient.stop();
--- a/node/entry_node.cpp
+++ b/node/entry_node.cpp
@@ -201,6 +201,7 @@
             quietSince = m_context.clock.now();
     }
     m_httpServer.stopListening();
+    m_httpServer.refuseNewRequests();
     m_loop.postAlways([this] {
         m_requestGateway.stopStoringOutcomes();
         m_authority.leave(m_context.clock.now());
--- a/node/front_node.cpp
+++ b/node/front_node.cpp
@@ -16,7 +16,8 @@
     constexpr size_t maxQueuedTasks = 50'000;
     // The load balancer checks readiness once a second and acts on two equal answers.
     constexpr Milliseconds balancerDrainDelay { 2'600 };
-    constexpr Milliseconds stopPollInterval { 20 };
+    // At the end of the grace time, for sending the last answers.
+    constexpr Milliseconds closingTime { 600 };
 
     LeaderRelayOptions relayOptions(const schema::FrontSettings& settings, uint64_t incarnation)
     {
@@ -85,11 +86,13 @@
 {
     if (m_isStopping.exchange(true))
         return;
-    const auto end = m_context.clock.now() + Milliseconds(static_cast<int64_t>(m_settings.stop_grace_ms()));
-    std::this_thread::sleep_for(balancerDrainDelay);
+    const auto begin = m_context.clock.now();
+    const auto grace = Milliseconds(static_cast<int64_t>(m_settings.stop_grace_ms()));
+    const auto answerBy = begin + std::max(grace / 2, grace - closingTime);
+    m_loop.postAlways([this, answerBy] { m_relay.answerAllBy(answerBy); });
+    std::this_thread::sleep_for(std::min<Duration>(balancerDrainDelay, answerBy - begin));
     m_callerServer.stopListening();
-    while (m_callerServer.pendingRequests() > 0 && m_context.clock.now() < end)
-        std::this_thread::sleep_for(stopPollInterval);
+    drainRequests(m_callerServer, m_context.clock, answerBy, begin + grace);
     m_callerServer.stop();
     m_readinessServer.stop();
     m_metricsServer.stop();
--- a/node/job_plane_common.h
+++ b/node/job_plane_common.h
@@ -9,6 +9,7 @@
 #include "peer.pb.h"
 
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace teasel {
@@ -53,6 +54,18 @@
     return out;
 }
 
+// Waits until a stopping server has answered what it has read. Requests that arrive after `answerBy` are refused, so
+// that the others can be answered before `end`.
+inline void drainRequests(HttpServer& server, const Clock& clock, Instant answerBy, Instant end)
+{
+    constexpr Milliseconds pollInterval { 20 };
+    while (server.pendingRequests() > 0 && clock.now() < answerBy)
+        std::this_thread::sleep_for(pollInterval);
+    server.refuseNewRequests();
+    while (server.pendingRequests() > 0 && clock.now() < end)
+        std::this_thread::sleep_for(pollInterval);
+}
+
 inline HttpResponse metricsResponse(const HttpRequest& request, Metrics& metrics)
 {
     if (request.path == "/metrics")
--- a/node/leader_relay.cpp
+++ b/node/leader_relay.cpp
@@ -60,11 +60,18 @@
     pending.call = std::move(call);
     pending.done = std::move(done);
     pending.receivedAt = now;
-    pending.deadline = now + std::max(Milliseconds(1), timeout - m_options.answerMargin);
+    pending.deadline = std::min(m_lastAnswerAt, now + std::max(Milliseconds(1), timeout - m_options.answerMargin));
     if (hasLeader(now))
         forwardCall(pending, now);
 }
 
+void LeaderRelay::answerAllBy(Instant time)
+{
+    m_lastAnswerAt = time;
+    for (auto& [number, it] : m_pendingCalls)
+        it.deadline = std::min(it.deadline, time);
+}
+
 void LeaderRelay::forwardCall(PendingCall& it, Instant now)
 {
     it.call.set_term(m_term);
--- a/node/leader_relay.h
+++ b/node/leader_relay.h
@@ -69,6 +69,8 @@
         m_coreInstances.insert(seeds.begin(), seeds.end());
     }
     void setStopping() { m_isStopping = true; }
+    // Calls `done` of every call by this time at the latest, whatever the call's own time limit is.
+    void answerAllBy(Instant);
     void setHasState(bool hasState) { m_hasState = hasState; }
 
 private:
@@ -94,6 +96,7 @@
     uint64_t m_term = 0;
     Instant m_leaderContactAt {};
     Instant m_nextRegistration {};
+    Instant m_lastAnswerAt = Instant::max(); // no call's deadline is later
     uint64_t m_lastNumber = 0;
     bool m_isStopping = false;
     bool m_hasState = false;
--- a/settings/job_settings.cpp
+++ b/settings/job_settings.cpp
@@ -26,6 +26,8 @@
     template <class Settings> void fillCommonDefaults(Settings& it)
     {
         fillLogDefaults(*it.mutable_log());
+        if (it.has_stop_grace_s() && it.stop_grace_s() > 0 && it.stop_grace_s() * 1'000 <= maxValue)
+            it.set_stop_grace_ms(static_cast<uint64_t>(it.stop_grace_s() * 1'000));
         if (!it.has_stop_grace_ms())
             it.set_stop_grace_ms(defaultStopGraceMs);
     }
@@ -46,6 +48,9 @@
         BOOST_LEAF_CHECK(checks.address("metrics_address", it.metrics_address()));
         BOOST_LEAF_CHECK(checkSeeds(checks, it.seeds()));
         BOOST_LEAF_CHECK(checks.range("stop_grace_ms", it.stop_grace_ms(), 1, maxValue));
+        if (it.has_stop_grace_s() && !(it.stop_grace_s() >= 0.001 && it.stop_grace_s() * 1'000 <= maxValue))
+            return checks.invalidValue(
+                "stop_grace_s", "a time of 0.001 to 86400 seconds", fmt::format("{}", it.stop_grace_s()));
         return checks.logLevel(it.log());
     }
 
--- a/tests/net_http_server_test.cpp
+++ b/tests/net_http_server_test.cpp
@@ -102,6 +102,52 @@
     CHECK(server.pendingRequests() == 0);
 }
 
+// Guards against channels that end without an answer to a request that was read: answers were queued in the moment in
+// which the server closed its connections. A request that was passed on may run, so it must not get 503.
+TEST_CASE("a server that stops sends an answer to each request that it has read")
+{
+    constexpr uint16_t port = 18'985;
+    constexpr int rounds = 20;
+    constexpr size_t callersPerRound = 100;
+    for (int round = 0; round < rounds; ++round) {
+        std::atomic<size_t> passed = 0;
+        HttpServer server({ "127.0.0.1:18985", 1, 128 }, [&](const HttpRequest&) { ++passed; }, {});
+        start(server);
+        std::vector<std::unique_ptr<Caller>> callers;
+        while (callers.size() < callersPerRound)
+            callers.push_back(std::make_unique<Caller>(port));
+        while (passed < callersPerRound)
+            std::this_thread::yield();
+        server.stop();
+        size_t answered = 0;
+        for (auto& it : callers) {
+            const auto answer = it->receive(std::chrono::milliseconds(100));
+            answered += answer.starts_with("HTTP/1.1 504 ") && answer.ends_with("\"may_have_run\"}") ? 1 : 0;
+        }
+        CHECK(answered == callersPerRound);
+    }
+}
+
+TEST_CASE("a server that refuses new requests still answers those that it has passed on")
+{
+    constexpr uint16_t port = 18'986;
+    std::atomic<uint64_t> handle = 0;
+    HttpServer server({ "127.0.0.1:18986", 1, 128 }, [&](const HttpRequest& it) { handle = it.handle; }, {});
+    start(server);
+    Caller first(port);
+    while (handle == 0)
+        std::this_thread::yield();
+    const auto firstHandle = handle.load();
+    server.refuseNewRequests();
+    Caller second(port);
+    const auto refusal = second.receive(std::chrono::seconds(5));
+    CHECK(refusal.starts_with("HTTP/1.1 503 "));
+    CHECK(refusal.find("did_not_run") != std::string::npos);
+    CHECK(handle == firstHandle);
+    server.answer(firstHandle, {});
+    CHECK(first.receive(std::chrono::seconds(5)).starts_with("HTTP/1.1 200 "));
+}
+
 TEST_CASE("a server stops while requests arrive that are never answered")
 {
     constexpr uint16_t port = 18'984;
