Job plane: few orders are at risk when an executor goes silent, so that its tasks wait a lease and not 20 s

Cause: renewals with a lease and further starts were sent to the silent executor after the start; carried out late, each of them would extend the run by 14 s and a lease. Starts without a ticket, which only the 14 s bounds, went to executors last heard 2 s ago. Why it works: no lease is extended while a start is unanswered and the executor has not answered since; no further start goes there; a start without a ticket needs an answer of the last 10 ms or waits for that of a poll. No wait is shorter than before.

--- a/jobs/job_checks.cpp
+++ b/jobs/job_checks.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+    // How long the late result of an order that timed out is still accepted.
+    constexpr Milliseconds lateResultWindow { 8'000 };
     // How long before a draining executor leaves its runs are stopped; enough for the stop, its listing and the new
     // start.
     constexpr Milliseconds departureLead { 700 };
@@ -23,8 +25,30 @@
 
 } // namespace
 
+void JobLeader::expireOrders()
+{
+    std::vector<uint64_t> timedOut;
+    for (auto it = m_pendingOrders.begin(); it != m_pendingOrders.end();) {
+        if (it->second.isTimedOut && m_now >= it->second.timeoutAt + lateResultWindow) {
+            it = m_pendingOrders.erase(it);
+            continue;
+        }
+        if (!it->second.isTimedOut && m_now >= it->second.timeoutAt)
+            timedOut.push_back(it->first);
+        ++it;
+    }
+    for (const auto number : timedOut) {
+        auto order = m_pendingOrders.at(number);
+        order.isTimedOut = order.isPoll = true;
+        onOrderResult(number, {}, m_now);
+        if (findExecutor(order.executor) != nullptr)
+            m_pendingOrders.emplace(number, order);
+    }
+}
+
 void JobLeader::checkExecutor(LiveExecutor& executor)
 {
+    expireWaitingStarts(executor);
     if (executor.isReplaced) {
         // After this time no run that the other incarnation was given has a lease.
         if (m_now - executor.replacedAt > longestValidity(m_options.maxLease))
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -11,8 +11,6 @@
 
     // Time beyond an order's timeout after which its outcome is treated as unknown.
     constexpr Milliseconds resultGrace { 500 };
-    // How long the late result of an order that timed out is still accepted.
-    constexpr Milliseconds lateResultWindow { 8'000 };
     constexpr Milliseconds startAnswerWait { 100 }; // of a renewal that is to acknowledge ends
     constexpr uint64_t maxUnacknowledgedEnds = 250; // half of what executors list at once, by the platform's contract
     constexpr unsigned unansweredStopsBeforeBlocked = 3; // consecutive stops without an answer
@@ -131,7 +129,7 @@
 bool JobLeader::isUsable(const LiveExecutor& it) const
 {
     return it.hasAcceptedFence && !it.isDraining && !it.hasLeft() && m_now - it.lastAnswerAt <= m_options.suspectAfter
-        && it.quarantinedUntil <= m_now;
+        && it.quarantinedUntil <= m_now && it.isAnswering();
 }
 
 std::string_view JobLeader::regionOf(const ExecutorState& executor) const
@@ -233,8 +231,10 @@
     const bool isNew = !executor.clock.isKnown();
     const bool isLeaving = executor.hasLeft() && executor.answeredOrderSentAt <= executor.leftAt;
     const bool isSuspect = isLeaving || m_now - executor.lastAnswerAt > m_options.suspectAfter;
-    // A suspect executor's lease is not renewed, so that it is certain when it expires.
-    if (!isNew && !isSuspect) {
+    order.isRegular = !isNew && !isSuspect;
+    // A suspect executor's lease is not renewed, so that it is certain when it expires. Nor is it after an unanswered
+    // start: carried out late, the renewal would extend the lease of a later incarnation that has begun the run.
+    if (order.isRegular && !executor.hasUnansweredStart()) {
         renewal.leaseUntilMs = executor.clock.executorNow(m_now) + static_cast<uint64_t>(m_options.lease.count());
         executor.clock.recordLeaseSent(renewal.leaseUntilMs);
     }
@@ -316,6 +316,8 @@
         log("list_without_start_time", { { "executor", state->record.id() } });
         result = {};
     }
+    if (result.outcome != OrderOutcome::UnknownOutcome && result.outcome != OrderOutcome::NotSent && !order.isTimedOut)
+        executor->lastHeardAt = m_now;
     if (result.clockMs != 0) {
         // A previous leader may have renewed the lease until just before.
         if (!executor->clock.isKnown())
@@ -362,6 +364,8 @@
         run.stage = RunStage::UnknownOutcome;
         run.unknownSince = m_now;
         executor.pollAt = m_now;
+        if (result.outcome == OrderOutcome::UnknownOutcome)
+            executor.unansweredSentAt = std::max(executor.unansweredSentAt, order.sentAt);
         return;
     }
     ++m_counters.startsRefused;
@@ -407,10 +411,11 @@
     if (!order.isTimedOut) // A late answer does not show that the executor is reachable now.
         executor.lastAnswerAt = m_now;
     if (!order.isPoll)
-        executor.nextRenewalAt = m_now + (order.renewsLease ? m_options.renewalInterval : Milliseconds(0));
+        executor.nextRenewalAt = m_now + (order.isRegular ? m_options.renewalInterval : Milliseconds(0));
     processEndList(executor, result);
     processRunningList(executor, order, result);
     resolveAbsentRuns(executor, order, result);
+    launchWaitingStarts(executor);
     m_mustPlan = true;
 }
 
@@ -475,25 +480,4 @@
     }
 }
 
-void JobLeader::expireOrders()
-{
-    std::vector<uint64_t> timedOut;
-    for (auto it = m_pendingOrders.begin(); it != m_pendingOrders.end();) {
-        if (it->second.isTimedOut && m_now >= it->second.timeoutAt + lateResultWindow) {
-            it = m_pendingOrders.erase(it);
-            continue;
-        }
-        if (!it->second.isTimedOut && m_now >= it->second.timeoutAt)
-            timedOut.push_back(it->first);
-        ++it;
-    }
-    for (const auto number : timedOut) {
-        auto order = m_pendingOrders.at(number);
-        order.isTimedOut = order.isPoll = true;
-        onOrderResult(number, {}, m_now);
-        if (findExecutor(order.executor) != nullptr)
-            m_pendingOrders.emplace(number, order);
-    }
-}
-
 } // namespace teasel
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -163,6 +163,7 @@
         Instant timeoutAt {};
         Instant expiresAt {}; // takes effect before this time or never
         bool renewsLease = false;
+        bool isRegular = false; // a renewal of an executor that is neither new nor suspect
         uint64_t acknowledgedEnds = 0;
         bool isPoll = false; // sent in addition to the pending renewal
         bool isTimedOut = false; // its timeout has passed; a late result is processed like that of a poll
@@ -324,6 +325,13 @@
     void assign(const PlannedStart&);
     void preempt(const PlannedStop&);
     void launch(const LaunchRunWhenCommitted&);
+    // Whether a start without a ticket may be sent now.
+    bool hasFreshContact(const LiveExecutor&) const;
+    // Lets a committed start wait until the executor answers.
+    void awaitContact(LiveExecutor&, const TaskKey&, uint32_t run);
+    void launchWaitingStarts(LiveExecutor&);
+    // Gives up the starts that wait for an executor that does not answer; their tasks are placed again.
+    void expireWaitingStarts(LiveExecutor&);
     // Returns the number of pairs of step and executor examined.
     uint64_t requestAdviceFor(std::span<const ReadyStep* const>);
     void requestAdvice(const ReadyStep&, AdvicePlanner&);
--- a/jobs/job_leader_options.h
+++ b/jobs/job_leader_options.h
@@ -35,6 +35,9 @@
     Milliseconds suspectAfter { 2'200 };
     // Longest time from sending a start to its effect: relayed for up to 1.5 s, applied up to 12 s late.
     Milliseconds maxStartDelay { 14'000 };
+    // A start without a ticket, which nothing but maxStartDelay bounds, is sent to an executor that has answered within
+    // this time; otherwise it waits for the answer to a poll.
+    Milliseconds maxContactAge { 10 };
     Milliseconds stopRetryInterval { 400 }; // between two stop orders for one run
     // Silence after which an executor without runs is removed: several announcements were missed.
     Milliseconds removeExecutorAfter { 12'000 };
--- a/jobs/job_run_ends.cpp
+++ b/jobs/job_run_ends.cpp
@@ -69,9 +69,10 @@
     auto lastOrderAt = run.startExpiresAt;
     if (run.isStartAnswered)
         return lastOrderAt + longestValidity(m_options.maxLease);
-    // A renewal or another start that is carried out after this one extends the lease.
+    // A renewal or another start that is carried out after this one extends the lease. Renewals that were sent before
+    // this one have a lower fence.
     for (const auto& [number, it] : executor.ordersInFlight) {
-        if (it.extendsLease && it.sentAt >= run.assignedAt)
+        if (it.extendsLease && it.sentAt >= run.startedAt)
             lastOrderAt = std::max(lastOrderAt, it.expiresAt);
     }
     return lastOrderAt + longestValidity(m_options.maxLease);
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -299,6 +299,8 @@
         endRun(*executor, it.task, RunEvidence::NotSent, schema::RUN_OUTCOME_NEVER_RAN);
         return;
     }
+    if (ticket.empty() && !hasFreshContact(*executor))
+        return awaitContact(*executor, it.task, it.run);
     StartRun start;
     start.task = it.task;
     start.run = it.run;
@@ -332,6 +334,44 @@
     sendOrder(*executor, order, std::move(start), m_options.orderTimeout);
 }
 
+bool JobLeader::hasFreshContact(const LiveExecutor& executor) const
+{
+    return executor.waitingStarts.empty() && m_now - executor.lastHeardAt <= m_options.maxContactAge;
+}
+
+void JobLeader::awaitContact(LiveExecutor& executor, const TaskKey& key, uint32_t run)
+{
+    executor.waitingStarts.emplace_back(key, run);
+    if (executor.waitingStarts.size() > 1)
+        return;
+    executor.waitingStartsSince = m_now;
+    sendPoll(executor);
+}
+
+void JobLeader::launchWaitingStarts(LiveExecutor& executor)
+{
+    const auto number = executor.number;
+    for (const auto& [key, run] : std::exchange(executor.waitingStarts, {}))
+        launch({ number, key, run });
+}
+
+void JobLeader::expireWaitingStarts(LiveExecutor& executor)
+{
+    if (executor.waitingStarts.empty() || m_now - executor.waitingStartsSince < m_options.orderTimeout)
+        return;
+    executor.unansweredSentAt = executor.waitingStartsSince;
+    const auto* state = executorState(executor.number);
+    log("starts_not_sent",
+        { { "executor", state == nullptr ? "" : state->record.id() },
+            { "starts", std::to_string(executor.waitingStarts.size()) },
+            { "reason", "the executor does not answer" } });
+    for (const auto& [key, run] : std::exchange(executor.waitingStarts, {})) {
+        const auto found = executor.runs.find(key);
+        if (found != executor.runs.end() && found->second.run == run && found->second.stage == RunStage::Committing)
+            endRun(executor, key, RunEvidence::NotSent, schema::RUN_OUTCOME_NEVER_RAN);
+    }
+}
+
 void JobLeader::requestAdvice(const ReadyStep& step, AdvicePlanner& planner)
 {
     const auto* queue = m_state.queueOf(step.queue);
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -9,7 +9,9 @@
 
 #include <absl/container/btree_map.h>
 
+#include <algorithm>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace teasel {
@@ -97,6 +99,9 @@
     uint64_t lastSequence = 0; // sequence number of the last announcement
     Instant lastAnnouncedAt {};
     Instant lastAnswerAt {}; // last answer to a renewal or poll that was in time
+    // When the last start or poll before a start was sent that got no answer. Until a later answer it gets no starts.
+    Instant unansweredSentAt {};
+    Instant lastHeardAt {}; // last answer to any order that was in time
     Instant answeredOrderSentAt {}; // when the newest renewal or poll was sent that it has answered
     LeaseClock clock;
     ResourceVector capacity; // as announced last; also before it is committed
@@ -131,6 +136,10 @@
     ResourceVector freedSoon;
     ResourceRate freedPerSecond {};
 
+    // Runs whose starts wait for an answer of the executor, and when the first of them began to wait.
+    std::vector<std::pair<TaskKey, uint32_t>> waitingStarts;
+    Instant waitingStartsSince {};
+
     Instant suspectUntil {}; // until then a suspect task that was started here is under observation
 
     unsigned failuresInRow = 0;
@@ -138,6 +147,19 @@
     unsigned quarantineCount = 0;
     Instant quarantinedUntil {};
     ResourceVector used() const { return committed + strays; }
+
+    // Whether a start may still be on its way to it, or in progress there without an answer.
+    bool hasUnansweredStart() const
+    {
+        return std::any_of(runs.begin(), runs.end(), [this](const auto& it) {
+            const auto& run = it.second;
+            return run.stage == RunStage::Starting
+                || (run.stage == RunStage::UnknownOutcome && !run.isRefused && run.startedAt >= lastAnswerAt);
+        });
+    }
+
+    // Whether it has answered since its last unanswered start.
+    bool isAnswering() const { return unansweredSentAt < lastAnswerAt || unansweredSentAt == Instant(); }
     bool hasLeft() const { return leftAt != Instant(); }
 
     double slowness = 1; // moving average of actual over expected run time
--- a/tests/jobs_incarnations_test.cpp
+++ b/tests/jobs_incarnations_test.cpp
@@ -58,7 +58,7 @@
 
 TEST_CASE("a start in flight is not repeated elsewhere before the restarted executor has barred it")
 {
-    JobLeaderOptions options;
+    auto options = JobsFixture::defaultOptions();
     options.maxStartDelay = Milliseconds(600);
     JobsFixture it(false, options);
     it.answer(startOnFirstExecutor(it), { OrderOutcome::UnknownOutcome });
@@ -201,7 +201,7 @@
 
 TEST_CASE("a run in progress is not numbered again after two restarts in quick succession and a third")
 {
-    JobLeaderOptions options;
+    auto options = JobsFixture::defaultOptions();
     options.maxStartDelay = Milliseconds(100);
     JobsFixture it(false, options);
     it.announce("x1", 1);
--- a/tests/jobs_late_starts_test.cpp
+++ b/tests/jobs_late_starts_test.cpp
@@ -10,7 +10,7 @@
 
 JobLeaderOptions shortDelay()
 {
-    JobLeaderOptions options;
+    auto options = JobsFixture::defaultOptions();
     options.maxStartDelay = Milliseconds(3'000);
     return options;
 }
@@ -272,7 +272,7 @@
 
 TEST_CASE("a task is not started elsewhere while a late renewal may extend the lease of a later life")
 {
-    JobLeaderOptions options;
+    auto options = JobsFixture::defaultOptions();
     options.maxStartDelay = Milliseconds(8'000);
     JobsFixture it(true, options);
     it.announce("x1");
@@ -300,8 +300,11 @@
         while (const auto renewal = it.takeOrder<RenewLease>("x2"))
             it.answer(*renewal, { OrderOutcome::Done });
         while (const auto renewal = it.takeOrder<RenewLease>("x1")) {
+            // Its lease is extended only after it has answered since the start; the extensions are lost.
             if (std::get<RenewLease>(renewal->order).leaseUntilMs > 0)
                 renewedAt = it.clock.now();
+            else if (!renewedAt)
+                it.answer(*renewal, { OrderOutcome::Done });
         }
         if (it.takeOrder<StartRun>())
             again = it.clock.now() - sentAt;
--- a/tests/jobs_leader_test.cpp
+++ b/tests/jobs_leader_test.cpp
@@ -32,7 +32,7 @@
 TEST_CASE(
     "a start without an answer that the executor does not list is placed again 0.5 s after its expiry at the latest")
 {
-    JobLeaderOptions options;
+    auto options = JobsFixture::defaultOptions();
     options.maxStartDelay = Milliseconds(1'000);
     JobsFixture it(false, options);
     it.announce("x1");
@@ -161,7 +161,7 @@
 
 TEST_CASE("a new leader counts on the lease that the previous leader may have granted")
 {
-    JobLeaderOptions options;
+    auto options = JobsFixture::defaultOptions();
     options.lease = Milliseconds(1'000);
     JobsFixture it(false, options);
     it.announce("x1");
