Job plane: a job whose start was not answered counts as pending

Cause: jobsAwaitingStartExpiry() counted runs only from the expiry of the executor's lease on. Why it works: runs with an unknown start are counted like those that wait for its expiry, as long as the job has no other run.

--- a/jobs/job_calls.cpp
+++ b/jobs/job_calls.cpp
@@ -276,7 +276,7 @@
         return answer(handle, std::move(*refusal));
     const auto key = JobState::queueKey(*std::get<const schema::JobQueue*>(authorized));
     CallAnswer reply;
-    reply.pending = m_state.queuedJobs(key) + jobsAwaitingStartExpiry(key);
+    reply.pending = m_state.queuedJobs(key) + jobsWithoutKnownStart(key);
     answer(handle, std::move(reply));
 }
 
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -280,8 +280,8 @@
     // When a start that an earlier leader sent has expired.
     Instant inheritedStartExpiry(const TaskKey&) const;
     void pollForExpiredStarts(LiveExecutor&);
-    // Jobs of the queue that have not begun and have only such runs.
-    uint64_t jobsAwaitingStartExpiry(const std::string& queue) const;
+    // Jobs of the queue that have not begun as far as is known: they have only runs whose start was not answered.
+    uint64_t jobsWithoutKnownStart(const std::string& queue) const;
     // A run that was waiting for the expiry of its start is listed: it has begun.
     void resumeRun(LiveExecutor&, LiveRun&);
     void processEndList(LiveExecutor&, const OrderResult&);
--- a/jobs/job_run_ends.cpp
+++ b/jobs/job_run_ends.cpp
@@ -143,12 +143,13 @@
     return m_leadingSince + delay;
 }
 
-uint64_t JobLeader::jobsAwaitingStartExpiry(const std::string& queue) const
+uint64_t JobLeader::jobsWithoutKnownStart(const std::string& queue) const
 {
     absl::flat_hash_map<uint64_t, uint32_t> waitingRuns; // by job
     for (const auto& [number, executor] : m_executors) {
         for (const auto& [key, run] : executor.runs) {
-            if (run.stage == RunStage::AwaitingStartExpiry && run.queue == queue)
+            const bool isUnknown = run.stage == RunStage::AwaitingStartExpiry || run.stage == RunStage::UnknownOutcome;
+            if (isUnknown && run.queue == queue)
                 ++waitingRuns[key.step.job];
         }
     }
--- a/tests/jobs_silent_executors_test.cpp
+++ b/tests/jobs_silent_executors_test.cpp
@@ -111,3 +111,22 @@
     it.pass(Milliseconds(100));
     CHECK(it.takeOrder<StartRun>("x1"));
 }
+
+// Guards against submissions that are counted neither as begun nor as pending (MIXED) until the lease of a silent
+// executor has expired.
+TEST_CASE("a job whose start was not answered counts as pending")
+{
+    JobsFixture it;
+    it.announce("x1");
+    it.answerRenewals({});
+    it.submit(JobsFixture::request(7, 1));
+    it.pass(step);
+    REQUIRE(it.takeOrder<StartRun>("x1"));
+    it.pass(Milliseconds(1'000));
+    it.leader.onCall(
+        ++it.lastHandle, QueryQueue { "farm.example", "/blend/", "key" }, it.clock.now(), it.clock.wallNow());
+    it.commitAndCollect();
+    const auto answer = it.answerTo(it.lastHandle);
+    REQUIRE(answer);
+    CHECK(answer->pending == 1);
+}
