Job plane: a job that was cancelled before its submission arrived never runs

Cause: the cancellation of an unknown job was answered with 410 and forgotten.

The number kept is bounded (100,000); beyond it, cancellations of unknown jobs get 503.

--- a/jobs/job_calls.cpp
+++ b/jobs/job_calls.cpp
@@ -163,6 +163,10 @@
         m_resubmissions[id].push_back(handle);
         return;
     }
+    if (m_state.wasCancelledUnseen(id) || m_pendingCancellations.contains(id)) {
+        log("job_refused", { { "job", jobIdText(id) }, { "reason", "cancelled before it arrived" } });
+        return answer(handle, { CallStatus::Refused, "the job was cancelled before it arrived; it never runs" });
+    }
     if (auto refusal = checkRequest(request))
         return answer(handle, std::move(*refusal));
     if (!isFeasible(request, queue)) {
@@ -260,7 +264,7 @@
         return answer(handle, std::move(*refusal));
     const auto* job = m_state.find(call.job);
     if (job == nullptr && !m_pendingSubmissions.contains(call.job))
-        return answer(handle, { CallStatus::NoJob, "no such job" });
+        return cancelUnseenJob(handle, call.job);
     if (job != nullptr && job->hasEnded())
         return answer(handle, {});
     log("job_cancelled", { { "job", jobIdText(call.job) } });
@@ -269,6 +273,29 @@
     m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
 }
 
+// The submission of an unknown job may still be on its way.
+void JobLeader::cancelUnseenJob(uint64_t handle, uint64_t job)
+{
+    if (m_state.wasCancelledUnseen(job))
+        return answer(handle, { CallStatus::NoJob, "no such job" });
+    if (m_state.cancelledUnseen() + m_pendingCancellations.size() >= m_options.maxCancelledUnseen) {
+        log("cancellation_refused",
+            { { "job", jobIdText(job) }, { "reason", "too many unknown jobs were cancelled" } });
+        return answer(
+            handle, { CallStatus::Unavailable, "too many unknown jobs were cancelled", retryWhenUnavailable });
+    }
+    log("unseen_job_cancelled", { { "job", jobIdText(job) } });
+    m_pendingCancellations.insert(job);
+    change().set_cancelled(job);
+    m_batchContinuations.emplace_back(UnseenJobCancelledWhenCommitted { handle, job });
+}
+
+void JobLeader::execute(UnseenJobCancelledWhenCommitted& it)
+{
+    m_pendingCancellations.erase(it.job);
+    answer(it.handle, { CallStatus::NoJob, "no such job" });
+}
+
 void JobLeader::handleCall(uint64_t handle, QueryQueue& call)
 {
     auto authorized = authorizeCall(call.host, call.path, call.key, nullptr);
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -81,6 +81,7 @@
     m_teamUsage.clear();
     m_pendingSubmissions.clear();
     m_resubmissions.clear();
+    m_pendingCancellations.clear();
     for (const auto& [job, queries] : m_stateQueries) {
         for (const auto& it : queries)
             answer(
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -127,6 +127,10 @@
     struct JobEndedWhenCommitted {
         uint64_t job = 0;
     };
+    struct UnseenJobCancelledWhenCommitted {
+        uint64_t handle = 0;
+        uint64_t job = 0;
+    };
     struct CrashWhenCommitted {
         uint64_t job = 0;
     };
@@ -146,9 +150,10 @@
         std::string dataCentre;
         bool isActive = false;
     };
-    using Continuation = std::variant<ConfigurationWhenCommitted, AnswerWhenCommitted, LaunchRunWhenCommitted,
-        RunEndedWhenCommitted, LateEndWhenCommitted, AcknowledgeEndsWhenCommitted, JobAcceptedWhenCommitted,
-        JobEndedWhenCommitted, CrashWhenCommitted, ExecutorWhenCommitted, EvacuationWhenCommitted>;
+    using Continuation
+        = std::variant<ConfigurationWhenCommitted, AnswerWhenCommitted, LaunchRunWhenCommitted, RunEndedWhenCommitted,
+            LateEndWhenCommitted, AcknowledgeEndsWhenCommitted, JobAcceptedWhenCommitted, JobEndedWhenCommitted,
+            UnseenJobCancelledWhenCommitted, CrashWhenCommitted, ExecutorWhenCommitted, EvacuationWhenCommitted>;
 
     struct PendingOrder {
         uint32_t executor = 0;
@@ -173,6 +178,7 @@
     void handleCall(uint64_t handle, SubmitJob&);
     void handleCall(uint64_t handle, QueryJob&);
     void handleCall(uint64_t handle, CancelJob&);
+    void cancelUnseenJob(uint64_t handle, uint64_t job);
     void handleCall(uint64_t handle, QueryQueue&);
     void handleCall(uint64_t handle, PutConfiguration&);
     void handleCall(uint64_t handle, GetConfiguration&);
@@ -348,6 +354,7 @@
     void execute(AcknowledgeEndsWhenCommitted&);
     void execute(JobAcceptedWhenCommitted&);
     void execute(JobEndedWhenCommitted&);
+    void execute(UnseenJobCancelledWhenCommitted&);
     void execute(CrashWhenCommitted&);
     void execute(ExecutorWhenCommitted&);
     void execute(ConfigurationWhenCommitted&);
@@ -371,6 +378,7 @@
     absl::btree_map<StepKey, Instant> m_assemblingGangs;
     absl::flat_hash_map<std::string, ResourceVector> m_teamUsage;
     absl::btree_set<uint64_t> m_pendingSubmissions; // jobs accepted by a proposal that is not committed yet
+    absl::btree_set<uint64_t> m_pendingCancellations; // of unknown jobs, by a proposal that is not committed yet
     // Handles of repeated submissions of these jobs, by job.
     absl::btree_map<uint64_t, std::vector<uint64_t>> m_resubmissions;
     struct StateQuery {
--- a/jobs/job_leader_options.h
+++ b/jobs/job_leader_options.h
@@ -64,6 +64,9 @@
     unsigned quarantineFailures = 3; // consecutive failed runs of different jobs that put an executor in quarantine
     Milliseconds quarantineTime { 4'000 }; // doubled with each quarantine, at most to four times
 
+    // Jobs that were cancelled before their submission arrived; beyond this, cancellations of unknown jobs are refused.
+    size_t maxCancelledUnseen = 100'000;
+
     uint64_t maxTasks = 20'000; // per job
     size_t maxSteps = 64;
     size_t maxPayloadBytes = 4'000; // from the platform's contract
--- a/jobs/job_state.h
+++ b/jobs/job_state.h
@@ -126,6 +126,10 @@
     const absl::btree_map<uint64_t, JobRecord>& jobs() const { return m_jobs; }
     const JobRecord* find(uint64_t job) const;
     const TaskRecord* find(const TaskKey&) const;
+    // Whether the job was cancelled while it was not known. Kept as long as the outcome of an ended job, so that a
+    // submission that was delayed on its way does not run.
+    bool wasCancelledUnseen(uint64_t job) const { return m_cancelledUnseen.contains(job); }
+    size_t cancelledUnseen() const { return m_cancelledUnseen.size(); }
     // Number of accepted jobs of a queue of which no task has been assigned yet.
     uint64_t queuedJobs(std::string_view queueKey) const;
     const absl::btree_map<uint32_t, ExecutorState>& executors() const { return m_executors; }
@@ -158,6 +162,7 @@
     void endJob(JobRecord&, JobPhase);
     void leaveQueue(const JobRecord&);
     void noteBegin(JobRecord&, schema::RunOutcome);
+    void recordCancelledUnseen(uint64_t job, uint64_t atMs);
     void removeExpiredJobs();
     TaskRecord* mutableTask(const TaskKey&);
     static OccurrenceRecord& openOccurrence(JobRecord&, uint32_t occurrence);
@@ -171,6 +176,8 @@
     absl::btree_map<uint32_t, ExecutorState> m_executors;
     absl::btree_map<std::string, EvacuationRecord, std::less<>> m_evacuations;
     std::deque<std::pair<uint64_t, uint64_t>> m_ended; // end time in ms and job, in order of time
+    absl::btree_map<uint64_t, uint64_t> m_cancelledUnseen; // time of the cancellation in ms, by job
+    std::deque<std::pair<uint64_t, uint64_t>> m_cancelledInOrder; // the same, oldest first
     schema::RunTimeImage m_runTimes;
     uint32_t m_lastExecutor = 0;
     uint64_t m_wallMs = 0;
