Job plane: a submission is not accepted after its caller's time limit

Cause: the time limit counted from when the front read the call; a pending call was forwarded to a new leader also after it; the leader executed a forwarded call of any age. Why it works: after a stall of the front what it reads counts as sent when the stall began; a POST that may be too old, or whose client has left, is refused with 503 and not forwarded. No hop forwards a call after its limit, and the leader does not accept a POST whose limit may have passed since the view that it names. Callers of earlier versions name none and are treated as before.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -18,6 +18,7 @@
 namespace {
 
     constexpr std::chrono::milliseconds disconnectCheckInterval { 100 };
+    constexpr short disconnectEvents = POLLRDHUP | POLLHUP | POLLERR;
     // On stop, for callers that read their answers slowly or not at all.
     constexpr std::chrono::milliseconds sendTimeout { 300 };
 
@@ -140,6 +141,16 @@
     m_answersSent.wait_for(lock, sendTimeout, [this] { return m_unsentAnswers == 0; });
 }
 
+bool HttpServer::hasCallerLeft(uint64_t handle) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_suspended.find(handle);
+    if (it == m_suspended.end())
+        return true;
+    pollfd fd { it->second->fd, POLLRDHUP, 0 };
+    return poll(&fd, 1, 0) > 0 && (fd.revents & disconnectEvents) != 0;
+}
+
 size_t HttpServer::pendingRequests() const
 {
     const std::lock_guard lock(m_mutex);
@@ -265,7 +276,7 @@
             continue;
         lock.unlock();
         for (size_t k = 0; k < fds.size(); ++k) {
-            if ((fds[k].revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0)
+            if ((fds[k].revents & disconnectEvents) != 0)
                 m_callerDisconnected(handles[k]);
         }
         lock.lock();
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -81,6 +81,9 @@
     // Answers a request. Ignored if the request has already been answered. Thread-safe.
     void answer(uint64_t handle, HttpResponse);
 
+    // Whether the caller of a waiting request has closed its side of the connection. Thread-safe.
+    bool hasCallerLeft(uint64_t handle) const;
+
     // Number of requests passed to the handler and not yet answered.
     size_t pendingRequests() const;
 
--- a/node/core_node.cpp
+++ b/node/core_node.cpp
@@ -243,6 +243,7 @@
     schema::CoreView view;
     view.set_is_leader(m_log && m_leader.isLeading() && m_log->holdsLease(now));
     view.set_term(m_log ? m_log->replica().term() : 0);
+    view.set_sent_at_ms(batchClockMs(now));
     view.set_leader(std::string(m_log ? m_log->leaderHint() : std::string_view()));
     if (view.is_leader()) {
         for (const auto& it : m_log->replica().voters().voters())
@@ -381,6 +382,15 @@
         sendRoutedAnswer(envelope.from(), std::move(answer));
         return;
     }
+    // The caller may have left, have cancelled the job elsewhere, and count on it that the call has no effect any more.
+    if (call.surface() == schema::RoutedCall::CALLERS && call.method() == "POST" && mayBeExpired(call, now)) {
+        m_context.log.info("call_expired",
+            { { "path", call.path() }, { "from", envelope.from() }, { "time_left_ms", call.time_left_ms() } });
+        schema::RoutedAnswer answer;
+        answer.set_number(call.number());
+        sendRoutedAnswer(envelope.from(), std::move(answer));
+        return;
+    }
     const CallId callId { envelope.from(), envelope.incarnation(), call.number() };
     if (const auto it = m_refusals.find(callId); it != m_refusals.end()) {
         sendRoutedAnswer(envelope.from(), it->second);
--- a/node/front_node.cpp
+++ b/node/front_node.cpp
@@ -13,6 +13,8 @@
 namespace {
 
     constexpr Milliseconds tickInterval { 50 };
+    constexpr Milliseconds normalPause { 200 }; // several ticks
+    constexpr Milliseconds defaultTimeLimit { 3'000 }; // of a call that names none
     constexpr size_t maxQueuedTasks = 50'000;
     // The load balancer checks readiness once a second and acts on two equal answers.
     constexpr Milliseconds balancerDrainDelay { 2'600 };
@@ -58,6 +60,7 @@
           [this](const std::string& leader, uint64_t term) {
               m_context.log.info("leader_found", { { "leader", leader }, { "term", term } });
           })
+    , m_stalls(normalPause)
 {
 }
 
@@ -104,6 +107,7 @@
 void FrontNode::onTick()
 {
     const auto now = m_context.clock.now();
+    m_stalls.onActivity(now);
     m_relay.onTick(now);
     const bool hasLeader = m_relay.hasLeader(now);
     if (std::exchange(m_hadLeader, hasLeader) != hasLeader)
@@ -151,6 +155,16 @@
     call.set_body(std::move(request.body));
     const auto handle = request.handle;
     const auto receivedAt = m_context.clock.now();
+    m_stalls.onActivity(receivedAt);
+    if (const auto age = m_stalls.possibleAge(receivedAt); age > Duration(0) && isOutdated(request, call, age)) {
+        m_context.log.info("call_outdated",
+            { { "method", request.method }, { "path", request.path },
+                { "waited_ms", std::chrono::duration_cast<Milliseconds>(age).count() } });
+        m_callerServer.answer(handle,
+            { 503, "application/json", { { "Retry-After", "1" } },
+                R"({"error":"the call may be older than its time limit; it had no effect"})" });
+        return;
+    }
     m_relay.call(
         std::move(call),
         [this, handle, receivedAt, method = request.method, path = request.path](schema::RoutedAnswer answer) {
@@ -163,6 +177,17 @@
         m_context.clock.now());
 }
 
+bool FrontNode::isOutdated(const HttpRequest& request, schema::RoutedCall& call, Duration age)
+{
+    const auto limit
+        = call.time_left_ms() == 0 ? defaultTimeLimit : Milliseconds(static_cast<int64_t>(call.time_left_ms()));
+    const auto left = std::chrono::duration_cast<Milliseconds>(limit - age);
+    if (left.count() > 0)
+        call.set_time_left_ms(static_cast<uint64_t>(left.count()));
+    // A late query or cancellation does no harm.
+    return request.method == "POST" && (left.count() <= 0 || m_callerServer.hasCallerLeft(request.handle));
+}
+
 void FrontNode::logAnswer(
     std::string_view method, std::string_view path, const schema::RoutedAnswer& answer, Instant receivedAt)
 {
--- a/node/front_node.h
+++ b/node/front_node.h
@@ -10,6 +10,7 @@
 #include "node/control_loop.h"
 #include "node/leader_relay.h"
 #include "node/process_context.h"
+#include "node/stall_detector.h"
 #include "settings.pb.h"
 
 #include <atomic>
@@ -39,6 +40,8 @@
 private:
     void onEnvelope(const schema::Envelope&);
     void onHttp(HttpRequest);
+    // Whether a call that was read after a stall must not be forwarded any more; sets its remaining time otherwise.
+    bool isOutdated(const HttpRequest&, schema::RoutedCall&, Duration age);
     void logAnswer(std::string_view method, std::string_view path, const schema::RoutedAnswer&, Instant receivedAt);
     void onReadinessCheck(const HttpRequest&);
     void onTick();
@@ -54,6 +57,7 @@
     HttpServer m_metricsServer;
     HttpClient m_httpClient;
     LeaderRelay m_relay;
+    StallDetector m_stalls;
     bool m_hadLeader = false;
     std::atomic<bool> m_isReady = false;
     std::atomic<bool> m_isStopping = false;
--- a/node/leader_relay.cpp
+++ b/node/leader_relay.cpp
@@ -74,6 +74,12 @@
 
 void LeaderRelay::forwardCall(PendingCall& it, Instant now)
 {
+    // After a suspension the time limit may have passed. The next tick answers the call.
+    if (now >= it.deadline)
+        return;
+    const auto timeLeft = std::chrono::duration_cast<Milliseconds>(it.deadline - now);
+    it.call.set_time_left_ms(std::max<uint64_t>(1, static_cast<uint64_t>(timeLeft.count())));
+    it.call.set_view_sent_at_ms(m_viewSentAtMs);
     it.call.set_term(m_term);
     it.sentAt = now;
     it.wasSent = true;
@@ -122,6 +128,8 @@
     }
     if (view.term() < m_term)
         return;
+    m_viewSentAtMs
+        = m_leader == from && m_term == view.term() ? std::max(m_viewSentAtMs, view.sent_at_ms()) : view.sent_at_ms();
     // The leader's view holds the current members of the core.
     m_coreInstances = absl::btree_set<std::string>(view.core().begin(), view.core().end());
     m_coreInstances.insert(m_options.seeds.begin(), m_options.seeds.end());
--- a/node/leader_relay.h
+++ b/node/leader_relay.h
@@ -94,6 +94,7 @@
     absl::btree_set<std::string> m_coreInstances;
     std::string m_leader;
     uint64_t m_term = 0;
+    uint64_t m_viewSentAtMs = 0; // when the leader sent its latest view, on its clock
     Instant m_leaderContactAt {};
     Instant m_nextRegistration {};
     Instant m_lastAnswerAt = Instant::max(); // no call's deadline is later
--- a/node/order_age.h
+++ b/node/order_age.h
@@ -1,4 +1,5 @@
-// Whether a core instance may still send the orders that the leader relayed to it. A batch may have waited for a pause
+// The age of what other instances forwarded: whether a core instance may still send the orders that the leader relayed
+// to it, and whether the leader may still accept a call. A batch may have waited for a pause
 // or a partition to end, while a start that is too old may be carried out by the next life of an executor.
 #pragma once
 
@@ -35,4 +36,15 @@
     return isCurrent ? BatchFault::None : BatchFault::TooOld;
 }
 
+// Whether the caller's time limit may have passed since a call was forwarded: the call has been on its way for at most
+// the time since the view that it names.
+inline bool mayBeExpired(const schema::RoutedCall& call, Instant now)
+{
+    if (call.view_sent_at_ms() == 0 || call.time_left_ms() == 0) // an instance of an earlier version
+        return false;
+    const auto nowMs = batchClockMs(now);
+    // A view in the future was sent before this machine started again.
+    return call.view_sent_at_ms() > nowMs || nowMs - call.view_sent_at_ms() > call.time_left_ms();
+}
+
 } // namespace teasel
--- a/tests/net_http_server_test.cpp
+++ b/tests/net_http_server_test.cpp
@@ -106,12 +106,12 @@
 // which the server closed its connections. A request that was passed on may run, so it must not get 503.
 TEST_CASE("a server that stops sends an answer to each request that it has read")
 {
-    constexpr uint16_t port = 18'985;
+    constexpr uint16_t port = 18'951;
     constexpr int rounds = 20;
     constexpr size_t callersPerRound = 100;
     for (int round = 0; round < rounds; ++round) {
         std::atomic<size_t> passed = 0;
-        HttpServer server({ "127.0.0.1:18985", 1, 128 }, [&](const HttpRequest&) { ++passed; }, {});
+        HttpServer server({ "127.0.0.1:18951", 1, 128 }, [&](const HttpRequest&) { ++passed; }, {});
         start(server);
         std::vector<std::unique_ptr<Caller>> callers;
         while (callers.size() < callersPerRound)
@@ -130,9 +130,9 @@
 
 TEST_CASE("a server that refuses new requests still answers those that it has passed on")
 {
-    constexpr uint16_t port = 18'986;
+    constexpr uint16_t port = 18'952;
     std::atomic<uint64_t> handle = 0;
-    HttpServer server({ "127.0.0.1:18986", 1, 128 }, [&](const HttpRequest& it) { handle = it.handle; }, {});
+    HttpServer server({ "127.0.0.1:18952", 1, 128 }, [&](const HttpRequest& it) { handle = it.handle; }, {});
     start(server);
     Caller first(port);
     while (handle == 0)
--- a/tests/node_leader_relay_test.cpp
+++ b/tests/node_leader_relay_test.cpp
@@ -32,6 +32,7 @@
         schema::CoreView view;
         view.set_is_leader(true);
         view.set_term(term);
+        view.set_sent_at_ms(7'000 + term);
         relay.onView("a", view, now);
     }
 
@@ -89,3 +90,28 @@
     CHECK(host.answers[0].status() == 503);
     CHECK(host.forwarded.empty());
 }
+
+// Guards against a submission that a frozen front forwards when it wakes: its client may have left and cancelled it.
+TEST_CASE("a call whose time limit has passed is not forwarded when a leader is found")
+{
+    RelayHost host;
+    host.call(1'000, begin);
+    host.see(1, begin + Milliseconds(3'500)); // after a suspension, before the next tick
+    CHECK(host.forwarded.empty());
+    host.relay.onTick(begin + Milliseconds(3'500));
+    REQUIRE(host.answers.size() == 1);
+    CHECK(host.answers[0].status() == 503);
+}
+
+TEST_CASE("a forwarded call names the time that its caller still has, and the leader's view before it")
+{
+    RelayHost host;
+    host.call(3'000, begin);
+    host.see(1, begin + Milliseconds(1'000));
+    host.see(2, begin + Milliseconds(2'000));
+    REQUIRE(host.forwarded.size() == 2);
+    CHECK(host.forwarded[0].time_left_ms() == 1'920); // the answer is due 80 ms before the limit
+    CHECK(host.forwarded[0].view_sent_at_ms() == 7'001);
+    CHECK(host.forwarded[1].time_left_ms() == 920);
+    CHECK(host.forwarded[1].view_sent_at_ms() == 7'002);
+}
