Job plane: no renewal extends the lease of a run that no listing has shown

Cause: an answer to a start does not tell which incarnation gave it, and lateLeaseExpiry() counted one lease from it; a renewal that a restarted executor carries out late extends that lease. A new leader does not know the renewals of the leader before it. Evidence: jobs_late_starts, 'no renewal extends the lease between an answered start and the listing of its run', fails before. Why it works: a renewal that is sent after a start extends no lease until a listing has shown the run, so that none in flight can extend an unlisted one, whichever leader sent it. Starts extend the lease themselves, and listings go on.

--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -310,7 +310,7 @@
     start.leaseUntilMs = executor->clock.executorNow(m_now) + static_cast<uint64_t>(m_options.lease.count());
     executor->clock.recordLeaseSent(start.leaseUntilMs);
     run.stage = RunStage::Starting;
-    run.startedAt = m_now;
+    run.startedAt = run.startSentAt = m_now;
     run.startExpiresAt = m_now + m_options.maxStartDelay;
     if (step->second.needsTicket)
         run.startExpiresAt = std::min(run.startExpiresAt, m_advice.ticketExpiry(it.task.step, it.executor));
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -35,6 +35,7 @@
     std::string queue;
     Instant assignedAt {};
     Instant startedAt {};
+    Instant startSentAt {};
     Instant lastSeenAt {}; // last time an answered start or a listing showed the run
     Instant unknownSince {};
     Instant startExpiresAt {}; // its start takes effect before this time or never
@@ -148,13 +149,14 @@
     Instant quarantinedUntil {};
     ResourceVector used() const { return committed + strays; }
 
-    // Whether a start may still be on its way to it, or in progress there without an answer.
-    bool hasUnansweredStart() const
+    // Whether a start may still be on its way to it, or has begun a run that no listing has shown: possibly in a later
+    // incarnation, which takes the lease of a renewal from now on.
+    bool hasUnlistedStart() const
     {
         return std::any_of(runs.begin(), runs.end(), [this](const auto& it) {
             const auto& run = it.second;
-            return run.stage == RunStage::Starting
-                || (run.stage == RunStage::UnknownOutcome && !run.isRefused && run.startedAt >= lastAnswerAt);
+            return run.stage == RunStage::Starting || (run.stage == RunStage::Running && !run.isListed)
+                || (run.stage == RunStage::UnknownOutcome && !run.isRefused && run.startSentAt >= lastAnswerAt);
         });
     }
 
