teasel-state: the status says whether a replica may vote, and process_lost_disk waits for it

Cause: not shown. The test lost the leader's disk once the replacement had caught up; design/voter-replacement.md promises a leader only once it has been readmitted, which no status showed. The test checks the same after the readmission, which has its own time limit of 20 s.

--- a/node/state_node.cpp
+++ b/node/state_node.cpp
@@ -274,10 +274,11 @@
 {
     const auto& counters = m_log.counters();
     return fmt::format(
-        R"({{"instance":{},"data_centre":{},"role":"{}","leader":{},"revision":{},"committed":{},"records_applied":{},"begun":{}}})",
+        R"({{"instance":{},"data_centre":{},"role":"{}","leader":{},"revision":{},"committed":{},"may_vote":{},"records_applied":{},"begun":{}}})",
         jsonString(m_settings.instance().id()), jsonString(m_settings.instance().data_centre()),
         m_log.isServing() ? "state_leader" : "state_follower", jsonString(m_log.leaderHint()), m_state.revision(),
-        m_log.replica().committedIndex(), counters.recordsApplied, m_state.startedRequests().size());
+        m_log.replica().committedIndex(), m_log.replica().mayVote(), counters.recordsApplied,
+        m_state.startedRequests().size());
 }
 
 void StateNode::updateMetrics(Instant now)
--- a/tests/process/lost_disk_test.py
+++ b/tests/process/lost_disk_test.py
@@ -22,6 +22,8 @@
     committed = lambda it: int(fleet.status(it)["committed"])  # noqa: E731
     leader = state_leader(fleet)
     fleet.wait_until(lambda: committed(victim) >= committed(leader) > 0, 20, "the replacement to catch up")
+    # Only a readmitted disk votes: before that, design/voter-replacement.md promises no leader after a second loss.
+    fleet.wait_until(lambda: fleet.status(victim)["may_vote"], 20, "the replacement to be readmitted")
 
     second = state_leader(fleet)
     fleet.processes[second].kill()
