--- a/tests/jobs_silent_executors_test.cpp
+++ b/tests/jobs_silent_executors_test.cpp
@@ -15,6 +15,7 @@
         const auto request = it.adviceRequests.front();
         it.adviceRequests.erase(it.adviceRequests.begin());
         std::vector<std::pair<std::string, std::string>> rows;
+        rows.reserve(executors.size());
         for (const auto& id : executors)
             rows.emplace_back(id, "ticket");
         it.leader.onAdvice(request.number, true, rows, it.clock.now());
--- a/tests/node_leader_relay_test.cpp
+++ b/tests/node_leader_relay_test.cpp
@@ -19,7 +19,7 @@
     RelayHost()
         : relay(
             options(),
-            [this](std::string_view, schema::Envelope envelope) {
+            [this](std::string_view, const schema::Envelope& envelope) {
                 if (envelope.has_routed_call())
                     forwarded.push_back(envelope.routed_call());
             },
