Job plane: a start whose call has ended is at most 12 s late, not 14 s

Cause: the bound of 14 s includes 1.7 s in queues of our own instances, also when the sender had reported that its call was over. Why it works: the sender resets the connection of a call before it reports its end, so the order is at the executor or nowhere, and executors carry out orders at most 12 s late. A result that is only our own time limit shortens nothing.

--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -11,6 +11,8 @@
 
     // Time beyond an order's timeout after which its outcome is treated as unknown.
     constexpr Milliseconds resultGrace { 500 };
+    // Longest time for which an executor delays an order that it has received, by the platform's contract.
+    constexpr Milliseconds maxExecutorDelay { 12'000 };
     constexpr Milliseconds startAnswerWait { 100 }; // of a renewal that is to acknowledge ends
     constexpr uint64_t maxUnacknowledgedEnds = 250; // half of what executors list at once, by the platform's contract
     constexpr unsigned unansweredStopsBeforeBlocked = 3; // consecutive stops without an answer
@@ -295,8 +297,12 @@
     const auto* state = executorState(order.executor);
     if (executor == nullptr || state == nullptr)
         return;
-    if (result.outcome != OrderOutcome::UnknownOutcome)
-        executor->ordersInFlight.erase(number);
+    const auto inFlight = executor->ordersInFlight.find(number);
+    if (inFlight != executor->ordersInFlight.end() && result.outcome != OrderOutcome::UnknownOutcome)
+        executor->ordersInFlight.erase(inFlight);
+    // The sender has reported the end of its call, so that the order waits in no queue of ours any more.
+    else if (inFlight != executor->ordersInFlight.end() && m_now < order.timeoutAt)
+        inFlight->second.expiresAt = std::min(inFlight->second.expiresAt, m_now + maxExecutorDelay);
     if (result.outcome == OrderOutcome::OtherIncarnation && order.sentAt <= executor->movedAt) // at its earlier address
         result = {};
     if (result.outcome == OrderOutcome::OtherIncarnation) { // It has another id and refuses all orders for this one.
@@ -365,6 +371,8 @@
         run.stage = RunStage::UnknownOutcome;
         run.unknownSince = m_now;
         executor.pollAt = m_now;
+        if (m_now < order.timeoutAt) // The start waits in no queue of ours any more.
+            run.startExpiresAt = std::min(run.startExpiresAt, m_now + maxExecutorDelay);
         if (result.outcome == OrderOutcome::UnknownOutcome)
             executor.unansweredSentAt = std::max(executor.unansweredSentAt, order.sentAt);
         return;
--- a/tests/jobs_silent_executors_test.cpp
+++ b/tests/jobs_silent_executors_test.cpp
@@ -131,3 +131,30 @@
     REQUIRE(answer);
     CHECK(answer->pending == 1);
 }
+
+// Guards against 1.8 s of a start's delay that are over once the instance that sent it has reported the end of its
+// call.
+TEST_CASE("a start without a ticket holds its task for 12 s and a lease after its call has ended")
+{
+    JobsFixture it;
+    it.announce("x1");
+    it.answerRenewals({});
+    it.submit(JobsFixture::request(7, 1));
+    it.pass(step);
+    const auto start = it.takeOrder<StartRun>("x1");
+    REQUIRE(start); // it has lost power
+    const auto sentAt = it.clock.now();
+    it.announce("x2");
+    it.pass(Milliseconds(200));
+    it.answer(*start, { OrderOutcome::UnknownOutcome });
+    std::optional<Duration> again;
+    while (!again && it.clock.now() - sentAt < std::chrono::seconds(30)) {
+        it.pass(step);
+        answerAll(it, "x2");
+        if (it.takeOrder<StartRun>("x2"))
+            again = it.clock.now() - sentAt;
+    }
+    REQUIRE(again);
+    CHECK(ms(*again) >= 12'200 + 6'500);
+    CHECK(ms(*again) < 12'200 + 6'800);
+}
