--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -234,10 +234,9 @@
     const bool isLeaving = executor.hasLeft() && executor.answeredOrderSentAt <= executor.leftAt;
     const bool isSuspect = isLeaving || m_now - executor.lastAnswerAt > m_options.suspectAfter;
     order.isRegular = !isNew && !isSuspect;
-    // A suspect executor's lease is not renewed, so that it is certain when it expires. Nor is it while a listing has
-    // not shown each run that was started there: carried out late, the renewal would extend the lease of a later
-    // incarnation that has begun the run. Starts extend the lease themselves.
-    if (order.isRegular && !executor.hasUnlistedStart()) {
+    // A suspect executor's lease is not renewed, so that it is certain when it expires. Nor is it after an unanswered
+    // start: carried out late, the renewal would extend the lease of a later incarnation that has begun the run.
+    if (order.isRegular && !executor.hasUnansweredStart()) {
         renewal.leaseUntilMs = executor.clock.executorNow(m_now) + static_cast<uint64_t>(m_options.lease.count());
         executor.clock.recordLeaseSent(renewal.leaseUntilMs);
     }
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -149,13 +149,12 @@
     Instant quarantinedUntil {};
     ResourceVector used() const { return committed + strays; }
 
-    // Whether a start may still be on its way to it, or has begun a run that no listing has shown: possibly in a later
-    // incarnation, which takes the lease of a renewal from now on.
-    bool hasUnlistedStart() const
+    // Whether a start may still be on its way to it, or in progress there without an answer.
+    bool hasUnansweredStart() const
     {
         return std::any_of(runs.begin(), runs.end(), [this](const auto& it) {
             const auto& run = it.second;
-            return run.stage == RunStage::Starting || (run.stage == RunStage::Running && !run.isListed)
+            return run.stage == RunStage::Starting
                 || (run.stage == RunStage::UnknownOutcome && !run.isRefused && run.startSentAt >= lastAnswerAt);
         });
     }
