--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""Hundreds of changes of a configuration with many routes; the platform keeps to the memory limit of its machines."""
+"""Eight changes of a large configuration are in progress at once."""
 
 import json
 import os
@@ -9,160 +9,118 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "common-2"))
-from standins import Deployment, call, configuration, newId, route, runCase, trouble  # noqa: E402
+from standins import Deployment, Executor, call, configuration, newId, route, runCase, trouble  # noqa: E402
+
+BIG_CONFIG = [1400, 1400, 400]  # routes more, each; 1,400 is the largest count of big_config
+AT_ONCE = 8  # "Up to eight orders may be in progress at once"
+WAVES = 6
+GAP_S = 0.002  # between two orders of a wave
+MEMORY_MB = 384  # of a core machine of neonbilbao-grown
+FINISH_S = 14  # after the end of the traffic
+WINDOW_S = 3
+CORES = 16000
+TWO_STEPS = {"spec": "work=2000 cpu=4000",
+             "steps": [{"count": 2, "cpu": 4000, "memMb": 1024, "estimateMs": 2000},
+                       {"count": 2, "cpu": 4000, "memMb": 1024, "estimateMs": 2000, "dependsOn": [0]}]}
+
+
+def peakMemoryMb(pid):
+    with open(f"/proc/{pid}/status", encoding="utf-8") as file:
+        return max(int(it.split()[1]) // 1024 for it in file if it.startswith("VmHWM:"))
+
+
+def sendWave(record, deployment, control, versions, routes):
+    """Sends one change for each version, in order, without waiting for answers. Returns the statuses."""
+    statuses = {}
+
+    def put(n, body):
+        time.sleep(n * GAP_S)
+        statuses[versions[n]] = call(control, "POST", "/config/put", body, timeout=4)[0]
+
+    bodies = []
+    for n, version in enumerate(versions):
+        changed = [dict(it, timeoutMs=3000 + version) for it in routes]
+        bodies.append(json.dumps(configuration(version, changed, ["fill-line"])).encode())
+    threads = [threading.Thread(target=put, args=it) for it in enumerate(bodies)]
+    for it in threads:
+        it.start()
+    for it in threads:
+        it.join()
+    record.add(f"operator: versions {versions[0]} to {versions[-1]}, {len(bodies[-1])} bytes each -> {statuses}")
+    return statuses, bodies
 
-MEMORY_LIMIT_MB = 256  # of a core machine of neonbilbao; a process that uses more is killed
-DISK_MB = 128  # of a core machine of neonbilbao
-RESTART_S = 1.0  # a process that was killed is restarted after a short delay
-ROUTES = 3
-BIG_CONFIG = [410, 410]  # big_config, its largest count on neonbilbao, twice
-CHANGES = 900  # "hundreds of changes"
-GIVE_UP_S = 20  # the operator stops changing when nothing was acknowledged for this long
-READ_BACK_S = 20  # the operator reads back for at least contactMs
-LONGEST_S = 90
 
+def scenario(record, temporary):
+    deployment = Deployment(record, temporary)
+    starts = []
 
-def memoryMb(pid):
-    try:
-        with open(f"/proc/{pid}/status", encoding="utf-8") as file:
-            for line in file:
-                if line.startswith("VmRSS:"):
-                    return int(line.split()[1]) / 1024
-    except OSError:
-        pass
-    return 0
-
-
-def diskMb(folder):
-    return sum(it.stat().st_size for it in os.scandir(folder)) / (1 << 20)
-
-
-class Platform:
-    """Kills a process that exceeds the memory of its machine, and starts it again."""
-
-    def __init__(self, record, deployment):
-        self.record = record
-        self.deployment = deployment
-        self.kills = {}
-        self.isRunning = True
-        self.thread = threading.Thread(target=self.run, daemon=True)
-        self.thread.start()
-
-    def run(self):
-        waiting = {}
-        while self.isRunning:
-            now = time.monotonic()
-            for it in self.deployment.cores:
-                name = it["name"]
-                handle = it["process"].handle
-                if name in waiting:
-                    if now >= waiting[name] and self.isRunning:
-                        del waiting[name]
-                        self.deployment.startMachine(it)
-                    continue
-                if handle.poll() is not None:
-                    self.record.add(f"{name} has ended by itself with {handle.returncode}")
-                    waiting[name] = now + RESTART_S
-                    continue
-                used = memoryMb(handle.pid)
-                if used > MEMORY_LIMIT_MB:
-                    handle.kill()
-                    handle.wait()
-                    self.kills[name] = self.kills.get(name, 0) + 1
-                    self.record.add(f"platform: {name} uses {used:.0f} MB of memory (disk {diskMb(it['data']):.0f} MB)"
-                                    f" and is killed, time {self.kills[name]}")
-                    waiting[name] = now + RESTART_S
-            time.sleep(0.1)
-
-    def stop(self):
-        self.isRunning = False
-        self.thread.join()
-
+    def onEvent(kind, executor, task, run, **_):
+        if kind == "started":
+            starts.append(task)
 
-def scenario(record, temporary):
-    deployment = Deployment(record, temporary, cores=4, fronts=1, tolerated=1)
-    platform = None
+    executors = [Executor(record, f"w{n}", deployment.executorAddress(), deployment.controls, onEvent=onEvent,
+                          cpu=CORES, zone=list(deployment.zones)[n % 3], rack=f"r{n}-1") for n in range(4)]
     try:
         deployment.start()
         time.sleep(2)
-        advice = {"decideMs": 82.0, "intervalMs": 1.2, "validityMs": 2500}
-
-        def makeRoutes(count):
-            return [route(f"r-{random.getrandbits(28):07x}", f"/{random.getrandbits(32):08x}/", recommendation=advice)
-                    for _ in range(count)]
-
-        routes = makeRoutes(ROUTES)
+        advice = {"decideMs": 82.0, "intervalMs": 1.2, "validityMs": 2000}
+        routes = [route("r-blend", "/blend/")]
         version = 3
         deployment.putConfiguration(configuration(version, routes, ["fill-line"]))
-        platform = Platform(record, deployment)
-        began = time.monotonic()
-        if trouble():
-            for count in BIG_CONFIG:
-                version += 2
-                routes += makeRoutes(count)
-                deployment.putConfiguration(configuration(version, routes, ["fill-line"]))
-        acknowledged = configuration(version, routes, ["fill-line"])
-        changes = 0
-        sent = {}
-        while changes < CHANGES and time.monotonic() - began < LONGEST_S - GIVE_UP_S:
-            version += random.choice([1, 2, 3])
-            routes = [dict(it) for it in routes]
-            routes[changes % len(routes)]["timeoutMs"] = 3000 + changes
-            sent = configuration(version, routes, ["fill-line"])
-            try:
-                sendUntilAcknowledged(deployment, sent)
-            except RuntimeError:
-                record.add(f"operator: version {version} not acknowledged within {GIVE_UP_S} s, after {changes} changes")
+        for it in executors:
+            it.start()
+        for count in BIG_CONFIG if trouble() else []:
+            routes += [route(f"r-{random.getrandbits(28):07x}", f"/{random.getrandbits(32):08x}/",
+                             recommendation=advice) for _ in range(count)]
+            version += 2
+            deployment.putConfiguration(configuration(version, routes, ["fill-line"]))
+        time.sleep(4)
+        isAnswered = True
+        for _ in range(WAVES):
+            leader = deployment.leader()
+            if leader is None:
+                raise RuntimeError("no core machine leads")
+            path = "/blend/" + newId()
+            if not deployment.submit(path, TWO_STEPS):
+                raise RuntimeError("the submission was not accepted")
+            accepted = time.monotonic()
+            versions = [version + 1 + n for n in range(AT_ONCE)]
+            version = versions[-1]
+            statuses, bodies = sendWave(record, deployment, leader["control"], versions, routes)
+            isAnswered = all(it == 200 for it in statuses.values())
+            if not isAnswered:
+                break
+            time.sleep(1)
+        job = path.rsplit("/", 1)[1]
+        ended = time.monotonic()  # of the traffic
+        unanswered = 0
+        while time.monotonic() < ended + FINISH_S + WINDOW_S:
+            if not isAnswered:  # The operator sends the newest change again; a client hands in another submission.
+                again = [call(it, "POST", "/config/put", bodies[-1], timeout=3)[0] for it in deployment.controls]
+                status, _ = deployment.client("POST", "/blend/" + newId(), TWO_STEPS)
+                record.add(f"operator: version {versions[-1]} again, to each node -> {again}; client: POST -> {status}")
+                unanswered += status != 200
+            if sum(it.startswith(job + ".0.1.") for it in starts) == 2:
                 break
-            acknowledged = sent
-            changes += 1
-            if changes % 50 == 0:
-                used = [round(memoryMb(it["process"].handle.pid)) for it in deployment.cores]
-                disk = [round(diskMb(it["data"])) for it in deployment.cores]
-                record.add(f"operator: {changes} changes acknowledged; memory {used} MB, disk {disk} MB")
-        record.add(f"operator: newest acknowledged version {acknowledged['version']} after {changes} changes")
-        # The end of the day: the operator reads the configuration back, at any node, again and again.
-        until = time.monotonic() + READ_BACK_S
-        answers = {}
-        isRead = False
-        while time.monotonic() < until and not isRead:
-            for control in deployment.controls:
-                status, body, _ = call(control, "GET", "/config/get", timeout=2)
-                answers[status] = answers.get(status, 0) + 1
-                isRead = isRead or (status == 200 and isNewest(body, acknowledged, sent))
-            time.sleep(0.2)
-        record.add(f"operator: reads back, answers by status {answers}, newest read {isRead}")
-        status, _ = deployment.client("POST", routes[0]["pathPrefix"] + newId(),
-                                      {"spec": "work=100", "steps": [{"count": 1, "cpu": 100, "memMb": 64}]})
-        record.add(f"client: POST -> {status}")
-        broken = []
-        if not isRead:
-            broken.append(f"CONFIG: version {acknowledged['version']} was acknowledged and isn't read back for"
-                          f" {READ_BACK_S} s; kills for memory: {platform.kills}")
-        return broken
+            time.sleep(0.5)
+        memory = {it["name"]: peakMemoryMb(it["process"].handle.pid) for it in deployment.cores}
+        record.add(f"peak memory in MB: {memory}; {leader['name']} led, {deployment.leader()['name']} leads")
+        record.add(f"client: GET {path} -> {deployment.state(path)}")
+        if sum(it.startswith(job + ".0.1.") for it in starts) == 2:
+            return []
+        running = [run.task for it in executors for run in list(it.runs.values())]
+        if max(memory.values()) > MEMORY_MB:
+            raise RuntimeError("a process used more memory than its machine has")
+        if any(it.startswith(job) for it in running):
+            raise RuntimeError("the submission still runs")
+        return [f"LOST: {path} has had nothing running for over {WINDOW_S} s, {time.monotonic() - accepted:.0f} s after"
+                f" it was accepted; its second step's turn has come and all executors are free;"
+                f" {unanswered} further submissions got no 2xx"]
     finally:
-        if platform is not None:
-            platform.stop()
         deployment.stop()
-
-
-def isNewest(body, acknowledged, sent):
-    document = json.loads(body)
-    return document in (acknowledged, sent)
-
-
-def sendUntilAcknowledged(deployment, sent):
-    """Sends one configuration until it is acknowledged, without a line in the record for each."""
-    until = time.monotonic() + GIVE_UP_S
-    while time.monotonic() < until:
-        for control in deployment.controls:
-            status, _, _ = call(control, "POST", "/config/put", sent, timeout=2)
-            if status == 200:
-                return
-            if status in (400, 409, 412, 413, 422):
-                raise RuntimeError(f"version {sent['version']} refused: {status}")
-        time.sleep(0.05)
-    raise RuntimeError("not acknowledged")
+        for line in deployment.logs():
+            if any(it in line for it in ("event=configuration_", "event=leadership_", "event=storage")):
+                record.add(line[:200])
 
 
 runCase(FOLDER, scenario)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,125 +1,168 @@
-"""Large urgent submissions that only a few executors may run keep all other submissions from starting."""
+"""Hundreds of changes of a configuration with many routes; the platform keeps to the memory limit of its machines."""
 
 import json
-import http.server
 import os
+import random
 import sys
 import threading
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "common-2"))
-from standins import Deployment, Executor, QuietServer, configuration, newId, route, runCase, trouble  # noqa: E402
+from standins import Deployment, call, configuration, newId, route, runCase, trouble  # noqa: E402
 
-EXECUTORS = 12
-CORES = 32000  # of an executor, in thousandths
-KIND_B = 2  # executors of the kind that the large submissions need
-FINISH_S = 14  # after the end of the traffic
-WINDOW_S = 3
-ADVICE = {"decideMs": 9.3, "intervalMs": 0.13, "validityMs": 2500}  # as for weigh-check
-LARGE = {"spec": "work=8000 cpu=5900",
-         "steps": [{"count": 60, "cpu": 5900, "memMb": 4000, "estimateMs": 8000, "requiredLabel": "b"}]}
-SMALL = {"spec": "work=800 cpu=2800", "steps": [{"count": 2, "cpu": 2800, "memMb": 4000, "estimateMs": 800}]}
+MEMORY_LIMIT_MB = 256  # of a core machine of neonbilbao; a process that uses more is killed
+DISK_MB = 128  # of a core machine of neonbilbao
+RESTART_S = 1.0  # a process that was killed is restarted after a short delay
+ROUTES = 3
+BIG_CONFIG = [410, 410]  # big_config, its largest count on neonbilbao, twice
+CHANGES = 900  # "hundreds of changes"
+GIVE_UP_S = 20  # the operator stops changing when nothing was acknowledged for this long
+READ_BACK_S = 20  # the operator reads back for at least contactMs
+LONGEST_S = 90
 
 
-class LabelledExecutor(Executor):
-    kind = "a"
-
-    def pingBody(self):
-        body = super().pingBody()
-        body["labels"] = [self.kind, self.rack]
-        return body
-
-
-def startAdvice(record, address):
-    """The recommendation service: grants every executor that a call names, one call at a time for each caller."""
-    callers = {}
-
-    class Handler(http.server.BaseHTTPRequestHandler):
-        protocol_version = "HTTP/1.1"
-
-        def log_message(self, *_):
-            pass
-
-        def do_POST(self):
-            body = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
-            with callers.setdefault(self.client_address[0], threading.Lock()):
-                time.sleep((ADVICE["decideMs"] + ADVICE["intervalMs"] * len(body["workers"])) / 1000)
-            record.add(f"advice: {body['step']} for {len(body['workers'])} executors")
-            data = json.dumps({"granted": [[it, f"ticket-{it}"] for it in body["workers"]]}).encode()
-            self.send_response(200)
-            self.send_header("Content-Type", "application/json")
-            self.send_header("Content-Length", str(len(data)))
-            self.end_headers()
-            self.wfile.write(data)
-
-    host, port = address.rsplit(":", 1)
-    server = QuietServer((host, int(port)), Handler)
-    threading.Thread(target=server.serve_forever, daemon=True).start()
+def memoryMb(pid):
+    try:
+        with open(f"/proc/{pid}/status", encoding="utf-8") as file:
+            for line in file:
+                if line.startswith("VmRSS:"):
+                    return int(line.split()[1]) / 1024
+    except OSError:
+        pass
+    return 0
+
+
+def diskMb(folder):
+    return sum(it.stat().st_size for it in os.scandir(folder)) / (1 << 20)
+
+
+class Platform:
+    """Kills a process that exceeds the memory of its machine, and starts it again."""
+
+    def __init__(self, record, deployment):
+        self.record = record
+        self.deployment = deployment
+        self.kills = {}
+        self.isRunning = True
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def run(self):
+        waiting = {}
+        while self.isRunning:
+            now = time.monotonic()
+            for it in self.deployment.cores:
+                name = it["name"]
+                handle = it["process"].handle
+                if name in waiting:
+                    if now >= waiting[name] and self.isRunning:
+                        del waiting[name]
+                        self.deployment.startMachine(it)
+                    continue
+                if handle.poll() is not None:
+                    self.record.add(f"{name} has ended by itself with {handle.returncode}")
+                    waiting[name] = now + RESTART_S
+                    continue
+                used = memoryMb(handle.pid)
+                if used > MEMORY_LIMIT_MB:
+                    handle.kill()
+                    handle.wait()
+                    self.kills[name] = self.kills.get(name, 0) + 1
+                    self.record.add(f"platform: {name} uses {used:.0f} MB of memory (disk {diskMb(it['data']):.0f} MB)"
+                                    f" and is killed, time {self.kills[name]}")
+                    waiting[name] = now + RESTART_S
+            time.sleep(0.1)
+
+    def stop(self):
+        self.isRunning = False
+        self.thread.join()
 
 
 def scenario(record, temporary):
-    deployment = Deployment(record, temporary)
-    deployment.advice = f"{deployment.block}.90:{deployment.ports['advice']}"
-    startAdvice(record, deployment.advice)
-    zones = list(deployment.zones)
-    executors = [LabelledExecutor(record, f"w{n}", deployment.executorAddress(), deployment.controls, cpu=CORES,
-                                  memMb=131072, zone=zones[n % 3], rack=f"r{n % 3}-{n // 6}", needsTicket=lambda _: True)
-                 for n in range(EXECUTORS)]
-    for it in executors[:KIND_B]:
-        it.kind = "b"
+    deployment = Deployment(record, temporary, cores=4, fronts=1, tolerated=1)
+    platform = None
     try:
         deployment.start()
         time.sleep(2)
-        routes = [route("r-urgent", "/urgent/", priority=0, recommendation=ADVICE),
-                  route("r-plain", "/plain/", priority=1, recommendation=ADVICE)]
-        version = configuration(3, routes, ["fill-line"])
-        version["tenants"].append({"name": "member-2", "apiKeys": ["key-of-the-tenant-0002"], "priority": 1,
-                                   "weight": 40, "cap": {"cpu": 192000, "memMb": 786432, "gpu": 0}})
-        deployment.putConfiguration(version)
-        for it in executors:
-            it.start()
-        time.sleep(3)
+        advice = {"decideMs": 82.0, "intervalMs": 1.2, "validityMs": 2500}
+
+        def makeRoutes(count):
+            return [route(f"r-{random.getrandbits(28):07x}", f"/{random.getrandbits(32):08x}/", recommendation=advice)
+                    for _ in range(count)]
+
+        routes = makeRoutes(ROUTES)
+        version = 3
+        deployment.putConfiguration(configuration(version, routes, ["fill-line"]))
+        platform = Platform(record, deployment)
+        began = time.monotonic()
         if trouble():
-            for _ in range(2):
-                if not deployment.submit("/urgent/" + newId(), LARGE):
-                    raise RuntimeError("a large submission was not accepted")
-        time.sleep(1)
-        small = "/plain/" + newId()
-        status, _ = deployment.client("POST", small, SMALL, key="key-of-the-tenant-0002")
-        record.add(f"client: POST {small} -> {status}")
-        if status != 200:
-            raise RuntimeError("the small submission was not accepted")
-        ended = time.monotonic()  # of the traffic
-        hasRun = False
-        lowest = 1.0
-        highest = 0.0
-        state = None
-        while time.monotonic() < ended + FINISH_S + WINDOW_S:
-            job = small.rsplit("/", 1)[1]
-            runs = [run.task for it in executors for run in list(it.runs.values())]
-            hasRun = hasRun or any(it.startswith(job) for it in runs)
-            if time.monotonic() >= ended + FINISH_S:
-                share = sum(it.used() for it in executors) / (EXECUTORS * CORES)
-                lowest, highest = min(lowest, share), max(highest, share)
-            was, state = state, deployment.client("GET", small, key="key-of-the-tenant-0002")[1].decode()
-            if state != was:
-                record.add(f"client: GET {small} -> {state}")
-            if "completed" in state:
+            for count in BIG_CONFIG:
+                version += 2
+                routes += makeRoutes(count)
+                deployment.putConfiguration(configuration(version, routes, ["fill-line"]))
+        acknowledged = configuration(version, routes, ["fill-line"])
+        changes = 0
+        sent = {}
+        while changes < CHANGES and time.monotonic() - began < LONGEST_S - GIVE_UP_S:
+            version += random.choice([1, 2, 3])
+            routes = [dict(it) for it in routes]
+            routes[changes % len(routes)]["timeoutMs"] = 3000 + changes
+            sent = configuration(version, routes, ["fill-line"])
+            try:
+                sendUntilAcknowledged(deployment, sent)
+            except RuntimeError:
+                record.add(f"operator: version {version} not acknowledged within {GIVE_UP_S} s, after {changes} changes")
                 break
-            time.sleep(0.02)
-        record.add(f"in the last {WINDOW_S} s the executors' cores were in use to {lowest:.2f} up to {highest:.2f}")
-        if "completed" in state or hasRun:
-            return []
-        if highest >= 0.5:
-            raise RuntimeError("half of the service's capacity was in use")
-        return [f"LOST: {small} has had nothing running for {FINISH_S + WINDOW_S} s, while at most"
-                f" {highest:.2f} of the cores were in use and its tenant ran nothing"]
+            acknowledged = sent
+            changes += 1
+            if changes % 50 == 0:
+                used = [round(memoryMb(it["process"].handle.pid)) for it in deployment.cores]
+                disk = [round(diskMb(it["data"])) for it in deployment.cores]
+                record.add(f"operator: {changes} changes acknowledged; memory {used} MB, disk {disk} MB")
+        record.add(f"operator: newest acknowledged version {acknowledged['version']} after {changes} changes")
+        # The end of the day: the operator reads the configuration back, at any node, again and again.
+        until = time.monotonic() + READ_BACK_S
+        answers = {}
+        isRead = False
+        while time.monotonic() < until and not isRead:
+            for control in deployment.controls:
+                status, body, _ = call(control, "GET", "/config/get", timeout=2)
+                answers[status] = answers.get(status, 0) + 1
+                isRead = isRead or (status == 200 and isNewest(body, acknowledged, sent))
+            time.sleep(0.2)
+        record.add(f"operator: reads back, answers by status {answers}, newest read {isRead}")
+        status, _ = deployment.client("POST", routes[0]["pathPrefix"] + newId(),
+                                      {"spec": "work=100", "steps": [{"count": 1, "cpu": 100, "memMb": 64}]})
+        record.add(f"client: POST -> {status}")
+        broken = []
+        if not isRead:
+            broken.append(f"CONFIG: version {acknowledged['version']} was acknowledged and isn't read back for"
+                          f" {READ_BACK_S} s; kills for memory: {platform.kills}")
+        return broken
     finally:
+        if platform is not None:
+            platform.stop()
         deployment.stop()
-        for line in deployment.logs():
-            if "event=job_" in line or "event=capacity_use" in line:
-                record.add(line[:420])
+
+
+def isNewest(body, acknowledged, sent):
+    document = json.loads(body)
+    return document in (acknowledged, sent)
+
+
+def sendUntilAcknowledged(deployment, sent):
+    """Sends one configuration until it is acknowledged, without a line in the record for each."""
+    until = time.monotonic() + GIVE_UP_S
+    while time.monotonic() < until:
+        for control in deployment.controls:
+            status, _, _ = call(control, "POST", "/config/put", sent, timeout=2)
+            if status == 200:
+                return
+            if status in (400, 409, 412, 413, 422):
+                raise RuntimeError(f"version {sent['version']} refused: {status}")
+        time.sleep(0.05)
+    raise RuntimeError("not acknowledged")
 
 
 runCase(FOLDER, scenario)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,97 +1,84 @@
-"""A zone is lost for good, with the core machine that leads and the executors there. Its lasting tasks have to run
-elsewhere."""
+"""A route moves to another service, whose executors are idle, and the executors of the former one are taken away."""
 
 import os
-import signal
 import sys
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "common-2"))
-from standins import BOUNDS, Deployment, Executor, configuration, newId, route, runCase, trouble  # noqa: E402
+from standins import Deployment, Executor, configuration, newId, route, runCase, trouble  # noqa: E402
 
 CORES = 16000  # of an executor, in thousandths
-LASTING = {"spec": "work=100000000 cpu=4000",
-           "steps": [{"count": 3, "cpu": 4000, "memMb": 1024, "estimateMs": 60000, "antiAffinity": 1,
-                      "longRunning": True}]}
-AFTER_LAST_RUN_S = 6
+FIRST = {"spec": "work=6000 cpu=12000", "steps": [{"count": 2, "cpu": 12000, "memMb": 1024, "estimateMs": 6000}]}
+SECOND = {"spec": "work=1000 cpu=12000", "steps": [{"count": 1, "cpu": 12000, "memMb": 1024, "estimateMs": 1000}]}
+LEAVE_AFTER_S = 9  # from the drain on; both tasks of the first submission have ended by then
+FINISH_S = 14  # after the end of the traffic
 WINDOW_S = 3
-CALM_S = 4  # before the window
-# The loss is the only disturbance. The core is stable again contactMs after it; the calm span counts from then on.
-BROKEN_AFTER_S = max(AFTER_LAST_RUN_S, BOUNDS["contactMs"] / 1000 + CALM_S) + WINDOW_S
-WATCHED_S = 30
+SERVICES = ["fill-line", "fill-line-2"]
+
+
+def routesTo(service):
+    return [route("r-blend", "/blend/", service=service), route("r-label", "/label/", service="fill-line-2")]
 
 
 def scenario(record, temporary):
-    deployment = Deployment(record, temporary, cores=3, fronts=3, tolerated=1)
+    deployment = Deployment(record, temporary)
     zones = list(deployment.zones)
-    starts = []
-
-    def onEvent(kind, executor, task, run, **_):
-        if kind == "started":
-            starts.append((time.monotonic(), executor, task, run))
 
-    def makeExecutor(n):
-        return Executor(record, f"w{n}", deployment.executorAddress(), deployment.controls, onEvent=onEvent, cpu=CORES,
-                        zone=zones[n % 3], rack=f"r{n % 3}-1")
+    def makeExecutors(name, service):
+        return [Executor(record, f"{name}{n}", deployment.executorAddress(), deployment.controls, service=service,
+                         cpu=CORES, zone=zones[n % 3], rack=f"{name}-{n}") for n in range(2)]
 
-    first = [makeExecutor(n) for n in range(3)]  # one in each zone, so that each gets one of the tasks
-    others = [makeExecutor(n) for n in range(3, 6)]
+    former = makeExecutors("a", "fill-line")
+    idle = makeExecutors("b", "fill-line-2")
     try:
         deployment.start()
         time.sleep(2)
-        deployment.putConfiguration(configuration(3, [route("r-serve", "/serve/")], ["fill-line"]))
-        for it in first:
+        cap = {"cpu": 64000, "memMb": 262144, "gpu": 0}
+        deployment.putConfiguration(configuration(3, routesTo("fill-line"), SERVICES, cap))
+        for it in former + idle:
             it.start()
         time.sleep(3)
-        path = "/serve/" + newId()
-        if not deployment.submit(path, LASTING):
-            raise RuntimeError("the submission was not accepted")
-        time.sleep(2)
-        for it in others:
-            it.start()
-        time.sleep(4)
-        if len(starts) != 3:
-            raise RuntimeError(f"{len(starts)} of 3 tasks have started")
-        leader = deployment.leader()
-        if leader is None:
-            raise RuntimeError("no core machine leads")
-        lostAt = time.monotonic()
-        lost = [(task, run) for _, executor, task, run in starts if executor.zone == leader["zone"]]
+        first = "/blend/" + newId()
+        second = "/blend/" + newId()
+        # The first submission leaves no room for the second on the executors of the service.
+        if not deployment.submit(first, FIRST) or not deployment.submit(second, SECOND):
+            raise RuntimeError("a submission was not accepted")
+        ended = time.monotonic()  # of the traffic
         if trouble():
-            record.add(f"{leader['zone']} is lost with {leader['name']}, which leads, and {lost}")
-            for it in first + others:
-                if it.zone == leader["zone"]:
-                    it.crash(dark=True)
-            for it in deployment.cores + deployment.fronts:
-                if it["zone"] == leader["zone"]:
-                    it["process"].signal(signal.SIGKILL)
-        else:
-            lost = []
-        delays = {}
-        while time.monotonic() < lostAt + WATCHED_S and len(delays) < len(lost):
-            for task, run in lost:
-                again = [at - lostAt for at, _, started, number in starts if started == task and number > run]
-                if again:
-                    delays[task] = again[0]
-            time.sleep(0.05)
-        broken = []
-        for task, _ in lost:
-            delay = delays.get(task)
-            record.add(f"{task}: nothing running for {WATCHED_S if delay is None else round(delay, 2)} s")
-            if delay is None or delay > BROKEN_AFTER_S:
-                broken.append(f"LOST: {task}, which lasts, has had nothing running for"
-                              f" {'over %d' % WATCHED_S if delay is None else '%.1f' % delay} s, allowed are"
-                              f" {BROKEN_AFTER_S:.0f} s after the loss; four executors were free")
-        if trouble() and not lost:
-            raise RuntimeError("no task ran in the zone that was lost")
-        return broken
+            deployment.putConfiguration(configuration(5, routesTo("fill-line-2"), SERVICES, cap))
+            for it in former:
+                it.remainingMs = LEAVE_AFTER_S * 1000
+                it.state = "draining"
+                if not it.ping():
+                    raise RuntimeError("a drain was not acknowledged")
+                record.add(f"executor {it.id} reports draining and is acknowledged")
+        drained = time.monotonic()
+        states = {}
+        hasLeft = not trouble()
+        while time.monotonic() < ended + FINISH_S + WINDOW_S:
+            for path in (first, second):
+                state = deployment.state(path)
+                if state != states.get(path):
+                    record.add(f"client: GET {path} -> {state}")
+                states[path] = state
+            if all(it == "completed" for it in states.values()):
+                return []
+            if not hasLeft and time.monotonic() > drained + LEAVE_AFTER_S:
+                hasLeft = True
+                for it in former:
+                    it.leave()
+            time.sleep(0.1)
+        if states[first] != "completed":
+            raise RuntimeError("the first submission has not ended")
+        used = sum(it.used() for it in idle)
+        return [f"LOST: {second} is {states[second]} {FINISH_S + WINDOW_S} s after the end of the traffic and has had"
+                f" nothing running for {WINDOW_S} s and more; {len(idle) * CORES - used} of {len(idle) * CORES}"
+                " thousandths of a core are free at the service of its queue"]
     finally:
         deployment.stop()
-        for it in first + others:
-            it.end()
         for line in deployment.logs():
-            if any(it in line for it in ("event=leadership_began", "event=run_", "event=executor_lapsed")):
+            if "event=job_" in line or "event=run_" in line or "event=configuration_in_force" in line:
                 record.add(line[:330])
 
 
