--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -313,8 +313,12 @@
                         self.addEnd(it, "done")
             time.sleep(0.01)
 
+    def runList(self):
+        with self.lock:
+            return list(self.runs.values())
+
     def used(self):
-        return sum(int(re.search(r"cpu=(\d+)", it.spec).group(1)) for it in self.runs.values() if "cpu=" in it.spec)
+        return sum(int(re.search(r"cpu=(\d+)", it.spec).group(1)) for it in self.runList() if "cpu=" in it.spec)
 
     # Orders
 
@@ -495,6 +499,23 @@
         self.handle.wait()
 
 
+def findFreeAddresses():
+    """A block of loopback addresses and the ports used there, the same on all machines."""
+    names = ["control", "front", "ready", "peer", "metrics", "executor", "advice"]
+    for _ in range(100):
+        block = f"127.{random.randint(20, 200)}.{random.randint(1, 250)}"
+        base = random.randint(21, 31) * 1000
+        ports = {name: base + 1 + n for n, name in enumerate(names)}
+        try:
+            for port in ports.values():
+                with socket.socket() as it:
+                    it.bind((f"{block}.10", port))
+            return block, ports
+        except OSError:
+            continue
+    raise RuntimeError("no free loopback addresses")
+
+
 class Deployment:
     """Core and front processes with the commands and templates of the deploy file."""
 
@@ -503,10 +524,7 @@
         self.folder = folder
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             self.deploy = tomllib.load(file)
-        self.block = f"127.{random.randint(20, 200)}.{random.randint(1, 250)}"
-        base = random.randint(21, 40) * 1000
-        self.ports = {"control": base + 1, "front": base + 2, "ready": base + 3, "peer": base + 4, "metrics": base + 5,
-                      "executor": base + 6, "advice": base + 7}
+        self.block, self.ports = findFreeAddresses()
         self.tolerated = tolerated
         self.advice = advice
         zones = ["zone-a", "zone-b", "zone-c"]
