Replicated log: bounded in bytes, in memory and on disk

Cause: the log was compacted by the number of records only (3,000, and 2,000 kept); a configuration is a record of 0.34 MB. A start copied all committed records into one list of actions. The log's size counts an allowance for each record, so that many small ones are bounded, too.

--- a/consensus/memory_log.cpp
+++ b/consensus/memory_log.cpp
@@ -1,5 +1,6 @@
 #include "consensus/memory_log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace teasel {
@@ -47,13 +48,39 @@
 {
     if (record.has_voters() && record.index() > m_snapshot.index())
         m_voters.push_back({ record.index(), record.voters() });
+    m_offsets.push_back(offsetAt(lastIndex()) + record.ByteSizeLong() + recordOverheadBytes);
     m_records.push_back(std::move(record));
 }
 
+uint64_t MemoryLog::offsetAt(uint64_t index) const
+{
+    if (index < firstIndex() || m_offsets.empty())
+        return m_baseOffset;
+    return m_offsets[std::min(index, lastIndex()) - firstIndex()];
+}
+
+uint64_t MemoryLog::bytesBetween(uint64_t index, uint64_t last) const
+{
+    return index >= last ? 0 : offsetAt(last) - offsetAt(index);
+}
+
+uint64_t MemoryLog::firstIndexWithin(uint64_t bytes, uint64_t last) const
+{
+    const auto end = offsetAt(last);
+    // The offset before the first record that is kept.
+    const auto from = end > bytes ? end - bytes : 0;
+    if (m_baseOffset >= from)
+        return firstIndex();
+    const auto it = std::lower_bound(m_offsets.begin(), m_offsets.end(), from);
+    return firstIndex() + static_cast<uint64_t>(it - m_offsets.begin()) + 1;
+}
+
 void MemoryLog::truncateFrom(uint64_t index)
 {
-    while (lastIndex() >= index)
+    while (lastIndex() >= index) {
         m_records.pop_back();
+        m_offsets.pop_back();
+    }
     while (m_voters.size() > 1 && m_voters.back().index >= index)
         m_voters.pop_back();
 }
@@ -66,13 +93,17 @@
     while (!m_records.empty() && this->firstIndex() < firstIndex) {
         m_baseIndex = m_records.front().index();
         m_baseTerm = m_records.front().term();
+        m_baseOffset = m_offsets.front();
         m_records.pop_front();
+        m_offsets.pop_front();
     }
 }
 
 void MemoryLog::resetTo(const schema::SnapshotMeta& snapshot)
 {
     m_records.clear();
+    m_offsets.clear();
+    m_baseOffset = 0;
     m_baseIndex = snapshot.index();
     m_baseTerm = snapshot.term();
     m_snapshot = snapshot;
--- a/consensus/memory_log.h
+++ b/consensus/memory_log.h
@@ -3,12 +3,16 @@
 
 #include "consensus.pb.h"
 
+#include <cstdint>
 #include <deque>
 #include <optional>
 #include <vector>
 
 namespace teasel {
 
+// Memory of a record beyond its serialized size, counted so that a bound in bytes also bounds many small records.
+constexpr uint64_t recordOverheadBytes = 128;
+
 class MemoryLog {
 public:
     // `bootstrap` is the voter set used while neither a snapshot nor a record names one.
@@ -25,6 +29,16 @@
     // The term of a record; known from firstIndex() - 1 to lastIndex().
     std::optional<uint64_t> termAt(uint64_t index) const;
 
+    // Bytes of all records, including recordOverheadBytes for each.
+    uint64_t bytes() const { return m_offsets.empty() ? 0 : m_offsets.back() - m_baseOffset; }
+
+    // Bytes of the records after `index` up to `last`, as far as they are in the log.
+    uint64_t bytesBetween(uint64_t index, uint64_t last) const;
+
+    // The lowest index from which on the records up to `last` have at most this many bytes; last + 1 if even the
+    // record at `last` is larger.
+    uint64_t firstIndexWithin(uint64_t bytes, uint64_t last) const;
+
     const schema::SnapshotMeta& snapshot() const { return m_snapshot; }
 
     // The effective voter set: that of the last record that names one, whether committed or not.
@@ -61,9 +75,14 @@
         schema::VoterSet set;
     };
 
+    // The total size of all records ever appended, up to and including the one at `index`.
+    uint64_t offsetAt(uint64_t index) const;
+
     uint64_t m_baseIndex = 0; // index of the record before the first one
     uint64_t m_baseTerm = 0;
     std::deque<schema::LogRecord> m_records;
+    uint64_t m_baseOffset = 0; // offsetAt(m_baseIndex)
+    std::deque<uint64_t> m_offsets; // offsetAt() of each record
     schema::SnapshotMeta m_snapshot;
     std::vector<VotersEntry> m_voters; // in order of index; the first entry is that of the snapshot
 };
--- a/consensus/replica.cpp
+++ b/consensus/replica.cpp
@@ -138,7 +138,8 @@
         return;
     const uint64_t firstKeptIndex
         = meta.index() > m_options.retainedRecords ? meta.index() - m_options.retainedRecords + 1 : 1;
-    const uint64_t firstIndex = std::max(firstKeptIndex, m_log.firstIndex());
+    const uint64_t firstIndex = std::max(
+        { firstKeptIndex, m_log.firstIndexWithin(m_options.retainedBytes, meta.index()), m_log.firstIndex() });
     m_log.compact(meta, firstIndex);
     m_actions.emplace_back(Compact { firstIndex });
     checkInvariants();
@@ -148,6 +149,8 @@
 {
     if (!isLeader() || m_transferDeadline || m_log.lastIndex() - m_committedIndex >= m_options.maxUncommittedRecords)
         return std::nullopt;
+    if (m_log.bytesBetween(m_appliedIndex, m_log.lastIndex()) + command.size() > m_options.maxUnappliedBytes)
+        return std::nullopt;
     m_now = now;
     schema::LogRecord record;
     record.set_command(std::move(command));
@@ -156,10 +159,13 @@
 
 std::vector<ReplicaAction> Replica::takeActions()
 {
+    if (!m_hasFailed)
+        applyCommitted();
     if (isLeader())
         m_leaderState.collectMessages(m_committedIndex, m_now, m_actions);
     if (!m_hasFailed && !m_persistInFlight && isDirty())
         buildPersist();
+    m_untakenApplyBytes = 0;
     return std::exchange(m_actions, {});
 }
 
@@ -192,8 +198,10 @@
     const uint64_t end = std::min(m_committedIndex, m_durableIndex);
     if (isRestoring())
         return;
-    while (m_appliedIndex < end) {
-        m_actions.emplace_back(Apply { m_log.at(++m_appliedIndex) });
+    while (m_appliedIndex < end && m_untakenApplyBytes < m_options.maxApplyBytes) {
+        const auto& record = m_log.at(++m_appliedIndex);
+        m_untakenApplyBytes += record.ByteSizeLong() + recordOverheadBytes;
+        m_actions.emplace_back(Apply { record });
         if (isLeader() && m_appliedIndex == m_barrierIndex)
             m_actions.emplace_back(StartedServing { m_hardState.term() });
     }
--- a/consensus/replica.h
+++ b/consensus/replica.h
@@ -57,7 +57,7 @@
     void onSnapshotSaved(const schema::SnapshotMeta&);
 
     // Appends a command and returns its index; nothing when this replica does not lead, is transferring its leadership,
-    // or has too many uncommitted records.
+    // or has too many uncommitted records or too many bytes that are not applied.
     std::optional<uint64_t> propose(std::string command, Instant now);
 
     // Adds, promotes or removes one replica and returns the index of the record. Fails with NoLeader, or with
@@ -94,7 +94,8 @@
     const MemoryLog& log() const { return m_log; }
     const schema::VoterSet& voters() const { return m_log.voters(); }
 
-    // Returns the actions that the host must execute now, in order, and clears them.
+    // Returns the actions that the host must execute now, in order, and clears them. The host calls it until it returns
+    // none: committed records come in portions of maxApplyBytes.
     std::vector<ReplicaAction> takeActions();
 
 private:
@@ -181,6 +182,7 @@
 
     uint64_t m_committedIndex = 0;
     uint64_t m_appliedIndex = 0;
+    uint64_t m_untakenApplyBytes = 0; // of the records in m_actions
     uint64_t m_durableIndex = 0;
     uint64_t m_barrierIndex = 0;
     bool m_hasFailed = false;
--- a/consensus/replica_options.h
+++ b/consensus/replica_options.h
@@ -19,7 +19,13 @@
     size_t maxMessagesInFlight = 8; // messages with records not acknowledged yet, for each replica
     size_t snapshotChunkBytes = 256 << 10;
     uint64_t maxUncommittedRecords = 100'000; // proposals beyond this are rejected
-    uint64_t retainedRecords = 10'000; // records kept before the snapshot for slow replicas
+    // Bytes of the records that are not applied yet; proposals beyond this are rejected.
+    uint64_t maxUnappliedBytes = 16 << 20;
+    // Records kept before the snapshot for slow replicas: at most this many, and at most this many bytes.
+    uint64_t retainedRecords = 10'000;
+    uint64_t retainedBytes = 8 << 20;
+    // Bytes of the records that one takeActions() returns for execution, or a single larger record.
+    uint64_t maxApplyBytes = 1 << 20;
     bool isReplacement = false; // an empty disk replaces a lost one: no vote before it has caught up
 };
 
--- a/consensus/replicated_log.cpp
+++ b/consensus/replicated_log.cpp
@@ -7,6 +7,13 @@
 
 namespace teasel {
 
+namespace {
+
+    // Snapshots that may become due while one is sent to another replica, before a new one is taken.
+    constexpr uint64_t maxPostponedSnapshots = 2;
+
+} // namespace
+
 ReplicatedLog::ReplicatedLog(ReplicatedLogOptions options, const Clock& clock, Disk& disk, StateMachine& stateMachine,
     Send send, Post post, ReplicatedLogEvents events)
     : m_options(std::move(options))
@@ -208,10 +215,20 @@
         m_events.onServingChanged(m_wasServing);
 }
 
+bool ReplicatedLog::isSnapshotDue(uint64_t appliedIndex) const
+{
+    const auto lastSize = m_latestSnapshot ? m_latestSnapshot->data.size() : 0;
+    const auto maxBytes = std::max<uint64_t>(m_options.snapshotEveryBytes, lastSize);
+    const auto bytes = m_replica->log().bytesBetween(m_lastSnapshotIndex, appliedIndex);
+    // A new snapshot makes a transfer to another replica start again; it waits for the transfer, but not for ever.
+    if (m_replica->isSendingSnapshot())
+        return bytes >= maxBytes * maxPostponedSnapshots;
+    return bytes >= maxBytes || appliedIndex >= m_lastSnapshotIndex + m_options.snapshotEveryRecords;
+}
+
 void ReplicatedLog::takeSnapshotIfDue(uint64_t appliedIndex)
 {
-    const bool isDue = appliedIndex >= m_lastSnapshotIndex + m_options.snapshotEveryRecords;
-    if (!isDue || m_isSavingSnapshot || m_replica->isSendingSnapshot())
+    if (m_isSavingSnapshot || !isSnapshotDue(appliedIndex))
         return;
     m_isSavingSnapshot = true;
     m_lastSnapshotIndex = appliedIndex;
--- a/consensus/replicated_log.h
+++ b/consensus/replicated_log.h
@@ -20,7 +20,10 @@
 struct ReplicatedLogOptions {
     ReplicaOptions replica;
     LogStoreOptions store;
+    // A snapshot is due after this many records or bytes of records, whichever comes first. If the last snapshot was
+    // larger than this many bytes, its size counts instead.
     uint64_t snapshotEveryRecords = 50'000;
+    uint64_t snapshotEveryBytes = 16 << 20;
     bool hasOwnStorageThread = true; // false: disk jobs run through the Post function, for tests
 };
 
@@ -122,6 +125,7 @@
     void execute(SteppedDown&);
     void sendAndCount(std::string_view to, const schema::ConsensusMessage&);
     void takeSnapshotIfDue(uint64_t appliedIndex);
+    bool isSnapshotDue(uint64_t appliedIndex) const;
     void runDiskJob(DiskJob, std::function<void()> onDone);
     void postToStorage(std::function<void()> job);
     void postToControl(std::function<void()>);
--- a/node/core_node.cpp
+++ b/node/core_node.cpp
@@ -3,6 +3,7 @@
 #include "jobs/order_messages.h"
 #include "node/batch_parts.h"
 #include "node/job_plane_common.h"
+#include "node/log_limits.h"
 #include "node/order_age.h"
 #include "platform/call_codec.h"
 #include "platform/order_codec.h"
@@ -54,6 +55,7 @@
         }
         out.replica.isReplacement = !settings.first_start();
         out.snapshotEveryRecords = settings.snapshot_every_records();
+        setByteLimits(out, settings.snapshot_every_bytes());
         return out;
     }
 
@@ -653,6 +655,7 @@
     m_context.metrics.counter(ProcessCounter::EvacuatedRuns)
         .Increment(static_cast<double>(evacuated - std::exchange(m_reportedEvacuatedRuns, evacuated)));
     m_context.metrics.gauge(ProcessGauge::HeldRequests).Set(static_cast<double>(m_relay.pendingCalls()));
+    m_logMetrics.update(*m_log);
 }
 
 } // namespace teasel
--- a/node/core_node.h
+++ b/node/core_node.h
@@ -12,6 +12,7 @@
 #include "net/peer_network.h"
 #include "node/control_loop.h"
 #include "node/leader_relay.h"
+#include "node/log_metrics.h"
 #include "node/process_context.h"
 #include "settings.pb.h"
 #include "storage/posix_disk.h"
@@ -104,6 +105,7 @@
     HttpServer m_metricsServer;
     HttpClient m_httpClient;
     std::optional<ReplicatedLog> m_log;
+    LogMetrics m_logMetrics { m_context };
     LeaderRelay m_relay;
     absl::btree_map<uint64_t, PendingCall> m_pendingCalls; // by handle
     uint64_t m_lastHandle = 0;
--- a/node/state_node.cpp
+++ b/node/state_node.cpp
@@ -1,6 +1,7 @@
 #include "node/state_node.h"
 
 #include "node/http_responses.h"
+#include "node/log_limits.h"
 #include "node/peer_settings.h"
 
 #include <fmt/format.h>
@@ -27,6 +28,7 @@
             out.replica.bootstrap.add_voters(it.id());
         out.replica.isReplacement = settings.replacement();
         out.snapshotEveryRecords = settings.snapshot_every_records();
+        setByteLimits(out, settings.snapshot_every_bytes());
         return out;
     }
 
@@ -286,6 +288,7 @@
     m_nextMetricsUpdate = now + metricsInterval;
     m_context.metrics.gauge(ProcessGauge::IsLeader).Set(m_log.isServing() ? 1 : 0);
     m_context.metrics.gauge(ProcessGauge::Revision).Set(static_cast<double>(m_state.revision()));
+    m_logMetrics.update(m_log);
 }
 
 } // namespace teasel
--- a/node/state_node.h
+++ b/node/state_node.h
@@ -11,6 +11,7 @@
 #include "net/peer_network.h"
 #include "node/control_loop.h"
 #include "node/fleet_state_machine.h"
+#include "node/log_metrics.h"
 #include "node/process_context.h"
 #include "settings.pb.h"
 #include "storage/posix_disk.h"
@@ -67,6 +68,7 @@
     PeerNetwork m_network;
     HttpServer m_httpServer;
     ReplicatedLog m_log;
+    LogMetrics m_logMetrics { m_context };
     absl::flat_hash_map<uint64_t, schema::Command> m_pendingCommands; // commands not committed yet, by ticket
     Instant m_nextMetricsUpdate {};
     std::atomic<bool> m_failed = false;
--- a/observability/metrics.cpp
+++ b/observability/metrics.cpp
@@ -35,6 +35,8 @@
         { "teasel_leadership_lease_left_seconds", "Time left of the data centre leader's lease" },
         { "teasel_log_records", "Records in the replicated log since its last snapshot" },
         { "teasel_runs_to_evacuate", "Runs left in evacuated data centres" },
+        { "teasel_log_bytes", "Bytes of the replicated log's records in memory" },
+        { "teasel_disk_bytes", "Bytes of the replicated log's files, with the snapshot" },
     } };
 
     constexpr std::array<MetricName, static_cast<size_t>(ProcessCounter::Count)> counterNames { {
--- a/observability/metrics.h
+++ b/observability/metrics.h
@@ -39,7 +39,9 @@
     LeadershipLeaseLeft = 13, // seconds left of the data centre leader's own lease
     LogRecords = 14, // records in the replicated log since its last snapshot
     RunsToEvacuate = 15, // runs left in evacuated data centres, as the leader knows them
-    Count = 16,
+    LogBytes = 16, // of the replicated log's records in memory
+    DiskBytes = 17, // of the replicated log's files, with the snapshot
+    Count = 18,
 };
 
 // Counters of the whole process, without labels.
--- a/settings/job_settings.cpp
+++ b/settings/job_settings.cpp
@@ -15,6 +15,7 @@
     constexpr uint64_t defaultRestoreMs = 100;
     constexpr uint64_t defaultKeepEndedMs = 150'000;
     constexpr uint64_t defaultSnapshotEveryRecords = 3'000;
+    constexpr uint64_t defaultSnapshotEveryBytes = 16 << 20;
     constexpr uint64_t defaultStopGraceMs = 5'000;
     constexpr uint64_t defaultMaxBodyBytes = 256 << 10;
     constexpr uint32_t defaultMaxConnections = 2'048;
@@ -70,6 +71,8 @@
         settings.set_tolerated_losses(1);
     if (!settings.has_snapshot_every_records())
         settings.set_snapshot_every_records(defaultSnapshotEveryRecords);
+    if (!settings.has_snapshot_every_bytes())
+        settings.set_snapshot_every_bytes(defaultSnapshotEveryBytes);
     auto& jobs = *settings.mutable_jobs();
     if (!jobs.has_max_lease_ms())
         jobs.set_max_lease_ms(defaultMaxLeaseMs);
@@ -103,6 +106,8 @@
         return checks.invalidValue("data_folder", "the path of a folder", "nothing");
     BOOST_LEAF_CHECK(checks.range("tolerated_losses", settings.tolerated_losses(), 0, maxToleratedLosses));
     BOOST_LEAF_CHECK(checks.range("snapshot_every_records", settings.snapshot_every_records(), 100, maxValue));
+    BOOST_LEAF_CHECK(checks.range(
+        "snapshot_every_bytes", settings.snapshot_every_bytes(), minSnapshotEveryBytes, maxSnapshotEveryBytes));
     for (int n = 0; n < settings.data_centres_size(); ++n) {
         if (settings.data_centres(n).name().empty())
             return checks.invalidValue(fmt::format("data_centres[{}].name", n), "the name of a data centre", "nothing");
--- a/settings/settings_checks.h
+++ b/settings/settings_checks.h
@@ -13,6 +13,11 @@
 
 namespace teasel {
 
+// Limits of snapshot_every_bytes: small snapshots would cost more than the log itself, and a large log more memory and
+// disk than an instance of the system has.
+constexpr uint64_t minSnapshotEveryBytes = 1 << 20;
+constexpr uint64_t maxSnapshotEveryBytes = uint64_t(1) << 30;
+
 using InstanceList = google::protobuf::RepeatedPtrField<schema::InstanceSettings>;
 
 // Checks the values of one settings message. Each check fails with BadRequest and a message that gives the file, the
--- a/settings/state_settings.cpp
+++ b/settings/state_settings.cpp
@@ -17,6 +17,7 @@
     constexpr uint64_t maxServeForMs = 31'536'000'000; // one year
     constexpr uint64_t defaultSnapshotEveryRecords = 100'000;
     constexpr uint64_t maxSnapshotEveryRecords = 1'000'000'000;
+    constexpr uint64_t defaultSnapshotEveryBytes = 16 << 20;
     constexpr size_t minSaltBytes = 8;
     constexpr size_t hashBytes = 32;
 
@@ -58,6 +59,8 @@
         settings.mutable_cut_off()->set_serve_for_ms(defaultServeForMs);
     if (!settings.has_snapshot_every_records())
         settings.set_snapshot_every_records(defaultSnapshotEveryRecords);
+    if (!settings.has_snapshot_every_bytes())
+        settings.set_snapshot_every_bytes(defaultSnapshotEveryBytes);
 }
 
 Result<void> checkSettings(const schema::StateSettings& settings, const SettingsLocations& locations)
@@ -73,6 +76,8 @@
         checks.range("cut_off.serve_for_ms", settings.cut_off().serve_for_ms(), minServeForMs, maxServeForMs));
     BOOST_LEAF_CHECK(
         checks.range("snapshot_every_records", settings.snapshot_every_records(), 1, maxSnapshotEveryRecords));
+    BOOST_LEAF_CHECK(checks.range(
+        "snapshot_every_bytes", settings.snapshot_every_bytes(), minSnapshotEveryBytes, maxSnapshotEveryBytes));
     if (settings.http_address() == settings.instance().peer_address())
         return checks.invalidValue(
             "http_address", "another address than instance.peer_address", settings.http_address());
--- a/storage/log_store.cpp
+++ b/storage/log_store.cpp
@@ -79,6 +79,7 @@
     if (m_snapshotIndex == 0)
         return {};
     BOOST_LEAF_AUTO(image, readSnapshot());
+    m_snapshotBytes = image.data.size();
     recovered.snapshot = std::move(image.meta);
     return {};
 }
@@ -187,11 +188,28 @@
     return outcome;
 }
 
+Result<void> LogStore::writeReclaimingSpace(const std::function<Result<void>()>& write)
+{
+    const auto outcome = valueOrError(write);
+    const auto* error = std::get_if<Error>(&outcome);
+    if (error == nullptr)
+        return {};
+    const auto segments = m_segments.size();
+    if (error->kind == ErrorKind::StateFull)
+        BOOST_LEAF_CHECK(removeSegmentsBefore(m_snapshotIndex + 1));
+    const auto reclaimed = segments - m_segments.size();
+    if (reclaimed == 0)
+        return fail(error->kind, error->message);
+    m_counters.segmentsReclaimed += reclaimed;
+    return write();
+}
+
 Result<void> LogStore::saveHardState(const schema::HardState& hardState)
 {
     BOOST_LEAF_CHECK(checkWritable());
     ++m_counters.syncs;
-    return recordOutcome(m_disk.replace(hardStateFileName, encodeChecksummedFile(hardState.SerializeAsString())));
+    const auto file = encodeChecksummedFile(hardState.SerializeAsString());
+    return recordOutcome(writeReclaimingSpace([&] { return m_disk.replace(hardStateFileName, file); }));
 }
 
 Result<void> LogStore::append(std::span<const schema::LogRecord> records)
@@ -203,7 +221,14 @@
         m_segments.push_back({ m_nextSegmentNumber++, 0, 0 });
         m_hasOpenSegment = true;
     }
-    return recordOutcome(appendTo(m_segments.back(), records));
+    bool isRepeated = false;
+    return recordOutcome(writeReclaimingSpace([&]() -> Result<void> {
+        auto& segment = m_segments.back();
+        // The first attempt may have written a part.
+        if (std::exchange(isRepeated, true))
+            BOOST_LEAF_CHECK(m_disk.truncate(segmentFileName(segment.number), segment.bytes));
+        return appendTo(segment, records);
+    }));
 }
 
 Result<void> LogStore::appendTo(Segment& segment, std::span<const schema::LogRecord> records)
@@ -226,6 +251,15 @@
     return {};
 }
 
+LogStoreCounters LogStore::counters() const
+{
+    auto out = m_counters;
+    out.bytesOnDisk = m_snapshotBytes;
+    for (const auto& it : m_segments)
+        out.bytesOnDisk += it.bytes;
+    return out;
+}
+
 // ---- Snapshots -----------------------------------------------------------
 
 Result<SnapshotImage> LogStore::readSnapshot()
@@ -255,6 +289,7 @@
     if (m_snapshotIndex != 0 && m_snapshotIndex != image.meta.index())
         BOOST_LEAF_CHECK(m_disk.remove(snapshotFileName(m_snapshotIndex)));
     m_snapshotIndex = image.meta.index();
+    m_snapshotBytes = file.size();
     return {};
 }
 
@@ -263,13 +298,13 @@
     BOOST_LEAF_CHECK(checkWritable());
     if (image.meta.index() <= m_snapshotIndex)
         return {};
-    return recordOutcome(writeSnapshot(image));
+    return recordOutcome(writeReclaimingSpace([&] { return writeSnapshot(image); }));
 }
 
 Result<void> LogStore::installSnapshot(const SnapshotImage& image)
 {
     BOOST_LEAF_CHECK(checkWritable());
-    BOOST_LEAF_CHECK(recordOutcome(writeSnapshot(image)));
+    BOOST_LEAF_CHECK(recordOutcome(writeReclaimingSpace([&] { return writeSnapshot(image); })));
     return recordOutcome(removeAllSegments());
 }
 
--- a/storage/log_store.h
+++ b/storage/log_store.h
@@ -6,6 +6,7 @@
 #include "storage/disk.h"
 #include "storage/recovered_log.h"
 
+#include <functional>
 #include <span>
 #include <string>
 #include <vector>
@@ -24,10 +25,13 @@
     uint64_t syncs = 0;
     uint64_t snapshots = 0;
     uint64_t tornBytesTruncated = 0;
+    uint64_t segmentsReclaimed = 0; // removed early because the disk was full
+    uint64_t bytesOnDisk = 0; // of the segments and the snapshot, now
 };
 
 // Each write is durable on return. After a failed write the store rejects all further ones, since only the next open()
-// can find out what is on disk.
+// can find out what is on disk. Before a write fails because the disk is full, the segments that the snapshot replaces
+// are removed; they are only kept for slow replicas.
 class LogStore {
 public:
     explicit LogStore(Disk& disk, LogStoreOptions options = {})
@@ -58,7 +62,7 @@
     // Removes the segments that hold only records before `firstIndex`. The newest segment is kept.
     Result<void> compact(uint64_t firstIndex);
 
-    const LogStoreCounters& counters() const { return m_counters; }
+    LogStoreCounters counters() const;
 
 private:
     struct Segment {
@@ -81,6 +85,9 @@
     Result<void> removeSegmentsBefore(uint64_t firstIndex);
     Result<void> checkWritable() const;
 
+    // Repeats a write once if it failed because the disk was full and segments could be removed.
+    Result<void> writeReclaimingSpace(const std::function<Result<void>()>& write);
+
     // Returns the outcome of a write. After an error the store rejects further writes.
     Result<void> recordOutcome(Result<void>);
 
@@ -90,6 +97,7 @@
     uint64_t m_nextSegmentNumber = 1;
     bool m_hasOpenSegment = false;
     uint64_t m_snapshotIndex = 0;
+    size_t m_snapshotBytes = 0; // of its file
     bool m_isOpen = false;
     bool m_hasFailed = false;
     LogStoreCounters m_counters;
--- a/tests/consensus_simulation.h
+++ b/tests/consensus_simulation.h
@@ -82,7 +82,10 @@
     double repeatProbability = 0;
     double delayProbability = 0; // the delay is up to 1 s
     uint64_t snapshotEvery = 40;
+    uint64_t snapshotEveryBytes = ReplicatedLogOptions().snapshotEveryBytes;
     uint64_t retainedRecords = 10;
+    uint64_t retainedBytes = ReplicaOptions().retainedBytes;
+    uint64_t maxUnappliedBytes = ReplicaOptions().maxUnappliedBytes;
     bool replacementsKnowVoters = true; // the settings of a replaced replica name the voters
 };
 
@@ -132,9 +135,12 @@
         options.replica.maxBatchBytes = 200;
         options.replica.snapshotChunkBytes = 100;
         options.replica.retainedRecords = m_options.retainedRecords;
+        options.replica.retainedBytes = m_options.retainedBytes;
+        options.replica.maxUnappliedBytes = m_options.maxUnappliedBytes;
         options.replica.isReplacement = node.isReplacement;
         options.store.segmentBytes = 1'000;
         options.snapshotEveryRecords = m_options.snapshotEvery;
+        options.snapshotEveryBytes = m_options.snapshotEveryBytes;
         options.hasOwnStorageThread = false;
         node.stateMachine = std::make_unique<RecordingStateMachine>(oracle);
         node.log = std::make_unique<ReplicatedLog>(
@@ -228,10 +234,11 @@
         return size();
     }
 
-    bool propose(size_t i)
+    // Proposes a command of at least `bytes` bytes.
+    bool propose(size_t i, size_t bytes = 0)
     {
         const auto ticket = ++m_lastTicket;
-        if (!log(i).propose(fmt::format("command-{}", ticket), ticket, nowOf(i)))
+        if (!log(i).propose(fmt::format("{:<{}}", fmt::format("command-{}", ticket), bytes), ticket, nowOf(i)))
             return false;
         ++counters.work["proposed"];
         return true;
--- a/tests/fake_disk.h
+++ b/tests/fake_disk.h
@@ -35,7 +35,7 @@
 
     Result<void> append(std::string_view name, std::string_view bytes) override
     {
-        if (!mayWrite()) {
+        if (!mayWrite() || size() + bytes.size() > capacity) {
             // A write to a full disk may be partial.
             files[std::string(name)].unsynced += bytes.substr(0, bytes.size() / 2);
             return fail(ErrorKind::StateFull, "no space left");
@@ -57,7 +57,8 @@
 
     Result<void> replace(std::string_view name, std::string_view bytes) override
     {
-        if (!mayWrite())
+        // The old contents are kept until the new ones are complete.
+        if (!mayWrite() || size() + bytes.size() > capacity)
             return fail(ErrorKind::StateFull, "no space left");
         files[std::string(name)] = { std::string(bytes), {}, true };
         return {};
@@ -102,7 +103,17 @@
         return lostBytes;
     }
 
+    // Bytes of all files.
+    uint64_t size() const
+    {
+        uint64_t bytes = 0;
+        for (const auto& [name, file] : files)
+            bytes += file.synced.size() + file.unsynced.size();
+        return bytes;
+    }
+
     static constexpr uint64_t unlimited = ~uint64_t { 0 };
+    uint64_t capacity = unlimited; // in bytes
     uint64_t writesLeft = unlimited; // number of writes that succeed before all further ones fail
     std::map<std::string, File> files;
 
--- a/tests/storage_log_store_test.cpp
+++ b/tests/storage_log_store_test.cpp
@@ -212,3 +212,33 @@
     CHECK(countRecoveredRecords(disk) == 10);
     CHECK(LogStore(disk).open().value().snapshot.index() == 500);
 }
+
+// Guards against a replica that cannot start again because the records kept for slow replicas fill its disk.
+TEST_CASE("on a full disk the segments that the snapshot replaces make room for the next write")
+{
+    FakeDisk disk;
+    LogStore store(disk, { 100 });
+    REQUIRE(store.open());
+    REQUIRE(store.saveHardState(makeHardState()));
+    for (uint64_t first = 1; first <= 91; first += 10)
+        REQUIRE(store.append(makeRecords(first, first + 9, 1)));
+    SnapshotImage image;
+    image.meta.set_index(50);
+    image.meta.set_term(1);
+    image.data = "state";
+    REQUIRE(store.saveSnapshot(image));
+    const auto before = disk.size();
+    disk.capacity = before + 10;
+    REQUIRE(store.append(makeRecords(101, 110, 1)));
+    CHECK(store.counters().segmentsReclaimed > 0);
+    CHECK(disk.size() < before);
+    LogStore recovering(disk, { 100 });
+    const auto recovered = recovering.open().value();
+    CHECK(recovered.records.front().index() == 51);
+    CHECK(recovered.records.back().index() == 110);
+    // Nothing is left to remove: the write fails, and no record after the snapshot was given up.
+    disk.capacity = disk.size();
+    CHECK(!store.append(makeRecords(111, 120, 1)));
+    LogStore last(disk, { 100 });
+    CHECK(last.open().value().records.size() >= 60);
+}
