Job plane: removed queues are forgotten

What callers saw: nothing yet. Cause: JobState::m_queues was never cleaned up. Evidence: jobs_configurations: 200 configurations with a queue each leave 200 queues without the fix. Why it works: a removed queue is kept as long as the outcome of an ended job after it was in force last, and while a job that has not ended names it.

--- a/jobs/job_state.cpp
+++ b/jobs/job_state.cpp
@@ -1,6 +1,9 @@
 #include "jobs/job_state.h"
 
+#include <absl/container/flat_hash_set.h>
+
 #include <algorithm>
+#include <utility>
 
 namespace teasel {
 
@@ -60,8 +63,27 @@
         return;
     m_configuration = configuration;
     m_configurationIndex.rebuild(m_configuration);
+    // A job may be accepted after the removal of the queue that it was submitted to: the time counts from here.
+    for (auto& [key, it] : m_queues) {
+        if (!std::exchange(it.isRemoved, true))
+            it.inForceAtMs = m_wallMs;
+    }
     for (const auto& it : configuration.queues())
-        m_queues[queueKey(it)] = it;
+        m_queues[queueKey(it)] = { it, false, m_wallMs };
+    forgetRemovedQueues();
+}
+
+void JobState::forgetRemovedQueues()
+{
+    absl::flat_hash_set<std::string_view> needed;
+    for (const auto& [id, job] : m_jobs) {
+        if (!job.hasEnded())
+            needed.insert(job.request.queue());
+    }
+    const auto kept = static_cast<uint64_t>(m_retention.count());
+    absl::erase_if(m_queues, [&](const auto& it) {
+        return it.second.isRemoved && it.second.inForceAtMs + kept < m_wallMs && !needed.contains(it.first);
+    });
 }
 
 void JobState::applyAccepted(const schema::JobRequest& request)
@@ -321,7 +343,7 @@
 const schema::JobQueue* JobState::queueOf(std::string_view key) const
 {
     const auto it = m_queues.find(std::string(key));
-    return it == m_queues.end() ? nullptr : &it->second;
+    return it == m_queues.end() ? nullptr : &it->second.queue;
 }
 
 bool JobState::isEvacuated(std::string_view dataCentre) const
--- a/jobs/job_state.h
+++ b/jobs/job_state.h
@@ -119,10 +119,12 @@
     const schema::JobConfiguration& configuration() const { return m_configuration; }
     const ConfigurationIndex& configurationIndex() const { return m_configurationIndex; }
 
-    // Finds a queue by its key, including queues that were removed from the configuration in force; nullptr if
-    // there never was such a queue.
+    // Finds a queue by its key, including queues that were removed from the configuration in force lately or have jobs
+    // that have not ended; nullptr if there is none.
     const schema::JobQueue* queueOf(std::string_view key) const;
 
+    size_t knownQueues() const { return m_queues.size(); }
+
     const absl::btree_map<uint64_t, JobRecord>& jobs() const { return m_jobs; }
     const JobRecord* find(uint64_t job) const;
     const TaskRecord* find(const TaskKey&) const;
@@ -148,6 +150,7 @@
 private:
     void applyChange(const schema::JobChange&);
     void applyConfiguration(const schema::JobConfiguration&);
+    void forgetRemovedQueues();
     void applyAccepted(const schema::JobRequest&);
     void applyCancelled(uint64_t job);
     void applyAssigned(const schema::TaskAssignment&);
@@ -170,7 +173,14 @@
     Milliseconds m_retention;
     schema::JobConfiguration m_configuration;
     ConfigurationIndex m_configurationIndex;
-    absl::btree_map<std::string, schema::JobQueue> m_queues; // by key; never removed
+    struct KnownQueue {
+        schema::JobQueue queue; // as the last configuration had it
+        bool isRemoved = false;
+        uint64_t inForceAtMs = 0; // when it was in force last, once it is removed
+    };
+    // By key. Removed ones are kept as long as the outcome of an ended job, and while jobs that have not ended need
+    // them.
+    absl::btree_map<std::string, KnownQueue> m_queues;
     absl::btree_map<uint64_t, JobRecord> m_jobs;
     absl::btree_map<std::string, uint64_t, std::less<>> m_queuedJobs; // jobs in phase Queued, by queue key
     absl::btree_map<uint32_t, ExecutorState> m_executors;
--- a/jobs/job_state_snapshot.cpp
+++ b/jobs/job_state_snapshot.cpp
@@ -78,8 +78,10 @@
 {
     schema::JobPlaneImage image;
     *image.mutable_configuration() = m_configuration;
-    for (const auto& [key, it] : m_queues)
-        *image.add_known_queues() = it;
+    for (const auto& [key, it] : m_queues) {
+        *image.add_known_queues() = it.queue;
+        image.add_known_queue_in_force_at_ms(it.inForceAtMs);
+    }
     for (const auto& [id, it] : m_jobs)
         fillJob(it, *image.add_jobs());
     for (const auto& [number, it] : m_executors) {
@@ -120,8 +122,14 @@
     m_configuration = image.configuration();
     m_configurationIndex.rebuild(m_configuration);
     m_queues.clear();
-    for (const auto& it : image.known_queues())
-        m_queues[queueKey(it)] = it;
+    for (int n = 0; n < image.known_queues_size(); ++n) {
+        const auto& queue = image.known_queues(n);
+        // Images of earlier versions have no times: the queue counts as in force until now.
+        const bool hasTime = n < image.known_queue_in_force_at_ms_size();
+        m_queues[queueKey(queue)] = { queue, true, hasTime ? image.known_queue_in_force_at_ms(n) : image.wall_ms() };
+    }
+    for (const auto& it : m_configuration.queues())
+        m_queues[queueKey(it)].isRemoved = false;
     m_jobs.clear();
     m_queuedJobs.clear();
     m_ended.clear();
