Peer network: messages that are not sent show in logs and metrics

Cause: PeerNetwork counted dropped messages and nothing read the count; what was lost with a connection was not counted. Evidence: net_peer_backlog, 'each message that is not sent is reported once, with its reason' (new; there was no such report). Why it works: drops are counted by reason, with the peer and the largest size, and every second the daemons take the report: two counters, and a line messages_dropped for messages that are too large or find a full queue. Bounded: one line a second.

--- a/net/peer_network.cpp
+++ b/net/peer_network.cpp
@@ -85,17 +85,14 @@
 
 void PeerNetwork::send(std::string_view to, schema::Envelope envelope)
 {
-    if (!m_options.idsAreAddresses && !m_outboundById.contains(std::string(to))) {
-        ++m_messagesDropped;
-        return;
-    }
+    if (!m_options.idsAreAddresses && !m_outboundById.contains(std::string(to)))
+        return recordDrop(&PeerDrops::unknownPeer, to, 0);
     envelope.set_from(m_options.id);
     envelope.set_incarnation(m_options.incarnation);
     auto framed = frameEnvelope(envelope);
-    if (framed.size() > maxEnvelopeBytes) { // The peer would close the connection, and other messages would be lost.
-        ++m_messagesDropped;
-        return;
-    }
+    // The peer would close the connection, and other messages would be lost.
+    if (framed.size() > maxEnvelopeBytes)
+        return recordDrop(&PeerDrops::tooLarge, to, framed.size());
     bool wasEmpty = false;
     {
         const std::lock_guard lock(m_mutex);
@@ -113,6 +110,32 @@
     return { m_messagesSent, m_bytesSent, m_messagesReceived, m_messagesDropped, m_connectionsEstablished };
 }
 
+PeerDrops PeerNetwork::takeDrops()
+{
+    const std::lock_guard lock(m_mutex);
+    return std::exchange(m_drops, {});
+}
+
+void PeerNetwork::recordDrop(uint64_t PeerDrops::*reason, std::string_view to, size_t bytes)
+{
+    ++m_messagesDropped;
+    const std::lock_guard lock(m_mutex);
+    ++(m_drops.*reason);
+    if (reason != &PeerDrops::tooLarge && reason != &PeerDrops::queueFull)
+        return;
+    m_drops.lastPeer = to;
+    m_drops.largestBytes = std::max(m_drops.largestBytes, bytes);
+}
+
+void PeerNetwork::dropPending(Outbound& outbound)
+{
+    outbound.pending.clear();
+    const auto messages = std::exchange(outbound.pendingMessages, 0);
+    m_messagesDropped += messages;
+    const std::lock_guard lock(m_mutex);
+    m_drops.connectionLost += messages;
+}
+
 void PeerNetwork::watchSocket(int fd, uint32_t events, bool add) const
 {
     epoll_event event = {};
@@ -200,17 +223,18 @@
     for (auto& [id, framed] : messages) {
         auto* outbound = findOutbound(id);
         if (outbound == nullptr) {
-            ++m_messagesDropped;
+            recordDrop(&PeerDrops::unknownPeer, id, framed.size());
             continue;
         }
         const auto queued = outbound->pending.size() + (outbound->session ? outbound->session->queuedBytes() : 0);
         if (queued + framed.size() > m_options.maxQueuedBytes) {
-            ++m_messagesDropped;
+            recordDrop(&PeerDrops::queueFull, id, framed.size());
             continue;
         }
         ++m_messagesSent;
         m_bytesSent += framed.size();
         outbound->pending += framed;
+        ++outbound->pendingMessages;
         outbound->lastUsedAt = now;
     }
 }
@@ -255,7 +279,7 @@
     if (fd < 0 || (connect(fd, address->raw(), address->size()) != 0 && errno != EINPROGRESS)) {
         if (fd >= 0)
             close(fd);
-        outbound.pending.clear(); // as in closeOutbound()
+        dropPending(outbound); // as in closeOutbound()
         return;
     }
     outbound.session = std::make_unique<PeerSession>(fd, true, [](const schema::Envelope&) {});
@@ -287,7 +311,7 @@
     outbound.session->resetOnClose();
     outbound.session.reset();
     outbound.connecting = false;
-    outbound.pending.clear(); // Senders repeat the messages that still matter; the others would be stale.
+    dropPending(outbound); // Senders repeat the messages that still matter; the others would be stale.
     outbound.nextConnectAt = now + outbound.reconnectDelay;
     outbound.reconnectDelay = std::min(outbound.reconnectDelay * 2, m_options.maxReconnectDelay);
 }
@@ -313,6 +337,7 @@
     if (!outbound.pending.empty()) {
         session.enqueue(outbound.pending);
         outbound.pending.clear();
+        outbound.pendingMessages = 0;
     }
     if (!session.flush()) {
         closeOutbound(outbound, now);
--- a/net/peer_network.h
+++ b/net/peer_network.h
@@ -49,6 +49,18 @@
     uint64_t connectionsEstablished = 0;
 };
 
+// Messages that were not sent, since the last report.
+struct PeerDrops {
+    uint64_t tooLarge = 0; // for any peer
+    uint64_t queueFull = 0; // the peer reads too slowly
+    uint64_t unknownPeer = 0;
+    uint64_t connectionLost = 0; // queued when a connection was closed
+    std::string lastPeer; // of those too large or for a full queue
+    size_t largestBytes = 0; // of the same
+
+    uint64_t total() const { return tooLarge + queueFull + unknownPeer + connectionLost; }
+};
+
 class PeerNetwork {
 public:
     // The receiver is called on the network thread and must not block.
@@ -67,6 +79,9 @@
 
     PeerNetworkStats stats() const;
 
+    // Returns and clears what was dropped since the last call. Thread-safe.
+    PeerDrops takeDrops();
+
 private:
     struct Outbound {
         PeerEndpoint endpoint;
@@ -75,12 +90,15 @@
         Instant nextConnectAt {};
         Instant nextPingAt {};
         Milliseconds reconnectDelay { 0 };
+        uint64_t pendingMessages = 0;
         std::string pending; // framed messages not yet passed to the session
         bool isListed = true;
         Instant lastUsedAt {};
     };
 
     void run();
+    void recordDrop(uint64_t PeerDrops::*reason, std::string_view to, size_t bytes);
+    void dropPending(Outbound&);
     void acceptConnections();
     void distributeOutbox(Instant);
     Outbound* findOutbound(const std::string& id);
@@ -109,6 +127,8 @@
     std::mutex m_mutex;
     std::vector<std::pair<std::string, std::string>> m_outbox; // peer id and framed message; guarded by m_mutex
 
+    PeerDrops m_drops; // guarded by m_mutex
+
     std::atomic<uint64_t> m_messagesSent = 0;
     std::atomic<uint64_t> m_bytesSent = 0;
     std::atomic<uint64_t> m_messagesReceived = 0;
--- a/node/entry_node.cpp
+++ b/node/entry_node.cpp
@@ -2,6 +2,7 @@
 
 #include "node/http_responses.h"
 #include "node/leader_metrics.h"
+#include "node/network_metrics.h"
 #include "node/peer_settings.h"
 
 #include <fmt/format.h>
@@ -436,6 +437,7 @@
     metrics.gauge(ProcessGauge::Revision).Set(static_cast<double>(m_authority.config().revision()));
     metrics.gauge(ProcessGauge::CutOff).Set(m_authority.isCutOff(now) ? 1 : 0);
     metrics.gauge(ProcessGauge::HeldRequests).Set(static_cast<double>(m_requestGateway.holder().stats().held));
+    reportDrops(m_network, m_context);
     if (!leads)
         return;
     metrics.gauge(ProcessGauge::Executors).Set(static_cast<double>(m_leaderPlanes.dispatch().stats().executors));
--- a/node/state_node.cpp
+++ b/node/state_node.cpp
@@ -2,6 +2,7 @@
 
 #include "node/http_responses.h"
 #include "node/log_limits.h"
+#include "node/network_metrics.h"
 #include "node/peer_settings.h"
 
 #include <fmt/format.h>
@@ -289,6 +290,7 @@
     m_context.metrics.gauge(ProcessGauge::IsLeader).Set(m_log.isServing() ? 1 : 0);
     m_context.metrics.gauge(ProcessGauge::Revision).Set(static_cast<double>(m_state.revision()));
     m_logMetrics.update(m_log);
+    reportDrops(m_network, m_context);
 }
 
 } // namespace teasel
--- a/observability/metrics.h
+++ b/observability/metrics.h
@@ -56,7 +56,9 @@
     Commits = 7, // commands committed by the replicated log
     Snapshots = 8,
     EvacuatedRuns = 9, // runs that were stopped to move them out of an evacuated data centre
-    Count = 10,
+    MessagesDropped = 10, // messages to other processes that were not sent, for any reason
+    MessagesTooLarge = 11, // those of them that no peer would accept
+    Count = 12,
 };
 
 // Categories of work of the control thread whose duration is measured.
--- a/tests/net_peer_backlog_test.cpp
+++ b/tests/net_peer_backlog_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <future>
 #include <thread>
 #include <utility>
@@ -59,3 +60,42 @@
     sender.stop();
     receiver.stop();
 }
+
+// Guards against review/6: messages that disappear without a trace.
+TEST_CASE("each message that is not sent is reported once, with its reason")
+{
+    const BootClock clock;
+    auto settings = options("127.0.0.1:18994");
+    settings.maxQueuedBytes = 4 << 20;
+    PeerNetwork sender(settings, {}, clock, [](const schema::Envelope&) {});
+    REQUIRE(std::holds_alternative<std::monostate>(valueOrError([&] { return sender.start(); })));
+    const auto sendBytes = [&](size_t bytes) {
+        schema::Envelope envelope;
+        envelope.mutable_routed_answer()->set_body(std::string(bytes, 'x'));
+        sender.send("127.0.0.1:18995", std::move(envelope)); // nothing listens there
+    };
+    sendBytes(maxEnvelopeBytes);
+    sendBytes(5 << 20); // more than the queue takes
+    sender.send("", schema::Envelope());
+    sendBytes(100); // lost with the connection
+    PeerDrops drops;
+    for (int n = 0; n < 200 && drops.total() < 4; ++n) {
+        std::this_thread::sleep_for(Milliseconds(10));
+        const auto more = sender.takeDrops();
+        drops.tooLarge += more.tooLarge;
+        drops.queueFull += more.queueFull;
+        drops.unknownPeer += more.unknownPeer;
+        drops.connectionLost += more.connectionLost;
+        if (!more.lastPeer.empty())
+            drops.lastPeer = more.lastPeer;
+        drops.largestBytes = std::max(drops.largestBytes, more.largestBytes);
+    }
+    CHECK(drops.tooLarge == 1);
+    CHECK(drops.queueFull == 1);
+    CHECK(drops.unknownPeer == 1);
+    CHECK(drops.connectionLost == 1);
+    CHECK(drops.lastPeer == "127.0.0.1:18995");
+    CHECK(drops.largestBytes > maxEnvelopeBytes);
+    CHECK(sender.stats().messagesDropped == 4);
+    sender.stop();
+}
