Job plane: batches, records and messages have sizes that fit into each other

Cause: all waiting changes became one record of 10 MB, which the peer network can never send; the leader sent it again without end and kept its lease by heartbeats. No size was bounded by the next one. What does not fit is refused when it comes, with 413; with more than 24 MiB waiting, calls are refused without an effect. teasel-state refuses a change that no record can hold instead of answering that it does not lead.

--- a/consensus/leader_state.cpp
+++ b/consensus/leader_state.cpp
@@ -247,8 +247,7 @@
         return;
     }
     bool hasSentRecords = false;
-    while (progress.nextIndex <= m_log.lastIndex()
-        && progress.inFlightLastIndexes.size() < m_options.maxMessagesInFlight) {
+    while (progress.nextIndex <= m_log.lastIndex() && maySendRecords(progress)) {
         sendAppend(id, progress, committed, true, now, out);
         hasSentRecords = true;
     }
@@ -256,6 +255,14 @@
         sendAppend(id, progress, committed, false, now, out);
 }
 
+bool LeaderState::maySendRecords(const Progress& progress) const
+{
+    if (progress.inFlightLastIndexes.empty())
+        return true;
+    return progress.inFlightLastIndexes.size() < m_options.maxMessagesInFlight
+        && m_log.bytesBetween(progress.matchIndex, progress.nextIndex) <= m_options.maxBytesInFlight;
+}
+
 uint64_t LeaderState::recordSend(Progress& progress, Instant now)
 {
     progress.lastSentAt = now;
@@ -282,10 +289,13 @@
         request.set_readmitted_incarnation(progress.catchingUpIncarnation);
     if (withRecords) {
         size_t bytes = 0;
-        while (progress.nextIndex <= m_log.lastIndex() && bytes < m_options.maxBatchBytes) {
-            const auto& record = m_log.at(progress.nextIndex++);
+        while (progress.nextIndex <= m_log.lastIndex()) {
+            const auto& record = m_log.at(progress.nextIndex);
             bytes += record.ByteSizeLong();
+            if (bytes > m_options.maxBatchBytes && !request.records().empty())
+                break;
             *request.add_records() = record;
+            ++progress.nextIndex;
         }
         progress.inFlightLastIndexes.push_back(progress.nextIndex - 1);
     }
--- a/consensus/leader_state.h
+++ b/consensus/leader_state.h
@@ -94,6 +94,8 @@
     void sendAppend(const std::string& id, Progress&, uint64_t committed, bool withRecords, Instant now,
         std::vector<ReplicaAction>& out);
     void sendChunk(const std::string& id, Progress&, Instant now, std::vector<ReplicaAction>& out);
+    // Whether a further message with records is within the limits of what is not acknowledged.
+    bool maySendRecords(const Progress&) const;
     uint64_t recordSend(Progress&, Instant now);
     Instant quorumLastContactFrom(Instant now, Instant earliest) const;
     bool countsTowardsQuorum(std::string_view voter) const;
--- a/consensus/replica.cpp
+++ b/consensus/replica.cpp
@@ -149,6 +149,8 @@
 {
     if (!isLeader() || m_transferDeadline || m_log.lastIndex() - m_committedIndex >= m_options.maxUncommittedRecords)
         return std::nullopt;
+    if (command.size() > m_options.maxCommandBytes)
+        return std::nullopt;
     if (m_log.bytesBetween(m_appliedIndex, m_log.lastIndex()) + command.size() > m_options.maxUnappliedBytes)
         return std::nullopt;
     m_now = now;
--- a/consensus/replica.h
+++ b/consensus/replica.h
@@ -57,7 +57,7 @@
     void onSnapshotSaved(const schema::SnapshotMeta&);
 
     // Appends a command and returns its index; nothing when this replica does not lead, is transferring its leadership,
-    // or has too many uncommitted records or too many bytes that are not applied.
+    // has too many uncommitted records or too many bytes that are not applied, or the command is too large.
     std::optional<uint64_t> propose(std::string command, Instant now);
 
     // Adds, promotes or removes one replica and returns the index of the record. Fails with NoLeader, or with
--- a/consensus/replica_options.h
+++ b/consensus/replica_options.h
@@ -9,6 +9,11 @@
 
 namespace teasel {
 
+constexpr size_t defaultMaxCommandBytes = 7 << 20;
+
+// Bytes of a message beyond its records.
+constexpr size_t messageOverheadBytes = 4 << 10;
+
 struct ReplicaOptions {
     std::string id;
     schema::VoterSet bootstrap; // the voters before the first record; must be the same on all replicas
@@ -16,6 +21,10 @@
     Duration heartbeat = std::chrono::milliseconds(100);
     uint64_t seed = 0; // must differ each time the process starts
     size_t maxBatchBytes = 256 << 10; // size of the records in one message
+    // Of a command; larger ones are rejected, because no message could hold them. The host's transport must take
+    // messages of this size and messageOverheadBytes, and queue maxBytesInFlight of them.
+    size_t maxCommandBytes = defaultMaxCommandBytes;
+    size_t maxBytesInFlight = 8 << 20; // size of the records not acknowledged yet, for each replica
     size_t maxMessagesInFlight = 8; // messages with records not acknowledged yet, for each replica
     size_t snapshotChunkBytes = 256 << 10;
     uint64_t maxUncommittedRecords = 100'000; // proposals beyond this are rejected
--- a/fleet/fleet_service.cpp
+++ b/fleet/fleet_service.cpp
@@ -2,6 +2,8 @@
 
 #include "fleet/lease_time.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 namespace teasel {
@@ -234,6 +236,10 @@
     pending.deadline = now + std::min<Duration>(m_options.maxInForceWait, Milliseconds(proposal.wait_ms()));
     if (!isFromEntry(proposal.command()))
         return answer(pending, failureResult(ErrorKind::Forbidden, "an entry instance may not propose this command"));
+    if (const auto bytes = proposal.command().ByteSizeLong(); bytes > m_options.maxCommandBytes)
+        return answer(pending,
+            failureResult(ErrorKind::TooLarge,
+                fmt::format("the change has {} bytes, of at most {}", bytes, m_options.maxCommandBytes)));
     if (m_pending.size() + m_waiting.size() >= m_options.maxPendingProposals)
         return answer(pending, failureResult(ErrorKind::StateUnavailable, "too many pending proposals"));
     propose(proposal.command(), std::move(pending));
--- a/fleet/fleet_service.h
+++ b/fleet/fleet_service.h
@@ -25,6 +25,7 @@
     Duration contactTimeout = std::chrono::seconds(1); // a data centre silent for longer keeps its portions
     Duration maxInForceWait = std::chrono::seconds(60); // upper bound of a proposer's wait, see Propose::wait_ms
     size_t maxPendingProposals = 10'000; // uncommitted proposals and changes that wait to come into force
+    size_t maxCommandBytes = 6 << 20; // larger proposals are refused; the log takes somewhat larger records
     size_t maxJobsPerGrant = 256;
     uint64_t firstTicket = 0; // higher than every ticket of the process's earlier incarnations
 };
--- a/jobs/job_announcements.cpp
+++ b/jobs/job_announcements.cpp
@@ -53,7 +53,7 @@
     if (registered.empty() && !m_goneIncarnations.contains({ record.id(), record.born_ms() })) {
         raiseFence(record, m_lastExecutor + 1);
         registerExecutor(std::move(record), { 0, coldUntil, call.sequence });
-        m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
+        m_batch.continuations.emplace_back(AnswerWhenCommitted { handle, {} });
         return;
     }
     ExecutorClaim claim { std::move(record), call.sequence, coldUntil, m_now };
@@ -102,8 +102,8 @@
                 { "committed", describe(executor.committed) } });
     m_mustPlan = true;
     *change().mutable_executor() = std::move(record);
-    m_batchContinuations.emplace_back(ExecutorWhenCommitted { executor.number, coldUntil });
-    m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
+    m_batch.continuations.emplace_back(ExecutorWhenCommitted { executor.number, coldUntil });
+    m_batch.continuations.emplace_back(AnswerWhenCommitted { handle, {} });
 }
 
 uint32_t JobLeader::registerExecutor(schema::ExecutorRecord record, ExecutorWhenCommitted announced)
@@ -115,8 +115,8 @@
             { "born", std::to_string(record.born_ms()) }, { "address", record.address() },
             { "capacity", describe(toVector(record.capacity())) } });
     announced.number = m_lastExecutor;
-    m_batchContinuations.emplace_back(announced);
     *change().mutable_executor() = std::move(record);
+    m_batch.continuations.emplace_back(announced);
     return m_lastExecutor;
 }
 
@@ -228,7 +228,7 @@
     *change().mutable_executor() = std::move(record);
     ExecutorWhenCommitted moved { number, m_executors.at(number).coldUntil };
     moved.hasMoved = true;
-    m_batchContinuations.emplace_back(moved);
+    m_batch.continuations.emplace_back(moved);
 }
 
 // ---- Departures ------------------------------------------------------------
@@ -255,8 +255,8 @@
         auto record = state->record;
         record.set_draining(true);
         *change().mutable_executor() = std::move(record);
-        m_batchContinuations.emplace_back(ExecutorWhenCommitted { number, executor.coldUntil });
-        m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
+        m_batch.continuations.emplace_back(ExecutorWhenCommitted { number, executor.coldUntil });
+        m_batch.continuations.emplace_back(AnswerWhenCommitted { handle, {} });
         return;
     }
     answer(handle, {});
--- a/jobs/job_calls.cpp
+++ b/jobs/job_calls.cpp
@@ -8,6 +8,7 @@
 namespace {
 
     constexpr Milliseconds retryWhenUnavailable { 1'000 };
+    const std::string backlogReason = "too many changes wait to be committed; the call had no effect";
 
     CallAnswer makeRefusal(CallStatus status, std::string reason) { return { status, std::move(reason) }; }
 
@@ -68,6 +69,9 @@
         return bad("a job has 1 to " + std::to_string(m_options.maxSteps) + " steps");
     if (request.payload().size() > m_options.maxPayloadBytes)
         return bad("the payload is longer than " + std::to_string(m_options.maxPayloadBytes) + " bytes");
+    if (request.ByteSizeLong() > m_options.maxChangeBytes)
+        return CallAnswer { CallStatus::TooLarge,
+            "a job has at most " + std::to_string(m_options.maxChangeBytes) + " bytes in the log" };
     uint64_t tasks = 0;
     for (int n = 0; n < request.steps_size(); ++n) {
         const auto& step = request.steps(n);
@@ -169,6 +173,10 @@
     }
     if (auto refusal = checkRequest(request))
         return answer(handle, std::move(*refusal));
+    if (isBacklogged()) {
+        log("job_refused", { { "job", jobIdText(id) }, { "reason", backlogReason } });
+        return answer(handle, { CallStatus::Refused, backlogReason, retryWhenUnavailable });
+    }
     if (!isFeasible(request, queue)) {
         log("job_rejected",
             { { "job", jobIdText(id) }, { "reason", "no executor with the required label is large enough" } });
@@ -204,8 +212,8 @@
     request.set_borrowed(verdict.isBorrowed);
     m_pendingSubmissions.insert(id);
     *change().mutable_accepted() = std::move(request);
-    m_batchContinuations.emplace_back(JobAcceptedWhenCommitted { id });
-    m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, { CallStatus::Accepted, {} } });
+    m_batch.continuations.emplace_back(JobAcceptedWhenCommitted { id });
+    m_batch.continuations.emplace_back(AnswerWhenCommitted { handle, { CallStatus::Accepted, {} } });
 }
 
 void JobLeader::handleCall(uint64_t handle, QueryJob& call)
@@ -269,8 +277,8 @@
         return answer(handle, {});
     log("job_cancelled", { { "job", jobIdText(call.job) } });
     change().set_cancelled(call.job);
-    m_batchContinuations.emplace_back(JobEndedWhenCommitted { call.job });
-    m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
+    m_batch.continuations.emplace_back(JobEndedWhenCommitted { call.job });
+    m_batch.continuations.emplace_back(AnswerWhenCommitted { handle, {} });
 }
 
 // The submission of an unknown job may still be on its way.
@@ -287,7 +295,7 @@
     log("unseen_job_cancelled", { { "job", jobIdText(job) } });
     m_pendingCancellations.insert(job);
     change().set_cancelled(job);
-    m_batchContinuations.emplace_back(UnseenJobCancelledWhenCommitted { handle, job });
+    m_batch.continuations.emplace_back(UnseenJobCancelledWhenCommitted { handle, job });
 }
 
 void JobLeader::execute(UnseenJobCancelledWhenCommitted& it)
@@ -321,7 +329,7 @@
     if (next.version() <= current.version()) {
         log("configuration_repeated",
             { { "version", std::to_string(next.version()) }, { "in_force", std::to_string(current.version()) } });
-        m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
+        m_batch.continuations.emplace_back(AnswerWhenCommitted { handle, {} });
         return;
     }
     for (const auto& queue : next.queues()) {
@@ -333,12 +341,22 @@
             return answer(handle, makeRefusal(CallStatus::BadRequest, std::move(reason)));
         }
     }
+    if (const auto bytes = next.ByteSizeLong(); bytes > m_options.maxChangeBytes) {
+        auto reason = "the configuration has " + std::to_string(bytes) + " bytes in the log, of at most "
+            + std::to_string(m_options.maxChangeBytes);
+        log("configuration_refused", { { "version", std::to_string(next.version()) }, { "reason", reason } });
+        return answer(handle, makeRefusal(CallStatus::TooLarge, std::move(reason)));
+    }
+    if (isBacklogged()) {
+        log("configuration_refused", { { "version", std::to_string(next.version()) }, { "reason", backlogReason } });
+        return answer(handle, { CallStatus::Unavailable, backlogReason, retryWhenUnavailable });
+    }
     log("configuration_proposed",
         { { "version", std::to_string(next.version()) }, { "in_force", std::to_string(current.version()) },
             { "queues", std::to_string(next.queues_size()) }, { "teams", std::to_string(next.teams_size()) } });
-    m_batchContinuations.emplace_back(ConfigurationWhenCommitted { handle });
     m_proposedConfiguration = next;
     *change().mutable_configuration() = std::move(next);
+    m_batch.continuations.emplace_back(ConfigurationWhenCommitted { handle });
 }
 
 void JobLeader::execute(ConfigurationWhenCommitted& it)
--- a/jobs/job_checks.cpp
+++ b/jobs/job_checks.cpp
@@ -220,7 +220,7 @@
         return;
     executor->isRemovalProposed = true;
     change().set_executor_removed(number);
-    m_batchContinuations.emplace_back(ExecutorWhenCommitted { number, {} });
+    m_batch.continuations.emplace_back(ExecutorWhenCommitted { number, {} });
 }
 
 void JobLeader::recordFailure(LiveExecutor& executor, const TaskKey& key)
--- a/jobs/job_crashes.cpp
+++ b/jobs/job_crashes.cpp
@@ -71,7 +71,7 @@
     fillRef(key, *crash.mutable_task());
     crash.set_run(run);
     crash.set_at_start(isAtStart);
-    m_batchContinuations.emplace_back(CrashWhenCommitted { key.step.job });
+    m_batch.continuations.emplace_back(CrashWhenCommitted { key.step.job });
 }
 
 } // namespace teasel
--- a/jobs/job_evacuation.cpp
+++ b/jobs/job_evacuation.cpp
@@ -40,7 +40,7 @@
     log(call.isActive ? "evacuation_ordered" : "evacuation_withdrawn",
         { { "data_centre", call.dataCentre }, { "repeated", wasActive == call.isActive ? "true" : "false" } });
     if (wasActive == call.isActive) { // The order may not be committed yet: the answer waits for it.
-        m_batchContinuations.emplace_back(AnswerWhenCommitted { handle, {} });
+        m_batch.continuations.emplace_back(AnswerWhenCommitted { handle, {} });
         return;
     }
     m_proposedEvacuations[call.dataCentre] = call.isActive;
@@ -48,7 +48,7 @@
     order.set_data_centre(call.dataCentre);
     order.set_active(call.isActive);
     order.set_ordered_at_ms(static_cast<uint64_t>(m_wall.time_since_epoch().count()));
-    m_batchContinuations.emplace_back(EvacuationWhenCommitted { handle, call.dataCentre, call.isActive });
+    m_batch.continuations.emplace_back(EvacuationWhenCommitted { handle, call.dataCentre, call.isActive });
 }
 
 void JobLeader::execute(EvacuationWhenCommitted& it)
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -94,8 +94,9 @@
     m_proposedEvacuations.clear();
     m_runsToEvacuate.clear();
     m_advice.clear();
-    m_batch.Clear();
-    m_batchContinuations.clear();
+    m_batch = {};
+    m_fullBatches.clear();
+    m_fullBatchBytes = 0;
     m_proposals.clear();
     m_pendingOrders.clear();
     std::erase_if(m_actions, [](const auto& it) {
@@ -139,30 +140,55 @@
         m_nextPlanAt = now;
         planStarts();
     }
-    if (m_batchContinuations.empty() && m_batch.changes().empty())
-        return;
-    if (m_batch.changes().empty() && !m_proposals.empty()) {
-        // These continuations depend on changes that are proposed but not committed; they wait for the last
-        // proposal.
-        auto& last = m_proposals.rbegin()->second;
-        std::move(m_batchContinuations.begin(), m_batchContinuations.end(), std::back_inserter(last));
-        m_batchContinuations.clear();
-        return;
+    if (m_batch.isEmpty() && !m_batch.continuations.empty()) {
+        // These continuations depend on changes that are not committed; they wait for the last of them.
+        auto continuations = std::exchange(m_batch.continuations, {});
+        auto* last = !m_fullBatches.empty() ? &m_fullBatches.back().continuations
+            : !m_proposals.empty()          ? &m_proposals.rbegin()->second
+                                            : nullptr;
+        if (last != nullptr) {
+            std::move(continuations.begin(), continuations.end(), std::back_inserter(*last));
+        } else {
+            for (auto& it : continuations)
+                std::visit([this](auto& c) { execute(c); }, it);
+        }
     }
-    if (m_batch.changes().empty()) {
-        auto continuations = std::exchange(m_batchContinuations, {});
-        for (auto& it : continuations)
-            std::visit([this](auto& c) { execute(c); }, it);
-        return;
+    while (!m_fullBatches.empty() && m_proposals.size() < m_options.maxProposalsInFlight) {
+        auto batch = std::move(m_fullBatches.front());
+        m_fullBatches.pop_front();
+        m_fullBatchBytes -= batch.bytes;
+        propose(std::move(batch), wall);
     }
-    if (m_proposals.size() >= m_options.maxProposalsInFlight)
-        return;
-    m_batch.set_wall_ms(static_cast<uint64_t>(wall.time_since_epoch().count()));
+    if (!m_batch.isEmpty() && m_proposals.size() < m_options.maxProposalsInFlight)
+        propose(std::exchange(m_batch, {}), wall);
+}
+
+void JobLeader::propose(Batch batch, WallTime wall)
+{
+    batch.command.set_wall_ms(static_cast<uint64_t>(wall.time_since_epoch().count()));
     const auto ticket = ++m_lastTicket;
-    m_proposals.emplace(ticket, std::exchange(m_batchContinuations, {}));
-    m_actions.emplace_back(ProposeJobs { ticket, std::exchange(m_batch, {}) });
+    m_proposals.emplace(ticket, std::move(batch.continuations));
+    m_actions.emplace_back(ProposeJobs { ticket, std::move(batch.command) });
 }
 
+schema::JobChange& JobLeader::change()
+{
+    finishLastChange();
+    if (m_batch.bytes >= m_options.maxBatchBytes) {
+        m_fullBatchBytes += m_batch.bytes;
+        m_fullBatches.push_back(std::exchange(m_batch, {}));
+    }
+    return *m_batch.command.add_changes();
+}
+
+void JobLeader::finishLastChange()
+{
+    if (!m_batch.isEmpty())
+        m_batch.bytes += m_batch.command.changes().rbegin()->ByteSizeLong();
+}
+
+bool JobLeader::isBacklogged() const { return m_fullBatchBytes + m_batch.bytes > m_options.maxBacklogBytes; }
+
 void JobLeader::onCommitted(uint64_t ticket, Instant now)
 {
     const auto found = m_proposals.find(ticket);
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -155,6 +155,15 @@
             LateEndWhenCommitted, AcknowledgeEndsWhenCommitted, JobAcceptedWhenCommitted, JobEndedWhenCommitted,
             UnseenJobCancelledWhenCommitted, CrashWhenCommitted, ExecutorWhenCommitted, EvacuationWhenCommitted>;
 
+    // Changes that are proposed as one record, and what follows once they are committed.
+    struct Batch {
+        schema::JobCommand command;
+        size_t bytes = 0; // of all changes but the last one, which may not be complete
+        std::vector<Continuation> continuations;
+
+        bool isEmpty() const { return command.changes().empty(); }
+    };
+
     struct PendingOrder {
         uint32_t executor = 0;
         TaskKey task; // for Start and Stop only
@@ -359,7 +368,13 @@
     void execute(ExecutorWhenCommitted&);
     void execute(ConfigurationWhenCommitted&);
     void execute(EvacuationWhenCommitted&);
-    schema::JobChange& change() { return *m_batch.add_changes(); }
+    // Adds a change, which the caller fills before it adds the next one. What depends on it follows as continuations:
+    // the change may begin a further batch.
+    schema::JobChange& change();
+    void finishLastChange();
+    void propose(Batch, WallTime);
+    // Whether so much waits to be proposed that calls which add more are refused.
+    bool isBacklogged() const;
     void log(std::string_view event, std::vector<std::pair<std::string_view, std::string>> fields);
 
     JobLeaderOptions m_options;
@@ -412,8 +427,9 @@
     ResourceRate m_freedPerSecond {}; // expected, of these candidates
     size_t m_resumeAt = 0; // step at which the last round stopped; 0: it examined all
 
-    schema::JobCommand m_batch;
-    std::vector<Continuation> m_batchContinuations;
+    Batch m_batch; // the newest changes
+    std::deque<Batch> m_fullBatches; // earlier ones that are not proposed yet
+    size_t m_fullBatchBytes = 0;
     absl::btree_map<uint64_t, std::vector<Continuation>> m_proposals; // by proposal ticket
     absl::btree_map<uint64_t, PendingOrder> m_pendingOrders;
     uint64_t m_lastTicket = 0;
--- a/jobs/job_leader_options.h
+++ b/jobs/job_leader_options.h
@@ -13,6 +13,9 @@
 
 namespace teasel {
 
+constexpr size_t defaultMaxBatchBytes = 1 << 20;
+constexpr size_t defaultMaxChangeBytes = 5 << 20;
+
 struct JobLeaderOptions {
     Milliseconds maxLease { 6'000 }; // longest lease that executors grant; from the platform's contract
     // Requested lease, capped at maxLease: a zone that is cut off for some seconds keeps working.
@@ -57,6 +60,11 @@
     Milliseconds runTimeRecordInterval { 5'000 }; // between two records of what was learned
 
     size_t maxProposalsInFlight = 2; // further changes wait for the next proposal
+    // A batch that has reached this size is complete; it has at most this and one change.
+    size_t maxBatchBytes = defaultMaxBatchBytes;
+    size_t maxChangeBytes = defaultMaxChangeBytes; // larger changes are refused
+    // With more than this waiting to be proposed, calls that add changes of callers and operators are refused.
+    size_t maxBacklogBytes = 24 << 20;
 
     // A run during which an executor crashes this soon after its start may be the cause.
     Milliseconds crashAtStartWindow { 500 };
--- a/jobs/job_run_ends.cpp
+++ b/jobs/job_run_ends.cpp
@@ -38,7 +38,7 @@
     if (newest == executor.processedEnds)
         return;
     executor.processedEnds = newest;
-    m_batchContinuations.emplace_back(AcknowledgeEndsWhenCommitted { executor.number, newest });
+    m_batch.continuations.emplace_back(AcknowledgeEndsWhenCommitted { executor.number, newest });
 }
 
 void JobLeader::processLateEnd(const LiveExecutor& executor, const EndedTask& it)
@@ -61,7 +61,7 @@
     end.set_executor(executor.number);
     end.set_outcome(it.outcome);
     end.set_late(true);
-    m_batchContinuations.emplace_back(LateEndWhenCommitted { it.task });
+    m_batch.continuations.emplace_back(LateEndWhenCommitted { it.task });
 }
 
 Instant JobLeader::lateLeaseExpiry(const LiveExecutor& executor, const LiveRun& run) const
@@ -267,7 +267,7 @@
     end.set_executor(executor.number);
     end.set_outcome(outcome);
     end.set_checkpoint(std::move(checkpoint));
-    m_batchContinuations.emplace_back(RunEndedWhenCommitted { executor.number, key, run.run, outcome });
+    m_batch.continuations.emplace_back(RunEndedWhenCommitted { executor.number, key, run.run, outcome });
     if (outcome == schema::RUN_OUTCOME_DONE)
         return;
     const auto* job = m_state.find(key.step.job);
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -275,7 +275,7 @@
     fillRef(start.task, *assignment.mutable_task());
     assignment.set_run(run.run);
     assignment.set_executor(start.executor);
-    m_batchContinuations.emplace_back(LaunchRunWhenCommitted { start.executor, start.task, run.run });
+    m_batch.continuations.emplace_back(LaunchRunWhenCommitted { start.executor, start.task, run.run });
     reserve(executor, start.task, std::move(run));
 }
 
--- a/tests/consensus_log_bytes_test.cpp
+++ b/tests/consensus_log_bytes_test.cpp
@@ -142,3 +142,70 @@
     }
     CHECK(applied >= count);
 }
+
+// Guards against review/6: a record that no message can hold stops replication for good.
+TEST_CASE("a command that no message can hold is rejected, and the next one is not")
+{
+    Simulation simulation(SimulationOptions {});
+    REQUIRE(simulation.advanceUntilServing(5 * second));
+    const auto leader = simulation.servingNode();
+    CHECK(!simulation.propose(leader, defaultMaxCommandBytes + 1));
+    REQUIRE(simulation.propose(leader, 100));
+    simulation.advanceFor(second);
+    CHECK(simulation.counters.work["acknowledged"] == 1);
+}
+
+TEST_CASE("records that are not acknowledged are sent up to a limit in bytes, and one above it alone")
+{
+    constexpr size_t recordBytes = 400;
+    std::vector<schema::LogRecord> records;
+    for (uint64_t index = 1; index <= 20; ++index) {
+        auto& record = records.emplace_back();
+        record.set_index(index);
+        record.set_term(1);
+        record.set_command(std::string(index == 10 ? 10 * recordBytes : recordBytes, 'x'));
+    }
+    ReplicaOptions options;
+    options.id = "a";
+    options.bootstrap.add_voters("a");
+    options.maxBatchBytes = 2 * recordBytes + 100;
+    options.maxBytesInFlight = 5 * recordBytes;
+    options.bootstrap.add_voters("b");
+    const MemoryLog log(options.bootstrap, {}, std::move(records));
+    LeaderState state(options, log);
+    Instant now { second };
+    state.startTerm(2, now);
+    // "b" is behind by the whole log and acknowledges each message.
+    uint64_t matched = 0;
+    uint64_t sequence = 0;
+    std::vector<ReplicaAction> actions;
+    for (int n = 0; n < 40 && matched < log.lastIndex(); ++n) {
+        actions.clear();
+        state.collectMessages(0, now += second, actions);
+        uint64_t bytesInFlight = 0;
+        size_t messages = 0;
+        for (const auto& action : actions) {
+            const auto& request = std::get<SendMessage>(action).message.append_request();
+            sequence = request.sequence();
+            uint64_t bytes = 0;
+            for (const auto& record : request.records())
+                bytes += record.ByteSizeLong();
+            CHECK((request.records_size() <= 1 || bytes <= options.maxBatchBytes));
+            bytesInFlight += bytes;
+            ++messages;
+            matched = std::max(matched, request.previous_index() + static_cast<uint64_t>(request.records_size()));
+        }
+        CHECK((messages <= 1 || bytesInFlight <= options.maxBytesInFlight + options.maxBatchBytes));
+        schema::AppendReply reply;
+        reply.set_sequence(sequence);
+        if (n == 0) {
+            matched = 0;
+            reply.set_hint_index(0);
+        } else {
+            reply.set_success(true);
+            reply.set_match_index(matched);
+        }
+        state.onAppendReply("b", reply, now);
+    }
+    CHECK(matched == log.lastIndex());
+}
--- a/tests/fleet_service_test.cpp
+++ b/tests/fleet_service_test.cpp
@@ -237,6 +237,16 @@
     CHECK_FALSE(it.state.sessions().at("x").open());
 }
 
+// Guards against a change that is proposed again and again because the log takes no record of its size.
+TEST_CASE("a change that no record can hold is refused at once")
+{
+    Fixture it;
+    it.change(std::string(FleetServiceOptions().maxCommandBytes, 'x'));
+    REQUIRE(!it.answers.empty());
+    CHECK(it.answers.back().result().failure().kind() == static_cast<uint32_t>(ErrorKind::TooLarge));
+    CHECK(it.log.empty());
+}
+
 TEST_CASE("proposals are answered only by the leader and only for commands of entry instances")
 {
     Fixture it;
