Core: configurations are decoded where they arrive, up to 4 MiB, off the heartbeats' thread

Cause: the control address took bodies of 1 MiB. Why it works: the instance that receives a configuration decodes it on a thread of its own, answers an invalid one at once, and forwards the decoded form, which the leader's network thread parses. The limit of the body, 4 MiB, fits into the bounds of a change and of a message, checked when the code is compiled. A body that is too large is read to its end before the 413. A rejected proposal makes the leader give up its leadership: it kept calls waiting for a proposal that did not exist. Evidence: net_http_server: the case of the bodies that wait fails without the limit. StorageThread is now WorkerThread in core/, unchanged.

--- a/consensus/replicated_log.cpp
+++ b/consensus/replicated_log.cpp
@@ -43,7 +43,7 @@
     }
     m_counters.disk = m_store.counters();
     if (m_options.hasOwnStorageThread)
-        m_thread = std::make_unique<StorageThread>();
+        m_thread = std::make_unique<WorkerThread>();
     m_replica = std::make_unique<Replica>(m_options.replica, std::move(recovered), now);
     flush();
     return {};
--- a/consensus/replicated_log.h
+++ b/consensus/replicated_log.h
@@ -4,8 +4,8 @@
 #include "consensus/replica.h"
 #include "consensus/state_machine.h"
 #include "core/clock.h"
+#include "core/worker_thread.h"
 #include "storage/log_store.h"
-#include "storage/storage_thread.h"
 
 #include <absl/container/btree_map.h>
 
@@ -152,7 +152,7 @@
     ReplicatedLogCounters m_counters;
     // Expires with this object; posted functions then do nothing.
     std::shared_ptr<const bool> m_alive = std::make_shared<const bool>(true);
-    std::unique_ptr<StorageThread> m_thread;
+    std::unique_ptr<WorkerThread> m_thread;
 };
 
 } // namespace teasel
--- a/storage/storage_thread.cpp
+++ b/core/worker_thread.cpp
@@ -1,15 +1,15 @@
-#include "storage/storage_thread.h"
+#include "core/worker_thread.h"
 
 #include <utility>
 
 namespace teasel {
 
-StorageThread::StorageThread()
+WorkerThread::WorkerThread()
     : m_thread([this] { run(); })
 {
 }
 
-StorageThread::~StorageThread()
+WorkerThread::~WorkerThread()
 {
     {
         const std::lock_guard lock(m_mutex);
@@ -19,7 +19,7 @@
     m_thread.join();
 }
 
-void StorageThread::post(std::function<void()> job)
+void WorkerThread::post(std::function<void()> job)
 {
     {
         const std::lock_guard lock(m_mutex);
@@ -28,7 +28,7 @@
     m_wake.notify_one();
 }
 
-void StorageThread::run()
+void WorkerThread::run()
 {
     std::unique_lock lock(m_mutex);
     while (true) {
--- a/storage/storage_thread.h
+++ b/core/worker_thread.h
@@ -1,4 +1,4 @@
-// A thread that runs disk jobs in the order in which they are posted.
+// A thread that runs jobs in the order in which they are posted.
 #pragma once
 
 #include <condition_variable>
@@ -9,14 +9,14 @@
 
 namespace teasel {
 
-class StorageThread {
+class WorkerThread {
 public:
-    StorageThread();
+    WorkerThread();
 
     // Waits for all posted jobs.
-    ~StorageThread();
-    StorageThread(const StorageThread&) = delete;
-    StorageThread& operator=(const StorageThread&) = delete;
+    ~WorkerThread();
+    WorkerThread(const WorkerThread&) = delete;
+    WorkerThread& operator=(const WorkerThread&) = delete;
 
     // Safe to call from any thread.
     void post(std::function<void()> job);
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -45,6 +45,9 @@
         return MHD_YES;
     }
 
+    // The rest of a body that is too large is read and discarded up to this size.
+    constexpr uint64_t maxDiscardedBytes = 64 << 20;
+
     constexpr std::string_view tooLargeBody
         = R"({"kind":"too_large","run":"did_not_run","message":"the body exceeds this instance's limit","advice":"send a smaller body","retry_after_ms":0})";
 
@@ -56,7 +59,9 @@
     HttpRequest request;
     MHD_Connection* connection = nullptr;
     int fd = -1;
+    size_t bodyBytes = 0; // counted in m_bufferedBytes
     bool tooLarge = false;
+    bool overloaded = false; // no room for the body
     bool isComplete = false; // the request was read completely
     bool dispatched = false;
     bool answered = false;
@@ -175,17 +180,24 @@
     MHD_get_connection_values(connection, MHD_HEADER_KIND, &appendHeader, &exchange->request.headers);
     MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &appendHeader, &exchange->request.query);
     const auto length = exchange->request.header("content-length");
-    exchange->tooLarge = std::strtoull(std::string(length).c_str(), nullptr, 10) > m_options.maxBodyBytes;
-    const bool tooLarge = exchange->tooLarge;
+    const auto bytes = std::strtoull(std::string(length).c_str(), nullptr, 10);
+    exchange->tooLarge = bytes > m_options.maxBodyBytes;
     *state = exchange.release(); // ownership returns in onCompleted()
-    return tooLarge ? replyTooLarge(connection) : MHD_YES;
+    // A caller that still writes its body may not read an answer that comes with the end of the connection.
+    return bytes > maxDiscardedBytes ? replyTooLarge(connection) : MHD_YES;
 }
 
 MHD_Result HttpServer::continueRequest(MHD_Connection* connection, Exchange& exchange, const char* data, size_t* n)
 {
     if (*n > 0) {
         exchange.tooLarge = exchange.tooLarge || exchange.request.body.size() + *n > m_options.maxBodyBytes;
-        if (!exchange.tooLarge)
+        if (!exchange.tooLarge && !exchange.overloaded) {
+            exchange.bodyBytes += *n;
+            exchange.overloaded = (m_bufferedBytes += *n) > m_options.maxBufferedBytes;
+        }
+        if (exchange.tooLarge || exchange.overloaded)
+            exchange.request.body = {};
+        else
             exchange.request.body.append(data, *n);
         *n = 0;
         return MHD_YES;
@@ -196,6 +208,8 @@
     }
     if (exchange.tooLarge)
         return replyTooLarge(connection);
+    if (exchange.overloaded)
+        return replyOverloaded(connection);
     if (exchange.dispatched) {
         const std::lock_guard lock(m_mutex);
         return exchange.answered ? reply(connection, exchange.response) : MHD_YES;
@@ -249,13 +263,22 @@
     return reply(connection, { 413, "application/json", { { "Connection", "close" } }, std::string(tooLargeBody) });
 }
 
+MHD_Result HttpServer::replyOverloaded(MHD_Connection* connection) const
+{
+    return reply(connection,
+        { 503, "application/json", { { "Retry-After", "1" } }, R"({"kind":"queue_full","run":"did_not_run"})" });
+}
+
 void HttpServer::onCompleted(void* self, MHD_Connection*, void** state, MHD_RequestTerminationCode)
 {
     const std::unique_ptr<Exchange> exchange(static_cast<Exchange*>(*state));
     *state = nullptr;
-    if (exchange == nullptr || !exchange->isComplete)
+    if (exchange == nullptr)
         return;
     auto& server = *static_cast<HttpServer*>(self);
+    server.m_bufferedBytes -= exchange->bodyBytes;
+    if (!exchange->isComplete)
+        return;
     const std::lock_guard lock(server.m_mutex);
     if (--server.m_unsentAnswers == 0)
         server.m_answersSent.notify_all();
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -10,6 +10,7 @@
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -49,6 +50,8 @@
     unsigned threads = 4;
     unsigned maxConnections = 4'096;
     size_t maxBodyBytes = 1 << 20;
+    // Bodies of all requests until they are answered; beyond this, further ones get 503.
+    size_t maxBufferedBytes = std::numeric_limits<size_t>::max();
     size_t maxHeaderBytes = 32 << 10;
     unsigned idleSeconds = 15; // a connection that sends nothing for this long is closed
 };
@@ -98,6 +101,7 @@
     MHD_Result continueRequest(MHD_Connection*, Exchange&, const char* data, size_t* n);
     MHD_Result reply(MHD_Connection*, const HttpResponse&) const;
     MHD_Result replyTooLarge(MHD_Connection*) const;
+    MHD_Result replyOverloaded(MHD_Connection*) const;
     void watchForDisconnects();
     void waitForAnswersSent();
 
@@ -106,6 +110,7 @@
     CallerDisconnected m_callerDisconnected;
     MHD_Daemon* m_daemon = nullptr;
     std::atomic<uint64_t> m_nextHandle = 1;
+    std::atomic<size_t> m_bufferedBytes = 0; // bodies of requests that are not answered
 
     mutable std::mutex m_mutex;
     std::condition_variable m_watcherWakeup;
--- a/node/core_node.cpp
+++ b/node/core_node.cpp
@@ -4,6 +4,7 @@
 #include "node/batch_parts.h"
 #include "node/job_plane_common.h"
 #include "node/log_limits.h"
+#include "node/network_metrics.h"
 #include "node/order_age.h"
 #include "platform/call_codec.h"
 #include "platform/order_codec.h"
@@ -41,6 +42,14 @@
     constexpr uint64_t keepLogRecords = 2'000;
     constexpr Milliseconds announcementTimeout { 900 }; // an executor waits one second for the answer
     constexpr Milliseconds operatorTimeout { 2'500 };
+    constexpr size_t maxControlBodyBytes = 4 << 20; // of a configuration
+
+    // What is accepted can also be proposed, replicated and forwarded.
+    constexpr size_t commandOverheadBytes = 64 << 10;
+    static_assert(defaultMaxBatchBytes + defaultMaxChangeBytes + commandOverheadBytes <= defaultMaxCommandBytes);
+    static_assert(defaultMaxCommandBytes + messageOverheadBytes <= maxEnvelopeBytes);
+    static_assert(maxControlBodyBytes <= defaultMaxChangeBytes);
+    static_assert(defaultMaxChangeBytes + messageOverheadBytes <= maxEnvelopeBytes);
 
     ReplicatedLogOptions logOptions(const schema::CoreSettings& settings, uint64_t seed)
     {
@@ -79,6 +88,16 @@
         return out;
     }
 
+    schema::RoutedCall makeControlCall(HttpRequest& request)
+    {
+        schema::RoutedCall call;
+        call.set_surface(schema::RoutedCall::CONTROL);
+        call.set_method(request.method);
+        call.set_path(request.path);
+        call.set_body(std::move(request.body));
+        return call;
+    }
+
     LeaderRelayOptions relayOptions(const schema::CoreSettings& settings, uint64_t incarnation)
     {
         LeaderRelayOptions out;
@@ -112,8 +131,11 @@
           [this](schema::Envelope envelope) {
               m_loop.post([this, envelope = std::move(envelope)] { onEnvelope(envelope); });
           })
-    , m_controlServer({ m_settings.control_address(), 1, 1'024 },
+    , m_controlServer({ m_settings.control_address(), 1, 1'024, maxControlBodyBytes, maxBufferedCallBytes },
           [this](HttpRequest request) {
+              if (platform::isConfigurationChange(request.method, request.path))
+                  return m_decoder.post(
+                      [this, request = std::move(request)]() mutable { onConfigurationChange(std::move(request)); });
               m_loop.postAlways([this, request = std::move(request)]() mutable { onHttp(std::move(request)); });
           },
           {})
@@ -415,13 +437,22 @@
     m_leader.onCall(handle, std::move(jobCall), now, m_context.clock.wallNow());
 }
 
+void CoreNode::onConfigurationChange(HttpRequest request)
+{
+    auto call = makeControlCall(request);
+    if (auto answer = platform::decodeConfigurationIn(call)) {
+        m_context.log.info(
+            "call_invalid", { { "path", call.path() }, { "status", answer->status() }, { "reason", answer->body() } });
+        return m_controlServer.answer(request.handle, toHttpResponse(std::move(*answer)));
+    }
+    m_loop.postAlways([this, handle = request.handle, call = std::move(call)]() mutable {
+        forwardControlCall(handle, std::move(call));
+    });
+}
+
 void CoreNode::onHttp(HttpRequest request)
 {
-    schema::RoutedCall call;
-    call.set_surface(schema::RoutedCall::CONTROL);
-    call.set_method(request.method);
-    call.set_path(request.path);
-    call.set_body(std::move(request.body));
+    auto call = makeControlCall(request);
     // Malformed orders are answered at once, also while there is no leader.
     if (platform::isEvacuation(call.path())) {
         auto decoded = platform::decodeCall(call);
@@ -431,9 +462,13 @@
             return m_controlServer.answer(request.handle, toHttpResponse(std::move(*answer)));
         }
     }
+    forwardControlCall(request.handle, std::move(call));
+}
+
+void CoreNode::forwardControlCall(uint64_t handle, schema::RoutedCall call)
+{
     const bool isAnnouncement = platform::isAnnouncement(call.path());
     call.set_time_left_ms(static_cast<uint64_t>((isAnnouncement ? announcementTimeout : operatorTimeout).count()));
-    const auto handle = request.handle;
     m_relay.call(
         std::move(call),
         [this, handle](
@@ -473,8 +508,15 @@
 
 void CoreNode::execute(ProposeJobs& action, Instant now)
 {
-    if (!m_log->propose(action.command.SerializeAsString(), action.ticket, now))
-        m_context.log.warning("proposal_rejected", { { "ticket", action.ticket } });
+    auto command = action.command.SerializeAsString();
+    const auto bytes = command.size();
+    if (m_log->propose(std::move(command), action.ticket, now))
+        return;
+    m_context.log.warning("proposal_rejected",
+        { { "ticket", action.ticket }, { "bytes", bytes }, { "leads", m_log->isLeader() },
+            { "log_bytes", m_log->replica().log().bytes() } });
+    // The changes can't be taken back, and later ones depend on them: the next leader starts from what is committed.
+    m_loop.postAlways([this] { m_log->transferLeadership(m_context.clock.now()); });
 }
 
 void CoreNode::execute(AnswerCall& action, Instant now)
@@ -656,6 +698,7 @@
         .Increment(static_cast<double>(evacuated - std::exchange(m_reportedEvacuatedRuns, evacuated)));
     m_context.metrics.gauge(ProcessGauge::HeldRequests).Set(static_cast<double>(m_relay.pendingCalls()));
     m_logMetrics.update(*m_log);
+    reportDrops(m_network, m_context);
 }
 
 } // namespace teasel
--- a/node/core_node.h
+++ b/node/core_node.h
@@ -4,6 +4,7 @@
 
 #include "consensus/replicated_log.h"
 #include "core/result.h"
+#include "core/worker_thread.h"
 #include "jobs/job_leader.h"
 #include "jobs/job_state.h"
 #include "membership/voter_planner.h"
@@ -67,6 +68,9 @@
     void onRegistration(const std::string& from, const schema::CoreHello&, Instant now);
     void onRoutedCall(const schema::Envelope&, Instant now);
     void onHttp(HttpRequest);
+    // Decodes on the decoder thread: a large configuration would delay the heartbeats of the control thread.
+    void onConfigurationChange(HttpRequest);
+    void forwardControlCall(uint64_t handle, schema::RoutedCall);
     void onTick();
     void onServingChanged(bool serving);
     void startLeading(Instant now);
@@ -107,6 +111,7 @@
     std::optional<ReplicatedLog> m_log;
     LogMetrics m_logMetrics { m_context };
     LeaderRelay m_relay;
+    WorkerThread m_decoder; // after the servers and the loop that its jobs use
     absl::btree_map<uint64_t, PendingCall> m_pendingCalls; // by handle
     uint64_t m_lastHandle = 0;
     // Final refusals of submissions, by call. A resent call gets the same answer.
--- a/node/front_node.cpp
+++ b/node/front_node.cpp
@@ -2,6 +2,7 @@
 
 #include "node/http_responses.h"
 #include "node/job_plane_common.h"
+#include "node/network_metrics.h"
 #include "platform/call_codec.h"
 #include "platform/order_codec.h"
 
@@ -13,6 +14,7 @@
 namespace {
 
     constexpr Milliseconds tickInterval { 50 };
+    constexpr Milliseconds metricsInterval { 1'000 };
     constexpr Milliseconds normalPause { 200 }; // several ticks
     constexpr Milliseconds defaultTimeLimit { 3'000 }; // of a call that names none
     constexpr size_t maxQueuedTasks = 50'000;
@@ -41,7 +43,8 @@
           [this](schema::Envelope envelope) {
               m_loop.post([this, envelope = std::move(envelope)] { onEnvelope(envelope); });
           })
-    , m_callerServer({ m_settings.callers_address(), 1, m_settings.max_connections(), m_settings.max_body_bytes() },
+    , m_callerServer({ m_settings.callers_address(), 1, m_settings.max_connections(), m_settings.max_body_bytes(),
+                         maxBufferedCallBytes },
           [this](HttpRequest request) {
               m_loop.postAlways([this, request = std::move(request)]() mutable { onHttp(std::move(request)); });
           },
@@ -114,6 +117,10 @@
         m_context.log.info(hasLeader ? "leader_regained" : "leader_lost",
             { { "leader", m_relay.leader() }, { "open_calls", m_relay.pendingCalls() } });
     m_isReady = hasLeader;
+    if (now >= m_nextMetricsUpdate) {
+        m_nextMetricsUpdate = now + metricsInterval;
+        reportDrops(m_network, m_context);
+    }
 }
 
 void FrontNode::onEnvelope(const schema::Envelope& envelope)
--- a/node/front_node.h
+++ b/node/front_node.h
@@ -59,6 +59,7 @@
     LeaderRelay m_relay;
     StallDetector m_stalls;
     bool m_hadLeader = false;
+    Instant m_nextMetricsUpdate {};
     std::atomic<bool> m_isReady = false;
     std::atomic<bool> m_isStopping = false;
 };
--- a/node/job_plane_common.h
+++ b/node/job_plane_common.h
@@ -17,6 +17,7 @@
 // Low bits of a call's number, below the incarnation. They count more calls than an instance makes in a
 // millisecond.
 constexpr unsigned callNumberBits = 20;
+constexpr size_t maxBufferedCallBytes = 32 << 20; // bodies of the calls that wait for an answer at one instance
 constexpr Milliseconds jobPlanePingInterval { 500 };
 constexpr Milliseconds jobPlaneSilenceLimit { 1'500 }; // three ping intervals; a silent connection is then reopened
 
--- a/tests/net_http_server_test.cpp
+++ b/tests/net_http_server_test.cpp
@@ -26,7 +26,7 @@
 // A caller's connection, with the request sent at once.
 class Caller {
 public:
-    explicit Caller(uint16_t port)
+    explicit Caller(uint16_t port, std::string_view text = request)
         : m_socket(::socket(AF_INET, SOCK_STREAM, 0))
     {
         sockaddr_in address {};
@@ -34,13 +34,21 @@
         address.sin_port = htons(port);
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         if (::connect(m_socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0)
-            send();
+            send(text);
     }
     ~Caller() { ::close(m_socket); }
     Caller(const Caller&) = delete;
     Caller& operator=(const Caller&) = delete;
 
-    void send() { ::send(m_socket, request.data(), request.size(), MSG_NOSIGNAL); }
+    void send(std::string_view text = request)
+    {
+        while (!text.empty()) {
+            const auto n = ::send(m_socket, text.data(), text.size(), MSG_NOSIGNAL);
+            if (n <= 0)
+                return;
+            text.remove_prefix(static_cast<size_t>(n));
+        }
+    }
 
     // What arrives within `wait`; empty if nothing does.
     std::string receive(std::chrono::milliseconds wait)
@@ -179,3 +187,44 @@
         CHECK(server.pendingRequests() == 0);
     }
 }
+
+// Guards against a channel that ends without an answer to a large body: the caller was still writing it.
+TEST_CASE("a body that is too large is answered with 413, however large it is")
+{
+    constexpr uint16_t port = 18'985;
+    HttpServer server({ "127.0.0.1:18985", 1, 128, 1'000 }, [](const HttpRequest&) {}, {});
+    start(server);
+    for (const size_t bytes : { 1'001, 5'000'000 }) {
+        const auto text = "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n"
+            + std::string(bytes, 'x');
+        Caller caller(port, text);
+        CHECK(caller.receive(std::chrono::seconds(5)).starts_with("HTTP/1.1 413 "));
+    }
+    CHECK(server.pendingRequests() == 0);
+}
+
+// Guards against memory that grows with the calls that wait for an answer.
+TEST_CASE("bodies beyond the limit of all waiting requests are refused, until others are answered")
+{
+    constexpr uint16_t port = 18'986;
+    std::atomic<uint64_t> handle = 0;
+    HttpServer server(
+        { "127.0.0.1:18986", 1, 128, 800, 1'000 }, [&](const HttpRequest& it) { handle = it.handle; }, {});
+    start(server);
+    const auto text = "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 700\r\n\r\n" + std::string(700, 'x');
+    Caller first(port, text);
+    while (handle == 0)
+        std::this_thread::yield();
+    const auto firstHandle = handle.load();
+    Caller second(port, text);
+    const auto refusal = second.receive(std::chrono::seconds(5));
+    CHECK(refusal.starts_with("HTTP/1.1 503 "));
+    CHECK(refusal.find("did_not_run") != std::string::npos);
+    server.answer(firstHandle, {});
+    CHECK(first.receive(std::chrono::seconds(5)).starts_with("HTTP/1.1 200 "));
+    Caller third(port, text);
+    while (handle == firstHandle)
+        std::this_thread::yield();
+    server.answer(handle, {});
+    CHECK(third.receive(std::chrono::seconds(5)).starts_with("HTTP/1.1 200 "));
+}
