Job plane: steps that have not ended follow their queue's configuration

Cause: a step copied the service, regions, priority, need for a ticket and times of the objective when it became ready. A planned assignment was started at the former service, and tickets for its executors counted as room. Why it works: one function derives all that a step takes from its queue; it runs when a step becomes ready and for every step when a configuration comes into force. A start is checked against the constraints when its assignment is committed; a ticket counts only on an executor that the step may use. Runs go on; jobs of a dropped route run at the service that it had.

--- a/jobs/advice_planner.cpp
+++ b/jobs/advice_planner.cpp
@@ -99,7 +99,8 @@
     m_visits += grants->size();
     for (const auto& [number, ticket] : *grants) {
         const auto* it = candidate(number);
-        if (it == nullptr)
+        // Grants outlast a change of the configuration that sends the queue elsewhere.
+        if (it == nullptr || !canEverRun(step, *it))
             continue;
         const auto fits = tasksThatFit(step, *it);
         // A step must not depend on executors that fail, so others are asked about as well.
--- a/jobs/candidate_executor.h
+++ b/jobs/candidate_executor.h
@@ -38,14 +38,20 @@
     bool isDegraded = false; // recently failed, or cold after its start: used last
 };
 
+// Whether the step's tasks may run on an executor with these properties.
+inline bool mayRunOn(const ReadyStep& step, std::string_view service, std::string_view region,
+    const google::protobuf::RepeatedPtrField<std::string>& labels)
+{
+    const auto& regions = step.allowedRegions;
+    return service == step.service
+        && (regions.empty() || std::find(regions.begin(), regions.end(), region) != regions.end())
+        && (step.requiredLabel.empty() || std::find(labels.begin(), labels.end(), step.requiredLabel) != labels.end());
+}
+
 // Whether the step's tasks may run on the executor and fit on it when it is empty.
 inline bool canEverRun(const ReadyStep& step, const CandidateExecutor& it)
 {
-    const auto& regions = step.allowedRegions;
-    return it.service == step.service && step.need.fitsIn(it.capacity)
-        && (regions.empty() || std::find(regions.begin(), regions.end(), it.region) != regions.end())
-        && (step.requiredLabel.empty()
-            || std::find(it.labels->begin(), it.labels->end(), step.requiredLabel) != it.labels->end());
+    return step.need.fitsIn(it.capacity) && mayRunOn(step, it.service, it.region, *it.labels);
 }
 
 struct StartConstraints {
--- a/jobs/job_calls.cpp
+++ b/jobs/job_calls.cpp
@@ -366,6 +366,7 @@
         weights[team.name()] = team.weight();
     m_admission.setWeights(weights);
     m_forecastAdmission.setWeights(weights);
+    deriveStepsFromQueues();
     log("configuration_in_force", { { "version", std::to_string(m_state.configuration().version()) } });
     answer(it.handle, {});
 }
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -219,6 +219,10 @@
     void openSteps(uint64_t job);
     void openReadySteps(uint64_t job, uint32_t occurrence);
     void addReadyStep(const JobRecord&, const schema::JobQueue&, const StepKey&);
+    // Sets all that a step takes from the configuration.
+    void deriveFromQueue(ReadyStep&, const schema::JobRequest&, const schema::JobQueue&) const;
+    // The same for all steps that have not ended, also those whose tasks all run and may wait again.
+    void deriveStepsFromQueues();
     void openDueOccurrences();
     void onJobEnded(uint64_t job);
     void updateWaitingTask(const TaskKey&);
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -291,9 +291,13 @@
     const auto* job = m_state.find(it.task.step.job);
     const auto* task = m_state.find(it.task);
     const auto step = m_readySteps.find(it.task.step);
+    const auto* state = executorState(it.executor);
+    // The configuration may have changed since the assignment.
+    const bool mayRunThere = step != m_readySteps.end() && state != nullptr
+        && mayRunOn(step->second, state->record.service(), regionOf(*state), state->record.labels());
     const bool isStillNeeded = job != nullptr && !job->hasEnded() && task != nullptr && !task->done
-        && task->run == it.run && step != m_readySteps.end() && !run.mustStop && isUsable(*executor)
-        && !isEvacuated(*executor) && executor->used().fitsIn(executor->capacity);
+        && task->run == it.run && mayRunThere && !run.mustStop && isUsable(*executor) && !isEvacuated(*executor)
+        && executor->used().fitsIn(executor->capacity);
     const auto ticket = m_advice.ticketFor(it.task.step, it.executor, m_now);
     if (!isStillNeeded || (step->second.needsTicket && ticket.empty())) {
         endRun(*executor, it.task, RunEvidence::NotSent, schema::RUN_OUTCOME_NEVER_RAN);
@@ -317,8 +321,7 @@
     run.isFromStart = start.checkpoint.empty();
     ++m_counters.starts;
     log("run_started",
-        { { "task", taskText(it.task) }, { "run", std::to_string(it.run) },
-            { "executor", executorState(it.executor)->record.id() },
+        { { "task", taskText(it.task) }, { "run", std::to_string(it.run) }, { "executor", state->record.id() },
             { "waited_ms",
                 std::to_string(std::chrono::duration_cast<Milliseconds>(m_now - step->second.readySince).count()) },
             { "slack_ms",
--- a/jobs/job_steps.cpp
+++ b/jobs/job_steps.cpp
@@ -105,32 +105,21 @@
     step.need = needOf(spec);
     step.queue = request.queue();
     step.team = request.team();
-    step.service = queue.service();
     step.requiredLabel = spec.required_label();
     step.dataRack = spec.data_rack();
-    step.allowedRegions.assign(queue.allowed_regions().begin(), queue.allowed_regions().end());
-    step.priority = queue.priority();
     step.maxPerExecutor = spec.max_per_executor();
     step.gang = spec.gang();
     step.sameRack = spec.same_rack();
     step.lasting = spec.lasting();
     step.checkpoints = spec.checkpoints();
-    step.needsTicket = queue.has_advice();
     step.taskMs = expectedMs(request, spec);
     const auto occurrenceStartMs = request.first_at_ms() == 0
         ? request.accepted_at_ms()
         : request.first_at_ms() + key.occurrence * request.period_ms();
-    const double objectiveMs
-        = queue.slack_factor() * criticalPathMs(request, 0) + static_cast<double>(queue.target_latency_ms());
-    step.dueAt = instantOf(occurrenceStartMs, m_now, m_wall) + Duration(static_cast<int64_t>(objectiveMs * 1'000));
-    step.expiresAt = step.dueAt + Duration(static_cast<int64_t>(objectiveMs * lateFactor * 1'000));
-    const double slackMs = objectiveMs - criticalPathMs(request, 0);
-    step.latestStart = step.dueAt - Duration(static_cast<int64_t>(criticalPathMs(request, key.step) * 1'000));
-    step.lateFrom = step.latestStart;
+    step.occurrenceStart = instantOf(occurrenceStartMs, m_now, m_wall);
     step.isBorrowed = request.borrowed();
-    if (spec.gang())
-        step.latestStart -= Duration(static_cast<int64_t>(slackMs * unusableGangSlack * 1'000));
     step.readySince = m_now;
+    deriveFromQueue(step, request, queue);
     const auto open = job.open.find(key.occurrence);
     for (uint32_t n = 0; n < spec.count(); ++n) {
         if (open == job.open.end()) {
@@ -147,6 +136,37 @@
     m_mustPlan = true;
 }
 
+void JobLeader::deriveFromQueue(ReadyStep& step, const schema::JobRequest& request, const schema::JobQueue& queue) const
+{
+    step.service = queue.service();
+    step.allowedRegions.assign(queue.allowed_regions().begin(), queue.allowed_regions().end());
+    step.priority = queue.priority();
+    step.needsTicket = queue.has_advice();
+    const double pathMs = criticalPathMs(request, 0);
+    const double objectiveMs = queue.slack_factor() * pathMs + static_cast<double>(queue.target_latency_ms());
+    step.dueAt = step.occurrenceStart + Duration(static_cast<int64_t>(objectiveMs * 1'000));
+    step.expiresAt = step.dueAt + Duration(static_cast<int64_t>(objectiveMs * lateFactor * 1'000));
+    step.latestStart = step.dueAt - Duration(static_cast<int64_t>(criticalPathMs(request, step.key.step) * 1'000));
+    step.lateFrom = step.latestStart;
+    if (step.gang)
+        step.latestStart -= Duration(static_cast<int64_t>((objectiveMs - pathMs) * unusableGangSlack * 1'000));
+    if (step.waitingAgainSince)
+        step.latestStart = step.lateFrom = *step.waitingAgainSince;
+}
+
+void JobLeader::deriveStepsFromQueues()
+{
+    for (auto& [key, step] : m_readySteps) {
+        const auto* job = m_state.find(key.job);
+        const auto* queue = m_state.queueOf(step.queue);
+        if (job != nullptr && !job->hasEnded() && queue != nullptr)
+            deriveFromQueue(step, job->request, *queue);
+    }
+    m_loadSummary.clear();
+    m_forecastBuiltAt = {};
+    m_mustPlan = true;
+}
+
 void JobLeader::updateWaitingTask(const TaskKey& key)
 {
     const auto* task = m_state.find(key);
@@ -167,8 +187,10 @@
         step->second.waiting.insert(key.index);
         if (task->crashesAtStart > 0)
             step->second.suspects.insert(key.index);
-        if (step->second.lasting)
+        if (step->second.lasting) {
+            step->second.waitingAgainSince = m_now;
             step->second.readySince = step->second.latestStart = step->second.lateFrom = m_now;
+        }
         m_mustPlan = true;
     }
 }
