Job plane: reservations take a share of the executors that a step may use

What callers saw: nothing reported. Cause: the limit of 0.4 was of the whole fleet. Evidence: jobs_planner, 'gangs that few executors may run do not reserve all of these': no start without the fix (a trial). Why it works: the share is that of the executors that the step may use, one at least. Where steps may use the whole fleet, nothing changes.

--- a/jobs/candidate_executor.h
+++ b/jobs/candidate_executor.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "jobs/admission.h"
 #include "jobs/ready_step.h"
 
 #include <google/protobuf/repeated_ptr_field.h>
@@ -28,6 +29,7 @@
     ResourceVector free;
     ResourceVector stopping; // used by runs that are being stopped
     ResourceVector freedSoon; // expected to come free while a gang can wait
+    ResourceRate freedPerSecond {}; // expected from runs that end
     ResourceVector claimed; // the part of these three reserved in this round for steps that wait for capacity
     std::string_view service;
     std::string_view rack;
@@ -48,6 +50,16 @@
         && (step.requiredLabel.empty() || std::find(labels.begin(), labels.end(), step.requiredLabel) != labels.end());
 }
 
+// Equal for steps for which mayRunOn() always gives the same.
+inline std::string constraintKeyOf(const ReadyStep& step)
+{
+    constexpr char separator = '\0';
+    auto key = step.service + separator + step.requiredLabel;
+    for (const auto& it : step.allowedRegions)
+        key += separator + it;
+    return key;
+}
+
 // Whether the step's tasks may run on the executor and fit on it when it is empty.
 inline bool canEverRun(const ReadyStep& step, const CandidateExecutor& it)
 {
--- a/jobs/capacity_reserver.cpp
+++ b/jobs/capacity_reserver.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-    constexpr double maxReservedShare = 0.4; // of the executors that may be reserved for waiting steps at once
+    // Share of the executors that a step may use that may be reserved for waiting steps at once.
+    constexpr double maxReservedShare = 0.4;
     constexpr int64_t unboundedTasks = 1'000'000;
     // With less slack than this, a step does not wait for runs to end: the time of a stop, its listing, and a
     // ticket renewal in between. Gangs never wait.
@@ -23,6 +24,24 @@
     return step.gang || step.latestStart - now < urgentSlack;
 }
 
+bool CapacityReserver::mayReserveMore(const ReadyStep& step)
+{
+    const auto mayUse = [&](size_t n) {
+        const auto& it = m_candidates[n];
+        return mayRunOn(step, it.service, it.region, *it.labels);
+    };
+    const auto [found, isNew] = m_usableExecutors.try_emplace(constraintKeyOf(step), 0);
+    if (isNew) {
+        for (size_t n = 0; n < m_candidates.size(); ++n)
+            found->second += mayUse(n) ? 1 : 0;
+    }
+    const auto usable = found->second;
+    const auto reserved = usable == m_candidates.size()
+        ? m_reserved.size()
+        : static_cast<size_t>(std::count_if(m_reserved.begin(), m_reserved.end(), mayUse));
+    return reserved < std::max<size_t>(1, static_cast<size_t>(static_cast<double>(usable) * maxReservedShare));
+}
+
 int64_t CapacityReserver::tasksThatFit(
     const ReadyStep& step, const CandidateExecutor& candidate, const ResourceVector& available) const
 {
@@ -151,9 +170,8 @@
 void CapacityReserver::reserveCapacity(const ReadyStep& step, int64_t wanted, std::span<const size_t> candidates,
     Instant now, std::vector<PlannedStop>& stops)
 {
-    const auto maxReserved = static_cast<size_t>(static_cast<double>(m_candidates.size()) * maxReservedShare);
     const bool mustStartSoon = isUrgent(step, now);
-    if (m_reserved.size() >= maxReserved || !(step.gang || mustStartSoon))
+    if (!(step.gang || mustStartSoon) || !mayReserveMore(step))
         return;
     std::vector<Claim> claims;
     auto left = claim(step, wanted, candidates, false, claims);
--- a/jobs/capacity_reserver.h
+++ b/jobs/capacity_reserver.h
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <span>
+#include <string>
 #include <vector>
 
 namespace teasel {
@@ -74,6 +75,8 @@
         std::vector<PlannedStop>& stops);
     int64_t tasksThatFit(const ReadyStep&, const CandidateExecutor&, const ResourceVector& available) const;
     bool isUrgent(const ReadyStep&, Instant now) const;
+    // Whether more of the executors that the step may use may be reserved.
+    bool mayReserveMore(const ReadyStep&);
     void reserve(const ReadyStep&, const std::vector<Claim>&);
     static int64_t claimedTasks(size_t candidate, const std::vector<Claim>&);
 
@@ -81,6 +84,7 @@
     const StartConstraints& m_constraints;
     CapacityReserverOptions m_options;
     absl::flat_hash_set<size_t> m_reserved; // indices into m_candidates
+    absl::flat_hash_map<std::string, size_t> m_usableExecutors; // their number, by constraints
     absl::flat_hash_map<size_t, std::vector<PreemptibleRun>> m_preemptibleRuns; // by index into m_candidates
 };
 
--- a/tests/jobs_planner_test.cpp
+++ b/tests/jobs_planner_test.cpp
@@ -13,6 +13,7 @@
 struct PlannerFixture {
     Instant now { std::chrono::seconds(100) };
     google::protobuf::RepeatedPtrField<std::string> labels;
+    google::protobuf::RepeatedPtrField<std::string> restrictedLabels;
     std::vector<CandidateExecutor> candidates;
     StartConstraints constraints;
     absl::flat_hash_map<uint32_t, std::vector<PreemptibleRun>> preemptibleRuns;
@@ -91,6 +92,29 @@
     REQUIRE(it.plan({ &gang, &urgent }).size() == 1);
 }
 
+// Guards against gangs that reserve all executors that a step may use: the limit was a share of the whole fleet.
+TEST_CASE("gangs that few executors may run do not reserve all of these")
+{
+    PlannerFixture it;
+    *it.restrictedLabels.Add() = "b";
+    for (uint32_t n = 1; n <= 12; ++n) {
+        it.addExecutor(n, n <= 2 ? 4'000 : 2'000);
+        if (n <= 5)
+            it.candidates.back().labels = &it.restrictedLabels;
+    }
+    auto gang = it.step(1, 5, 4'000, Milliseconds(500));
+    gang.gang = true;
+    gang.requiredLabel = "b";
+    auto second = it.step(2, 8, 2'000, Milliseconds(600));
+    second.gang = true;
+    second.requiredLabel = "b";
+    auto narrow = it.step(4, 1, 2'000, Milliseconds(5'000));
+    narrow.requiredLabel = "b";
+    const auto starts = it.plan({ &gang, &second, &narrow });
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].task.step.job == 4);
+}
+
 TEST_CASE("steps that can still be in time precede late ones, and the most urgent queue comes first")
 {
     PlannerFixture it;
