Job plane: a step claims expected capacity only where it can use it

Cause: the whole waiting need of each step was deducted from one sum over the fleet, also the part that no executor which the step may use has room for. Once the sum was used up, planning asked for no further advice. Why it works: ExpectedCapacity counts executor by executor. A step claims room for whole tasks on executors of its service, label and regions, within its limit for one executor and its team's cap, and beyond that what these are expected to free; gangs half of that. What finds no room claims nothing. Whether borrowed work comes after owed work follows from the same executors.

--- a/jobs/advice_planner.cpp
+++ b/jobs/advice_planner.cpp
@@ -21,12 +21,6 @@
     // Gangs that cannot assemble yet would otherwise keep all other steps without tickets.
     constexpr double maxGangShare = 0.5; // of the expected capacity
 
-    bool isLeft(const ResourceVector& it)
-    {
-        // A fleet without accelerators has none left from the start.
-        return it.amounts[0] > 0 && it.amounts[1] > 0 && it.amounts[2] >= 0;
-    }
-
     // The smallest free share of any resource, including what is being freed.
     double freeShareOf(const CandidateExecutor& it)
     {
@@ -42,36 +36,14 @@
 
 } // namespace
 
-AdvicePlanner::AdvicePlanner(std::span<const CandidateExecutor> candidates, const ResourceRate& freedPerSecond,
-    const AdviceTracker& advice, TasksOn tasksOn, Instant now)
+AdvicePlanner::AdvicePlanner(
+    std::span<const CandidateExecutor> candidates, const AdviceTracker& advice, TasksOn tasksOn, Instant now)
     : m_candidates(candidates)
     , m_advice(advice)
     , m_tasksOn(std::move(tasksOn))
     , m_now(now)
+    , m_capacity(candidates, m_tasksOn, horizonSeconds, maxGangShare)
 {
-    for (const auto& it : candidates)
-        m_capacityLeft += it.free + it.stopping;
-    for (size_t n = 0; n < ResourceVector::kinds; ++n)
-        m_capacityLeft.amounts[n] += static_cast<int64_t>(freedPerSecond[n] * horizonSeconds);
-    for (size_t n = 0; n < ResourceVector::kinds; ++n)
-        m_gangCapacityLeft.amounts[n]
-            = static_cast<int64_t>(static_cast<double>(m_capacityLeft.amounts[n]) * maxGangShare);
-    m_visits += candidates.size();
-}
-
-bool AdvicePlanner::hasCapacity() const { return isLeft(m_capacityLeft); }
-
-bool AdvicePlanner::hasCapacityFor(const ReadyStep& step) const
-{
-    return isLeft(m_capacityLeft) && (!step.gang || isLeft(m_gangCapacityLeft));
-}
-
-void AdvicePlanner::reserve(const ReadyStep& step, int64_t tasks)
-{
-    const auto need = step.need * tasks;
-    m_capacityLeft -= need;
-    if (step.gang)
-        m_gangCapacityLeft -= need;
 }
 
 const CandidateExecutor* AdvicePlanner::candidate(uint32_t number) const
--- a/jobs/advice_planner.h
+++ b/jobs/advice_planner.h
@@ -4,13 +4,12 @@
 #pragma once
 
 #include "core/clock.h"
-#include "jobs/admission.h"
 #include "jobs/advice_tracker.h"
 #include "jobs/candidate_executor.h"
+#include "jobs/expected_capacity.h"
 #include "jobs/ready_step.h"
 
 #include <cstdint>
-#include <functional>
 #include <span>
 #include <vector>
 
@@ -18,27 +17,19 @@
 
 class AdvicePlanner {
 public:
-    // Number of tasks of a step on an executor.
-    using TasksOn = std::function<uint32_t(const StepKey&, uint32_t executor)>;
+    using TasksOn = ExpectedCapacity::TasksOn;
 
-    // `freedPerSecond`: rate at which ending runs are expected to free capacity of these candidates, which are ordered
-    // by number.
-    AdvicePlanner(std::span<const CandidateExecutor> candidates, const ResourceRate& freedPerSecond,
-        const AdviceTracker&, TasksOn, Instant now);
+    // The candidates are ordered by number.
+    AdvicePlanner(std::span<const CandidateExecutor> candidates, const AdviceTracker&, TasksOn, Instant now);
 
-    // Whether capacity is expected for a step beyond those passed to reserve().
-    bool hasCapacityFor(const ReadyStep&) const;
-    // Whether it is expected for any step.
-    bool hasCapacity() const;
-
-    // Deducts the capacity that this many tasks of the step will use.
-    void reserve(const ReadyStep&, int64_t tasks);
+    // What steps can expect within the time that a ticket is of use.
+    ExpectedCapacity& capacity() { return m_capacity; }
 
     // The executors to name in a call about the step; empty if none is needed.
     std::vector<uint32_t> executorsToQuery(const ReadyStep&);
 
     // Examined pairs of step and executor: the cost of the round.
-    uint64_t visits() const { return m_visits; }
+    uint64_t visits() const { return m_visits + m_capacity.visits(); }
 
 private:
     // What the executors that the step was already granted allow.
@@ -63,8 +54,7 @@
     const AdviceTracker& m_advice;
     TasksOn m_tasksOn;
     Instant m_now;
-    ResourceVector m_capacityLeft; // expected within the time that a ticket is of use
-    ResourceVector m_gangCapacityLeft; // the part of it that gangs may reserve
+    ExpectedCapacity m_capacity;
     std::vector<size_t> m_byFreeCapacity; // empty until needed
     uint64_t m_visits = 0;
 };
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -335,8 +335,8 @@
     void collectCandidates();
     // Logs once a second how the capacity is used and what waits for it.
     void logCapacityUse(const StartPlanner&);
-    // Whether more work that can be in time waits than the candidates have room for.
-    bool isContended(std::span<const ReadyStep* const>) const;
+    // The steps for whose executors more work that can be in time waits than these have room for.
+    std::vector<const ReadyStep*> contendedSteps(std::span<const ReadyStep* const>, ExpectedCapacity&) const;
     StartConstraints startConstraints() const;
     // Number of tasks of the step on the executor.
     uint32_t tasksOn(const StepKey&, uint32_t number) const;
@@ -351,8 +351,7 @@
     void launchWaitingStarts(LiveExecutor&);
     // Gives up the starts that wait for an executor that does not answer; their tasks are placed again.
     void expireWaitingStarts(LiveExecutor&);
-    // Returns the number of pairs of step and executor examined.
-    uint64_t requestAdviceFor(std::span<const ReadyStep* const>);
+    void requestAdviceFor(std::span<const ReadyStep* const>, AdvicePlanner&);
     void requestAdvice(const ReadyStep&, AdvicePlanner&);
     void sendAdviceCall(const ReadyStep&, const schema::AdvicePolicy&, std::span<const uint32_t> executors);
     int64_t tasksLeftInCap(std::string_view team, const ResourceVector& need) const;
@@ -428,7 +427,6 @@
     LoadSummary m_loadSummary;
 
     std::vector<CandidateExecutor> m_candidates; // of the current round of planning
-    ResourceRate m_freedPerSecond {}; // expected, of these candidates
     size_t m_resumeAt = 0; // step at which the last round stopped; 0: it examined all
 
     Batch m_batch; // the newest changes
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -2,6 +2,7 @@
 #include "jobs/job_leader.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace teasel {
 
@@ -30,7 +31,6 @@
 void JobLeader::collectCandidates()
 {
     m_candidates.clear();
-    m_freedPerSecond = {};
     // Both maps are ordered by number.
     auto state = m_state.executors().begin();
     const auto end = m_state.executors().end();
@@ -52,8 +52,7 @@
         candidate.slowness = it.slowness;
         candidate.hasSuspect = it.suspectUntil > m_now;
         candidate.isDegraded = it.failuresInRow > 0 || it.coldUntil > m_now;
-        for (size_t n = 0; n < ResourceVector::kinds; ++n)
-            m_freedPerSecond[n] += it.freedPerSecond[n];
+        candidate.freedPerSecond = it.freedPerSecond;
     }
 }
 
@@ -74,25 +73,26 @@
     return left;
 }
 
-uint64_t JobLeader::requestAdviceFor(std::span<const ReadyStep* const> steps)
+void JobLeader::requestAdviceFor(std::span<const ReadyStep* const> steps, AdvicePlanner& planner)
 {
-    AdvicePlanner planner(
-        m_candidates, m_freedPerSecond, m_advice,
-        [this](const StepKey& step, uint32_t number) { return tasksOn(step, number); }, m_now);
+    auto& capacity = planner.capacity();
+    absl::flat_hash_map<std::string_view, ResourceVector> claimedByTeam;
     for (const auto* it : steps) {
-        if (!planner.hasCapacity())
+        if (capacity.isEmpty())
             break;
-        const auto tasks
-            = std::min<int64_t>(static_cast<int64_t>(it->waiting.size()), tasksLeftInCap(it->team, it->need));
+        // The steps of a team share its cap.
+        auto& claimed = claimedByTeam[it->team];
+        const auto tasks = std::min<int64_t>(static_cast<int64_t>(it->waiting.size()),
+            tasksLeftBeside(claimed, it->need, tasksLeftInCap(it->team, it->need)));
         if (tasks <= 0 || (it->gang && tasks < static_cast<int64_t>(it->waiting.size())))
             continue;
-        if (!planner.hasCapacityFor(*it))
+        if (!capacity.hasRoomFor(*it))
             continue;
         if (it->needsTicket)
             requestAdvice(*it, planner);
-        planner.reserve(*it, tasks);
+        capacity.claim(*it, tasks);
+        claimed += it->need * tasks;
     }
-    return planner.visits();
 }
 
 uint32_t JobLeader::tasksOn(const StepKey& step, uint32_t number) const
@@ -159,17 +159,21 @@
             { "waiting_steps", std::to_string(steps) }, { "executors", std::to_string(m_candidates.size()) } });
 }
 
-bool JobLeader::isContended(std::span<const ReadyStep* const> steps) const
+std::vector<const ReadyStep*> JobLeader::contendedSteps(
+    std::span<const ReadyStep* const> steps, ExpectedCapacity& capacity) const
 {
-    ResourceVector free;
-    for (const auto& it : m_candidates)
-        free += it.free;
-    ResourceVector waiting;
+    // By the executors that the steps may use.
+    absl::flat_hash_map<const ResourceVector*, ResourceVector> waitingFor;
     for (const auto* it : steps) {
         if (it->lateFrom >= m_now && !it->lasting)
-            waiting += it->need * static_cast<int64_t>(it->waiting.size());
+            waitingFor[&capacity.freeFor(*it)] += it->need * static_cast<int64_t>(it->waiting.size());
     }
-    return !waiting.fitsIn(free);
+    std::vector<const ReadyStep*> out;
+    std::copy_if(steps.begin(), steps.end(), std::back_inserter(out), [&](const ReadyStep* it) {
+        const auto& free = capacity.freeFor(*it);
+        return !waitingFor[&free].fitsIn(free);
+    });
+    return out;
 }
 
 void JobLeader::planStarts()
@@ -184,8 +188,12 @@
     }
     if (m_candidates.empty() || steps.empty())
         return;
-    sortByUrgency(steps, m_now, m_options.isContentionControlled && isContended(steps));
-    const auto adviceVisits = requestAdviceFor(steps);
+    const auto tasksOnExecutor = [this](const StepKey& step, uint32_t number) { return tasksOn(step, number); };
+    AdvicePlanner advicePlanner(m_candidates, m_advice, tasksOnExecutor, m_now);
+    const auto contended = m_options.isContentionControlled ? contendedSteps(steps, advicePlanner.capacity())
+                                                            : std::vector<const ReadyStep*>();
+    sortByUrgency(steps, m_now, contended);
+    requestAdviceFor(steps, advicePlanner);
     const auto constraints = startConstraints();
     StartPlanner planner(m_candidates, constraints, m_options.planner);
     // A round that reached its limit is continued by the next one, which spends half of its visits on the most urgent
@@ -203,7 +211,7 @@
     if (m_resumeAt >= all.size())
         m_resumeAt = 0;
     logCapacityUse(planner);
-    const auto visits = plan.visits + adviceVisits;
+    const auto visits = plan.visits + advicePlanner.visits();
     m_counters.planningVisits += visits;
     m_nextPlanAt = m_now + planInterval + Duration(static_cast<int64_t>(static_cast<double>(visits) * pausePerVisitUs));
     for (const auto& it : plan.starts)
--- a/jobs/start_planner.cpp
+++ b/jobs/start_planner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <numeric>
 #include <tuple>
+#include <utility>
 
 namespace teasel {
 
@@ -37,17 +38,26 @@
 
 } // namespace
 
-void sortByUrgency(std::vector<const ReadyStep*>& steps, Instant now, bool isContended)
+int64_t tasksLeftBeside(const ResourceVector& planned, const ResourceVector& need, int64_t left)
 {
-    std::vector<std::pair<Rank, const ReadyStep*>> ranked;
+    for (size_t n = 0; n < ResourceVector::kinds; ++n) {
+        if (need.amounts[n] > 0 && planned.amounts[n] > 0)
+            left -= (planned.amounts[n] + need.amounts[n] - 1) / need.amounts[n];
+    }
+    return left;
+}
+
+void sortByUrgency(std::vector<const ReadyStep*>& steps, Instant now, std::span<const ReadyStep* const> contended)
+{
+    const absl::flat_hash_set<const ReadyStep*> isContended(contended.begin(), contended.end());
+    using Place = std::tuple<Rank, bool, Instant, StepKey>;
+    std::vector<std::pair<Place, const ReadyStep*>> ranked;
     ranked.reserve(steps.size());
-    for (const auto* it : steps)
-        ranked.emplace_back(rankOf(*it, now), it);
-    const auto isBorrowed = [&](const ReadyStep& it) { return isContended && it.isBorrowed; };
-    std::sort(ranked.begin(), ranked.end(), [&](const auto& a, const auto& b) {
-        return std::make_tuple(a.first, isBorrowed(*a.second), a.second->latestStart, a.second->key)
-            < std::make_tuple(b.first, isBorrowed(*b.second), b.second->latestStart, b.second->key);
-    });
+    for (const auto* it : steps) {
+        const bool isAfterOwed = it->isBorrowed && isContended.contains(it);
+        ranked.emplace_back(Place { rankOf(*it, now), isAfterOwed, it->latestStart, it->key }, it);
+    }
+    std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
     std::transform(ranked.begin(), ranked.end(), steps.begin(), [](const auto& it) { return it.second; });
 }
 
@@ -168,12 +178,8 @@
 
 void StartPlanner::planStep(const ReadyStep& step, Instant now, StartPlan& out)
 {
-    const auto planned = m_plannedPerTeam[step.team];
-    int64_t allowed = m_constraints.tasksLeftInCap(step.team, step.need);
-    for (size_t n = 0; n < ResourceVector::kinds; ++n) {
-        if (step.need.amounts[n] > 0 && planned.amounts[n] > 0)
-            allowed -= (planned.amounts[n] + step.need.amounts[n] - 1) / step.need.amounts[n];
-    }
+    const auto allowed
+        = tasksLeftBeside(m_plannedPerTeam[step.team], step.need, m_constraints.tasksLeftInCap(step.team, step.need));
     auto wanted = std::min<int64_t>(allowed, static_cast<int64_t>(step.waiting.size()));
     if (wanted <= 0 || (step.gang && wanted < static_cast<int64_t>(step.count)))
         return;
--- a/jobs/start_planner.h
+++ b/jobs/start_planner.h
@@ -41,9 +41,12 @@
     CapacityReserverOptions capacityReserver;
 };
 
-// Sorts steps into the order in which they are served. With `isContended`, borrowed work comes after owed
-// work of the same urgency.
-void sortByUrgency(std::vector<const ReadyStep*>&, Instant now, bool isContended = false);
+// How many more tasks with this need fit in a cap that has room for `left`, beside what is planned for other steps.
+int64_t tasksLeftBeside(const ResourceVector& planned, const ResourceVector& need, int64_t left);
+
+// Sorts steps into the order in which they are served. Of the steps in `contended`, borrowed work comes after owed work
+// of the same urgency.
+void sortByUrgency(std::vector<const ReadyStep*>&, Instant now, std::span<const ReadyStep* const> contended = {});
 
 class StartPlanner {
 public:
