Job plane: admission counts what waits where it can run

What callers saw: nothing reported. Cause: the load that a submission meets was one sum over the fleet. Why it works: each service has a sum of its own, and steps that may not use all of its executors count as far as those that they may use can hold them. On the sites, which have one service and no labels, nothing changes. The forecast of contention control (off in deploy/) still sums over the fleet: open.

--- a/jobs/job_calls.cpp
+++ b/jobs/job_calls.cpp
@@ -105,51 +105,6 @@
     });
 }
 
-JobDemand JobLeader::demandOf(const schema::JobRequest& request, const schema::JobQueue& queue) const
-{
-    JobDemand demand;
-    demand.team = request.team();
-    for (const auto& step : request.steps()) {
-        if (step.depends_on().empty())
-            demand.initialNeed += needOf(step) * static_cast<int64_t>(step.count());
-    }
-    const double pathMs = criticalPathMs(request, 0);
-    demand.isMostUrgent = queue.priority() == 0;
-    demand.slackMs = (queue.slack_factor() - 1) * pathMs + static_cast<double>(queue.target_latency_ms());
-    return demand;
-}
-
-FleetLoad JobLeader::collectFleetLoad() const
-{
-    FleetLoad load;
-    for (const auto& [number, it] : m_executors) {
-        const auto* state = executorState(number);
-        if (state == nullptr || !isUsable(it) || isEvacuated(it))
-            continue;
-        load.total += it.capacity;
-        load.free += leftOf(it.capacity, it.used());
-        for (size_t n = 0; n < ResourceVector::kinds; ++n)
-            load.freedPerSecond[n] += it.freedPerSecond[n];
-    }
-    return load;
-}
-
-void JobLeader::refreshLoadSummary()
-{
-    if (!m_loadSummary.isOutdated(m_now))
-        return;
-    // Late steps come after all steps that can still meet their objective. A team at its cap uses no further
-    // capacity.
-    std::vector<LoadSummary::Demand> demands;
-    for (const auto& [key, it] : m_readySteps) {
-        if (it.latestStart < m_now || it.lasting || it.waiting.empty())
-            continue;
-        const auto tasks = std::min<int64_t>(static_cast<int64_t>(it.waiting.size()), tasksLeftInCap(it.team, it.need));
-        demands.push_back({ it.latestStart, it.need * tasks });
-    }
-    m_loadSummary.rebuild(collectFleetLoad(), std::move(demands), m_now);
-}
-
 void JobLeader::handleCall(uint64_t handle, SubmitJob& call)
 {
     std::string team;
@@ -187,9 +142,9 @@
     request.set_accepted_at_ms(static_cast<uint64_t>(m_wall.time_since_epoch().count()));
     request.set_occurrences(std::max(1U, request.occurrences()));
     const auto demand = demandOf(request, queue);
-    refreshLoadSummary();
     const auto latestStart = m_now + Duration(static_cast<int64_t>(demand.slackMs * 1'000));
-    const auto load = m_loadSummary.aheadOf(latestStart);
+    auto& summary = summaryFor(queue.service());
+    const auto load = summary.aheadOf(latestStart);
     const auto verdict
         = m_options.isContentionControlled ? decideByForecast(demand) : m_admission.decide(demand, load, m_now);
     log(verdict.isAccepted ? "job_accepted" : "job_refused",
@@ -207,7 +162,7 @@
             { CallStatus::Refused, "the job could not end in time; it has not been accepted", verdict.retryAfter });
     }
     ++m_counters.accepted;
-    m_loadSummary.add({ latestStart, demand.initialNeed });
+    summary.add({ latestStart, demand.initialNeed });
     m_forecastAdmission.recordAccepted(demand, request.queue(), verdict.isBorrowed, m_now);
     request.set_borrowed(verdict.isBorrowed);
     m_pendingSubmissions.insert(id);
--- a/jobs/job_evacuation.cpp
+++ b/jobs/job_evacuation.cpp
@@ -54,7 +54,7 @@
 void JobLeader::execute(EvacuationWhenCommitted& it)
 {
     m_nextEvacuationCheckAt = m_now;
-    m_loadSummary.clear();
+    m_loadSummaries.clear();
     m_forecastBuiltAt = {};
     m_mustPlan = true;
     log("evacuation_in_force", { { "data_centre", it.dataCentre }, { "active", it.isActive ? "true" : "false" } });
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -71,7 +71,7 @@
     m_executors.clear();
     m_directory.clear();
     m_runIndex.clear();
-    m_loadSummary.clear();
+    m_loadSummaries.clear();
     m_forecastAdmission.clear();
     m_forecastBuiltAt = {};
     m_waitingOfTeam.clear();
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -204,7 +204,8 @@
     void answer(uint64_t handle, CallAnswer);
     void answerStateQueries(uint64_t job, bool all);
     void answerTimedOutStateQueries();
-    void refreshLoadSummary();
+    // The load of a service (job_load.cpp). What waits for some of its executors counts as far as these can hold it.
+    LoadSummary& summaryFor(const std::string& service);
     FleetLoad collectFleetLoad() const;
     // Contention control (job_admission.cpp).
     void refreshForecast();
@@ -424,7 +425,7 @@
     // Waiting work that can be in time, by team, and by team for the most urgent queues alone.
     absl::flat_hash_map<std::string, ResourceVector> m_waitingOfTeam;
     absl::flat_hash_map<std::string, ResourceVector> m_urgentOfTeam;
-    LoadSummary m_loadSummary;
+    absl::flat_hash_map<std::string, LoadSummary> m_loadSummaries; // by service
 
     std::vector<CandidateExecutor> m_candidates; // of the current round of planning
     size_t m_resumeAt = 0; // step at which the last round stopped; 0: it examined all
--- a/jobs/job_steps.cpp
+++ b/jobs/job_steps.cpp
@@ -162,7 +162,7 @@
         if (job != nullptr && !job->hasEnded() && queue != nullptr)
             deriveFromQueue(step, job->request, *queue);
     }
-    m_loadSummary.clear();
+    m_loadSummaries.clear();
     m_forecastBuiltAt = {};
     m_mustPlan = true;
 }
