Tests: no two tests that run beside each other share a port

net_peer_network failed once in a run of all unit tests: it could not bind 127.0.0.1:18990, which net_http_deadline uses as well. The new cases of net_http_server and net_peer_backlog shared ports with node_order_age and peer_odd_messages. Ports only; no check changed.

--- a/tests/net_http_server_test.cpp
+++ b/tests/net_http_server_test.cpp
@@ -191,8 +191,8 @@
 // Guards against a channel that ends without an answer to a large body: the caller was still writing it.
 TEST_CASE("a body that is too large is answered with 413, however large it is")
 {
-    constexpr uint16_t port = 18'985;
-    HttpServer server({ "127.0.0.1:18985", 1, 128, 1'000 }, [](const HttpRequest&) {}, {});
+    constexpr uint16_t port = 18'953;
+    HttpServer server({ "127.0.0.1:18953", 1, 128, 1'000 }, [](const HttpRequest&) {}, {});
     start(server);
     for (const size_t bytes : { 1'001, 5'000'000 }) {
         const auto text = "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n"
@@ -206,10 +206,10 @@
 // Guards against memory that grows with the calls that wait for an answer.
 TEST_CASE("bodies beyond the limit of all waiting requests are refused, until others are answered")
 {
-    constexpr uint16_t port = 18'986;
+    constexpr uint16_t port = 18'954;
     std::atomic<uint64_t> handle = 0;
     HttpServer server(
-        { "127.0.0.1:18986", 1, 128, 800, 1'000 }, [&](const HttpRequest& it) { handle = it.handle; }, {});
+        { "127.0.0.1:18954", 1, 128, 800, 1'000 }, [&](const HttpRequest& it) { handle = it.handle; }, {});
     start(server);
     const auto text = "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 700\r\n\r\n" + std::string(700, 'x');
     Caller first(port, text);
--- a/tests/net_peer_backlog_test.cpp
+++ b/tests/net_peer_backlog_test.cpp
@@ -65,14 +65,14 @@
 TEST_CASE("each message that is not sent is reported once, with its reason")
 {
     const BootClock clock;
-    auto settings = options("127.0.0.1:18994");
+    auto settings = options("127.0.0.1:18996");
     settings.maxQueuedBytes = 4 << 20;
     PeerNetwork sender(settings, {}, clock, [](const schema::Envelope&) {});
     REQUIRE(std::holds_alternative<std::monostate>(valueOrError([&] { return sender.start(); })));
     const auto sendBytes = [&](size_t bytes) {
         schema::Envelope envelope;
         envelope.mutable_routed_answer()->set_body(std::string(bytes, 'x'));
-        sender.send("127.0.0.1:18995", std::move(envelope)); // nothing listens there
+        sender.send("127.0.0.1:18997", std::move(envelope)); // nothing listens there
     };
     sendBytes(maxEnvelopeBytes);
     sendBytes(5 << 20); // more than the queue takes
@@ -94,7 +94,7 @@
     CHECK(drops.queueFull == 1);
     CHECK(drops.unknownPeer == 1);
     CHECK(drops.connectionLost == 1);
-    CHECK(drops.lastPeer == "127.0.0.1:18995");
+    CHECK(drops.lastPeer == "127.0.0.1:18997");
     CHECK(drops.largestBytes > maxEnvelopeBytes);
     CHECK(sender.stats().messagesDropped == 4);
     sender.stop();
--- a/tests/net_peer_network_test.cpp
+++ b/tests/net_peer_network_test.cpp
@@ -16,7 +16,7 @@
 
 TEST_CASE("messages to a peer that fell silent are not delivered when a partition ends: the connection is reset")
 {
-    constexpr uint16_t port = 18'990;
+    constexpr uint16_t port = 18'955;
     const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
     const int on = 1;
     REQUIRE(::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) == 0);
@@ -28,7 +28,7 @@
     REQUIRE(::listen(listener, 8) == 0);
     const BootClock clock;
     PeerNetworkOptions options;
-    options.id = options.listenAddress = "127.0.0.1:18991";
+    options.id = options.listenAddress = "127.0.0.1:18956";
     options.idsAreAddresses = true;
     options.inactivityTimeout = Milliseconds(100);
     PeerNetwork network(options, {}, clock, [](const schema::Envelope&) {});
