--- a/bench/planning_bench.cpp
+++ b/bench/planning_bench.cpp
@@ -22,8 +22,9 @@
         work += it.work;
     }
     const auto starts = static_cast<double>(load.starts());
-    fmt::print("planning {} executors, {:.1f} times the load, seed {}: {:.1f} visits a start, {:.0f} us of the leader's "
-               "processor a start, {:.2f} advice calls a start, {:.3f} of the work in time\n",
+    fmt::print(
+        "planning {} executors, {:.1f} times the load, seed {}: {:.1f} visits a start, {:.0f} us of the leader's "
+        "processor a start, {:.2f} advice calls a start, {:.3f} of the work in time\n",
         executors, scale, seed, static_cast<double>(load.counters().planningVisits) / starts,
         load.leaderSeconds() * 1e6 / starts, static_cast<double>(load.adviceCalls()) / starts, inTime / work);
 }
