Job plane: no run starts while a late end of its task is being committed

Cause: the end of a run that had been given up is listed while the assignment of the next run is proposed. launch() looked at the committed state only, in which the task was not done yet, and sent the start that the leader already knew to be one too many. Why it works: tasks whose late end is proposed are kept until it is committed, and no start is sent for them; for a gang, the end of one member counts for all.

--- a/bench/logsize_bench.cpp
+++ b/bench/logsize_bench.cpp
@@ -175,9 +175,10 @@
 double logBound(uint64_t snapshotEveryBytes, uint64_t recordBytes)
 {
     const ReplicaOptions defaults;
-    return static_cast<double>(std::max(snapshotEveryBytes, recordBytes) + snapshotEveryBytes / retainedBytesDivisor
-               + 2 * std::min<uint64_t>(defaults.maxUnappliedBytes, changesInFlight * recordBytes))
-        / mib;
+    const auto retained = snapshotEveryBytes / retainedBytesDivisor;
+    const auto unapplied = std::min<uint64_t>(defaults.maxUnappliedBytes, changesInFlight * recordBytes);
+    const auto bytes = std::max(snapshotEveryBytes, recordBytes) + retained + 2 * unapplied;
+    return static_cast<double>(bytes) / mib;
 }
 
 bool measureSize(const std::string& folder, uint64_t recordBytes, uint64_t totalBytes, uint64_t snapshotEveryBytes)
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -82,6 +82,7 @@
     m_pendingSubmissions.clear();
     m_resubmissions.clear();
     m_pendingCancellations.clear();
+    m_lateEnds.clear();
     for (const auto& [job, queries] : m_stateQueries) {
         for (const auto& it : queries)
             answer(
@@ -281,6 +282,7 @@
 
 void JobLeader::execute(LateEndWhenCommitted& it)
 {
+    m_lateEnds.erase(it.task);
     const auto* job = m_state.find(it.task.step.job);
     if (job == nullptr)
         return;
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -307,6 +307,8 @@
     void processEndList(LiveExecutor&, const OrderResult&);
     // Counts a task as done whose run had been given up, and stops the run that has taken its place.
     void processLateEnd(const LiveExecutor&, const EndedTask&);
+    // Whether the task has ended by an end that is not committed yet; the members of a gang end together.
+    bool hasLateEnd(const TaskKey&, bool isGang) const;
     void resolveAbsentRuns(LiveExecutor&, const PendingOrder&, const OrderResult&);
     void expireLease(LiveExecutor&);
     void endRunsInProgress(LiveExecutor&, RunEvidence);
@@ -407,6 +409,7 @@
     // Delayed answers to queries about running jobs, by job.
     absl::btree_map<uint64_t, std::vector<StateQuery>> m_stateQueries;
     absl::btree_set<uint64_t> m_scheduledJobs; // jobs with occurrences that have not begun
+    absl::btree_set<TaskKey> m_lateEnds; // tasks whose late end is counted by a proposal that is not committed yet
     ExecutorClaims m_claims;
     // Start times (born_ms) of executors whose registration is not committed, by executor id.
     absl::btree_map<std::string, uint64_t> m_pendingRegistrations;
--- a/jobs/job_run_ends.cpp
+++ b/jobs/job_run_ends.cpp
@@ -41,6 +41,12 @@
     m_batch.continuations.emplace_back(AcknowledgeEndsWhenCommitted { executor.number, newest });
 }
 
+bool JobLeader::hasLateEnd(const TaskKey& key, bool isGang) const
+{
+    const auto it = m_lateEnds.lower_bound(isGang ? TaskKey { key.step, 0 } : key);
+    return it != m_lateEnds.end() && (isGang ? it->step == key.step : *it == key);
+}
+
 void JobLeader::processLateEnd(const LiveExecutor& executor, const EndedTask& it)
 {
     const auto* job = m_state.find(it.task.step.job);
@@ -55,6 +61,7 @@
             { "assigned_run", assigned == executor.runs.end() ? "none" : std::to_string(assigned->second.run) } });
     if (!isCounted)
         return;
+    m_lateEnds.insert(it.task);
     auto& end = *change().mutable_ended();
     fillRef(it.task, *end.mutable_task());
     end.set_run(it.run);
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -304,8 +304,8 @@
     const bool mayRunThere = step != m_readySteps.end() && state != nullptr
         && mayRunOn(step->second, state->record.service(), regionOf(*state), state->record.labels());
     const bool isStillNeeded = job != nullptr && !job->hasEnded() && task != nullptr && !task->done
-        && task->run == it.run && mayRunThere && !run.mustStop && isUsable(*executor) && !isEvacuated(*executor)
-        && executor->used().fitsIn(executor->capacity);
+        && task->run == it.run && mayRunThere && !hasLateEnd(it.task, step->second.gang) && !run.mustStop
+        && isUsable(*executor) && !isEvacuated(*executor) && executor->used().fitsIn(executor->capacity);
     const auto ticket = m_advice.ticketFor(it.task.step, it.executor, m_now);
     if (!isStillNeeded || (step->second.needsTicket && ticket.empty())) {
         endRun(*executor, it.task, RunEvidence::NotSent, schema::RUN_OUTCOME_NEVER_RAN);
