--- a/jobs/expected_capacity.cpp
+++ b/jobs/expected_capacity.cpp
@@ -50,7 +50,7 @@
         m_totalLeft += left.now + left.soon;
         m_left.push_back(left);
     }
-    m_visits += candidates.size();
+    m_comparisons += candidates.size();
 }
 
 bool ExpectedCapacity::isEmpty() const { return !isLeft(m_totalLeft); }
@@ -62,7 +62,7 @@
         return m_groups[found->second];
     auto& group = m_groups.emplace_back();
     group.contains.resize(m_candidates.size());
-    m_visits += m_candidates.size();
+    m_comparisons += m_candidates.size();
     ResourceVector total;
     for (size_t n = 0; n < m_candidates.size(); ++n) {
         const auto& it = m_candidates[n];
@@ -100,7 +100,7 @@
         const double now = shareLeft(executor);
         if (now >= pushed)
             return;
-        ++m_visits;
+        ++m_comparisons;
         std::pop_heap(group.heap.begin(), group.heap.end());
         group.heap.back() = { now, executor };
         std::push_heap(group.heap.begin(), group.heap.end());
@@ -133,7 +133,7 @@
     while (first < group.executors.size() && !isLeft(m_left[group.executors[first]].soon))
         ++first;
     for (size_t n = first; n < group.executors.size(); ++n) {
-        ++m_visits;
+        ++m_comparisons;
         const auto executor = group.executors[n];
         if (isLeft(m_left[executor].soon) && step.need.fitsIn(m_candidates[executor].capacity))
             return true;
@@ -144,7 +144,7 @@
 bool ExpectedCapacity::hasRoomFor(const ReadyStep& step)
 {
     auto& group = groupOf(step);
-    ++m_visits;
+    ++m_comparisons;
     if (group.executors.empty() || (step.gang && isGangLimitReached(group)))
         return false;
     if (hasSoonFor(step, group))
@@ -154,7 +154,7 @@
     settleTop(group);
     if (fitting(step, group.heap.front().second) > 0)
         return true;
-    m_visits += group.executors.size();
+    m_comparisons += group.executors.size();
     if (std::any_of(group.executors.begin(), group.executors.end(), [&](size_t it) { return fitting(step, it) > 0; }))
         return true;
     if (step.maxPerExecutor == 0)
@@ -182,7 +182,7 @@
     while (tasks > 0 && !group.heap.empty() && !(step.gang && isGangLimitReached(group))) {
         settleTop(group);
         const auto executor = group.heap.front().second;
-        ++m_visits;
+        ++m_comparisons;
         const auto fits = std::min(tasks, fitting(step, executor));
         if (fits == 0)
             break;
@@ -202,7 +202,7 @@
 int64_t ExpectedCapacity::claimEverywhere(const ReadyStep& step, Group& group, int64_t tasks)
 {
     // The share left is that of the scarcest resource, so executors below the top may have room as well.
-    m_visits += group.executors.size();
+    m_comparisons += group.executors.size();
     for (const auto executor : group.executors) {
         if (tasks <= 0 || (step.gang && isGangLimitReached(group)))
             return tasks;
@@ -223,7 +223,7 @@
         if (step.gang && isGangLimitReached(group))
             return;
         const auto executor = group.executors[n];
-        ++m_visits;
+        ++m_comparisons;
         if (!isLeft(m_left[executor].soon) || !step.need.fitsIn(m_candidates[executor].capacity))
             continue;
         const double part = partAvailable(need, m_left[executor].soon);
--- a/jobs/expected_capacity.h
+++ b/jobs/expected_capacity.h
@@ -22,6 +22,9 @@
 
 namespace teasel {
 
+// Comparisons with what an executor has left are cheap beside the visits of StartPlanner.
+constexpr uint64_t comparisonsPerVisit = 8;
+
 class ExpectedCapacity {
 public:
     // Number of tasks of a step on an executor.
@@ -44,8 +47,8 @@
     // steps with the same constraints.
     const ResourceVector& freeFor(const ReadyStep& step) { return groupOf(step).free; }
 
-    // Examined pairs of step and executor.
-    uint64_t visits() const { return m_visits; }
+    // The cost so far, in pairs of step and executor that StartPlanner examines.
+    uint64_t visits() const { return m_comparisons / comparisonsPerVisit; }
 
 private:
     // The executors that steps with the same constraints may use.
@@ -87,7 +90,7 @@
     ResourceVector m_totalLeft;
     std::deque<Group> m_groups; // references stay valid
     absl::flat_hash_map<std::string, size_t> m_groupByKey;
-    uint64_t m_visits = 0;
+    uint64_t m_comparisons = 0; // of a need with what an executor has left
 };
 
 } // namespace teasel
