--- a/node/core_node.cpp
+++ b/node/core_node.cpp
@@ -1,13 +1,10 @@
 #include "node/core_node.h"
 
-#include "jobs/order_messages.h"
-#include "node/batch_parts.h"
 #include "node/job_plane_common.h"
 #include "node/log_limits.h"
 #include "node/network_metrics.h"
 #include "node/order_age.h"
 #include "platform/call_codec.h"
-#include "platform/order_codec.h"
 
 #include <fmt/format.h>
 
@@ -32,7 +29,6 @@
     constexpr Milliseconds handoverDelay { 600 };
     // On stop, calls that the leader has not answered by then are answered as unknown.
     constexpr Milliseconds stopTime { 2'100 };
-    constexpr size_t maxRefusals = 20'000;
     // One lease renewal, one poll and four other orders at a time. An executor accepts 64 connections, and those of
     // instances that lost power stay open there.
     constexpr unsigned connectionsPerExecutor = 6;
@@ -40,8 +36,6 @@
     constexpr size_t maxExecutorsForSendingLeader = 120;
     // Log records kept before a snapshot, so that replicas that were away for seconds catch up from the log.
     constexpr uint64_t keepLogRecords = 2'000;
-    constexpr Milliseconds announcementTimeout { 900 }; // an executor waits one second for the answer
-    constexpr Milliseconds operatorTimeout { 2'500 };
     constexpr size_t maxControlBodyBytes = 4 << 20; // of a configuration
 
     // What is accepted can also be proposed, replicated and forwarded.
@@ -88,16 +82,6 @@
         return out;
     }
 
-    schema::RoutedCall makeControlCall(HttpRequest& request)
-    {
-        schema::RoutedCall call;
-        call.set_surface(schema::RoutedCall::CONTROL);
-        call.set_method(request.method);
-        call.set_path(request.path);
-        call.set_body(std::move(request.body));
-        return call;
-    }
-
     LeaderRelayOptions relayOptions(const schema::CoreSettings& settings, uint64_t incarnation)
     {
         LeaderRelayOptions out;
@@ -389,93 +373,6 @@
     sendEnvelope(from, std::move(out));
 }
 
-void CoreNode::sendRoutedAnswer(const std::string& to, schema::RoutedAnswer answer)
-{
-    schema::Envelope out;
-    *out.mutable_routed_answer() = std::move(answer);
-    sendEnvelope(to, std::move(out));
-}
-
-void CoreNode::onRoutedCall(const schema::Envelope& envelope, Instant now)
-{
-    const auto& call = envelope.routed_call();
-    if (!m_leader.isLeading() || !m_log->holdsLease(now) || call.term() != m_log->replica().term()) {
-        schema::RoutedAnswer answer;
-        answer.set_number(call.number());
-        answer.set_leader(std::string(m_log->leaderHint()));
-        sendRoutedAnswer(envelope.from(), std::move(answer));
-        return;
-    }
-    // The caller may have left, have cancelled the job elsewhere, and count on it that the call has no effect any more.
-    if (call.surface() == schema::RoutedCall::CALLERS && call.method() == "POST" && mayBeExpired(call, now)) {
-        m_context.log.info("call_expired",
-            { { "path", call.path() }, { "from", envelope.from() }, { "time_left_ms", call.time_left_ms() } });
-        schema::RoutedAnswer answer;
-        answer.set_number(call.number());
-        sendRoutedAnswer(envelope.from(), std::move(answer));
-        return;
-    }
-    const CallId callId { envelope.from(), envelope.incarnation(), call.number() };
-    if (const auto it = m_refusals.find(callId); it != m_refusals.end()) {
-        sendRoutedAnswer(envelope.from(), it->second);
-        return;
-    }
-    auto decoded = platform::decodeCall(call);
-    if (auto* answer = std::get_if<schema::RoutedAnswer>(&decoded)) {
-        m_context.log.info(
-            "call_invalid", { { "path", call.path() }, { "status", answer->status() }, { "reason", answer->body() } });
-        answer->set_number(call.number());
-        sendRoutedAnswer(envelope.from(), std::move(*answer));
-        return;
-    }
-    const auto handle = ++m_lastHandle;
-    auto& jobCall = std::get<JobCall>(decoded);
-    PendingCall pending { JobCall(GetConfiguration {}), envelope.from(), envelope.incarnation(), call.number(), now };
-    // Encoding the answer needs only the type of the call; its contents move to the job leader.
-    pending.call = std::visit([](const auto& it) { return JobCall(std::decay_t<decltype(it)> {}); }, jobCall);
-    m_pendingCalls.emplace(handle, std::move(pending));
-    m_leader.onCall(handle, std::move(jobCall), now, m_context.clock.wallNow());
-}
-
-void CoreNode::onConfigurationChange(HttpRequest request)
-{
-    auto call = makeControlCall(request);
-    if (auto answer = platform::decodeConfigurationIn(call)) {
-        m_context.log.info(
-            "call_invalid", { { "path", call.path() }, { "status", answer->status() }, { "reason", answer->body() } });
-        return m_controlServer.answer(request.handle, toHttpResponse(std::move(*answer)));
-    }
-    m_loop.postAlways([this, handle = request.handle, call = std::move(call)]() mutable {
-        forwardControlCall(handle, std::move(call));
-    });
-}
-
-void CoreNode::onHttp(HttpRequest request)
-{
-    auto call = makeControlCall(request);
-    // Malformed orders are answered at once, also while there is no leader.
-    if (platform::isEvacuation(call.path())) {
-        auto decoded = platform::decodeCall(call);
-        if (auto* answer = std::get_if<schema::RoutedAnswer>(&decoded)) {
-            m_context.log.info("call_invalid",
-                { { "path", call.path() }, { "status", answer->status() }, { "reason", answer->body() } });
-            return m_controlServer.answer(request.handle, toHttpResponse(std::move(*answer)));
-        }
-    }
-    forwardControlCall(request.handle, std::move(call));
-}
-
-void CoreNode::forwardControlCall(uint64_t handle, schema::RoutedCall call)
-{
-    const bool isAnnouncement = platform::isAnnouncement(call.path());
-    call.set_time_left_ms(static_cast<uint64_t>((isAnnouncement ? announcementTimeout : operatorTimeout).count()));
-    m_relay.call(
-        std::move(call),
-        [this, handle](
-            schema::RoutedAnswer answer) { m_controlServer.answer(handle, toHttpResponse(std::move(answer))); },
-        m_context.clock.now());
-}
-
 // ---- Actions -------------------------------------------------------------
 
 void CoreNode::onTick()
@@ -519,170 +416,8 @@
     m_loop.postAlways([this] { m_log->transferLeadership(m_context.clock.now()); });
 }
 
-void CoreNode::execute(AnswerCall& action, Instant now)
-{
-    const auto found = m_pendingCalls.find(action.handle);
-    if (found == m_pendingCalls.end())
-        return;
-    auto pending = std::move(found->second);
-    m_pendingCalls.erase(found);
-    // Any answer but a refusal is only valid while this replica's state is the latest.
-    if (!m_log->holdsLease(now) && !platform::isRefusal(action.answer)) {
-        schema::RoutedAnswer answer;
-        answer.set_number(pending.number);
-        sendRoutedAnswer(pending.from, std::move(answer));
-        return;
-    }
-    auto answer = platform::encodeAnswer(pending.call, action.answer);
-    answer.set_number(pending.number);
-    if (platform::isRefusal(action.answer) && std::holds_alternative<SubmitJob>(pending.call)) {
-        const CallId callId { pending.from, pending.incarnation, pending.number };
-        m_refusals[callId] = answer;
-        m_refusalOrder.push_back(callId);
-        if (m_refusalOrder.size() > maxRefusals) {
-            m_refusals.erase(m_refusalOrder.front());
-            m_refusalOrder.pop_front();
-        }
-    }
-    sendRoutedAnswer(pending.from, std::move(answer));
-}
-
-const std::string& CoreNode::orderSenderFor(const std::string& dataCentre, uint64_t executor) const
-{
-    static const std::string own;
-    const auto found = m_orderSenders.find(dataCentre);
-    if (found == m_orderSenders.end())
-        return own;
-    return found->second[executor % found->second.size()];
-}
-
-void CoreNode::execute(SendOrder& action, Instant now)
-{
-    // After a pause, another leader may have taken over and decided otherwise.
-    if (!m_log->holdsLease(now)) {
-        m_leader.onOrderResult(action.number, { OrderOutcome::NotSent }, now);
-        return;
-    }
-    const auto& sender = orderSenderFor(action.dataCentre, action.executorNumber);
-    if (!sender.empty() && sender != m_self) {
-        auto& batch = m_orderBatches[sender];
-        batch.set_term(m_log->replica().term());
-        if (const auto it = m_instances.find(sender); it != m_instances.end())
-            batch.set_registered_at_ms(it->second.registeredAtMs);
-        *batch.add_orders() = toMessage(action);
-        return;
-    }
-    const auto number = action.number;
-    sendOrder(std::move(action), [this, number](OrderResult result) mutable {
-        m_loop.postAlways([this, number, result = std::move(result)]() mutable {
-            m_leader.onOrderResult(number, std::move(result), m_context.clock.now());
-        });
-    });
-}
-
-void CoreNode::sendOrder(SendOrder order, std::function<void(OrderResult)> done)
-{
-    auto call = platform::encodeOrder(order);
-    m_httpClient.start(
-        std::move(call), [order = std::move(order.order), done = std::move(done)](const HttpOutcome& outcome) {
-            done(platform::decodeOrderOutcome(order, outcome));
-        });
-}
-
-void CoreNode::flushOrders()
-{
-    for (auto& [sender, batch] : m_orderBatches) {
-        for (auto& part : partsOf(std::move(batch))) {
-            schema::Envelope out;
-            *out.mutable_order_batch() = std::move(part);
-            m_network.send(sender, std::move(out));
-        }
-    }
-    m_orderBatches.clear();
-    for (auto& [leader, batch] : m_resultBatches) {
-        for (auto& part : partsOf(std::move(batch))) {
-            schema::Envelope out;
-            *out.mutable_result_batch() = std::move(part);
-            m_network.send(leader.first, std::move(out));
-        }
-    }
-    m_resultBatches.clear();
-}
-
-void CoreNode::onOrderBatch(const std::string& from, const schema::OrderBatch& batch, Instant now)
-{
-    const auto addResult = [this, from, term = batch.term()](schema::RelayedResult message) {
-        auto& results = m_resultBatches[{ from, term }];
-        results.set_term(term);
-        *results.add_results() = std::move(message);
-    };
-    const auto fault = faultOf(batch, m_log->replica().term(), now);
-    if (fault != BatchFault::None) {
-        m_context.log.info("orders_dropped",
-            { { "leader", from }, { "term", batch.term() }, { "orders", batch.orders_size() },
-                { "reason", fault == BatchFault::OldTerm ? "there is a later term" : "too old" } });
-        for (const auto& it : batch.orders())
-            addResult(toMessage(it.number(), { OrderOutcome::NotSent }));
-        return;
-    }
-    for (const auto& it : batch.orders()) {
-        const auto number = it.number();
-        if (!isValid(it)) {
-            addResult(toMessage(number, {}));
-            continue;
-        }
-        sendOrder(fromMessage(it), [this, number, addResult](const OrderResult& result) {
-            m_loop.postAlways([addResult, message = toMessage(number, result)] { addResult(message); });
-        });
-    }
-}
-
-void CoreNode::onResultBatch(const schema::ResultBatch& batch, Instant now)
-{
-    if (!m_leader.isLeading() || batch.term() != m_log->replica().term())
-        return;
-    for (const auto& it : batch.results())
-        m_leader.onOrderResult(it.number(), fromMessage(it), now);
-}
-
-void CoreNode::execute(AskAdvice& action, Instant)
-{
-    schema::AdviceCall call;
-    call.set_number(action.number);
-    call.set_address(m_settings.jobs().advice_address());
-    call.set_step(stepText(action.step));
-    for (auto& it : action.executors)
-        call.add_executors(std::move(it));
-    call.set_timeout_ms(static_cast<uint64_t>(action.timeout.count()));
-    if (action.instance == m_self) {
-        sendAdviceCall(call, [this](schema::AdviceResult result) {
-            m_loop.postAlways([this, result = std::move(result)] { onAdvice(result, m_context.clock.now()); });
-        });
-        return;
-    }
-    schema::Envelope out;
-    *out.mutable_advice_call() = std::move(call);
-    m_network.send(action.instance, std::move(out));
-}
-
 void CoreNode::execute(JobLogLine& action, Instant) { m_context.log.infoWithFields(action.event, action.fields); }
 
-void CoreNode::sendAdviceCall(const schema::AdviceCall& call, std::function<void(schema::AdviceResult)> done)
-{
-    const auto number = call.number();
-    m_httpClient.start(platform::encodeAdviceCall(call), [number, done = std::move(done)](const HttpOutcome& outcome) {
-        done(platform::decodeAdviceOutcome(number, outcome));
-    });
-}
-
-void CoreNode::onAdvice(const schema::AdviceResult& result, Instant now)
-{
-    std::vector<std::pair<std::string, std::string>> granted;
-    for (const auto& it : result.granted())
-        granted.emplace_back(it.executor(), it.ticket());
-    m_leader.onAdvice(result.number(), result.answered(), granted, now);
-}
-
 void CoreNode::updateMetrics(Instant now)
 {
     m_nextMetricsUpdate = now + metricsInterval;
