Job plane: work that finds no room yet claims what is left on mostly used executors

Cause (suspected; the figure of this version follows): need that found no room claimed only what runs were expected to free, so that less urgent steps got advice for the remains, from which room for the urgent ones would have come. What a mostly used executor has left counts for such need again, as the sum over the fleet did. On an executor that is mostly free a task that finds no room needs more than most of it, and claims nothing there.

--- a/jobs/expected_capacity.cpp
+++ b/jobs/expected_capacity.cpp
@@ -17,6 +17,13 @@
         return out;
     }
 
+    ResourceVector smallestOf(ResourceVector a, const ResourceVector& b)
+    {
+        for (size_t n = 0; n < ResourceVector::kinds; ++n)
+            a.amounts[n] = std::min(a.amounts[n], std::max<int64_t>(0, b.amounts[n]));
+        return a;
+    }
+
     // A fleet without accelerators has none left from the start.
     bool isLeft(const ResourceVector& it) { return it.amounts[0] > 0 && it.amounts[1] > 0 && it.amounts[2] >= 0; }
 
@@ -41,6 +48,7 @@
     , m_tasksOn(std::move(tasksOn))
     , m_maxGangShare(maxGangShare)
     , m_claimedByGangs(candidates.size())
+    , m_hasNoRest(candidates.size())
 {
     m_left.reserve(candidates.size());
     for (const auto& it : candidates) {
@@ -127,15 +135,26 @@
     return std::min(fits, std::max<int64_t>(0, static_cast<int64_t>(step.maxPerExecutor) - held));
 }
 
-bool ExpectedCapacity::hasSoonFor(const ReadyStep& step, Group& group)
+ResourceVector ExpectedCapacity::restOf(size_t executor) const
 {
-    auto& first = group.firstWithSoon;
-    while (first < group.executors.size() && !isLeft(m_left[group.executors[first]].soon))
+    const auto& left = m_left[executor];
+    const auto& capacity = m_candidates[executor].capacity;
+    // What a mostly used executor has left becomes room for a task when one of its runs ends. On one that is mostly
+    // free, a task that finds no room needs more than most of it.
+    const bool isMostlyUsed
+        = left.now.amounts[0] * 2 < capacity.amounts[0] || left.now.amounts[1] * 2 < capacity.amounts[1];
+    return isMostlyUsed ? left.now + left.soon : left.soon;
+}
+
+bool ExpectedCapacity::hasRestFor(const ReadyStep& step, Group& group)
+{
+    auto& first = group.firstWithRest;
+    while (first < group.executors.size() && m_hasNoRest[group.executors[first]])
         ++first;
     for (size_t n = first; n < group.executors.size(); ++n) {
         ++m_comparisons;
         const auto executor = group.executors[n];
-        if (isLeft(m_left[executor].soon) && step.need.fitsIn(m_candidates[executor].capacity))
+        if (!m_hasNoRest[executor] && isLeft(restOf(executor)) && step.need.fitsIn(m_candidates[executor].capacity))
             return true;
     }
     return false;
@@ -147,19 +166,18 @@
     ++m_comparisons;
     if (group.executors.empty() || (step.gang && isGangLimitReached(group)))
         return false;
-    if (hasSoonFor(step, group))
-        return true;
-    if (isUnplaceable(group, step.need))
-        return false;
-    settleTop(group);
-    if (fitting(step, group.heap.front().second) > 0)
-        return true;
-    m_comparisons += group.executors.size();
-    if (std::any_of(group.executors.begin(), group.executors.end(), [&](size_t it) { return fitting(step, it) > 0; }))
-        return true;
-    if (step.maxPerExecutor == 0)
-        group.unplaceable.push_back(step.need);
-    return false;
+    if (!isUnplaceable(group, step.need)) {
+        settleTop(group);
+        if (fitting(step, group.heap.front().second) > 0)
+            return true;
+        m_comparisons += group.executors.size();
+        if (std::any_of(
+                group.executors.begin(), group.executors.end(), [&](size_t it) { return fitting(step, it) > 0; }))
+            return true;
+        if (step.maxPerExecutor == 0)
+            group.unplaceable.push_back(step.need);
+    }
+    return hasRestFor(step, group);
 }
 
 void ExpectedCapacity::take(const ReadyStep& step, size_t executor, const ResourceVector& amount, bool isSoon)
@@ -216,25 +234,26 @@
     return tasks;
 }
 
-void ExpectedCapacity::claimSoon(const ReadyStep& step, Group& group, int64_t tasks)
+void ExpectedCapacity::claimRest(const ReadyStep& step, Group& group, int64_t tasks)
 {
     auto need = step.need * tasks;
-    for (size_t n = group.firstWithSoon; n < group.executors.size(); ++n) {
+    for (size_t n = group.firstWithRest; n < group.executors.size(); ++n) {
         if (step.gang && isGangLimitReached(group))
             return;
         const auto executor = group.executors[n];
         ++m_comparisons;
-        if (!isLeft(m_left[executor].soon) || !step.need.fitsIn(m_candidates[executor].capacity))
+        if (m_hasNoRest[executor] || !step.need.fitsIn(m_candidates[executor].capacity))
             continue;
-        const double part = partAvailable(need, m_left[executor].soon);
+        const auto rest = restOf(executor);
+        const double part = partAvailable(need, rest);
         const auto amount = share(need, part);
-        take(step, executor, amount, true);
+        const auto soon = smallestOf(amount, m_left[executor].soon);
+        take(step, executor, soon, true);
+        take(step, executor, amount - soon, false);
         if (part >= 1)
             return;
         need -= amount;
-        // What cannot be used alone does not count as expected any more.
-        m_totalLeft -= m_left[executor].soon;
-        m_left[executor].soon = {};
+        m_hasNoRest[executor] = true; // one of the resources is used up
     }
 }
 
@@ -250,7 +269,7 @@
             tasks = claimEverywhere(step, group, tasks);
     }
     if (tasks > 0)
-        claimSoon(step, group, tasks);
+        claimRest(step, group, tasks);
 }
 
 } // namespace teasel
--- a/jobs/expected_capacity.h
+++ b/jobs/expected_capacity.h
@@ -37,7 +37,7 @@
     // Whether anything is left for any step.
     bool isEmpty() const;
 
-    // Whether an executor that the step may use has room for one of its tasks, or is expected to free some.
+    // Whether an executor that the step may use has room for one of its tasks, or may have it soon.
     bool hasRoomFor(const ReadyStep&);
 
     // Claims capacity for this many tasks, as far as the step can use it.
@@ -57,7 +57,7 @@
         std::vector<bool> contains; // by executor
         std::vector<std::pair<double, size_t>> heap; // share left when it was pushed, and executor
         std::vector<ResourceVector> unplaceable; // needs that found no room
-        size_t firstWithSoon = 0; // in `executors`; earlier ones are expected to free nothing more
+        size_t firstWithRest = 0; // in `executors`; the rest of earlier ones is claimed
         ResourceVector free;
         ResourceVector gangLimit;
         ResourceVector claimedByGangs;
@@ -78,15 +78,19 @@
     // Both return the number of tasks left without room. The first is for steps that have no limit for one executor.
     int64_t claimNow(const ReadyStep&, Group&, int64_t tasks);
     int64_t claimEverywhere(const ReadyStep&, Group&, int64_t tasks);
-    void claimSoon(const ReadyStep&, Group&, int64_t tasks);
+    // Claims for tasks that find no room yet.
+    void claimRest(const ReadyStep&, Group&, int64_t tasks);
     void take(const ReadyStep&, size_t executor, const ResourceVector& amount, bool isSoon);
-    bool hasSoonFor(const ReadyStep&, Group&);
+    // What may become room for tasks that find none yet.
+    ResourceVector restOf(size_t executor) const;
+    bool hasRestFor(const ReadyStep&, Group&);
 
     std::span<const CandidateExecutor> m_candidates;
     TasksOn m_tasksOn;
     double m_maxGangShare;
     std::vector<Left> m_left; // by executor
     std::vector<ResourceVector> m_claimedByGangs; // by executor
+    std::vector<bool> m_hasNoRest; // by executor: its rest is claimed
     ResourceVector m_totalLeft;
     std::deque<Group> m_groups; // references stay valid
     absl::flat_hash_map<std::string, size_t> m_groupByKey;
