Job plane: a new leader knows which of the runs it inherits were begun

Cause: the log has the assignment of a run, not what became of its start. A new leader treated each inherited run as one whose start may still be on its way, and waited for the longest delay of an order (14 s) from its own beginning and one lease more. Its predecessor had seen the run in listings. Found with run_awaits_start_expiry of the new leader in the case's record. Why it works: a run that a listing has shown has used up its start, whoever leads.

--- a/bench/load_bench.cpp
+++ b/bench/load_bench.cpp
@@ -5,6 +5,21 @@
 #include <CLI/CLI.hpp>
 #include <fmt/ranges.h>
 
+#include <algorithm>
+
+namespace {
+
+double percentileMs(std::vector<teasel::Duration> values, size_t percent)
+{
+    if (values.empty())
+        return 0;
+    std::sort(values.begin(), values.end());
+    const auto index = std::min(values.size() - 1, values.size() * percent / 100);
+    return std::chrono::duration<double, std::milli>(values[index]).count();
+}
+
+} // namespace
+
 int main(int argc, char** argv)
 {
     teasel::JobsLoadOptions options;
@@ -33,5 +48,12 @@
                "s of processor time\n",
         load.starts(), load.adviceCalls(), load.adviceSeconds(), load.counters().preemptions, load.openJobs(),
         load.drained().count(), load.leaderSeconds());
+    const auto perStart = [&](uint64_t it) {
+        return static_cast<double>(it) / static_cast<double>(std::max<uint64_t>(1, load.starts()));
+    };
+    fmt::print(
+        "log: {} records, {} bytes; a start: {:.3f} records, {:.1f} bytes; first start p50 {:.0f} ms, p95 {:.0f} ms\n",
+        load.logRecords(), load.logBytes(), perStart(load.logRecords()), perStart(load.logBytes()),
+        percentileMs(load.firstStarts(), 50), percentileMs(load.firstStarts(), 95));
     return load.openJobs() == 0 ? 0 : 1;
 }
--- a/jobs/job_crashes.cpp
+++ b/jobs/job_crashes.cpp
@@ -32,7 +32,7 @@
     }
     std::vector<CrashedRun> out;
     for (const auto& [key, run] : executor.runs) {
-        if (!run.isOpen() || ((run.isMoved || run.isRefused) && !run.isListed))
+        if (!run.isOpen() || ((run.isMoved || run.isRefused) && !run.isConfirmed))
             continue;
         // Of the starts that it did not answer, only the first ones can have reached it.
         if (isStartUnanswered(run) && run.startedAt - firstUnanswered >= startBatchTime)
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -57,7 +57,10 @@
         run.assignedAt = run.startedAt = run.startSentAt = m_now;
         const auto* moved = findRun(key, held.run);
         run.isMoved = moved != nullptr;
-        run.startExpiresAt = moved != nullptr ? moved->startExpiresAt : inheritedStartExpiry(key);
+        run.isConfirmed = held.isConfirmed;
+        run.startExpiresAt = run.isConfirmed ? m_now
+            : moved != nullptr               ? moved->startExpiresAt
+                                             : inheritedStartExpiry(key);
         run.isFromStart = false;
         const auto* job = m_state.find(key.step.job);
         if (job != nullptr) {
@@ -461,6 +464,7 @@
             run.checkpoint = it.checkpoint;
         run.percent = it.percent;
         run.isListed = true;
+        confirmRun(executor, it.task, run);
         run.lastSeenAt = m_now;
         // Send a stop again that was acknowledged but had no effect.
         if (run.isStopAnswered()
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -57,9 +57,17 @@
     m_admission.setWeights(weights);
     m_forecastAdmission.setWeights(weights);
     replayRecentJobs();
+    size_t inheritedRuns = 0;
+    size_t confirmedRuns = 0;
+    for (const auto& [number, executor] : m_executors) {
+        inheritedRuns += executor.runs.size();
+        confirmedRuns += static_cast<size_t>(std::count_if(
+            executor.runs.begin(), executor.runs.end(), [](const auto& it) { return it.second.isConfirmed; }));
+    }
     log("leadership_began",
         { { "fence", std::to_string(fence) }, { "executors", std::to_string(m_executors.size()) },
             { "jobs", std::to_string(m_state.jobs().size()) }, { "waiting_tasks", std::to_string(waitingTasks()) },
+            { "runs", std::to_string(inheritedRuns) }, { "confirmed_runs", std::to_string(confirmedRuns) },
             { "configuration", std::to_string(m_proposedConfiguration.version()) } });
 }
 
@@ -83,6 +91,7 @@
     m_resubmissions.clear();
     m_pendingCancellations.clear();
     m_lateEnds.clear();
+    m_newConfirmations.clear();
     for (const auto& [job, queries] : m_stateQueries) {
         for (const auto& it : queries)
             answer(
@@ -127,6 +136,7 @@
     checkClaims();
     checkGangs();
     checkEvacuations();
+    recordConfirmations();
     recordLearnedRunTimes();
 }
 
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -314,6 +314,12 @@
     void endRunsInProgress(LiveExecutor&, RunEvidence);
     void endRun(LiveExecutor&, const TaskKey&, RunEvidence, schema::RunOutcome, std::string checkpoint = {});
 
+    // Confirmations of runs (job_confirmations.cpp).
+    // The executor has shown that its incarnation has begun the run.
+    void confirmRun(const LiveExecutor&, const TaskKey&, LiveRun&);
+    // Records the new confirmations, so that they hold under later leaders.
+    void recordConfirmations();
+
     // Run times (job_run_times.cpp).
     void recordRunTime(LiveExecutor&, const TaskKey&, const LiveRun&);
     void learnRunTime(const LiveExecutor&, const TaskKey&, const LiveRun&, bool isComplete);
@@ -409,6 +415,13 @@
     // Delayed answers to queries about running jobs, by job.
     absl::btree_map<uint64_t, std::vector<StateQuery>> m_stateQueries;
     absl::btree_set<uint64_t> m_scheduledJobs; // jobs with occurrences that have not begun
+    struct Confirmation {
+        uint32_t executor = 0;
+        TaskKey task;
+        uint32_t run = 0;
+    };
+    std::vector<Confirmation> m_newConfirmations; // not recorded yet
+    Instant m_nextConfirmationRecordAt {};
     absl::btree_set<TaskKey> m_lateEnds; // tasks whose late end is counted by a proposal that is not committed yet
     ExecutorClaims m_claims;
     // Start times (born_ms) of executors whose registration is not committed, by executor id.
--- a/jobs/job_leader_options.h
+++ b/jobs/job_leader_options.h
@@ -59,6 +59,10 @@
     bool usesLearnedSpeeds = false;
     Milliseconds runTimeRecordInterval { 5'000 }; // between two records of what was learned
 
+    // Between two records of the runs that executors have shown since. A loss of the leader within this time costs the
+    // evidence.
+    Milliseconds confirmationRecordInterval { 100 };
+
     size_t maxProposalsInFlight = 2; // further changes wait for the next proposal
     // A batch that has reached this size is complete; it has at most this and one change.
     size_t maxBatchBytes = defaultMaxBatchBytes;
--- a/jobs/job_run_ends.cpp
+++ b/jobs/job_run_ends.cpp
@@ -102,11 +102,11 @@
     case RunEvidence::AbsentAfterStop:
     case RunEvidence::AbsentAtTakeover:
     case RunEvidence::AbsentAfterStartExpired:
-        return run.isListed || shownAt >= run.startExpiresAt;
+        return run.isConfirmed || shownAt >= run.startExpiresAt;
     // A later incarnation may have carried out the start just before its expiry and grants a lease of its own.
     case RunEvidence::LeaseExpired:
     case RunEvidence::IncarnationEnded:
-        return run.isListed || run.isRefused || shownAt >= lateLeaseExpiry(executor, run);
+        return run.isConfirmed || run.isRefused || shownAt >= lateLeaseExpiry(executor, run);
     }
     return false;
 }
--- a/jobs/job_state.cpp
+++ b/jobs/job_state.cpp
@@ -52,6 +52,8 @@
     case schema::JobChange::kRunTimes:
         m_runTimes = change.run_times();
         return;
+    case schema::JobChange::kConfirmed:
+        return applyConfirmed(change.confirmed());
     case schema::JobChange::BODY_NOT_SET:
         return;
     }
@@ -137,6 +139,18 @@
     job->second.phase = JobPhase::Running;
 }
 
+void JobState::applyConfirmed(const schema::ConfirmedRuns& confirmed)
+{
+    for (const auto& it : confirmed.runs()) {
+        const auto executor = m_executors.find(it.executor());
+        if (executor == m_executors.end())
+            continue;
+        const auto assignment = executor->second.assignments.find(toKey(it.task()));
+        if (assignment != executor->second.assignments.end() && assignment->second.run == it.run())
+            assignment->second.isConfirmed = true;
+    }
+}
+
 void JobState::applyEnded(const schema::RunEnd& end)
 {
     if (end.late())
--- a/jobs/job_state.h
+++ b/jobs/job_state.h
@@ -80,6 +80,7 @@
 struct AssignmentState {
     uint32_t run = 0;
     ResourceVector need; // kept here because an ended job no longer has its steps
+    bool isConfirmed = false; // a leader has recorded that the incarnation has begun the run
 };
 
 struct ExecutorState {
@@ -154,6 +155,7 @@
     void applyAccepted(const schema::JobRequest&);
     void applyCancelled(uint64_t job);
     void applyAssigned(const schema::TaskAssignment&);
+    void applyConfirmed(const schema::ConfirmedRuns&);
     void applyLateEnd(const TaskKey&);
     void applyEnded(const schema::RunEnd&);
     void applyCrashed(const schema::RunCrash&);
--- a/jobs/job_state_snapshot.cpp
+++ b/jobs/job_state_snapshot.cpp
@@ -93,6 +93,7 @@
             fillRef(key, *assignment.mutable_task());
             assignment.set_run(held.run);
             *assignment.mutable_need() = toMessage(held.need);
+            assignment.set_confirmed(held.isConfirmed);
         }
     }
     for (const auto& [dataCentre, it] : m_evacuations) {
@@ -145,7 +146,8 @@
     for (auto record : image.executors()) {
         auto& it = m_executors[record.number()];
         for (const auto& assignment : record.assignments())
-            it.assignments[toKey(assignment.task())] = { assignment.run(), toVector(assignment.need()) };
+            it.assignments[toKey(assignment.task())]
+                = { assignment.run(), toVector(assignment.need()), assignment.confirmed() };
         it.capacity = toVector(record.capacity());
         it.largestCapacity = largestOf(it.capacity, toVector(record.largest_capacity()));
         record.clear_assignments();
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -42,7 +42,9 @@
     bool isPolledAfterExpiry = false; // a poll was sent because its start had expired
     bool isStartAnswered = false;
     bool isRefused = false; // its start was refused; a listing has to show that no other copy of it took effect
-    bool isListed = false; // a listing has shown it
+    bool isListed = false; // a listing has shown it to this leader
+    // Its executor has shown to this leader or an earlier one that this incarnation has begun it: its start is used up.
+    bool isConfirmed = false;
     bool isMoved = false; // its start was sent to an earlier incarnation
     bool isFromStart = true; // started from the beginning, not from a checkpoint
     std::string checkpoint; // latest checkpoint that a listing showed
@@ -67,12 +69,12 @@
     bool mayStartInLaterIncarnation() const
     {
         return stage == RunStage::Starting || (stage == RunStage::UnknownOutcome && !isRefused)
-            || stage == RunStage::Inherited || stage == RunStage::AwaitingStartExpiry;
+            || (stage == RunStage::Inherited && !isConfirmed) || stage == RunStage::AwaitingStartExpiry;
     }
 
     // Whether its start may still be executed, by this incarnation of the executor or the next.
     // An answer to a start does not tell which incarnation gave it; a listing does.
-    bool mayStillStart() const { return mayStartInLaterIncarnation() || (stage == RunStage::Running && !isListed); }
+    bool mayStillStart() const { return mayStartInLaterIncarnation() || (stage == RunStage::Running && !isConfirmed); }
 };
 
 // A run during which its executor crashed.
--- a/tests/jobs_load.h
+++ b/tests/jobs_load.h
@@ -20,6 +20,7 @@
 #include <memory>
 #include <queue>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace teasel {
@@ -157,6 +158,11 @@
     uint64_t starts() const { return m_starts; }
     uint64_t adviceCalls() const { return m_adviceCalls; }
     double adviceSeconds() const { return m_adviceSeconds; }
+    // Records of the replicated log and their bytes.
+    uint64_t logRecords() const { return m_logRecords; }
+    uint64_t logBytes() const { return m_logBytes; }
+    // From the submission of each job to its first start, in the order of the starts.
+    const std::vector<Duration>& firstStarts() const { return m_firstStarts; }
     const JobLeaderCounters& counters() const { return m_leader.counters(); }
     // Processor time of the leader; not deterministic.
     double leaderSeconds() const { return m_leaderSeconds; }
@@ -197,6 +203,7 @@
         double taskMs = 0;
         bool isGang = false;
         uint32_t tasks = 0;
+        bool hasStarted = false;
     };
     struct Event {
         Instant at {};
@@ -438,7 +445,10 @@
 
     void perform(ProposeJobs& action)
     {
-        schedule(commit, [this, ticket = action.ticket, command = action.command.SerializeAsString()] {
+        auto serialized = action.command.SerializeAsString();
+        ++m_logRecords;
+        m_logBytes += serialized.size();
+        schedule(commit, [this, ticket = action.ticket, command = std::move(serialized)] {
             m_state.apply(0, command);
             measure([&] { m_leader.onCommitted(ticket, m_clock.now()); });
         });
@@ -525,6 +535,8 @@
         const auto job = m_open.find(start.task.step.job);
         if (job == m_open.end())
             return;
+        if (!std::exchange(job->second.hasStarted, true))
+            m_firstStarts.push_back(m_clock.now() - job->second.submittedAt);
         if (!job->second.isGang)
             return startWork(executor, start.task, start.run, job->second.taskMs);
         auto& gang = m_gangs[start.task.step];
@@ -611,6 +623,9 @@
     absl::btree_map<StepKey, std::pair<uint32_t, std::vector<std::pair<Executor*, TaskKey>>>> m_gangs;
     absl::flat_hash_map<std::string, Instant> m_adviceFreeAt;
     uint64_t m_starts = 0;
+    uint64_t m_logRecords = 0;
+    uint64_t m_logBytes = 0;
+    std::vector<Duration> m_firstStarts;
     uint64_t m_adviceCalls = 0;
     double m_adviceSeconds = 0;
     double m_leaderSeconds = 0;
--- a/tests/jobs_seed_loop.h
+++ b/tests/jobs_seed_loop.h
@@ -1,5 +1,6 @@
 // The loop over seeds that the seeded tests of the job plane share. TEASEL_SEEDS and TEASEL_FIRST_SEED select the
-// number of seeds and the first one; TEASEL_TRACE prints the leader's log.
+// number of seeds and the first one; TEASEL_JOINT_LOSSES adds that many joint losses a minute; TEASEL_TRACE prints the
+// leader's log.
 #pragma once
 
 #include "jobs_world.h"
@@ -44,6 +45,7 @@
 template <typename OptionsOf, typename VariantOf>
 SeedLoopResult runSeeds(const char* test, uint64_t defaultSeeds, const OptionsOf& optionsOf, const VariantOf& variantOf)
 {
+    constexpr double secondsPerMinute = 60;
     const uint64_t first = fromEnvironment("TEASEL_FIRST_SEED", 1);
     SeedLoopResult out;
     out.seeds = fromEnvironment("TEASEL_SEEDS", defaultSeeds);
@@ -51,6 +53,8 @@
     for (uint64_t seed = first; seed < first + out.seeds; ++seed) {
         JobsWorldOptions options = optionsOf(seed);
         options.seed = seed;
+        options.jointLossesPerSecond
+            += static_cast<double>(fromEnvironment("TEASEL_JOINT_LOSSES", 0)) / secondsPerMinute;
         options.trace = std::getenv("TEASEL_TRACE") != nullptr;
         JobsWorld world(options);
         const auto violations = world.run();
--- a/tests/jobs_world_hazards.h
+++ b/tests/jobs_world_hazards.h
@@ -42,6 +42,7 @@
     size_t farSequences = 0;
     size_t falseDepartures = 0;
     size_t falseDeparturesWithBorn = 0; // of these
+    size_t jointLosses = 0; // of the leader and a data centre
     size_t departures = 0;
     size_t lostDepartures = 0; // of these; the leader was not told
 
@@ -72,6 +73,7 @@
         farSequences += other.farSequences;
         falseDepartures += other.falseDepartures;
         falseDeparturesWithBorn += other.falseDeparturesWithBorn;
+        jointLosses += other.jointLosses;
         departures += other.departures;
         lostDepartures += other.lostDepartures;
         return *this;
--- a/tests/jobs_world_types.h
+++ b/tests/jobs_world_types.h
@@ -68,6 +68,7 @@
     double listsWithoutBorn = 0; // share of lists of runs
     double falseAnnouncementsPerSecond = 0; // by other writers; each contradicts a live executor
     double falseDeparturesPerSecond = 0; // of live executors that did not send them
+    double jointLossesPerSecond = 0; // the leader is lost together with the executors of a data centre
     double departuresPerSecond = 0; // an executor drains, leaves and ends; another id follows at its address
 };
 
