Job plane: the clock in an answer to a start shows which incarnation gave it

A later incarnation may answer a start, and carry out a renewal up to 12 s late that extends its lease beyond the expiry that the leader counts: TWICE. And a run that was answered, but not listed yet when the leader and its executor are lost, waits like one that never began (20.6 s instead of 6.6 s). Cause: answers to starts have no start time, so an answer counted neither as proof nor as doubt. A listing follows up to a second later. The fixture gives each incarnation a clock of its own now, as the platform's contract says; the next life that answers in jobs_unlisted_starts and jobs_next_life does so on its own clock, where it used its predecessor's before. Why it works: every answer carries the executor's clock, which begins anew with each incarnation. An answer on the clock of the last list of runs, which has the start time, comes from that incarnation and confirms the run at once. After any other answer no renewal extends the lease until a listing has shown the run, and the wait for a late lease counts the orders in flight.

--- a/jobs/job_confirmations.cpp
+++ b/jobs/job_confirmations.cpp
@@ -2,6 +2,7 @@
 // later leader need not wait until the start of such a run has expired when it loses the executor, too.
 #include "jobs/job_leader.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace teasel {
@@ -9,6 +10,9 @@
 namespace {
 
     constexpr int maxConfirmationsPerChange = 1'000;
+    // By which an answer may have been on its way and still serve to tell its incarnation.
+    constexpr Milliseconds maxTransit { 100 };
+    constexpr Milliseconds clockResolution { 1 };
 
 } // namespace
 
@@ -18,6 +22,19 @@
         m_newConfirmations.push_back({ executor.number, key, run.run });
 }
 
+bool JobLeader::isFromRegisteredIncarnation(
+    const LiveExecutor& executor, const PendingOrder& order, const OrderResult& result) const
+{
+    if (executor.shownClockAt == Instant() || result.clockMs == 0)
+        return false;
+    const auto passed = Milliseconds(static_cast<int64_t>(result.clockMs - executor.shownClockMs));
+    const auto longest = std::chrono::ceil<Milliseconds>(m_now - executor.shownClockAt + maxTransit);
+    const auto shortest = std::chrono::floor<Milliseconds>(order.sentAt - executor.shownClockAt);
+    const auto shortestOnClock
+        = std::min(shortest, std::chrono::floor<Milliseconds>(shortest / maxClockSlowdown)) - clockResolution;
+    return passed >= shortestOnClock && passed <= longest;
+}
+
 void JobLeader::recordConfirmations()
 {
     if (m_newConfirmations.empty() || m_now < m_nextConfirmationRecordAt)
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -237,9 +237,10 @@
     const bool isLeaving = executor.hasLeft() && executor.answeredOrderSentAt <= executor.leftAt;
     const bool isSuspect = isLeaving || m_now - executor.lastAnswerAt > m_options.suspectAfter;
     order.isRegular = !isNew && !isSuspect;
-    // A suspect executor's lease is not renewed, so that it is certain when it expires. Nor is it after an unanswered
-    // start: carried out late, the renewal would extend the lease of a later incarnation that has begun the run.
-    if (order.isRegular && !executor.hasUnansweredStart()) {
+    // A suspect executor's lease is not renewed, so that it is certain when it expires. Nor is it after a start that is
+    // not answered, or was by an unknown incarnation: carried out late, the renewal would extend the lease of a later
+    // incarnation that has begun the run.
+    if (order.isRegular && !executor.hasUnansweredStart() && !executor.hasUnconfirmedRun()) {
         renewal.leaseUntilMs = executor.clock.executorNow(m_now) + static_cast<uint64_t>(m_options.lease.count());
         executor.clock.recordLeaseSent(renewal.leaseUntilMs);
     }
@@ -353,6 +354,8 @@
     if (result.outcome == OrderOutcome::Done) {
         run.stage = RunStage::Running;
         run.startedAt = run.lastSeenAt = run.startExpiresAt = m_now;
+        if (isFromRegisteredIncarnation(executor, order, result))
+            confirmRun(executor, order.task, run);
         return;
     }
     const auto* state = executorState(executor.number);
@@ -419,8 +422,13 @@
         log("executor_regained", { { "executor", state->record.id() }, { "silent_ms", millis(silence) } });
     executor.answeredOrderSentAt = std::max(executor.answeredOrderSentAt, order.sentAt);
     executor.acknowledgedEnds = std::max(executor.acknowledgedEnds, order.acknowledgedEnds);
-    if (!order.isTimedOut) // A late answer does not show that the executor is reachable now.
+    if (!order.isTimedOut) { // A late answer does not show that the executor is reachable now.
         executor.lastAnswerAt = m_now;
+        if (result.bornMs != 0 && result.clockMs != 0) {
+            executor.shownClockMs = result.clockMs;
+            executor.shownClockAt = m_now;
+        }
+    }
     if (!order.isPoll)
         executor.nextRenewalAt = m_now + (order.isRegular ? m_options.renewalInterval : Milliseconds(0));
     processEndList(executor, result);
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -317,6 +317,9 @@
     // Confirmations of runs (job_confirmations.cpp).
     // The executor has shown that its incarnation has begun the run.
     void confirmRun(const LiveExecutor&, const TaskKey&, LiveRun&);
+    // Whether the clock in an answer goes on from the last one that the registered incarnation has shown. Each
+    // incarnation has a clock of its own; answers to starts do not have its start time.
+    bool isFromRegisteredIncarnation(const LiveExecutor&, const PendingOrder&, const OrderResult&) const;
     // Records the new confirmations, so that they hold under later leaders.
     void recordConfirmations();
 
--- a/jobs/job_run_ends.cpp
+++ b/jobs/job_run_ends.cpp
@@ -74,8 +74,6 @@
 Instant JobLeader::lateLeaseExpiry(const LiveExecutor& executor, const LiveRun& run) const
 {
     auto lastOrderAt = run.startExpiresAt;
-    if (run.isStartAnswered)
-        return lastOrderAt + longestValidity(m_options.maxLease);
     // A renewal or another start that is carried out after this one extends the lease. Renewals that were sent before
     // this one have a lower fence.
     for (const auto& [number, it] : executor.ordersInFlight) {
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -107,6 +107,8 @@
     Instant lastHeardAt {}; // last answer to any order that was in time
     Instant answeredOrderSentAt {}; // when the newest renewal or poll was sent that it has answered
     LeaseClock clock;
+    uint64_t shownClockMs = 0; // its clock in the last list of runs with its start time
+    Instant shownClockAt {}; // when that list arrived; Instant() before
     ResourceVector capacity; // as announced last; also before it is committed
     ResourceVector committed; // may exceed a capacity that has shrunk
     ResourceVector strays; // used by runs in the last listing that are not assigned to it; they are being stopped
@@ -161,6 +163,13 @@
         });
     }
 
+    // Whether an unknown incarnation has answered a start.
+    bool hasUnconfirmedRun() const
+    {
+        return std::any_of(runs.begin(), runs.end(),
+            [](const auto& it) { return it.second.stage == RunStage::Running && !it.second.isConfirmed; });
+    }
+
     // Whether it has answered since its last unanswered start.
     bool isAnswering() const { return unansweredSentAt < lastAnswerAt || unansweredSentAt == Instant(); }
     bool hasLeft() const { return leftAt != Instant(); }
--- a/tests/jobs_fixture.h
+++ b/tests/jobs_fixture.h
@@ -104,6 +104,8 @@
         it.record.mutable_capacity()->set_memory_mib(16'000);
         it.sequence = sequence;
         it.drainRemainingMs = draining ? 2'000 : 0;
+        if (announcedBorn[id] != born)
+            restart(id);
         announcedBorn[id] = born;
         leader.onCall(++lastHandle, std::move(it), clock.now(), clock.wallNow());
         commitAndCollect();
@@ -147,8 +149,7 @@
     void answer(const SendOrder& order, OrderResult result)
     {
         if (result.outcome != OrderOutcome::UnknownOutcome && result.outcome != OrderOutcome::NotSent)
-            result.clockMs = static_cast<uint64_t>(
-                std::chrono::duration_cast<Milliseconds>(clock.now().time_since_epoch()).count());
+            result.clockMs = clockOf(order.executorId);
         // Lists of runs have a start time; by default that of the incarnation announced last.
         if (hasStartTimes && result.outcome == OrderOutcome::Done && result.bornMs == 0
             && std::holds_alternative<RenewLease>(order.order))
@@ -157,6 +158,21 @@
         commitAndCollect();
     }
 
+    // Begins the next incarnation of an executor, which nothing has announced yet. Its clock begins anew.
+    void restart(const std::string& executor)
+    {
+        constexpr uint64_t firstReading = 1'000;
+        constexpr uint64_t hourMs = 3'600'000;
+        bornAt[executor] = clock.now();
+        firstReadings[executor] = firstReading + ++incarnations * hourMs;
+    }
+
+    uint64_t clockOf(const std::string& executor)
+    {
+        return firstReadings[executor]
+            + static_cast<uint64_t>(std::chrono::duration_cast<Milliseconds>(clock.now() - bornAt[executor]).count());
+    }
+
     uint64_t bornOf(const SendOrder& order) const
     {
         if (const auto it = announcedBorn.find(order.executorId); it != announcedBorn.end())
@@ -206,6 +222,9 @@
     std::vector<AskAdvice> adviceRequests;
     bool hasStartTimes = true; // whether lists of runs have a start time
     std::map<std::string, uint64_t> announcedBorn; // start time in the last announcement, by id
+    std::map<std::string, Instant> bornAt; // when the present incarnation began, by executor id
+    std::map<std::string, uint64_t> firstReadings; // of its clock
+    uint64_t incarnations = 0; // of all executors
     uint64_t lastHandle = 0;
 };
 
--- a/tests/jobs_inherited_runs_test.cpp
+++ b/tests/jobs_inherited_runs_test.cpp
@@ -147,6 +147,45 @@
     CHECK(*time <= wholeLease + tolerance);
 }
 
+// Guards against LOST: the answer to a start, which comes up to a second before the listing, is no evidence.
+TEST_CASE("a run whose start its executor answered just before both were lost is restarted after one lease")
+{
+    JobsFixture it;
+    it.announce("x1");
+    it.answerRenewals({});
+    it.submit(JobsFixture::request(7, 1));
+    it.pass(step);
+    const auto start = it.takeOrder<StartRun>("x1");
+    REQUIRE(start);
+    it.answer(*start, { OrderOutcome::Done });
+    it.announce("x2");
+    it.pass(untilRecorded);
+    changeLeader(it);
+    const auto time = timeToRestart(it, Milliseconds(30'000));
+    REQUIRE(time);
+    CHECK(*time <= wholeLease + tolerance);
+}
+
+// Guards against TWICE: the answer of a later life is taken for one of the life that the start was sent to.
+TEST_CASE("a run whose start an executor answered that may have restarted waits for the start and a lease")
+{
+    JobsFixture it;
+    it.announce("x1");
+    it.answerRenewals({});
+    it.submit(JobsFixture::request(7, 1));
+    it.pass(step);
+    const auto start = it.takeOrder<StartRun>("x1");
+    REQUIRE(start);
+    it.restart("x1");
+    it.answer(*start, { OrderOutcome::Done });
+    it.announce("x2");
+    it.pass(untilRecorded);
+    changeLeader(it);
+    const auto time = timeToRestart(it, Milliseconds(30'000));
+    REQUIRE(time);
+    CHECK(*time >= Milliseconds(14'000) + wholeLease);
+}
+
 // Guards against TWICE: a new leader takes a start that was in flight at the loss for used up.
 TEST_CASE("a run that no listing showed before the leader was lost waits until its start and a lease have expired")
 {
--- a/tests/jobs_next_life_test.cpp
+++ b/tests/jobs_next_life_test.cpp
@@ -19,6 +19,7 @@
     const auto start = it.takeOrder<StartRun>("x1");
     REQUIRE(start);
     // The executor has restarted under its id. Its next life answers the start, without a start time.
+    it.restart("x1");
     it.answer(*start, { OrderOutcome::Done });
     it.pass(Milliseconds(100));
     const auto renewal = it.takeOrder<RenewLease>("x1");
--- a/tests/jobs_unlisted_starts_test.cpp
+++ b/tests/jobs_unlisted_starts_test.cpp
@@ -1,4 +1,4 @@
-// Leases of executors that have answered a start and not listed its run yet.
+// Leases of executors that have answered a start, without a start time, and not listed its run yet.
 #include "jobs_fixture.h"
 
 using namespace teasel;
@@ -11,13 +11,14 @@
 
 // Guards against TWICE: a later incarnation answers a start, and a renewal that it carries out late extends its lease
 // beyond the expiry that the leader knows.
-TEST_CASE("no renewal extends the lease between an answered start and the listing of its run")
+TEST_CASE("no renewal extends the lease between a start that a later life answered and the listing of its run")
 {
     JobsFixture it;
     it.announce("x1");
     it.passWithRenewals(Milliseconds(500));
     it.submit(JobsFixture::request(7, 1));
     it.pass(step);
+    it.restart("x1");
     it.answer(*it.takeOrder<StartRun>(), { OrderOutcome::Done });
     it.answerRenewals({}); // requested before the start
     size_t renewals = 0;
