--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -278,7 +278,6 @@
     LiveRun* findRun(const RunIndex::Location&);
     // The run at another incarnation, from which it moves.
     LiveRun* findRun(const TaskKey&, uint32_t run);
-    void processRunningList(LiveExecutor&, const PendingOrder&, const OrderResult&);
     void requestStop(LiveExecutor&, const TaskKey&, LiveRun&);
     void stopGang(const StepKey&);
     void expireOrders();
@@ -314,7 +313,8 @@
     void endRunsInProgress(LiveExecutor&, RunEvidence);
     void endRun(LiveExecutor&, const TaskKey&, RunEvidence, schema::RunOutcome, std::string checkpoint = {});
 
-    // Confirmations of runs (job_confirmations.cpp).
+    // Runs in progress and their confirmations (job_confirmations.cpp).
+    void processRunningList(LiveExecutor&, const PendingOrder&, const OrderResult&);
     // The executor has shown that its incarnation has begun the run.
     void confirmRun(const LiveExecutor&, const TaskKey&, LiveRun&);
     // Whether the clock in an answer goes on from the last one that the registered incarnation has shown. Each
--- a/jobs/job_run_ends.cpp
+++ b/jobs/job_run_ends.cpp
@@ -215,7 +215,8 @@
         const auto* state = executorState(executor.number);
         log("executor_lapsed",
             { { "executor", state == nullptr ? "" : state->record.id() },
-                { "silent_ms", millis(m_now - executor.lastAnswerAt) }, { "runs", std::to_string(open) } });
+                { "silent_ms", millis(m_now - std::max(executor.lastAnswerAt, executor.addedAt)) },
+                { "runs", std::to_string(open) } });
         // It may have crashed and come back elsewhere, which would not be noticed.
         for (const auto& it : runsInCrash(executor))
             recordCrash(executor, it.task, it.run, false);
--- a/tests/jobs_world.h
+++ b/tests/jobs_world.h
@@ -273,7 +273,8 @@
             action();
             performActions();
         }
-        m_faults.step(m_isEnding);
+        if (m_faults.step(m_isEnding))
+            startLeader();
         m_announcements.step(
             [this](auto it) { m_leader->onCall(++m_lastHandle, std::move(it), m_clock.now(), wall()); }, m_isEnding);
         for (auto& it : m_fleet.executors()) {
@@ -342,36 +343,6 @@
         if (m_options.capacityChangesPerSecond > 0
             && m_random.chance(m_options.capacityChangesPerSecond / stepsPerSecond))
             shrink(executor);
-        if (m_options.jointLossesPerSecond > 0
-            && m_hazards.random().chance(m_options.jointLossesPerSecond / stepsPerSecond))
-            loseTogether();
-    }
-
-    // The executors of a data centre are cut off, most of them crash, and the leader is lost; all in any order. In one
-    // case of three the next leader is lost, too.
-    void loseTogether()
-    {
-        constexpr uint64_t windowMs = 1'500;
-        auto& random = m_hazards.random();
-        const auto within = [&random](uint64_t ms) { return std::chrono::milliseconds(random.below(ms)); };
-        ++m_hazards.counts().jointLosses;
-        const auto zone = worldZone(random.below(worldZones));
-        for (auto& it : m_fleet.executors()) {
-            if (it.zone() != zone)
-                continue;
-            const auto until = m_clock.now() + std::chrono::milliseconds(windowMs + 200) + within(12'000);
-            it.silentUntil = std::max(it.silentUntil, until);
-            if (random.chance(0.2))
-                continue;
-            schedule(within(windowMs), [this, slot = it.slot, until] {
-                auto& executor = m_fleet.executors()[slot];
-                m_fleet.crash(executor, std::nullopt, true);
-                executor.silentUntil = std::max(executor.silentUntil, until);
-            });
-        }
-        schedule(within(windowMs), [this] { startLeader(); });
-        if (random.chance(0.33))
-            schedule(std::chrono::milliseconds(windowMs) + within(5'000), [this] { startLeader(); });
     }
 
     // Shrinks an executor's capacity to 30 to 80 % for 2 to 10 s.
