teasel-state: grants fit into a message

A configuration of teasel-state that has grown beyond 8 MiB reaches no data centre: the peer network drops the grant, and it is repeated without end, while the leases of the data centres run out. Cause: only single changes were bounded (6 MiB). On the same path: the changes that a data centre missed are sent together whatever their size, and 256 jobs are sent together whatever theirs. Why it works: a change that makes the configuration larger than 6 MiB is refused as too_large and has no effect, one that makes it smaller is taken; edits are sent only while they are smaller than the configuration; a grant has 1 MiB of jobs, or one job, and none beside a large configuration. The receiver asks for the others at once (jobs_more).

--- a/fleet/config_editor.cpp
+++ b/fleet/config_editor.cpp
@@ -30,15 +30,26 @@
     const TeamId nextTeam = m_table.config().next_team_id();
     const SubjectId nextSubject = m_table.config().next_subject_id();
     const int schemes = m_table.config().schemes_size();
+    const auto bytesBefore = m_table.config().ByteSizeLong();
+    const auto rollBack = [&] {
+        undo();
+        m_table.truncateSchemes(schemes);
+        m_table.setNextIds(nextTeam, nextSubject);
+    };
     for (int i = 0; i < edits.size(); ++i) {
         auto outcome = valueOrError([&] { return edit(edits[i]); });
         if (const auto* error = std::get_if<Error>(&outcome)) {
-            undo();
-            m_table.truncateSchemes(schemes);
-            m_table.setNextIds(nextTeam, nextSubject);
+            rollBack();
             return fail(error->kind, fmt::format("edit {}: {}", i + 1, error->message));
         }
     }
+    // A configuration that was stored before there was this bound may shrink.
+    const auto bytes = m_table.config().ByteSizeLong();
+    if (bytes > m_maxConfigBytes && bytes > bytesBefore) {
+        rollBack();
+        return fail(ErrorKind::TooLarge,
+            fmt::format("the configuration would have {} bytes, of at most {}", bytes, m_maxConfigBytes));
+    }
     return std::move(m_applied);
 }
 
--- a/fleet/config_editor.h
+++ b/fleet/config_editor.h
@@ -20,16 +20,18 @@
 class ConfigEditor {
 public:
     // `usedKeyIds` holds the ids of granted keys, revoked ones included. With `maxUsedKeyIds` of them, no further key
-    // is granted.
-    ConfigEditor(ConfigTable& table, const absl::flat_hash_set<std::string>& usedKeyIds, size_t maxUsedKeyIds)
+    // is granted. No change makes a configuration larger that then has more than `maxConfigBytes`.
+    ConfigEditor(ConfigTable& table, const absl::flat_hash_set<std::string>& usedKeyIds, size_t maxUsedKeyIds,
+        size_t maxConfigBytes)
         : m_table(table)
         , m_usedKeyIds(usedKeyIds)
         , m_maxUsedKeyIds(maxUsedKeyIds)
+        , m_maxConfigBytes(maxConfigBytes)
     {
     }
 
     // Applies the edits in order. On failure the table is rolled back and the error names the failed edit; its kind is
-    // BadRequest, NotFound, RevisionConflict or LimitReached.
+    // BadRequest, NotFound, RevisionConflict, LimitReached or TooLarge.
     Result<AppliedEdits> run(const google::protobuf::RepeatedPtrField<schema::ConfigEdit>&);
 
 private:
@@ -51,6 +53,7 @@
     ConfigTable& m_table;
     const absl::flat_hash_set<std::string>& m_usedKeyIds;
     const size_t m_maxUsedKeyIds;
+    const size_t m_maxConfigBytes;
     absl::flat_hash_set<std::string> m_grantedKeyIds; // by the edits of this change
     AppliedEdits m_applied;
     std::vector<schema::ConfigEdit> m_undoEdits;
--- a/fleet/delta_log.cpp
+++ b/fleet/delta_log.cpp
@@ -5,6 +5,12 @@
 
 namespace teasel {
 
+namespace {
+
+    constexpr size_t minWholeBytes = 64 << 10; // edits up to this size are always sent as such
+
+} // namespace
+
 schema::ConfigDelta fullDelta(const schema::FleetConfig& config, uint64_t digest)
 {
     schema::ConfigDelta delta;
@@ -46,8 +52,14 @@
     auto it = std::lower_bound(m_steps.begin(), m_steps.end(), from, after);
     if (it == m_steps.end() || it->from_revision() != from)
         return fullDelta(config, digest);
-    for (; it != m_steps.end(); ++it)
+    const auto wholeBytes = config.ByteSizeLong();
+    size_t bytes = 0;
+    for (; it != m_steps.end(); ++it) {
+        bytes += it->ByteSizeLong();
+        if (bytes > std::max(wholeBytes, minWholeBytes))
+            return fullDelta(config, digest);
         delta.mutable_edits()->MergeFrom(it->edits());
+    }
     return delta;
 }
 
--- a/fleet/delta_log.h
+++ b/fleet/delta_log.h
@@ -22,7 +22,7 @@
     void clear();
 
     // The delta from a revision to that of `config`. It has no edits if the revisions are equal, and holds all of
-    // `config` if the log does not reach back to the revision.
+    // `config` if the log does not reach back to the revision or the edits have more bytes.
     schema::ConfigDelta since(Revision, const schema::FleetConfig& config, uint64_t digest) const;
 
     // Whether a holder with this revision and digest can be updated by a delta.
--- a/fleet/fleet_service.cpp
+++ b/fleet/fleet_service.cpp
@@ -203,7 +203,10 @@
         *grant.add_portions() = std::move(it);
     for (const auto& [team, target] : entry.targets)
         *grant.add_targets() = toPortion(dataCentre, team, target);
-    const JobChanges changes = m_state.jobs().changedSince(dataCentre, entry.jobsVersion, m_options.maxJobsPerGrant);
+    const auto maxJobBytes
+        = grant.delta().ByteSizeLong() > m_options.maxJobBytesPerGrant ? 0 : m_options.maxJobBytesPerGrant;
+    const JobChanges changes
+        = m_state.jobs().changedSince(dataCentre, entry.jobsVersion, m_options.maxJobsPerGrant, maxJobBytes);
     for (const auto& it : changes.jobs)
         *grant.add_jobs() = it;
     grant.set_jobs_version(changes.version);
--- a/fleet/fleet_service.h
+++ b/fleet/fleet_service.h
@@ -27,6 +27,9 @@
     size_t maxPendingProposals = 10'000; // uncommitted proposals and changes that wait to come into force
     size_t maxCommandBytes = 6 << 20; // larger proposals are refused; the log takes somewhat larger records
     size_t maxJobsPerGrant = 256;
+    // A grant carries more bytes of jobs than this only if they are those of one job, and none beside a configuration
+    // that is larger.
+    size_t maxJobBytesPerGrant = 1 << 20;
     uint64_t firstTicket = 0; // higher than every ticket of the process's earlier incarnations
 };
 
--- a/fleet/fleet_state.cpp
+++ b/fleet/fleet_state.cpp
@@ -112,7 +112,7 @@
         return answerQuery(change, answer);
     if (answerFromLog(change, answer))
         return;
-    ConfigEditor editor(m_table, m_usedKeyIds, m_limits.maxUsedKeyIds);
+    ConfigEditor editor(m_table, m_usedKeyIds, m_limits.maxUsedKeyIds, m_limits.maxConfigBytes);
     auto outcome = valueOrError([&]() -> Result<AppliedEdits> {
         BOOST_LEAF_CHECK(checkChange(change));
         return editor.run(change.edits());
--- a/fleet/fleet_state.h
+++ b/fleet/fleet_state.h
@@ -28,6 +28,7 @@
     size_t maxChangeRecords = 100'000;
     size_t maxDeltaEdits = 2'000;
     size_t maxUsedKeyIds = 1'000'000;
+    size_t maxConfigBytes = 6 << 20; // of the whole configuration, which one grant carries
 };
 
 // Deterministic: reads no clock and draws no random numbers. The only time it uses is the wall time in a command.
--- a/fleet/job_table.cpp
+++ b/fleet/job_table.cpp
@@ -111,7 +111,7 @@
     return it == m_jobs.end() ? nullptr : &it->second;
 }
 
-JobChanges JobTable::changedSince(const std::string& dataCentre, uint64_t version, size_t max) const
+JobChanges JobTable::changedSince(const std::string& dataCentre, uint64_t version, size_t max, size_t maxBytes) const
 {
     JobChanges changes;
     changes.version = version;
@@ -122,11 +122,18 @@
     const DataCentre& own = rows->second;
     changes.replacesAll |= version < own.droppedVersion;
     auto it = changes.replacesAll ? own.byVersion.begin() : own.byVersion.upper_bound(version);
-    for (; it != own.byVersion.end() && changes.jobs.size() < max; ++it) {
-        changes.jobs.push_back(m_jobs.at(it->second));
+    size_t bytes = 0;
+    for (; it != own.byVersion.end() && changes.jobs.size() < max && bytes < maxBytes; ++it) {
+        const auto& job = m_jobs.at(it->second);
+        bytes += job.ByteSizeLong();
+        if (bytes > maxBytes && !changes.jobs.empty())
+            break;
+        changes.jobs.push_back(job);
         changes.version = it->first;
     }
     changes.more = it != own.byVersion.end();
+    if (changes.more && changes.jobs.empty())
+        changes.replacesAll = false;
     if (!changes.more)
         changes.version = std::max(changes.version, own.droppedVersion);
     return changes;
--- a/fleet/job_table.h
+++ b/fleet/job_table.h
@@ -28,7 +28,7 @@
     std::vector<schema::JobRecord> jobs; // a job owned by another data centre must be dropped
     uint64_t version = 0; // all changes up to this version are included
     bool replacesAll = false; // jobs that are not listed must be dropped
-    bool more = false; // further changes were left out because `max` was reached
+    bool more = false; // further changes were left out because a limit was reached
 };
 
 bool hasEnded(const schema::JobRecord&);
@@ -53,8 +53,10 @@
     const schema::JobRecord* find(const std::string& id) const;
     const std::map<std::string, schema::JobRecord>& jobs() const { return m_jobs; }
 
-    // At most `max` jobs that changed after `version`, the least recently changed first.
-    JobChanges changedSince(const std::string& dataCentre, uint64_t version, size_t max) const;
+    // At most `max` jobs that changed after `version`, the least recently changed first; several only if they have at
+    // most `maxBytes` together, and none if that is 0.
+    JobChanges changedSince(
+        const std::string& dataCentre, uint64_t version, size_t max, size_t maxBytes = SIZE_MAX) const;
     uint64_t versionOf(const std::string& dataCentre) const;
 
     void writeTo(schema::FleetSnapshot&) const;
