Job plane: a new leader knows the longest lease that leaders ask for

Cause: a new leader, and the first clock reading of an executor under it, assume the longest lease that executors grant, there 10 s (10.7 s on a slow clock). No leader asks for more than 8 s (8.6 s), but the log did not say so. Seen with executor_lapsed: executors that were lost after the leader expired 10.66 s after their last answer. Evidence: "a run of a lost executor is restarted after the lease that leaders ask for, once that is recorded" (jobs_inherited_runs): 10.7 s whether or not a leader had led for long. Why it works: a leader records the lease that it asks for once all leases of leaders that recorded nothing have expired, and asks for no longer one than the log says. It counts for orders to the same incarnation only: a later one reads their times on its own clock, so that lateLeaseExpiry() keeps the longest lease that executors grant.

--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -240,7 +240,7 @@
     // not answered, or was by an unknown incarnation: carried out late, the renewal would extend the lease of a later
     // incarnation that has begun the run.
     if (order.isRegular && !executor.hasUnansweredStart() && !executor.hasUnconfirmedRun()) {
-        renewal.leaseUntilMs = executor.clock.executorNow(m_now) + static_cast<uint64_t>(m_options.lease.count());
+        renewal.leaseUntilMs = executor.clock.executorNow(m_now) + static_cast<uint64_t>(lease().count());
         executor.clock.recordLeaseSent(renewal.leaseUntilMs);
     }
     // An executor that accepts no further connection receives stops over the connection used for renewals, so
@@ -330,7 +330,7 @@
     if (result.clockMs != 0) {
         // A previous leader may have renewed the lease until just before.
         if (!executor->clock.isKnown())
-            executor->clock.recordLeaseSent(result.clockMs + static_cast<uint64_t>(m_options.maxLease.count()));
+            executor->clock.recordLeaseSent(result.clockMs + static_cast<uint64_t>(inheritedLease().count()));
         executor->clock.onReading(result.clockMs, now);
     }
     switch (order.kind) {
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -20,7 +20,6 @@
     : m_options(std::move(options))
     , m_state(state)
 {
-    // A new leader assumes that the leases of previous leaders are no longer than maxLease.
     m_options.lease = std::min(m_options.lease, m_options.maxLease);
 }
 
@@ -33,6 +32,8 @@
     m_lastOrder = fence << sequenceBits;
     m_lastFence = 0;
     m_leadingSince = m_now = now;
+    m_inheritedLease = m_state.longestLease();
+    m_isLeaseProposed = false;
     m_wall = wall;
     m_lastExecutor = m_state.lastExecutorNumber();
     m_proposedConfiguration = m_state.configuration();
@@ -136,6 +137,7 @@
     checkClaims();
     checkGangs();
     checkEvacuations();
+    recordLease();
     recordConfirmations();
     recordLearnedRunTimes();
 }
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -323,6 +323,14 @@
     // Records the new confirmations, so that they hold under later leaders.
     void recordConfirmations();
 
+    // Leases (job_leases.cpp).
+    // The lease that orders ask for now.
+    Milliseconds lease() const;
+    // The longest lease, of orders to the same incarnation, that an earlier leader may have asked for.
+    Milliseconds inheritedLease() const;
+    // Records the longest lease that leaders ask for, so that later leaders need not assume the longest possible.
+    void recordLease();
+
     // Run times (job_run_times.cpp).
     void recordRunTime(LiveExecutor&, const TaskKey&, const LiveRun&);
     void learnRunTime(const LiveExecutor&, const TaskKey&, const LiveRun&, bool isComplete);
@@ -425,6 +433,8 @@
     };
     std::vector<Confirmation> m_newConfirmations; // not recorded yet
     Instant m_nextConfirmationRecordAt {};
+    Milliseconds m_inheritedLease { 0 };
+    bool m_isLeaseProposed = false;
     absl::btree_set<TaskKey> m_lateEnds; // tasks whose late end is counted by a proposal that is not committed yet
     ExecutorClaims m_claims;
     // Start times (born_ms) of executors whose registration is not committed, by executor id.
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -319,7 +319,7 @@
     start.payload = job->request.payload();
     start.checkpoint = task->checkpoint;
     start.ticket = std::string(ticket);
-    start.leaseUntilMs = executor->clock.executorNow(m_now) + static_cast<uint64_t>(m_options.lease.count());
+    start.leaseUntilMs = executor->clock.executorNow(m_now) + static_cast<uint64_t>(lease().count());
     executor->clock.recordLeaseSent(start.leaseUntilMs);
     run.stage = RunStage::Starting;
     run.startedAt = run.startSentAt = m_now;
--- a/jobs/job_state.cpp
+++ b/jobs/job_state.cpp
@@ -54,6 +54,9 @@
         return;
     case schema::JobChange::kConfirmed:
         return applyConfirmed(change.confirmed());
+    case schema::JobChange::kLongestLeaseMs:
+        m_longestLease = std::max(m_longestLease, Milliseconds(static_cast<int64_t>(change.longest_lease_ms())));
+        return;
     case schema::JobChange::BODY_NOT_SET:
         return;
     }
--- a/jobs/job_state.h
+++ b/jobs/job_state.h
@@ -137,6 +137,8 @@
     uint64_t queuedJobs(std::string_view queueKey) const;
     const absl::btree_map<uint32_t, ExecutorState>& executors() const { return m_executors; }
     uint32_t lastExecutorNumber() const { return m_lastExecutor; }
+    // The longest lease that a leader may have asked executors for; 0: not known.
+    Milliseconds longestLease() const { return m_longestLease; }
     // What a leader recorded last about run times.
     const schema::RunTimeImage& runTimes() const { return m_runTimes; }
 
@@ -191,6 +193,7 @@
     absl::btree_map<uint64_t, uint64_t> m_cancelledUnseen; // time of the cancellation in ms, by job
     std::deque<std::pair<uint64_t, uint64_t>> m_cancelledInOrder; // the same, oldest first
     schema::RunTimeImage m_runTimes;
+    Milliseconds m_longestLease { 0 };
     uint32_t m_lastExecutor = 0;
     uint64_t m_wallMs = 0;
 };
--- a/jobs/job_state_snapshot.cpp
+++ b/jobs/job_state_snapshot.cpp
@@ -108,6 +108,7 @@
         cancelled.set_cancelled_at_ms(atMs);
     }
     *image.mutable_run_times() = m_runTimes;
+    image.set_longest_lease_ms(static_cast<uint64_t>(m_longestLease.count()));
     image.set_last_executor(m_lastExecutor);
     image.set_wall_ms(m_wallMs);
     return image.SerializeAsString();
@@ -162,6 +163,7 @@
     for (const auto& it : image.cancelled_unseen())
         recordCancelledUnseen(it.job(), it.cancelled_at_ms());
     m_runTimes = image.run_times();
+    m_longestLease = Milliseconds(static_cast<int64_t>(image.longest_lease_ms()));
     m_lastExecutor = image.last_executor();
     m_wallMs = image.wall_ms();
     return {};
--- a/tests/jobs_inherited_runs_test.cpp
+++ b/tests/jobs_inherited_runs_test.cpp
@@ -186,6 +186,52 @@
     CHECK(*time >= Milliseconds(14'000) + wholeLease);
 }
 
+// Guards against LOST: a new leader waits for longer leases than any leader asks for.
+TEST_CASE("a run of a lost executor is restarted after the lease that leaders ask for, once that is recorded")
+{
+    for (const bool isRecorded : { true, false }) {
+        CAPTURE(isRecorded);
+        auto options = JobsFixture::defaultOptions();
+        options.maxLease = Milliseconds(10'000);
+        options.lease = Milliseconds(8'000);
+        JobsFixture it(false, options);
+        startOnX1(it);
+        it.passWithRenewals(isRecorded ? Milliseconds(12'000) : Milliseconds(1'000), listed());
+        it.announce("x2");
+        REQUIRE(it.state.restore(it.state.snapshot()));
+        changeLeader(it);
+        const auto time = timeToRestart(it, Milliseconds(30'000));
+        REQUIRE(time);
+        CHECK(*time >= (isRecorded ? Milliseconds(8'620) : Milliseconds(10'700)));
+        CHECK(*time <= (isRecorded ? Milliseconds(8'620) : Milliseconds(10'700)) + tolerance);
+    }
+}
+
+// Guards against TWICE: an executor runs on under a lease that is longer than the record.
+TEST_CASE("no order asks for a longer lease than the log says")
+{
+    auto options = JobsFixture::defaultOptions();
+    options.maxLease = Milliseconds(10'000);
+    options.lease = Milliseconds(8'000);
+    JobsFixture it(false, options);
+    schema::JobCommand command;
+    command.add_changes()->set_longest_lease_ms(4'000);
+    it.state.apply(0, command.SerializeAsString());
+    it.announce("x1");
+    it.answerRenewals({});
+    it.pass(Milliseconds(20));
+    REQUIRE(it.state.longestLease() == Milliseconds(8'000)); // recorded by this leader
+    JobsFixture old(false, options);
+    old.announce("x1");
+    old.answerRenewals({});
+    command.mutable_changes(0)->set_longest_lease_ms(4'000);
+    old.state.apply(0, command.SerializeAsString());
+    old.submit(JobsFixture::request(7, 1)); // before the next tick
+    const auto start = old.takeOrder<StartRun>("x1");
+    REQUIRE(start);
+    CHECK(std::get<StartRun>(start->order).leaseUntilMs <= old.clockOf("x1") + 4'000);
+}
+
 // Guards against TWICE: a new leader takes a start that was in flight at the loss for used up.
 TEST_CASE("a run that no listing showed before the leader was lost waits until its start and a lease have expired")
 {
--- a/tests/jobs_joint_losses_random_test.cpp
+++ b/tests/jobs_joint_losses_random_test.cpp
@@ -10,7 +10,7 @@
 {
     JobsWorldOptions options;
     options.jointLossesPerSecond = 0.15;
-    options.holdMax = Milliseconds(6'000);
+    options.holdMax = options.maxLease = Milliseconds(seed % 4 < 2 ? 6'000 : 10'000); // the leader asks for at most 8 s
     options.maxStopTime = Milliseconds(195); // the contract's 200 ms, less the emulator's step
     options.lateOrders = 0.05;
     options.lateOrdersPassCuts = true;
--- a/tests/jobs_world.h
+++ b/tests/jobs_world.h
@@ -113,6 +113,7 @@
             m_evacuations.checkState(m_state);
         }
         JobLeaderOptions options;
+        options.maxLease = m_options.maxLease;
         for (size_t n = 0; m_evacuations.isEnabled() && n < worldZones; ++n)
             options.regions[worldZone(n)] = "region";
         m_leader = std::make_unique<JobLeader>(std::move(options), m_state);
--- a/tests/jobs_world_types.h
+++ b/tests/jobs_world_types.h
@@ -51,6 +51,7 @@
     Milliseconds maxStopTime { 0 }; // a stopped run holds its capacity for up to this time
     double evacuationsPerSecond = 0; // orders and withdrawals for each data centre; drawn from a separate generator
     Milliseconds probeDuration { 0 }; // at the end: time within which each executor must run a task of its full size
+    Milliseconds maxLease { 6'000 }; // that the leader assumes of executors
     Milliseconds holdMax { 0 }; // executors shorten a longer lease to this time; 0: to none
     TicketCheck ticketCheck = TicketCheck::None;
     Milliseconds ticketValidity { 15'000 }; // unchecked tickets are valid for longer than orders are late
