--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -433,7 +433,7 @@
     };
     std::vector<Confirmation> m_newConfirmations; // not recorded yet
     Instant m_nextConfirmationRecordAt {};
-    Milliseconds m_inheritedLease { 0 };
+    Milliseconds m_inheritedLease { 0 }; // as recorded when this leader began; 0: not known
     bool m_isLeaseProposed = false;
     absl::btree_set<TaskKey> m_lateEnds; // tasks whose late end is counted by a proposal that is not committed yet
     ExecutorClaims m_claims;
