--- a/jobs/job_confirmations.cpp
+++ b/jobs/job_confirmations.cpp
@@ -13,8 +13,8 @@
     constexpr Milliseconds listingDelay { 60 }; // between the end of a run and its listing
     constexpr size_t maxStrayStopsPerListing = 250;
     constexpr int maxConfirmationsPerChange = 1'000;
-    // Longest time from the reading of a clock for a list of runs to the processing of that list here. After a longer one
-    // the next answers confirm nothing.
+    // Longest time from the reading of a clock for a list of runs to the processing of that list here. After a longer
+    // one the next answers confirm nothing.
     constexpr Milliseconds maxTransit { 100 };
     constexpr Milliseconds clockResolution { 1 };
 
