--- a/jobs/job_confirmations.cpp
+++ b/jobs/job_confirmations.cpp
@@ -97,7 +97,7 @@
         run.percent = it.percent;
         run.isListed = true;
         confirmRun(executor, it.task, run);
-        run.lastSeenAt = m_now;
+        run.lastShownAt = m_now;
         // Send a stop again that was acknowledged but had no effect.
         if (run.isStopAnswered()
             && order.sentAt > run.stopAnsweredAt + m_options.stopTime + m_options.stopRetryInterval)
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -352,7 +352,7 @@
     run.isStartAnswered = result.outcome != OrderOutcome::UnknownOutcome;
     if (result.outcome == OrderOutcome::Done) {
         run.stage = RunStage::Running;
-        run.startedAt = run.lastSeenAt = run.startExpiresAt = m_now;
+        run.startedAt = run.lastShownAt = run.startExpiresAt = m_now;
         if (isFromRegisteredIncarnation(executor, order, result))
             confirmRun(executor, order.task, run);
         return;
--- a/jobs/job_run_ends.cpp
+++ b/jobs/job_run_ends.cpp
@@ -196,7 +196,7 @@
             neverRan.emplace_back(key, RunEvidence::AbsentAfterRefusal);
         else if (run.stage == RunStage::UnknownOutcome && order.sentAt > run.unknownSince)
             requestStop(executor, key, run);
-        else if (run.stage == RunStage::Running && order.sentAt > run.lastSeenAt) // Listings may arrive out of order.
+        else if (run.stage == RunStage::Running && order.sentAt > run.lastShownAt) // Listings may arrive out of order.
             lost.push_back(key);
     }
     for (const auto& [key, evidence] : neverRan)
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -36,7 +36,7 @@
     Instant assignedAt {};
     Instant startedAt {};
     Instant startSentAt {};
-    Instant lastSeenAt {}; // last time an answered start or a listing showed the run
+    Instant lastShownAt {}; // last time an answered start or a listing showed the run
     Instant unknownSince {};
     Instant startExpiresAt {}; // its start takes effect before this time or never
     bool isPolledAfterExpiry = false; // a poll was sent because its start had expired
