Job plane, teasel-state: one piece of code where the change had written it again

Found by reading the change once more: smallestOf() of two resource vectors stood in two files beside largestOf(), the sum over executors of an admission's load in two functions, and a lease that is set once per leader was derived at each use. An inherited run that is confirmed got an expiry of its start that nothing reads. The size of teasel-state's configuration was computed for every grant with missed changes; now only where these are larger than 64 KiB.

--- a/fleet/delta_log.cpp
+++ b/fleet/delta_log.cpp
@@ -52,14 +52,13 @@
     auto it = std::lower_bound(m_steps.begin(), m_steps.end(), from, after);
     if (it == m_steps.end() || it->from_revision() != from)
         return fullDelta(config, digest);
-    const auto wholeBytes = config.ByteSizeLong();
     size_t bytes = 0;
-    for (; it != m_steps.end(); ++it) {
-        bytes += it->ByteSizeLong();
-        if (bytes > std::max(wholeBytes, minWholeBytes))
-            return fullDelta(config, digest);
+    for (auto step = it; step != m_steps.end(); ++step)
+        bytes += step->ByteSizeLong();
+    if (bytes > minWholeBytes && bytes > config.ByteSizeLong())
+        return fullDelta(config, digest);
+    for (; it != m_steps.end(); ++it)
         delta.mutable_edits()->MergeFrom(it->edits());
-    }
     return delta;
 }
 
--- a/jobs/expected_capacity.cpp
+++ b/jobs/expected_capacity.cpp
@@ -17,13 +17,6 @@
         return out;
     }
 
-    ResourceVector smallestOf(ResourceVector a, const ResourceVector& b)
-    {
-        for (size_t n = 0; n < ResourceVector::kinds; ++n)
-            a.amounts[n] = std::min(a.amounts[n], std::max<int64_t>(0, b.amounts[n]));
-        return a;
-    }
-
     // A fleet without accelerators has none left from the start.
     bool isLeft(const ResourceVector& it) { return it.amounts[0] > 0 && it.amounts[1] > 0 && it.amounts[2] >= 0; }
 
@@ -247,7 +240,7 @@
         const auto rest = restOf(executor);
         const double part = partAvailable(need, rest);
         const auto amount = share(need, part);
-        const auto soon = smallestOf(amount, m_left[executor].soon);
+        const auto soon = smallestOf(amount, largestOf(m_left[executor].soon, {}));
         take(step, executor, soon, true);
         take(step, executor, amount - soon, false);
         if (part >= 1)
--- a/jobs/job_checks.cpp
+++ b/jobs/job_checks.cpp
@@ -57,7 +57,7 @@
     }
     const bool isSilent = m_now - std::max(executor.lastAnswerAt, executor.addedAt) > m_options.suspectAfter;
     if (isSilent && !executor.runs.empty()) {
-        const auto earliestExpiry = executor.addedAt + longestValidity(inheritedLease());
+        const auto earliestExpiry = executor.addedAt + longestValidity(m_inheritedLease);
         if (m_now >= (executor.hasAcceptedFence ? executor.clock.expiresAt() : earliestExpiry))
             expireLease(executor);
     }
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -57,9 +57,7 @@
         const auto* moved = findRun(key, held.run);
         run.isMoved = moved != nullptr;
         run.isConfirmed = held.isConfirmed;
-        run.startExpiresAt = run.isConfirmed ? m_now
-            : moved != nullptr               ? moved->startExpiresAt
-                                             : inheritedStartExpiry(key);
+        run.startExpiresAt = moved != nullptr ? moved->startExpiresAt : inheritedStartExpiry(key);
         run.isFromStart = false;
         const auto* job = m_state.find(key.step.job);
         if (job != nullptr) {
@@ -330,7 +328,7 @@
     if (result.clockMs != 0) {
         // A previous leader may have renewed the lease until just before.
         if (!executor->clock.isKnown())
-            executor->clock.recordLeaseSent(result.clockMs + static_cast<uint64_t>(inheritedLease().count()));
+            executor->clock.recordLeaseSent(result.clockMs + static_cast<uint64_t>(m_inheritedLease.count()));
         executor->clock.onReading(result.clockMs, now);
     }
     switch (order.kind) {
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -32,7 +32,9 @@
     m_lastOrder = fence << sequenceBits;
     m_lastFence = 0;
     m_leadingSince = m_now = now;
-    m_inheritedLease = m_state.longestLease();
+    const auto recordedLease = m_state.longestLease();
+    m_inheritedLease
+        = recordedLease == Milliseconds(0) ? m_options.maxLease : std::min(m_options.maxLease, recordedLease);
     m_isLeaseProposed = false;
     m_wall = wall;
     m_lastExecutor = m_state.lastExecutorNumber();
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -326,8 +326,6 @@
     // Leases (job_leases.cpp).
     // The lease that orders ask for now.
     Milliseconds lease() const;
-    // The longest lease, of orders to the same incarnation, that an earlier leader may have asked for.
-    Milliseconds inheritedLease() const;
     // Records the longest lease that leaders ask for, so that later leaders need not assume the longest possible.
     void recordLease();
 
@@ -433,7 +431,8 @@
     };
     std::vector<Confirmation> m_newConfirmations; // not recorded yet
     Instant m_nextConfirmationRecordAt {};
-    Milliseconds m_inheritedLease { 0 }; // as recorded when this leader began; 0: not known
+    // The longest lease, of orders to the same incarnation, that an earlier leader may have asked for.
+    Milliseconds m_inheritedLease { 0 };
     bool m_isLeaseProposed = false;
     absl::btree_set<TaskKey> m_lateEnds; // tasks whose late end is counted by a proposal that is not committed yet
     ExecutorClaims m_claims;
--- a/jobs/job_leases.cpp
+++ b/jobs/job_leases.cpp
@@ -13,11 +13,6 @@
     return recorded == Milliseconds(0) ? m_options.lease : std::min(m_options.lease, recorded);
 }
 
-Milliseconds JobLeader::inheritedLease() const
-{
-    return m_inheritedLease == Milliseconds(0) ? m_options.maxLease : std::min(m_options.maxLease, m_inheritedLease);
-}
-
 void JobLeader::recordLease()
 {
     const auto recorded = m_state.longestLease();
--- a/jobs/job_load.cpp
+++ b/jobs/job_load.cpp
@@ -7,11 +7,12 @@
 
 namespace {
 
-    ResourceVector smallestOf(ResourceVector a, const ResourceVector& b)
+    void add(const LiveExecutor& executor, FleetLoad& load)
     {
+        load.total += executor.capacity;
+        load.free += leftOf(executor.capacity, executor.used());
         for (size_t n = 0; n < ResourceVector::kinds; ++n)
-            a.amounts[n] = std::min(a.amounts[n], b.amounts[n]);
-        return a;
+            load.freedPerSecond[n] += executor.freedPerSecond[n];
     }
 
     // Whether the step may not use all executors of its service.
@@ -38,12 +39,8 @@
     FleetLoad load;
     for (const auto& [number, it] : m_executors) {
         const auto* state = executorState(number);
-        if (state == nullptr || !isUsable(it) || isEvacuated(it))
-            continue;
-        load.total += it.capacity;
-        load.free += leftOf(it.capacity, it.used());
-        for (size_t n = 0; n < ResourceVector::kinds; ++n)
-            load.freedPerSecond[n] += it.freedPerSecond[n];
+        if (state != nullptr && isUsable(it) && !isEvacuated(it))
+            add(it, load);
     }
     return load;
 }
@@ -74,10 +71,7 @@
         const auto* state = executorState(number);
         if (state == nullptr || state->record.service() != service || !isUsable(it) || isEvacuated(it))
             continue;
-        load.total += it.capacity;
-        load.free += leftOf(it.capacity, it.used());
-        for (size_t n = 0; n < ResourceVector::kinds; ++n)
-            load.freedPerSecond[n] += it.freedPerSecond[n];
+        add(it, load);
         for (auto& [key, usable] : restricted) {
             if (mayRunOn(*usable.step, service, regionOf(*state), state->record.labels()))
                 usable.left += it.capacity;
--- a/placement/resource_vector.h
+++ b/placement/resource_vector.h
@@ -48,6 +48,14 @@
         return a;
     }
 
+    // The smaller amount of each kind.
+    friend ResourceVector smallestOf(ResourceVector a, const ResourceVector& b)
+    {
+        for (size_t i = 0; i < kinds; ++i)
+            a.amounts[i] = std::min(a.amounts[i], b.amounts[i]);
+        return a;
+    }
+
     // What is left of `total` without `used`, of each kind at least 0.
     friend ResourceVector leftOf(const ResourceVector& total, const ResourceVector& used)
     {
