Tests: announcements, waits for the next start, and the first start of a run stand once

Five fixtures built the same announcement, two files waited for the next start in the same way, and jobs_inherited_runs sent its first start in five places. jobs_late_ends answers on the clock of the executor's life, as the fixture does, no longer on the leader's.

--- a/tests/jobs_configuration_changes_test.cpp
+++ b/tests/jobs_configuration_changes_test.cpp
@@ -25,18 +25,10 @@
 
     void announceTo(const std::string& id, const std::string& service, const std::string& zone = "zone-n")
     {
-        ExecutorAnnouncement it;
-        it.record.set_id(id);
-        it.record.set_born_ms(1);
-        it.record.set_address(id);
+        auto it = announcementOf(id);
         it.record.set_service(service);
         it.record.set_zone(zone);
-        it.record.mutable_capacity()->set_milli_cpus(8'000);
-        it.record.mutable_capacity()->set_memory_mib(16'000);
-        it.sequence = 1;
-        announcedBorn[id] = 1;
-        leader.onCall(++lastHandle, std::move(it), clock.now(), clock.wallNow());
-        commitAndCollect();
+        announce(std::move(it));
         answerRenewals({});
     }
 
--- a/tests/jobs_evacuation_test.cpp
+++ b/tests/jobs_evacuation_test.cpp
@@ -23,18 +23,10 @@
 
     void addExecutor(const std::string& id, const std::string& zone, uint64_t sequence = 1, uint64_t coldMs = 0)
     {
-        ExecutorAnnouncement it;
-        it.record.set_id(id);
-        it.record.set_born_ms(1);
-        it.record.set_address(id);
-        it.record.set_service("filling");
+        auto it = announcementOf(id, sequence);
         it.record.set_zone(zone);
-        it.record.mutable_capacity()->set_milli_cpus(8'000);
-        it.record.mutable_capacity()->set_memory_mib(16'000);
-        it.sequence = sequence;
         it.coldRemainingMs = coldMs;
-        leader.onCall(++lastHandle, std::move(it), clock.now(), clock.wallNow());
-        commitAndCollect();
+        announce(std::move(it));
         answerRenewals({});
     }
 
--- a/tests/jobs_fixture.h
+++ b/tests/jobs_fixture.h
@@ -94,19 +94,34 @@
     void announceAt(const std::string& id, const std::string& address, uint64_t born = 1, uint64_t sequence = 1,
         bool draining = false)
     {
-        ExecutorAnnouncement it;
-        it.record.set_id(id);
+        auto it = announcementOf(id, sequence);
         it.record.set_born_ms(born);
         it.record.set_address(address);
-        it.record.set_service("filling");
         it.record.set_draining(draining);
-        it.record.mutable_capacity()->set_milli_cpus(8'000);
-        it.record.mutable_capacity()->set_memory_mib(16'000);
-        it.sequence = sequence;
         it.drainRemainingMs = draining ? 2'000 : 0;
-        if (announcedBorn[id] != born)
-            restart(id);
-        announcedBorn[id] = born;
+        announce(std::move(it));
+    }
+
+    // An executor of 8 processors and 16,000 MiB that serves "filling".
+    static ExecutorAnnouncement announcementOf(const std::string& id, uint64_t sequence = 1)
+    {
+        ExecutorAnnouncement out;
+        out.record.set_id(id);
+        out.record.set_born_ms(1);
+        out.record.set_address(id);
+        out.record.set_service("filling");
+        out.record.mutable_capacity()->set_milli_cpus(8'000);
+        out.record.mutable_capacity()->set_memory_mib(16'000);
+        out.sequence = sequence;
+        return out;
+    }
+
+    void announce(ExecutorAnnouncement it)
+    {
+        auto& born = announcedBorn[it.record.id()];
+        if (born != it.record.born_ms())
+            restart(it.record.id());
+        born = it.record.born_ms();
         leader.onCall(++lastHandle, std::move(it), clock.now(), clock.wallNow());
         commitAndCollect();
     }
@@ -181,6 +196,25 @@
         return it == state.executors().end() ? 0 : it->second.record.born_ms();
     }
 
+    // Until the next start is sent, the named executors answer all other orders; the others are silent. Returns how
+    // long it took.
+    std::optional<Milliseconds> timeToNextStart(const std::vector<std::string>& answering, Milliseconds limit)
+    {
+        constexpr Milliseconds step { 20 };
+        for (Milliseconds n { 0 }; n < limit; n += step) {
+            pass(step);
+            for (const auto& name : answering) {
+                while (const auto stop = takeOrder<StopRun>(name))
+                    answer(*stop, { OrderOutcome::Done });
+                while (const auto renewal = takeOrder<RenewLease>(name))
+                    answer(*renewal, { OrderOutcome::Done });
+            }
+            if (takeOrder<StartRun>())
+                return n + step;
+        }
+        return std::nullopt;
+    }
+
     // Answers every collected renewal and poll with these lists.
     void answerRenewals(const std::vector<RunningTask>& running, const std::vector<EndedTask>& ended = {})
     {
--- a/tests/jobs_inherited_runs_test.cpp
+++ b/tests/jobs_inherited_runs_test.cpp
@@ -13,8 +13,8 @@
 
 std::vector<RunningTask> listed(uint32_t run = 1) { return { { firstTask, run, {}, 50, -1 } }; }
 
-// x1 has answered the start of a task.
-void startOnX1(JobsFixture& it, bool lasting = false)
+// The start of a task that x1 was sent and has not answered.
+SendOrder sentToX1(JobsFixture& it, bool lasting = false)
 {
     it.announce("x1");
     it.answerRenewals({});
@@ -24,7 +24,13 @@
     it.pass(step);
     const auto start = it.takeOrder<StartRun>("x1");
     REQUIRE(start);
-    it.answer(*start, { OrderOutcome::Done });
+    return *start;
+}
+
+void startOnX1(JobsFixture& it, bool lasting = false)
+{
+    const auto start = sentToX1(it, lasting);
+    it.answer(start, { OrderOutcome::Done });
 }
 
 void listOnX1(JobsFixture& it)
@@ -40,19 +46,6 @@
     it.pass(step);
 }
 
-// Only x2 answers. Returns how long it took until the task was started again.
-std::optional<Milliseconds> timeToRestart(JobsFixture& it, Milliseconds limit)
-{
-    for (Milliseconds n { 0 }; n < limit; n += step) {
-        it.pass(step);
-        while (const auto renewal = it.takeOrder<RenewLease>("x2"))
-            it.answer(*renewal, { OrderOutcome::Done });
-        if (it.takeOrder<StartRun>())
-            return n + step;
-    }
-    return std::nullopt;
-}
-
 } // namespace
 
 // Guards against LOST: a new leader waits for the expiry of a start that its predecessor had seen used up.
@@ -65,7 +58,7 @@
         listOnX1(it);
         it.announce("x2");
         changeLeader(it);
-        const auto time = timeToRestart(it, Milliseconds(30'000));
+        const auto time = it.timeToNextStart({ "x2" }, Milliseconds(30'000));
         REQUIRE(time);
         CHECK(*time >= wholeLease);
         CHECK(*time <= wholeLease + tolerance);
@@ -83,7 +76,7 @@
     it.pass(Milliseconds(2'000));
     REQUIRE(it.state.restore(it.state.snapshot()));
     changeLeader(it, 3);
-    const auto time = timeToRestart(it, Milliseconds(30'000));
+    const auto time = it.timeToNextStart({ "x2" }, Milliseconds(30'000));
     REQUIRE(time);
     CHECK(*time <= wholeLease + tolerance);
 }
@@ -99,7 +92,7 @@
     const auto renewal = it.takeOrder<RenewLease>("x1");
     REQUIRE(renewal);
     it.answer(*renewal, { OrderOutcome::Done, 0, 2 });
-    const auto time = timeToRestart(it, Milliseconds(30'000));
+    const auto time = it.timeToNextStart({ "x2" }, Milliseconds(30'000));
     REQUIRE(time);
     CHECK(*time <= tolerance);
 }
@@ -115,7 +108,7 @@
     const auto renewal = it.takeOrder<RenewLease>("x1");
     REQUIRE(renewal);
     it.answer(*renewal, { OrderOutcome::Done });
-    const auto time = timeToRestart(it, Milliseconds(30'000));
+    const auto time = it.timeToNextStart({ "x2" }, Milliseconds(30'000));
     REQUIRE(time);
     CHECK(*time <= tolerance);
 }
@@ -124,13 +117,8 @@
 TEST_CASE("a run that the next life of its executor began and listed is restarted one lease after both are lost")
 {
     JobsFixture it;
-    it.announce("x1");
-    it.answerRenewals({});
-    it.submit(JobsFixture::request(7, 1));
-    it.pass(step);
-    const auto start = it.takeOrder<StartRun>("x1");
-    REQUIRE(start);
-    it.answer(*start, { OrderOutcome::UnknownOutcome });
+    const auto start = sentToX1(it);
+    it.answer(start, { OrderOutcome::UnknownOutcome });
     it.pass(step);
     it.announce("x1", 2);
     for (int n = 0; n < 40; ++n) {
@@ -142,7 +130,7 @@
     REQUIRE(it.state.executors().rbegin()->second.assignments.contains(firstTask));
     it.announce("x2");
     changeLeader(it);
-    const auto time = timeToRestart(it, Milliseconds(30'000));
+    const auto time = it.timeToNextStart({ "x2" }, Milliseconds(30'000));
     REQUIRE(time);
     CHECK(*time <= wholeLease + tolerance);
 }
@@ -151,17 +139,11 @@
 TEST_CASE("a run whose start its executor answered just before both were lost is restarted after one lease")
 {
     JobsFixture it;
-    it.announce("x1");
-    it.answerRenewals({});
-    it.submit(JobsFixture::request(7, 1));
-    it.pass(step);
-    const auto start = it.takeOrder<StartRun>("x1");
-    REQUIRE(start);
-    it.answer(*start, { OrderOutcome::Done });
+    startOnX1(it);
     it.announce("x2");
     it.pass(untilRecorded);
     changeLeader(it);
-    const auto time = timeToRestart(it, Milliseconds(30'000));
+    const auto time = it.timeToNextStart({ "x2" }, Milliseconds(30'000));
     REQUIRE(time);
     CHECK(*time <= wholeLease + tolerance);
 }
@@ -170,18 +152,13 @@
 TEST_CASE("a run whose start an executor answered that may have restarted waits for the start and a lease")
 {
     JobsFixture it;
-    it.announce("x1");
-    it.answerRenewals({});
-    it.submit(JobsFixture::request(7, 1));
-    it.pass(step);
-    const auto start = it.takeOrder<StartRun>("x1");
-    REQUIRE(start);
+    const auto start = sentToX1(it);
     it.restart("x1");
-    it.answer(*start, { OrderOutcome::Done });
+    it.answer(start, { OrderOutcome::Done });
     it.announce("x2");
     it.pass(untilRecorded);
     changeLeader(it);
-    const auto time = timeToRestart(it, Milliseconds(30'000));
+    const auto time = it.timeToNextStart({ "x2" }, Milliseconds(30'000));
     REQUIRE(time);
     CHECK(*time >= Milliseconds(14'000) + wholeLease);
 }
@@ -200,7 +177,7 @@
         it.announce("x2");
         REQUIRE(it.state.restore(it.state.snapshot()));
         changeLeader(it);
-        const auto time = timeToRestart(it, Milliseconds(30'000));
+        const auto time = it.timeToNextStart({ "x2" }, Milliseconds(30'000));
         REQUIRE(time);
         CHECK(*time >= (isRecorded ? Milliseconds(8'620) : Milliseconds(10'700)));
         CHECK(*time <= (isRecorded ? Milliseconds(8'620) : Milliseconds(10'700)) + tolerance);
@@ -236,16 +213,11 @@
 TEST_CASE("a run that no listing showed before the leader was lost waits until its start and a lease have expired")
 {
     JobsFixture it;
-    it.announce("x1");
-    it.answerRenewals({});
-    it.submit(JobsFixture::request(7, 1));
-    it.pass(step);
-    const auto start = it.takeOrder<StartRun>("x1");
-    REQUIRE(start);
-    it.answer(*start, { OrderOutcome::UnknownOutcome });
+    const auto start = sentToX1(it);
+    it.answer(start, { OrderOutcome::UnknownOutcome });
     it.announce("x2");
     changeLeader(it);
-    const auto time = timeToRestart(it, Milliseconds(30'000));
+    const auto time = it.timeToNextStart({ "x2" }, Milliseconds(30'000));
     REQUIRE(time);
     CHECK(*time >= Milliseconds(14'000) + wholeLease);
 }
@@ -268,7 +240,7 @@
     it.answer(*again, { OrderOutcome::UnknownOutcome });
     it.announce("x2");
     changeLeader(it);
-    const auto time = timeToRestart(it, Milliseconds(30'000));
+    const auto time = it.timeToNextStart({ "x2" }, Milliseconds(30'000));
     REQUIRE(time);
     CHECK(*time >= Milliseconds(14'000) + wholeLease);
 }
--- a/tests/jobs_late_ends_test.cpp
+++ b/tests/jobs_late_ends_test.cpp
@@ -36,8 +36,7 @@
     void result(const SendOrder& order, OrderResult result)
     {
         result.outcome = OrderOutcome::Done;
-        result.clockMs
-            = static_cast<uint64_t>(std::chrono::duration_cast<Milliseconds>(clock.now().time_since_epoch()).count());
+        result.clockMs = clockOf(order.executorId);
         result.bornMs = bornOf(order);
         result.isEndListComplete = true;
         leader.onOrderResult(order.number, std::move(result), clock.now());
--- a/tests/jobs_late_starts_test.cpp
+++ b/tests/jobs_late_starts_test.cpp
@@ -29,31 +29,13 @@
     return *start;
 }
 
-// Executors that are not named stay silent. Returns how long it took until the task was started again.
-std::optional<Milliseconds> timeToNextStart(
-    JobsFixture& it, const std::vector<std::string>& answering, Milliseconds limit)
-{
-    for (Milliseconds n { 0 }; n < limit; n += step) {
-        it.pass(step);
-        for (const auto& name : answering) {
-            while (const auto stop = it.takeOrder<StopRun>(name))
-                it.answer(*stop, { OrderOutcome::Done });
-            while (const auto renewal = it.takeOrder<RenewLease>(name))
-                it.answer(*renewal, { OrderOutcome::Done });
-        }
-        if (it.takeOrder<StartRun>())
-            return n + step;
-    }
-    return std::nullopt;
-}
-
 } // namespace
 
 TEST_CASE("a task is not started elsewhere while the next life of its executor may carry out a start that was stopped")
 {
     JobsFixture it(false, shortDelay());
     unansweredStart(it);
-    const auto time = timeToNextStart(it, { "x1", "x2" }, Milliseconds(4'000));
+    const auto time = it.timeToNextStart({ "x1", "x2" }, Milliseconds(4'000));
     REQUIRE(time);
     CHECK(*time >= Milliseconds(2'900));
     CHECK(*time <= Milliseconds(3'300));
@@ -63,7 +45,7 @@
 {
     JobsFixture it(false, shortDelay());
     unansweredStart(it);
-    const auto time = timeToNextStart(it, { "x2" }, Milliseconds(12'000));
+    const auto time = it.timeToNextStart({ "x2" }, Milliseconds(12'000));
     REQUIRE(time);
     CHECK(*time >= Milliseconds(9'000)); // the delay of the start and a whole lease
     CHECK(*time <= Milliseconds(10'000));
@@ -75,7 +57,7 @@
     unansweredStart(it);
     it.orders.clear();
     it.leader.onBecameLeader(2, it.clock.now(), it.clock.wallNow());
-    const auto time = timeToNextStart(it, { "x1", "x2" }, Milliseconds(4'000));
+    const auto time = it.timeToNextStart({ "x1", "x2" }, Milliseconds(4'000));
     REQUIRE(time);
     CHECK(*time >= Milliseconds(2'900));
     CHECK(*time <= Milliseconds(3'300));
@@ -86,7 +68,7 @@
     JobsFixture it(false, shortDelay());
     unansweredStart(it);
     it.leader.onCall(++it.lastHandle, ExecutorDeparture { "x1", 1 }, it.clock.now(), it.clock.wallNow());
-    const auto time = timeToNextStart(it, { "x2" }, Milliseconds(12'000));
+    const auto time = it.timeToNextStart({ "x2" }, Milliseconds(12'000));
     REQUIRE(time);
     CHECK(*time >= Milliseconds(9'000));
     CHECK(it.state.executors().size() == 1);
@@ -96,7 +78,7 @@
 {
     JobsFixture it(false, shortDelay());
     unansweredStart(it);
-    CHECK(!timeToNextStart(it, { "x1", "x2" }, Milliseconds(2'000)));
+    CHECK(!it.timeToNextStart({ "x1", "x2" }, Milliseconds(2'000)));
     it.announce("x1", 2); // restarted
     for (int n = 0; n < 100; ++n) {
         it.pass(step);
@@ -126,7 +108,7 @@
     REQUIRE(renewal);
     it.answer(*renewal, { OrderOutcome::Done, 0, 11 }); // restarted
     it.announceAt("y", "x1", 5);
-    CHECK(!timeToNextStart(it, { "x2" }, Milliseconds(2'000)));
+    CHECK(!it.timeToNextStart({ "x2" }, Milliseconds(2'000)));
 }
 
 TEST_CASE("a start with a ticket holds its task up until the ticket has expired, not for the longest delay of orders")
--- a/tests/jobs_load_summary_test.cpp
+++ b/tests/jobs_load_summary_test.cpp
@@ -9,18 +9,12 @@
 public:
     void announceTo(const std::string& id, const std::string& service, const std::string& label)
     {
-        ExecutorAnnouncement it;
-        it.record.set_id(id);
-        it.record.set_born_ms(1);
-        it.record.set_address(id);
+        auto it = announcementOf(id);
         it.record.set_service(service);
         it.record.add_labels(label);
         it.record.mutable_capacity()->set_milli_cpus(32'000);
         it.record.mutable_capacity()->set_memory_mib(64'000);
-        it.sequence = 1;
-        announcedBorn[id] = 1;
-        leader.onCall(++lastHandle, std::move(it), clock.now(), clock.wallNow());
-        commitAndCollect();
+        announce(std::move(it));
         answerRenewals({});
     }
 
--- a/tests/jobs_restricted_steps_test.cpp
+++ b/tests/jobs_restricted_steps_test.cpp
@@ -29,18 +29,11 @@
 
     void announceTo(const std::string& id, const std::string& label)
     {
-        ExecutorAnnouncement it;
-        it.record.set_id(id);
-        it.record.set_born_ms(1);
-        it.record.set_address(id);
-        it.record.set_service("filling");
+        auto it = announcementOf(id);
         it.record.add_labels(label);
         it.record.mutable_capacity()->set_milli_cpus(32'000);
         it.record.mutable_capacity()->set_memory_mib(128'000);
-        it.sequence = 1;
-        announcedBorn[id] = 1;
-        leader.onCall(++lastHandle, std::move(it), clock.now(), clock.wallNow());
-        commitAndCollect();
+        announce(std::move(it));
         answerRenewals({});
     }
 
