--- a/bench/load_bench.cpp
+++ b/bench/load_bench.cpp
@@ -1,25 +1,13 @@
 // What callers get from the job plane's leader under a heavy load, and its processor time. Usage: bench-load
 // [--executors N] [--scale X] [--burst X] [--seconds N]
 #include "../tests/jobs_load.h"
+#include "percentile.h"
 
 #include <CLI/CLI.hpp>
 #include <fmt/ranges.h>
 
 #include <algorithm>
 
-namespace {
-
-double percentileMs(std::vector<teasel::Duration> values, size_t percent)
-{
-    if (values.empty())
-        return 0;
-    std::sort(values.begin(), values.end());
-    const auto index = std::min(values.size() - 1, values.size() * percent / 100);
-    return std::chrono::duration<double, std::milli>(values[index]).count();
-}
-
-} // namespace
-
 int main(int argc, char** argv)
 {
     teasel::JobsLoadOptions options;
@@ -48,12 +36,15 @@
                "s of processor time\n",
         load.starts(), load.adviceCalls(), load.adviceSeconds(), load.counters().preemptions, load.openJobs(),
         load.drained().count(), load.leaderSeconds());
+    std::vector<double> firstStartMs;
+    for (const auto& it : load.firstStarts())
+        firstStartMs.push_back(std::chrono::duration<double, std::milli>(it).count());
     const auto perStart = [&](uint64_t it) {
         return static_cast<double>(it) / static_cast<double>(std::max<uint64_t>(1, load.starts()));
     };
     fmt::print(
         "log: {} records, {} bytes; a start: {:.3f} records, {:.1f} bytes; first start p50 {:.0f} ms, p95 {:.0f} ms\n",
         load.logRecords(), load.logBytes(), perStart(load.logRecords()), perStart(load.logBytes()),
-        percentileMs(load.firstStarts(), 50), percentileMs(load.firstStarts(), 95));
+        teasel::bench::percentile(firstStartMs, 0.50), teasel::bench::percentile(firstStartMs, 0.95));
     return load.openJobs() == 0 ? 0 : 1;
 }
--- a/bench/request_fleet.h
+++ b/bench/request_fleet.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/random.h"
+#include "percentile.h"
 #include "requests/dispatch_leader.h"
 
 #include <fmt/format.h>
@@ -34,15 +35,6 @@
     fmt::print("{} {} {:.3f} {} - baseline\n", bench, metric, value, unit);
 }
 
-inline double percentile(std::vector<double>& values, double fraction)
-{
-    if (values.empty())
-        return 0.0;
-    const auto n = static_cast<size_t>(fraction * static_cast<double>(values.size() - 1));
-    std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(n), values.end());
-    return values[n];
-}
-
 struct Job {
     uint64_t sequence = 0;
     TeamId team = 0;
