Callers: what they hold is bounded for an instance, and taken back from the slowest

Cause: teasel-entry and teasel-state had no limit for all bodies together. Fronts and core instances counted received bytes, not allocated ones, and refused whoever came last, while requests that do not end, and their connections, kept their share. Why it works: CallerLoad counts connections and allocated bytes by connection. For further ones it closes those that have been idle, receiving or sending for the longest time, so that an ordinary request, which arrives within milliseconds, is the last to go. A connection whose request waits for its answer is never closed; if those take all room, a request gets 503 as before. The limits follow the machine's memory. Long answers count and exist once; fronts and entry instances return freed bodies to the system.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -11,6 +11,7 @@
 
 #include <microhttpd.h>
 #include <poll.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 namespace teasel {
@@ -19,6 +20,8 @@
 
     constexpr std::chrono::milliseconds disconnectCheckInterval { 100 };
     constexpr short disconnectEvents = POLLRDHUP | POLLHUP | POLLERR;
+    // Of each thread, accepted while it has not noticed yet that others are to be closed.
+    constexpr unsigned closingConnections = 64;
     // On stop, for callers that read their answers slowly or not at all.
     constexpr std::chrono::milliseconds sendTimeout { 300 };
 
@@ -45,6 +48,17 @@
         return MHD_YES;
     }
 
+    // Answers of up to this length are always sent.
+    constexpr size_t maxShortAnswer = 4 << 10;
+
+    size_t bytesOf(const HttpHeaders& headers)
+    {
+        size_t n = 0;
+        for (const auto& [key, value] : headers)
+            n += sizeof(HttpHeaders::value_type) + key.size() + value.size();
+        return n;
+    }
+
     // The rest of a body that is too large is read and discarded up to this size.
     constexpr uint64_t maxDiscardedBytes = 64 << 20;
 
@@ -59,7 +73,8 @@
     HttpRequest request;
     MHD_Connection* connection = nullptr;
     int fd = -1;
-    size_t bodyBytes = 0; // counted in m_bufferedBytes
+    CallerLoad::Id id = 0; // of the connection
+    size_t announcedBytes = 0; // length of the body; 0 if it is not announced
     bool tooLarge = false;
     bool overloaded = false; // no room for the body
     bool isComplete = false; // the request was read completely
@@ -76,6 +91,7 @@
     : m_options(std::move(options))
     , m_handler(std::move(handler))
     , m_callerDisconnected(std::move(callerDisconnected))
+    , m_load(m_options.maxConnections, std::max(m_options.maxBufferedBytes, 2 * m_options.maxBodyBytes))
 {
 }
 
@@ -87,12 +103,15 @@
     unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
     if (address.family() == AF_INET6)
         flags |= MHD_USE_IPv6;
+    // The daemon divides its limit among its threads and stops accepting there. CallerLoad closes old connections
+    // before that.
+    const auto daemonLimit = m_options.threads * (m_options.maxConnections + closingConnections);
     m_daemon = MHD_start_daemon(flags, address.port(), nullptr, nullptr, &HttpServer::onRequest, this,
         MHD_OPTION_SOCK_ADDR, address.raw(), MHD_OPTION_THREAD_POOL_SIZE, m_options.threads,
-        MHD_OPTION_CONNECTION_LIMIT, m_options.maxConnections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-        m_options.maxHeaderBytes, MHD_OPTION_CONNECTION_TIMEOUT, m_options.idleSeconds,
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_LISTEN_BACKLOG_SIZE, 1'024U, MHD_OPTION_NOTIFY_COMPLETED,
-        &HttpServer::onCompleted, this, MHD_OPTION_END);
+        MHD_OPTION_CONNECTION_LIMIT, daemonLimit, MHD_OPTION_CONNECTION_MEMORY_LIMIT, m_options.maxHeaderBytes,
+        MHD_OPTION_CONNECTION_TIMEOUT, m_options.idleSeconds, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
+        MHD_OPTION_LISTEN_BACKLOG_SIZE, 1'024U, MHD_OPTION_NOTIFY_COMPLETED, &HttpServer::onCompleted, this,
+        MHD_OPTION_NOTIFY_CONNECTION, &HttpServer::onConnection, this, MHD_OPTION_END);
     if (m_daemon == nullptr)
         return fail(
             ErrorKind::BadRequest, fmt::format("can't listen on {}: {}", m_options.address, std::strerror(errno)));
@@ -182,6 +201,15 @@
     const auto length = exchange->request.header("content-length");
     const auto bytes = std::strtoull(std::string(length).c_str(), nullptr, 10);
     exchange->tooLarge = bytes > m_options.maxBodyBytes;
+    exchange->announcedBytes = exchange->tooLarge ? 0 : bytes;
+    {
+        const std::lock_guard lock(m_mutex);
+        exchange->id = m_connectionIds.at(connection);
+        m_load.setPhase(exchange->id, CallerLoad::Phase::Receiving);
+        exchange->overloaded
+            = !m_load.reserve(exchange->id, bytesOf(exchange->request.headers) + bytesOf(exchange->request.query));
+        closeForRoom();
+    }
     *state = exchange.release(); // ownership returns in onCompleted()
     // A caller that still writes its body may not read an answer that comes with the end of the connection.
     return bytes > maxDiscardedBytes ? replyTooLarge(connection) : MHD_YES;
@@ -190,21 +218,14 @@
 MHD_Result HttpServer::continueRequest(MHD_Connection* connection, Exchange& exchange, const char* data, size_t* n)
 {
     if (*n > 0) {
-        exchange.tooLarge = exchange.tooLarge || exchange.request.body.size() + *n > m_options.maxBodyBytes;
-        if (!exchange.tooLarge && !exchange.overloaded) {
-            exchange.bodyBytes += *n;
-            exchange.overloaded = (m_bufferedBytes += *n) > m_options.maxBufferedBytes;
-        }
-        if (exchange.tooLarge || exchange.overloaded)
-            exchange.request.body = {};
-        else
-            exchange.request.body.append(data, *n);
+        appendToBody(exchange, { data, *n });
         *n = 0;
         return MHD_YES;
     }
     if (!std::exchange(exchange.isComplete, true)) {
         const std::lock_guard lock(m_mutex);
         ++m_unsentAnswers;
+        m_load.setPhase(exchange.id, CallerLoad::Phase::Sending);
     }
     if (exchange.tooLarge)
         return replyTooLarge(connection);
@@ -226,6 +247,7 @@
             return reply(connection,
                 { 503, "application/json", { { "Retry-After", "1" }, { "Connection", "close" } },
                     R"({"kind":"shutting_down","run":"did_not_run"})" });
+        m_load.setPhase(exchange.id, CallerLoad::Phase::Waiting);
         MHD_suspend_connection(connection);
         m_suspended.emplace(request.handle, &exchange);
     }
@@ -233,6 +255,37 @@
     return MHD_YES;
 }
 
+void HttpServer::appendToBody(Exchange& exchange, std::string_view data)
+{
+    auto& body = exchange.request.body;
+    const auto needed = body.size() + data.size();
+    exchange.tooLarge = exchange.tooLarge || needed > m_options.maxBodyBytes;
+    if (!exchange.tooLarge && !exchange.overloaded && needed > body.capacity()) {
+        const auto capacity = std::max({ needed, 2 * body.capacity(), exchange.announcedBytes });
+        const std::lock_guard lock(m_mutex);
+        exchange.overloaded = !m_load.reserve(exchange.id, capacity - body.capacity());
+        closeForRoom();
+        if (!exchange.overloaded)
+            body.reserve(capacity);
+    }
+    if (!exchange.tooLarge && !exchange.overloaded) {
+        body.append(data);
+        return;
+    }
+    if (body.capacity() > std::string().capacity())
+        body = std::string();
+    const std::lock_guard lock(m_mutex);
+    m_load.release(exchange.id);
+}
+
+void HttpServer::closeForRoom()
+{
+    for (const auto fd : m_load.takeClosing()) {
+        ++m_closedForRoom;
+        ::shutdown(fd, SHUT_RDWR); // The server's thread closes it.
+    }
+}
+
 void HttpServer::answer(uint64_t handle, HttpResponse response)
 {
     const std::lock_guard lock(m_mutex);
@@ -243,13 +296,23 @@
     m_suspended.erase(it);
     exchange.response = std::move(response);
     exchange.answered = true;
+    m_load.release(exchange.id);
+    m_load.setPhase(exchange.id, CallerLoad::Phase::Sending);
+    const auto bytes = exchange.response.body.size();
+    if (bytes > maxShortAnswer && !m_load.reserve(exchange.id, bytes)) {
+        exchange.response = {};
+        ++m_closedForRoom;
+        ::shutdown(exchange.fd, SHUT_RDWR);
+    }
+    closeForRoom();
     MHD_resume_connection(exchange.connection);
 }
 
 MHD_Result HttpServer::reply(MHD_Connection* connection, const HttpResponse& response) const
 {
-    auto* out = MHD_create_response_from_buffer(
-        response.body.size(), const_cast<char*>(response.body.data()), MHD_RESPMEM_MUST_COPY);
+    // Long answers are those of exchanges, which last until the answer is sent.
+    const auto mode = response.body.size() > maxShortAnswer ? MHD_RESPMEM_PERSISTENT : MHD_RESPMEM_MUST_COPY;
+    auto* out = MHD_create_response_from_buffer(response.body.size(), const_cast<char*>(response.body.data()), mode);
     MHD_add_response_header(out, "Content-Type", response.contentType.c_str());
     for (const auto& [name, value] : response.headers)
         MHD_add_response_header(out, name.c_str(), value.c_str());
@@ -276,14 +339,28 @@
     if (exchange == nullptr)
         return;
     auto& server = *static_cast<HttpServer*>(self);
-    server.m_bufferedBytes -= exchange->bodyBytes;
-    if (!exchange->isComplete)
-        return;
     const std::lock_guard lock(server.m_mutex);
-    if (--server.m_unsentAnswers == 0)
+    server.m_load.release(exchange->id);
+    server.m_load.setPhase(exchange->id, CallerLoad::Phase::Idle);
+    if (exchange->isComplete && --server.m_unsentAnswers == 0)
         server.m_answersSent.notify_all();
 }
 
+void HttpServer::onConnection(
+    void* self, MHD_Connection* connection, void**, MHD_ConnectionNotificationCode notification)
+{
+    auto& server = *static_cast<HttpServer*>(self);
+    const std::lock_guard lock(server.m_mutex);
+    if (notification == MHD_CONNECTION_NOTIFY_CLOSED) {
+        if (const auto closed = server.m_connectionIds.extract(connection))
+            server.m_load.close(closed.mapped());
+        return;
+    }
+    const auto* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    server.m_connectionIds[connection] = server.m_load.open(info->connect_fd);
+    server.closeForRoom();
+}
+
 void HttpServer::watchForDisconnects()
 {
     std::unique_lock lock(m_mutex);
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -1,8 +1,10 @@
 // HTTP server for callers, endpoints and operators, based on libmicrohttpd. Each request is read completely, passed to
-// a handler, and answered later from any thread.
+// a handler, and answered later from any thread. Callers that hold more connections or memory than the server has lose
+// the connections whose requests or answers have been on their way for the longest time.
 #pragma once
 
 #include "core/result.h"
+#include "net/caller_load.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -10,7 +12,6 @@
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
-#include <limits>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -50,9 +51,10 @@
     unsigned threads = 4;
     unsigned maxConnections = 4'096;
     size_t maxBodyBytes = 1 << 20;
-    // Bodies of all requests until they are answered; beyond this, further ones get 503.
-    size_t maxBufferedBytes = std::numeric_limits<size_t>::max();
-    size_t maxHeaderBytes = 32 << 10;
+    // Requests until they are answered, and long answers until they are sent; room for two of the longest bodies at
+    // least. For more, connections are closed, or further requests get 503 if all others wait for their answers.
+    size_t maxBufferedBytes = 4 << 20;
+    size_t maxHeaderBytes = 32 << 10; // also the buffer of each connection
     unsigned idleSeconds = 15; // a connection that sends nothing for this long is closed
 };
 
@@ -90,15 +92,21 @@
     // Number of requests passed to the handler and not yet answered.
     size_t pendingRequests() const;
 
+    // Number of connections that were closed since the last call because callers used too much.
+    uint64_t takeClosedForRoom() { return m_closedForRoom.exchange(0); }
+
 private:
     struct Exchange;
 
     static MHD_Result onRequest(void* self, MHD_Connection*, const char* url, const char* method, const char* version,
         const char* data, size_t* n, void** state);
     static void onCompleted(void* self, MHD_Connection*, void** state, MHD_RequestTerminationCode);
+    static void onConnection(void* self, MHD_Connection*, void** id, MHD_ConnectionNotificationCode);
 
     MHD_Result beginRequest(MHD_Connection*, const char* url, const char* method, void** state);
     MHD_Result continueRequest(MHD_Connection*, Exchange&, const char* data, size_t* n);
+    void appendToBody(Exchange&, std::string_view);
+    void closeForRoom();
     MHD_Result reply(MHD_Connection*, const HttpResponse&) const;
     MHD_Result replyTooLarge(MHD_Connection*) const;
     MHD_Result replyOverloaded(MHD_Connection*) const;
@@ -110,9 +118,11 @@
     CallerDisconnected m_callerDisconnected;
     MHD_Daemon* m_daemon = nullptr;
     std::atomic<uint64_t> m_nextHandle = 1;
-    std::atomic<size_t> m_bufferedBytes = 0; // bodies of requests that are not answered
+    std::atomic<uint64_t> m_closedForRoom = 0;
 
     mutable std::mutex m_mutex;
+    CallerLoad m_load; // guarded by m_mutex
+    absl::flat_hash_map<MHD_Connection*, CallerLoad::Id> m_connectionIds; // guarded by m_mutex
     std::condition_variable m_watcherWakeup;
     std::condition_variable m_answersSent;
     size_t m_unsentAnswers = 0; // to requests that were read completely; guarded by m_mutex
--- a/node/core_node.cpp
+++ b/node/core_node.cpp
@@ -1,5 +1,6 @@
 #include "node/core_node.h"
 
+#include "node/caller_limits.h"
 #include "node/job_plane_common.h"
 #include "node/log_limits.h"
 #include "node/network_metrics.h"
@@ -115,7 +116,8 @@
           [this](schema::Envelope envelope) {
               m_loop.post([this, envelope = std::move(envelope)] { onEnvelope(envelope); });
           })
-    , m_controlServer({ m_settings.control_address(), 1, 1'024, maxControlBodyBytes, maxBufferedCallBytes },
+    , m_controlServer(
+          limitedToMachine({ m_settings.control_address(), 1, 1'024, maxControlBodyBytes, maxBufferedCallBytes }),
           [this](HttpRequest request) {
               if (platform::isConfigurationChange(request.method, request.path))
                   return m_decoder.post(
@@ -434,6 +436,7 @@
     m_context.metrics.gauge(ProcessGauge::HeldRequests).Set(static_cast<double>(m_relay.pendingCalls()));
     m_logMetrics.update(*m_log);
     reportDrops(m_network, m_context);
+    reportClosedCallers(m_controlServer, m_context);
 }
 
 } // namespace teasel
--- a/node/entry_node.cpp
+++ b/node/entry_node.cpp
@@ -1,5 +1,6 @@
 #include "node/entry_node.h"
 
+#include "node/caller_limits.h"
 #include "node/http_responses.h"
 #include "node/leader_metrics.h"
 #include "node/network_metrics.h"
@@ -24,8 +25,8 @@
 
     HttpServerOptions httpOptions(const schema::EntrySettings& settings)
     {
-        return { settings.http_address(), settings.http_threads(), settings.max_connections(),
-            settings.max_body_bytes() };
+        return limitedToMachine({ settings.http_address(), settings.http_threads(), settings.max_connections(),
+            settings.max_body_bytes(), settings.max_buffered_bytes() });
     }
 
     absl::flat_hash_map<std::string, std::vector<std::string>> membersByDataCentre(
@@ -438,6 +439,7 @@
     metrics.gauge(ProcessGauge::CutOff).Set(m_authority.isCutOff(now) ? 1 : 0);
     metrics.gauge(ProcessGauge::HeldRequests).Set(static_cast<double>(m_requestGateway.holder().stats().held));
     reportDrops(m_network, m_context);
+    reportClosedCallers(m_httpServer, m_context);
     if (!leads)
         return;
     metrics.gauge(ProcessGauge::Executors).Set(static_cast<double>(m_leaderPlanes.dispatch().stats().executors));
--- a/node/front_node.cpp
+++ b/node/front_node.cpp
@@ -1,5 +1,6 @@
 #include "node/front_node.h"
 
+#include "node/caller_limits.h"
 #include "node/http_responses.h"
 #include "node/job_plane_common.h"
 #include "node/network_metrics.h"
@@ -43,8 +44,8 @@
           [this](schema::Envelope envelope) {
               m_loop.post([this, envelope = std::move(envelope)] { onEnvelope(envelope); });
           })
-    , m_callerServer({ m_settings.callers_address(), 1, m_settings.max_connections(), m_settings.max_body_bytes(),
-                         maxBufferedCallBytes },
+    , m_callerServer(limitedToMachine({ m_settings.callers_address(), 1, m_settings.max_connections(),
+                         m_settings.max_body_bytes(), m_settings.max_buffered_bytes() }),
           [this](HttpRequest request) {
               m_loop.postAlways([this, request = std::move(request)]() mutable { onHttp(std::move(request)); });
           },
@@ -120,6 +121,7 @@
     if (now >= m_nextMetricsUpdate) {
         m_nextMetricsUpdate = now + metricsInterval;
         reportDrops(m_network, m_context);
+        reportClosedCallers(m_callerServer, m_context);
     }
 }
 
--- a/node/network_metrics.h
+++ b/node/network_metrics.h
@@ -1,6 +1,7 @@
-// Reports the messages that a peer network did not send.
+// Reports the messages that a peer network did not send, and the callers' connections that a server closed.
 #pragma once
 
+#include "net/http_server.h"
 #include "net/peer_network.h"
 #include "node/process_context.h"
 
@@ -18,4 +19,13 @@
                 { "largest_bytes", drops.largestBytes } });
 }
 
+inline void reportClosedCallers(HttpServer& server, const ProcessContext& context)
+{
+    const auto closed = server.takeClosedForRoom();
+    context.metrics.counter(ProcessCounter::CallersClosed).Increment(static_cast<double>(closed));
+    if (closed > 0)
+        context.log.warning("callers_closed",
+            { { "connections", closed }, { "reason", "callers use more connections or memory than the limits" } });
+}
+
 } // namespace teasel
--- a/node/state_node.cpp
+++ b/node/state_node.cpp
@@ -17,6 +17,7 @@
 
     constexpr Milliseconds tickInterval { 10 };
     constexpr size_t maxQueuedTasks = 200'000;
+    constexpr size_t maxHttpBodyBytes = 64 << 10; // of calls, none of which needs a body
     constexpr Milliseconds metricsInterval { 500 };
     constexpr Milliseconds handoverTimeout { 500 };
 
@@ -59,7 +60,7 @@
               m_loop.post([this, envelope = std::move(envelope)] { onEnvelope(envelope); });
           })
     , m_httpServer(
-          { m_settings.http_address(), 1, 256 },
+          { m_settings.http_address(), 1, 256, maxHttpBodyBytes },
           [this](HttpRequest request) { m_loop.post([this, request = std::move(request)] { onHttp(request); }); },
           [](uint64_t) {})
     , m_log(
@@ -291,6 +292,7 @@
     m_context.metrics.gauge(ProcessGauge::Revision).Set(static_cast<double>(m_state.revision()));
     m_logMetrics.update(m_log);
     reportDrops(m_network, m_context);
+    reportClosedCallers(m_httpServer, m_context);
 }
 
 } // namespace teasel
--- a/observability/metrics.cpp
+++ b/observability/metrics.cpp
@@ -52,6 +52,7 @@
         { "teasel_evacuated_runs_total", "Runs stopped to move them out of an evacuated data centre" },
         { "teasel_messages_dropped_total", "Messages to other processes that were not sent" },
         { "teasel_messages_too_large_total", "Messages that were not sent because no peer would accept them" },
+        { "teasel_callers_closed_total", "Callers' connections that were closed for want of room" },
     } };
 
     constexpr std::array<const char*, static_cast<size_t>(ControlWork::Count)> workNames { "requests", "placement",
--- a/observability/metrics.h
+++ b/observability/metrics.h
@@ -58,7 +58,8 @@
     EvacuatedRuns = 9, // runs that were stopped to move them out of an evacuated data centre
     MessagesDropped = 10, // messages to other processes that were not sent, for any reason
     MessagesTooLarge = 11, // those of them that no peer would accept
-    Count = 12,
+    CallersClosed = 12, // callers' connections closed for want of room
+    Count = 13,
 };
 
 // Categories of work of the control thread whose duration is measured.
--- a/settings/entry_settings.cpp
+++ b/settings/entry_settings.cpp
@@ -16,6 +16,8 @@
     constexpr uint32_t defaultHttpThreads = 4;
     constexpr uint32_t maxHttpThreads = 256;
     constexpr uint32_t defaultMaxConnections = 4'096;
+    constexpr uint64_t defaultMaxBufferedBytes = 32 << 20;
+    constexpr uint64_t maxBufferedBytesLimit = 17'179'869'184;
     constexpr uint32_t maxCount = std::numeric_limits<uint32_t>::max();
 
     Result<schema::EntrySettings> completeAndCheck(schema::EntrySettings settings, const SettingsLocations& locations)
@@ -40,6 +42,8 @@
         settings.set_http_threads(defaultHttpThreads);
     if (!settings.has_max_connections())
         settings.set_max_connections(defaultMaxConnections);
+    if (!settings.has_max_buffered_bytes())
+        settings.set_max_buffered_bytes(defaultMaxBufferedBytes);
 }
 
 Result<void> checkSettings(const schema::EntrySettings& settings, const SettingsLocations& locations)
@@ -54,6 +58,7 @@
     BOOST_LEAF_CHECK(checks.range("stop_grace_ms", settings.stop_grace_ms(), 1, maxStopGraceMs));
     BOOST_LEAF_CHECK(checks.range("http_threads", settings.http_threads(), 1, maxHttpThreads));
     BOOST_LEAF_CHECK(checks.range("max_connections", settings.max_connections(), 1, maxCount));
+    BOOST_LEAF_CHECK(checks.range("max_buffered_bytes", settings.max_buffered_bytes(), 1, maxBufferedBytesLimit));
     if (settings.http_address() == settings.instance().peer_address())
         return checks.invalidValue(
             "http_address", "another address than instance.peer_address", settings.http_address());
--- a/settings/job_settings.cpp
+++ b/settings/job_settings.cpp
@@ -19,6 +19,7 @@
     constexpr uint64_t defaultStopGraceMs = 5'000;
     constexpr uint64_t defaultMaxBodyBytes = 256 << 10;
     constexpr uint32_t defaultMaxConnections = 2'048;
+    constexpr uint64_t defaultMaxBufferedBytes = 16 << 20;
     constexpr uint64_t minLeaseMs = 500; // covers several round trips and one lease renewal
     constexpr uint64_t maxLeaseMs = 600'000;
     constexpr uint64_t maxValue = 86'400'000; // one day for durations; also the limit of record counts and body sizes
@@ -95,6 +96,8 @@
         settings.set_max_body_bytes(defaultMaxBodyBytes);
     if (!settings.has_max_connections())
         settings.set_max_connections(defaultMaxConnections);
+    if (!settings.has_max_buffered_bytes())
+        settings.set_max_buffered_bytes(defaultMaxBufferedBytes);
 }
 
 Result<void> checkSettings(const schema::CoreSettings& settings, const SettingsLocations& locations)
@@ -133,6 +136,7 @@
     BOOST_LEAF_CHECK(checks.address("callers_address", settings.callers_address()));
     BOOST_LEAF_CHECK(checks.address("ready_address", settings.ready_address()));
     BOOST_LEAF_CHECK(checks.range("max_body_bytes", settings.max_body_bytes(), 1, maxValue));
+    BOOST_LEAF_CHECK(checks.range("max_buffered_bytes", settings.max_buffered_bytes(), 1, maxValue));
     return checks.range("max_connections", settings.max_connections(), 1, 1'000'000);
 }
 
