--- a/tests/process/crowds_at_job_plane_test.py
+++ b/tests/process/crowds_at_job_plane_test.py
@@ -1,7 +1,6 @@
 """Clients that send bodies without an end, or requests without reading answers, end no front and no core instance."""
 
 import argparse
-import http.client
 import json
 import os
 import sys
