--- a/tests/process/core_leader_calls_test.py
+++ b/tests/process/core_leader_calls_test.py
@@ -12,6 +12,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "tools"))
 from checks import Checks  # noqa: E402
 from fleet import LOOPBACK_RANGE, Process, lock_loopback_range  # noqa: E402
+from job_plane import CONFIGURATION  # noqa: E402
 
 HOST = f"127.{1 + LOOPBACK_RANGE}.0.1"
 CONTROL = f"{HOST}:18180"
@@ -32,17 +33,6 @@
   advice_address: ""
 """
 
-CONFIGURATION = {
-    "version": 7,
-    "routes": [{"name": "weigh", "host": "farm.example", "pathPrefix": "/weigh/", "kind": "non_idempotent",
-                "timeoutMs": 3000, "targetLatencyMs": 250, "priority": 0, "service": "filling", "maxAttempts": 2,
-                "slackFactor": 1.5, "public": True}],
-    "services": [{"name": "filling", "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": False,
-                  "admissionCheck": False, "standby": False}],
-    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-    "tenants": [],
-}
-
 
 def call(method, path, body=None):
     """Returns the status, or 0 if there was no answer."""
--- a/tests/process/crowds_at_job_plane_test.py
+++ b/tests/process/crowds_at_job_plane_test.py
@@ -11,10 +11,10 @@
 from checks import Checks  # noqa: E402
 from crowds import answer_of, check_crowds, crowds  # noqa: E402
 from fleet import LOOPBACK_RANGE, Process, lock_loopback_range  # noqa: E402
+from job_plane import CALLERS_PORT, CONFIGURATION, CONTROL_PORT, METRICS_PORT, PEER_PORT, READY_PORT  # noqa: E402
 
 CORE = f"127.{1 + LOOPBACK_RANGE}.0.1"
 FRONT = f"127.{1 + LOOPBACK_RANGE}.1.1"
-CONTROL_PORT, CALLERS_PORT, READY_PORT, PEER_PORT, METRICS_PORT = 18180, 18183, 18184, 18460, 18461
 FRONT_CONNECTIONS, CONTROL_CONNECTIONS = 400, 1024  # open at once; the second is not a setting
 CROWD = 420  # more than the front accepts at once
 FRONT_MEMORY_MIB, CORE_MEMORY_MIB = 120, 384  # of the smallest machines on the platform's pages
@@ -22,16 +22,6 @@
 OTHER_FILES = 100
 CALL_BYTES, CONFIGURATION_BYTES = 256 << 10, 4 << 20  # the largest bodies that are accepted
 
-CONFIGURATION = {
-    "version": 7,
-    "routes": [{"name": "weigh", "host": "farm.example", "pathPrefix": "/weigh/", "kind": "non_idempotent",
-                "timeoutMs": 3000, "targetLatencyMs": 250, "priority": 0, "service": "filling", "maxAttempts": 2,
-                "slackFactor": 1.5, "public": True}],
-    "services": [{"name": "filling", "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": False,
-                  "admissionCheck": False, "standby": False}],
-    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-    "tenants": [],
-}
 JSON_TYPE = {"Content-Type": "application/json"}
 
 
--- a/tests/process/job_plane_stops_test.py
+++ b/tests/process/job_plane_stops_test.py
@@ -18,26 +18,16 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "tools"))
 from checks import Checks  # noqa: E402
 from fleet import LOOPBACK_RANGE, Process, lock_loopback_range  # noqa: E402
+from job_plane import CALLERS_PORT, CONFIGURATION, CONTROL_PORT, METRICS_PORT, PEER_PORT, READY_PORT  # noqa: E402
 
 CORES = [f"127.{1 + LOOPBACK_RANGE}.0.{n + 1}" for n in range(3)]
 FRONTS = [f"127.{1 + LOOPBACK_RANGE}.1.{n + 1}" for n in range(3)]
-CONTROL_PORT, CALLERS_PORT, READY_PORT, PEER_PORT, METRICS_PORT = 18180, 18183, 18184, 18460, 18461
 GRACE_S = 4
 LOSS_SLACK_S = 0.2  # a call that was sent so late before the end of its channel may not have been read
 CLIENTS = 24
 DEADLINE_S = 3
 REFUSALS = (429, 503)
 
-CONFIGURATION = {
-    "version": 7,
-    "routes": [{"name": "weigh", "host": "farm.example", "pathPrefix": "/weigh/", "kind": "non_idempotent",
-                "timeoutMs": 3000, "targetLatencyMs": 250, "priority": 0, "service": "filling", "maxAttempts": 2,
-                "slackFactor": 1.5, "public": True}],
-    "services": [{"name": "filling", "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": False,
-                  "admissionCheck": False, "standby": False}],
-    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-    "tenants": [],
-}
 JOB = json.dumps({"spec": "lot", "steps": [{"count": 1, "cpu": 100, "memMb": 100, "estimateMs": 500}]})
 
 
