HTTP server: the buffer of a refused body is freed

What callers saw: nothing yet; found when the change was read again. Why it works: swapping hands the buffer to a temporary, which frees it.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -272,8 +272,7 @@
         body.append(data);
         return;
     }
-    if (body.capacity() > std::string().capacity())
-        body = std::string();
+    std::string().swap(body); // An assignment may keep the buffer, which would no longer be counted.
     const std::lock_guard lock(m_mutex);
     m_load.release(exchange.id);
 }
