Lag of the job plane's leader: control thread, rounds, stages of jobs, takeovers; explaining lines are kept

Cause: one budget for all lines, one counter for nothing but completed jobs. Change: once a second the leader writes leader_lag (batches, waits and rounds of the control thread) and queue_latency (median and 95% quantile of each stage from submission to first start, answer and recorded end, by queue); takeover_finished gives the time without starts. The same as metrics. A quarter of the log is reserved for essential lines; lines about single tasks are dropped first, and not formatted when they would be.

--- a/consensus/replica.h
+++ b/consensus/replica.h
@@ -79,6 +79,8 @@
 
     // False on a replaced disk that has not caught up yet.
     bool mayVote() const { return m_hardState.may_vote(); }
+    // Last contact with another replica that led; at first the start of this process.
+    Instant lastLeaderContactAt() const { return m_lastLeaderContactAt; }
 
     // True if a reachable replica is being sent a snapshot.
     bool isSendingSnapshot() const { return isLeader() && m_leaderState.isSendingSnapshot(m_now); }
--- a/jobs/job_calls.cpp
+++ b/jobs/job_calls.cpp
@@ -162,6 +162,8 @@
             { CallStatus::Refused, "the job could not end in time; it has not been accepted", verdict.retryAfter });
     }
     ++m_counters.accepted;
+    if (request.first_at_ms() == 0)
+        m_latencies.onSubmitted(id, m_now);
     summary.add({ latestStart, demand.initialNeed });
     m_forecastAdmission.recordAccepted(demand, request.queue(), verdict.isBorrowed, m_now);
     request.set_borrowed(verdict.isBorrowed);
--- a/jobs/job_events.h
+++ b/jobs/job_events.h
@@ -7,6 +7,7 @@
 #include "jobs.pb.h"
 #include "jobs/job_state.h"
 #include "jobs/task_key.h"
+#include "observability/line_priority.h"
 
 #include <cstdint>
 #include <string>
@@ -218,10 +219,13 @@
     Milliseconds timeout { 0 };
 };
 
+using LogFields = std::vector<std::pair<std::string_view, std::string>>;
+
 // A log line about a decision on a request or a change in what the leader knows.
 struct JobLogLine {
     std::string_view event;
-    std::vector<std::pair<std::string_view, std::string>> fields;
+    LogFields fields;
+    LinePriority priority = LinePriority::Essential;
 };
 
 using JobAction = std::variant<ProposeJobs, AnswerCall, SendOrder, AskAdvice, JobLogLine>;
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -351,6 +351,7 @@
     if (result.outcome == OrderOutcome::Done) {
         run.stage = RunStage::Running;
         run.startedAt = run.lastShownAt = run.startExpiresAt = m_now;
+        m_latencies.record(run.queue, JobStage::Answered, m_now - run.startSentAt);
         if (isFromRegisteredIncarnation(executor, order, result))
             confirmRun(executor, order.task, run);
         return;
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -112,6 +112,8 @@
     m_fullBatchBytes = 0;
     m_proposals.clear();
     m_pendingOrders.clear();
+    m_latencies.clear();
+    m_firstStartAt = {};
     std::erase_if(m_actions, [](const auto& it) {
         return std::holds_alternative<SendOrder>(it) || std::holds_alternative<ProposeJobs>(it)
             || std::holds_alternative<AskAdvice>(it);
@@ -230,6 +232,8 @@
 void JobLeader::execute(JobAcceptedWhenCommitted& it)
 {
     m_pendingSubmissions.erase(it.job);
+    if (const auto* job = m_state.find(it.job))
+        m_latencies.onAccepted(it.job, job->request.queue(), m_now);
     openSteps(it.job);
     const auto resubmissions = m_resubmissions.find(it.job);
     if (resubmissions == m_resubmissions.end())
@@ -279,8 +283,10 @@
 {
     if (auto* executor = findExecutor(it.executor)) {
         const auto run = executor->runs.find(it.task);
-        if (run != executor->runs.end() && run->second.run == it.run)
+        if (run != executor->runs.end() && run->second.run == it.run) {
+            m_latencies.record(run->second.queue, JobStage::Recorded, m_now - run->second.endedAt);
             releaseRun(*executor, run);
+        }
     }
     const auto* job = m_state.find(it.task.step.job);
     if (job == nullptr)
@@ -317,7 +323,7 @@
     m_actions.emplace_back(AnswerCall { handle, std::move(reply) });
 }
 
-void JobLeader::log(std::string_view event, std::vector<std::pair<std::string_view, std::string>> fields)
+void JobLeader::log(std::string_view event, LogFields fields)
 {
     m_actions.emplace_back(JobLogLine { event, std::move(fields) });
 }
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -22,6 +22,7 @@
 #include "jobs/run_evidence.h"
 #include "jobs/run_index.h"
 #include "jobs/run_times.h"
+#include "jobs/stage_latencies.h"
 #include "jobs/start_planner.h"
 #include "runtimes/run_time_model.h"
 
@@ -56,6 +57,8 @@
     uint64_t leaseExpiries = 0;
     uint64_t evacuatedRuns = 0; // runs that were stopped to move them out of an evacuated data centre
     uint64_t planningVisits = 0; // pairs of step and executor that planning examined
+    uint64_t planningRounds = 0;
+    uint64_t omittedLines = 0; // detail lines that were not produced
 };
 
 class JobLeader {
@@ -96,6 +99,13 @@
     size_t runningTasks() const;
     // Runs that are still in evacuated data centres.
     size_t runsToEvacuate() const;
+    // When this leader sent its first start; Instant() before.
+    Instant firstStartAt() const { return m_firstStartAt; }
+    // How long jobs and runs spent in each stage, by queue, since the last call.
+    auto takeStageLatencies() { return m_latencies.take(); }
+
+    // Whether lines about single tasks are produced; otherwise they are counted as omitted.
+    void setDetailLogged(bool isLogged) { m_isDetailLogged = isLogged; }
 
 private:
     // Continuations: executed once the changes of a proposal have been applied to the state.
@@ -396,7 +406,15 @@
     void propose(Batch, WallTime);
     // Whether so much waits to be proposed that calls which add more are refused.
     bool isBacklogged() const;
-    void log(std::string_view event, std::vector<std::pair<std::string_view, std::string>> fields);
+    void log(std::string_view event, LogFields fields);
+    // A line about a single task or call. `makeFields` is called only if such lines are produced.
+    template <class MakeFields> void logDetail(std::string_view event, MakeFields makeFields)
+    {
+        if (m_isDetailLogged)
+            m_actions.emplace_back(JobLogLine { event, makeFields(), LinePriority::Detail });
+        else
+            ++m_counters.omittedLines;
+    }
 
     JobLeaderOptions m_options;
     const JobState& m_state;
@@ -478,6 +496,9 @@
     Instant m_nextCheckAt {};
     std::vector<JobAction> m_actions;
     JobLeaderCounters m_counters;
+    StageLatencies m_latencies;
+    Instant m_firstStartAt {};
+    bool m_isDetailLogged = true;
 };
 
 } // namespace teasel
--- a/jobs/job_run_ends.cpp
+++ b/jobs/job_run_ends.cpp
@@ -248,13 +248,13 @@
     if (checkpoint.empty() && outcome != schema::RUN_OUTCOME_DONE)
         checkpoint = run.checkpoint;
     ++m_counters.ends;
-    log("run_ended",
-        { { "task", taskText(key) }, { "run", std::to_string(run.run) },
-            { "executor",
-                executorState(executor.number) == nullptr ? "" : executorState(executor.number)->record.id() },
-            { "outcome", schema::RunOutcome_Name(outcome) }, { "evidence", std::string(toText(evidence)) },
-            { "start_answered", run.isStartAnswered ? "true" : "false" },
-            { "ran_ms", millis(m_now - run.startedAt) } });
+    logDetail("run_ended", [&] {
+        const auto* state = executorState(executor.number);
+        return LogFields { { "task", taskText(key) }, { "run", std::to_string(run.run) },
+            { "executor", state == nullptr ? "" : state->record.id() }, { "outcome", schema::RunOutcome_Name(outcome) },
+            { "evidence", std::string(toText(evidence)) }, { "start_answered", run.isStartAnswered ? "true" : "false" },
+            { "ran_ms", millis(m_now - run.startedAt) } };
+    });
     const bool isCensored = outcome == schema::RUN_OUTCOME_STOPPED || outcome == schema::RUN_OUTCOME_LAPSED
         || outcome == schema::RUN_OUTCOME_LOST;
     if (isCensored && run.stage == RunStage::Running)
@@ -265,6 +265,7 @@
             executor.stopping -= run.need;
     }
     run.stage = RunStage::Ending;
+    run.endedAt = m_now;
     m_teamUsage[run.team] -= run.need;
     run.need = {};
     auto& end = *change().mutable_ended();
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -26,6 +26,8 @@
     // A run that would end sooner is not preempted: the stop and its listing take half of this.
     constexpr double minRemainingMs = 700;
 
+    std::string millis(Duration it) { return std::to_string(std::chrono::duration_cast<Milliseconds>(it).count()); }
+
 } // namespace
 
 void JobLeader::collectCandidates()
@@ -188,6 +190,7 @@
     }
     if (m_candidates.empty() || steps.empty())
         return;
+    ++m_counters.planningRounds;
     const auto tasksOnExecutor = [this](const StepKey& step, uint32_t number) { return tasksOn(step, number); };
     AdvicePlanner advicePlanner(m_candidates, m_advice, tasksOnExecutor, m_now);
     const auto contended = m_options.isContentionControlled ? contendedSteps(steps, advicePlanner.capacity())
@@ -248,11 +251,7 @@
         { { "task", taskText(stop.task) }, { "run", std::to_string(run->second.run) },
             { "executor", executorState(stop.executor) == nullptr ? "" : executorState(stop.executor)->record.id() },
             { "for_step", stepText(stop.forStep) },
-            { "slack_ms",
-                step == m_readySteps.end()
-                    ? ""
-                    : std::to_string(
-                        std::chrono::duration_cast<Milliseconds>(step->second.latestStart - m_now).count()) } });
+            { "slack_ms", step == m_readySteps.end() ? "" : millis(step->second.latestStart - m_now) } });
     requestStop(executor, stop.task, run->second);
 }
 
@@ -277,6 +276,7 @@
     run.queue = step.queue;
     run.assignedAt = run.startedAt = m_now;
     step.waiting.erase(start.task.index);
+    m_latencies.onAssigned(start.task.step.job, step.queue, m_now);
     if (step.suspects.contains(start.task.index))
         executor.suspectUntil = m_now + m_options.crashAtStartWindow;
     auto& assignment = *change().mutable_assigned();
@@ -328,12 +328,14 @@
         run.startExpiresAt = std::min(run.startExpiresAt, m_advice.ticketExpiry(it.task.step, it.executor));
     run.isFromStart = start.checkpoint.empty();
     ++m_counters.starts;
-    log("run_started",
-        { { "task", taskText(it.task) }, { "run", std::to_string(it.run) }, { "executor", state->record.id() },
-            { "waited_ms",
-                std::to_string(std::chrono::duration_cast<Milliseconds>(m_now - step->second.readySince).count()) },
-            { "slack_ms",
-                std::to_string(std::chrono::duration_cast<Milliseconds>(step->second.latestStart - m_now).count()) } });
+    if (m_firstStartAt == Instant())
+        m_firstStartAt = m_now;
+    m_latencies.onLaunched(it.task.step.job, step->second.queue, m_now);
+    logDetail("run_started", [&] {
+        return LogFields { { "task", taskText(it.task) }, { "run", std::to_string(it.run) },
+            { "executor", state->record.id() }, { "waited_ms", millis(m_now - step->second.readySince) },
+            { "slack_ms", millis(step->second.latestStart - m_now) } };
+    });
     if (step->second.gang && !m_assemblingGangs.contains(it.task.step))
         m_assemblingGangs[it.task.step]
             = m_now + std::chrono::duration_cast<Duration>(m_options.gangTimeout * gangAssemblyShare);
@@ -437,11 +439,15 @@
     const auto step = m_advice.stepOf(number);
     const auto ready = step ? m_readySteps.find(*step) : m_readySteps.end();
     const auto* queue = ready == m_readySteps.end() ? nullptr : m_state.queueOf(ready->second.queue);
-    if (ready != m_readySteps.end())
-        log("advice_answered",
-            { { "step", stepText(*step) }, { "answered", answered ? "true" : "false" },
+    if (ready != m_readySteps.end()) {
+        logDetail("advice_answered", [&] {
+            return LogFields { { "step", stepText(*step) }, { "answered", answered ? "true" : "false" },
                 { "asked", std::to_string(queried) }, { "granted", std::to_string(rows.size()) },
-                { "listed", std::to_string(granted.size()) } });
+                { "listed", std::to_string(granted.size()) } };
+        });
+        if (!rows.empty())
+            m_latencies.onAdvised(step->job, ready->second.queue, now);
+    }
     const Milliseconds valid(
         queue == nullptr || !queue->has_advice() ? 0 : static_cast<int64_t>(queue->advice().ticket_valid_ms()));
     m_advice.endCall(number, answered, rows, valid, now);
--- a/jobs/job_steps.cpp
+++ b/jobs/job_steps.cpp
@@ -198,6 +198,7 @@
 void JobLeader::onJobEnded(uint64_t id)
 {
     m_scheduledJobs.erase(id);
+    m_latencies.forget(id);
     answerStateQueries(id, true);
     m_advice.forgetJob(id);
     const StepKey first { id, 0, 0 };
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -36,6 +36,7 @@
     Instant assignedAt {};
     Instant startedAt {};
     Instant startSentAt {};
+    Instant endedAt {}; // when its end was noticed
     Instant lastShownAt {}; // last time an answered start or a listing showed the run
     Instant unknownSince {};
     Instant startExpiresAt {}; // its start takes effect before this time or never
--- a/main/daemon.h
+++ b/main/daemon.h
@@ -76,8 +76,8 @@
     installSignalHandlers();
     const BootClock clock;
     LineWriter logWriter({}, clock);
-    const Log log(std::get<0>(valueOrError([&] { return logLevelFromName(settings.log().level()); })), clock,
-        [&logWriter](std::string_view line) { logWriter.append(line); });
+    const Log log(
+        std::get<0>(valueOrError([&] { return logLevelFromName(settings.log().level()); })), clock, logWriter);
     Metrics metrics;
     const ProcessContext context { clock, log, metrics, makeIncarnation(clock), std::random_device()() };
     const auto id = settings.instance().id();
--- a/node/control_loop.cpp
+++ b/node/control_loop.cpp
@@ -1,12 +1,14 @@
 #include "node/control_loop.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace teasel {
 
-ControlLoop::ControlLoop(Milliseconds tickInterval, size_t maxQueued, Task afterBatch)
+ControlLoop::ControlLoop(Milliseconds tickInterval, size_t maxQueued, const Clock& clock, Task afterBatch)
     : m_tickInterval(tickInterval)
     , m_maxQueued(maxQueued)
+    , m_clock(clock)
     , m_afterBatch(std::move(afterBatch))
 {
 }
@@ -30,6 +32,13 @@
     m_thread.join();
 }
 
+void ControlLoop::enqueue(Task task)
+{
+    if (m_queue.empty())
+        m_oldestAt = m_clock.now();
+    m_queue.push_back(std::move(task));
+}
+
 bool ControlLoop::post(Task task)
 {
     {
@@ -38,7 +47,7 @@
             ++m_dropped;
             return false;
         }
-        m_queue.push_back(std::move(task));
+        enqueue(std::move(task));
     }
     m_wakeCondition.notify_one();
     return true;
@@ -48,7 +57,7 @@
 {
     {
         const std::lock_guard lock(m_mutex);
-        m_queue.push_back(std::move(task));
+        enqueue(std::move(task));
     }
     m_wakeCondition.notify_one();
 }
@@ -60,11 +69,21 @@
     while (!m_stopping) {
         m_wakeCondition.wait_for(lock, m_tickInterval, [this] { return m_stopping || !m_queue.empty(); });
         batch.swap(m_queue);
+        const auto oldestAt = m_oldestAt;
         lock.unlock();
+        const auto began = m_clock.now();
+        if (!batch.empty())
+            m_report.longestWait = std::max(m_report.longestWait, began - oldestAt);
         for (auto& it : batch)
             it();
+        const auto tasks = batch.size();
         batch.clear();
         m_afterBatch();
+        const auto took = m_clock.now() - began;
+        ++m_report.batches;
+        m_report.tasks += tasks;
+        m_report.busy += took;
+        m_report.longestBatch = std::max(m_report.longestBatch, took);
         lock.lock();
     }
 }
--- a/node/control_loop.h
+++ b/node/control_loop.h
@@ -9,17 +9,27 @@
 #include <functional>
 #include <mutex>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace teasel {
 
+// What a control loop has done since its last report.
+struct ControlLoopReport {
+    uint64_t batches = 0;
+    uint64_t tasks = 0;
+    Duration busy { 0 };
+    Duration longestBatch { 0 };
+    Duration longestWait { 0 }; // of a task in the queue, until its batch began
+};
+
 class ControlLoop {
 public:
     using Task = std::function<void()>;
 
     // `afterBatch` runs on the control thread after each batch of tasks, and
     // at the latest `tickInterval` after the previous batch.
-    ControlLoop(Milliseconds tickInterval, size_t maxQueued, Task afterBatch);
+    ControlLoop(Milliseconds tickInterval, size_t maxQueued, const Clock&, Task afterBatch);
     ~ControlLoop();
     ControlLoop(const ControlLoop&) = delete;
     ControlLoop& operator=(const ControlLoop&) = delete;
@@ -37,16 +47,23 @@
     // Number of tasks that post() rejected.
     uint64_t dropped() const { return m_dropped; }
 
+    // Called on the control thread only. The batch in progress counts in the next report.
+    ControlLoopReport takeReport() { return std::exchange(m_report, {}); }
+
 private:
     void run();
+    void enqueue(Task);
 
     Milliseconds m_tickInterval;
     size_t m_maxQueued;
+    const Clock& m_clock;
     Task m_afterBatch;
     std::mutex m_mutex;
     std::condition_variable m_wakeCondition;
     std::vector<Task> m_queue; // guarded by m_mutex
+    Instant m_oldestAt {}; // when the first task of the queue was posted; guarded by m_mutex
     bool m_stopping = false; // guarded by m_mutex
+    ControlLoopReport m_report;
     std::atomic<uint64_t> m_dropped = 0;
     std::thread m_thread;
 };
--- a/node/core_node.cpp
+++ b/node/core_node.cpp
@@ -111,7 +111,7 @@
     , m_leader(leaderOptions(m_settings), m_state)
     , m_voters(voterOptions(m_settings))
     , m_disk(m_settings.data_folder())
-    , m_loop(tickInterval, maxQueuedTasks, [this] { onTick(); })
+    , m_loop(tickInterval, maxQueuedTasks, context.clock, [this] { onTick(); })
     , m_network(jobPlaneNetworkOptions(m_self, context.incarnation), {}, context.clock,
           [this](schema::Envelope envelope) {
               m_loop.post([this, envelope = std::move(envelope)] { onEnvelope(envelope); });
@@ -233,6 +233,7 @@
     m_orderSenders.clear();
     m_orderBatches.clear();
     m_voters.onBecameLeader(m_log->replica().voters(), now);
+    m_lagReporter.onBecameLeader(now, m_log->replica().lastLeaderContactAt());
     m_leader.onBecameLeader(m_log->replica().term(), now, m_context.clock.wallNow());
     m_leader.setAdviceInstances({ m_self });
     executeActions(now);
@@ -385,7 +386,7 @@
     m_relay.onTick(now);
     if (m_leader.isLeading()) {
         m_leader.onTick(now, m_context.clock.wallNow());
-        m_leader.finishBatch(now, m_context.clock.wallNow());
+        finishLeaderBatch(now);
         if (now >= m_nextVoterPlan)
             planVoters(now);
         if (now >= m_nextInstanceUpdate)
@@ -397,6 +398,16 @@
         updateMetrics(now);
 }
 
+void CoreNode::finishLeaderBatch(Instant now)
+{
+    const auto rounds = m_leader.counters().planningRounds;
+    const auto began = m_context.clock.now();
+    m_leader.finishBatch(now, m_context.clock.wallNow());
+    if (m_leader.counters().planningRounds != rounds)
+        m_lagReporter.onRound(m_context.clock.now() - began);
+    m_leader.setDetailLogged(m_context.log.keepsDetail());
+}
+
 void CoreNode::executeActions(Instant now)
 {
     for (auto actions = m_leader.takeActions(); !actions.empty(); actions = m_leader.takeActions()) {
@@ -418,7 +429,10 @@
     m_loop.postAlways([this] { m_log->transferLeadership(m_context.clock.now()); });
 }
 
-void CoreNode::execute(JobLogLine& action, Instant) { m_context.log.infoWithFields(action.event, action.fields); }
+void CoreNode::execute(JobLogLine& action, Instant)
+{
+    m_context.log.infoWithFields(action.event, action.fields, action.priority);
+}
 
 void CoreNode::updateMetrics(Instant now)
 {
@@ -435,6 +449,7 @@
         .Increment(static_cast<double>(evacuated - std::exchange(m_reportedEvacuatedRuns, evacuated)));
     m_context.metrics.gauge(ProcessGauge::HeldRequests).Set(static_cast<double>(m_relay.pendingCalls()));
     m_logMetrics.update(*m_log);
+    m_lagReporter.report(m_leader, m_loop.takeReport());
     reportDrops(m_network, m_context);
     reportClosedCallers(m_controlServer, m_context);
 }
--- a/node/core_node.h
+++ b/node/core_node.h
@@ -12,6 +12,7 @@
 #include "net/http_server.h"
 #include "net/peer_network.h"
 #include "node/control_loop.h"
+#include "node/lag_reporter.h"
 #include "node/leader_relay.h"
 #include "node/log_metrics.h"
 #include "node/process_context.h"
@@ -77,6 +78,8 @@
     void planVoters(Instant now);
     void updateInstances(Instant now);
     void updateMetrics(Instant now);
+    // Ends a batch of events at the leader and measures the planning.
+    void finishLeaderBatch(Instant now);
     void executeActions(Instant now);
     void execute(ProposeJobs&, Instant now);
     void execute(AnswerCall&, Instant now);
@@ -110,6 +113,7 @@
     HttpClient m_httpClient;
     std::optional<ReplicatedLog> m_log;
     LogMetrics m_logMetrics { m_context };
+    LagReporter m_lagReporter { m_context };
     LeaderRelay m_relay;
     WorkerThread m_decoder; // after the servers and the loop that its jobs use
     absl::btree_map<uint64_t, PendingCall> m_pendingCalls; // by handle
--- a/node/entry_node.cpp
+++ b/node/entry_node.cpp
@@ -112,7 +112,7 @@
 EntryNode::EntryNode(schema::EntrySettings settings, ProcessContext context)
     : m_settings(std::move(settings))
     , m_context(context)
-    , m_loop(tickInterval, maxQueuedTasks, [this] { onTick(); })
+    , m_loop(tickInterval, maxQueuedTasks, context.clock, [this] { onTick(); })
     , m_network(networkOptions(m_settings, context.incarnation), peersOf(m_settings), context.clock,
           [this](schema::Envelope envelope) {
               m_loop.post([this, envelope = std::move(envelope)] { onEnvelope(envelope); });
--- a/node/front_node.cpp
+++ b/node/front_node.cpp
@@ -39,7 +39,7 @@
     : m_settings(std::move(settings))
     , m_context(context)
     , m_self(m_settings.instance().peer_address())
-    , m_loop(tickInterval, maxQueuedTasks, [this] { onTick(); })
+    , m_loop(tickInterval, maxQueuedTasks, context.clock, [this] { onTick(); })
     , m_network(jobPlaneNetworkOptions(m_self, context.incarnation), {}, context.clock,
           [this](schema::Envelope envelope) {
               m_loop.post([this, envelope = std::move(envelope)] { onEnvelope(envelope); });
--- a/node/state_node.cpp
+++ b/node/state_node.cpp
@@ -54,7 +54,7 @@
     , m_service(serviceOptions(m_settings), m_state)
     , m_leaseVoter({}, context.clock.now())
     , m_disk(m_settings.data_folder())
-    , m_loop(tickInterval, maxQueuedTasks, [this] { onTick(); })
+    , m_loop(tickInterval, maxQueuedTasks, context.clock, [this] { onTick(); })
     , m_network(networkOptions(m_settings, context.incarnation), peersOf(m_settings), context.clock,
           [this](schema::Envelope envelope) {
               m_loop.post([this, envelope = std::move(envelope)] { onEnvelope(envelope); });
--- a/observability/line_writer.cpp
+++ b/observability/line_writer.cpp
@@ -16,25 +16,55 @@
     // Not more than PIPE_BUF, so that a pipe reported as writable accepts it without blocking.
     constexpr size_t maxWriteBytes = 4'096;
     constexpr Milliseconds retryInterval { 5 };
+    constexpr size_t shortLineBytes = 256;
+    constexpr Milliseconds dropReportInterval { 1'000 };
 
 } // namespace
 
-void LineWriter::append(std::string_view line)
+void LineWriter::refillBudget(Instant now)
 {
-    const std::lock_guard lock(m_mutex);
-    const auto now = m_clock.now();
     const auto rate = static_cast<double>(m_options.bytesPerSecond);
     const auto elapsedSeconds
         = m_budgetRefilledAt == Instant() ? 1.0 : std::chrono::duration<double>(now - m_budgetRefilledAt).count();
     m_budgetRefilledAt = now;
     m_byteBudget = std::min(rate, m_byteBudget + elapsedSeconds * rate);
-    if (m_buffer.size() + line.size() > m_options.maxBufferedBytes || static_cast<double>(line.size()) > m_byteBudget) {
+}
+
+bool LineWriter::hasRoomFor(size_t bytes, LinePriority priority) const
+{
+    const double reserved = priority == LinePriority::Essential ? 0 : m_options.essentialShare;
+    return static_cast<double>(m_buffer.size() + bytes)
+        <= (1 - reserved) * static_cast<double>(m_options.maxBufferedBytes)
+        && static_cast<double>(bytes) + reserved * static_cast<double>(m_options.bytesPerSecond) <= m_byteBudget;
+}
+
+bool LineWriter::admits(LinePriority priority)
+{
+    const std::lock_guard lock(m_mutex);
+    refillBudget(m_clock.now());
+    return hasRoomFor(shortLineBytes, priority);
+}
+
+void LineWriter::countDropped(uint64_t lines)
+{
+    const std::lock_guard lock(m_mutex);
+    m_droppedLines += lines;
+}
+
+void LineWriter::append(std::string_view line, LinePriority priority)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto now = m_clock.now();
+    refillBudget(now);
+    if (!hasRoomFor(line.size(), priority)) {
         ++m_droppedLines;
         return;
     }
     m_byteBudget -= static_cast<double>(line.size());
-    if (m_droppedLines > 0)
+    if (m_droppedLines > 0 && now >= m_nextDropReport) {
+        m_nextDropReport = now + dropReportInterval;
         m_buffer += fmt::format("level=warning event=log_lines_dropped lines={}\n", std::exchange(m_droppedLines, 0));
+    }
     m_buffer += line;
 }
 
--- a/observability/log.cpp
+++ b/observability/log.cpp
@@ -66,13 +66,39 @@
 {
 }
 
+Log::Log(LogLevel minLevel, const Clock& clock, LineWriter& writer)
+    : m_minLevel(minLevel)
+    , m_clock(clock)
+    , m_writer(&writer)
+{
+}
+
+void Log::append(std::string_view line, LinePriority priority) const
+{
+    if (m_writer != nullptr)
+        m_writer->append(line, priority);
+    else
+        m_sink(line);
+}
+
+bool Log::keepsDetail() const
+{
+    return isEnabled(LogLevel::Info) && (m_writer == nullptr || m_writer->admits(LinePriority::Detail));
+}
+
+void Log::countDroppedDetail(uint64_t lines) const
+{
+    if (m_writer != nullptr && lines > 0 && isEnabled(LogLevel::Info))
+        m_writer->countDropped(lines);
+}
+
 std::string Log::linePrefix(LogLevel level, std::string_view event) const
 {
     return fmt::format("level={} event={} time={}", nameOf(level), event, formatTime(m_clock.wallNow()));
 }
 
-void Log::infoWithFields(
-    std::string_view event, const std::vector<std::pair<std::string_view, std::string>>& fields) const
+void Log::infoWithFields(std::string_view event, const std::vector<std::pair<std::string_view, std::string>>& fields,
+    LinePriority priority) const
 {
     if (!isEnabled(LogLevel::Info))
         return;
@@ -80,7 +106,7 @@
     for (const auto& [key, value] : fields)
         line += fmt::format(" {}={}", key, quoteLogValue(value));
     line += '\n';
-    m_sink(line);
+    append(line, priority);
 }
 
 void Log::write(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) const
@@ -91,7 +117,7 @@
     for (const auto& it : fields)
         line += fmt::format(" {}={}", it.key, quoteLogValue(it.value));
     line += '\n';
-    m_sink(line);
+    append(line, LinePriority::Essential);
 }
 
 } // namespace teasel
--- a/observability/log.h
+++ b/observability/log.h
@@ -3,6 +3,7 @@
 
 #include "core/clock.h"
 #include "core/result.h"
+#include "observability/line_writer.h"
 
 #include <fmt/format.h>
 
@@ -52,12 +53,20 @@
 class Log {
 public:
     Log(LogLevel minLevel, const Clock&, LogSink = writeToStandardError);
+    // Writes to a line writer, which drops lines of low priority first.
+    Log(LogLevel minLevel, const Clock&, LineWriter&);
 
     void write(LogLevel, std::string_view event, std::initializer_list<LogField> = {}) const;
 
     // Writes a line of level Info with fields that are collected at run time.
-    void infoWithFields(
-        std::string_view event, const std::vector<std::pair<std::string_view, std::string>>& fields) const;
+    void infoWithFields(std::string_view event, const std::vector<std::pair<std::string_view, std::string>>& fields,
+        LinePriority = LinePriority::Essential) const;
+
+    // Whether detail lines of level Info are written now.
+    bool keepsDetail() const;
+
+    // Counts detail lines that the caller did not produce because keepsDetail() was false.
+    void countDroppedDetail(uint64_t lines) const;
 
     void debug(std::string_view event, std::initializer_list<LogField> fields = {}) const
     {
@@ -80,11 +89,13 @@
     void setLevel(LogLevel minLevel) { m_minLevel.store(minLevel, std::memory_order_relaxed); }
 
 private:
+    void append(std::string_view line, LinePriority) const;
     std::string linePrefix(LogLevel, std::string_view event) const;
 
     std::atomic<LogLevel> m_minLevel;
     const Clock& m_clock;
     LogSink m_sink;
+    LineWriter* m_writer = nullptr; // used instead of m_sink if set
 };
 
 // Formats a value for a log line. A value is quoted if it is empty or contains a space, a quote, a backslash, an equals
--- a/observability/metrics.cpp
+++ b/observability/metrics.cpp
@@ -37,6 +37,9 @@
         { "teasel_runs_to_evacuate", "Runs left in evacuated data centres" },
         { "teasel_log_bytes", "Bytes of the replicated log's records in memory" },
         { "teasel_disk_bytes", "Bytes of the replicated log's files, with the snapshot" },
+        { "teasel_control_wait_seconds", "Longest wait for the control thread in the last second" },
+        { "teasel_control_batch_seconds", "Longest batch of the control thread in the last second" },
+        { "teasel_takeover_seconds", "Time from the loss of the previous leader to the first start" },
     } };
 
     constexpr std::array<MetricName, static_cast<size_t>(ProcessCounter::Count)> counterNames { {
@@ -56,7 +59,7 @@
     } };
 
     constexpr std::array<const char*, static_cast<size_t>(ControlWork::Count)> workNames { "requests", "placement",
-        "leadership", "fleet_state" };
+        "leadership", "fleet_state", "planning" };
     constexpr std::array<const char*, static_cast<size_t>(MeteredResource::Count)> resourceNames { "milli_cpus",
         "memory_mib", "accelerators" };
     constexpr const char* otherName = "other";
@@ -99,6 +102,7 @@
     , m_packing(gauges(m_registry, "teasel_packing_ratio", "Committed over declared resources of workers"))
     , m_errors(counters(m_registry, "teasel_errors_total", "Errors answered"))
     , m_controlTime(histograms(m_registry, "teasel_control_seconds", "Time of one round of the control thread"))
+    , m_jobStage(histograms(m_registry, "teasel_job_stage_seconds", "Time of jobs and runs in a stage at the leader"))
     , m_commitTime(histograms(m_registry, "teasel_commit_seconds", "Time from proposing a command to its commit")
                        .Add({}, waitBuckets))
 {
@@ -112,6 +116,16 @@
         m_packingGauges[n] = &m_packing.Add({ { "resource", resourceNames[n] } });
 }
 
+Metrics::Histogram& Metrics::jobStage(std::string_view queue, std::string_view stage, std::span<const int64_t> boundsMs)
+{
+    constexpr double secondsPerMs = 0.001;
+    Histogram::BucketBoundaries bounds;
+    for (const auto it : boundsMs)
+        bounds.push_back(static_cast<double>(it) * secondsPerMs);
+    // The family returns the existing series for known labels.
+    return m_jobStage.Add({ { "queue", std::string(queue) }, { "stage", std::string(stage) } }, bounds);
+}
+
 Metrics::TeamClassSeries Metrics::makeSeries(const std::string& team, const std::string& className)
 {
     const prometheus::Labels labels { { "team", team }, { "class", className } };
--- a/observability/metrics.h
+++ b/observability/metrics.h
@@ -16,6 +16,7 @@
 #include <array>
 #include <cstdint>
 #include <mutex>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -41,7 +42,10 @@
     RunsToEvacuate = 15, // runs left in evacuated data centres, as the leader knows them
     LogBytes = 16, // of the replicated log's records in memory
     DiskBytes = 17, // of the replicated log's files, with the snapshot
-    Count = 18,
+    ControlWait = 18, // longest time in the last second that work waited for the control thread
+    ControlBatch = 19, // longest time in the last second that the control thread took for one batch of work
+    TakeoverTime = 20, // from the last contact with the previous leader to this leader's first start
+    Count = 21,
 };
 
 // Counters of the whole process, without labels.
@@ -68,7 +72,8 @@
     Placement = 1,
     Leadership = 2,
     FleetState = 3,
-    Count = 4,
+    Planning = 4,
+    Count = 5,
 };
 
 enum class MeteredResource : uint8_t {
@@ -117,6 +122,10 @@
     // Seconds that one iteration of the control thread spent on this category of work.
     Histogram& controlTime(ControlWork);
 
+    // Seconds that jobs of a queue spend in a stage. All calls must pass the same bounds. The caller limits the number
+    // of queues.
+    Histogram& jobStage(std::string_view queue, std::string_view stage, std::span<const int64_t> boundsMs);
+
     // Seconds from proposing a command to its commit.
     Histogram& commitTime() { return m_commitTime; }
 
@@ -156,6 +165,7 @@
     prometheus::Family<Gauge>& m_packing;
     prometheus::Family<Counter>& m_errors;
     prometheus::Family<Histogram>& m_controlTime;
+    prometheus::Family<Histogram>& m_jobStage;
     Histogram& m_commitTime;
     std::array<Gauge*, static_cast<size_t>(ProcessGauge::Count)> m_gauges {};
     std::array<Counter*, static_cast<size_t>(ProcessCounter::Count)> m_counters {};
