--- a/bench/load_bench.cpp
+++ b/bench/load_bench.cpp
@@ -19,10 +19,18 @@
     app.add_option("--burst", options.burst, "factor on the load from second 4 to second 8");
     app.add_option("--seconds", seconds, "duration of the load");
     app.add_option("--seed", options.seed);
+    app.add_option(
+        "--charge", options.costs.factor, "factor on the leader's processor time; 0: its work takes no time");
+    app.add_flag(
+        "--measured", options.costs.isMeasured, "charge the measured time instead of what the work amounts to");
+    std::vector<int64_t> lossesMs;
+    app.add_option("--lose-leader", lossesMs, "times, in milliseconds, at which the leader is lost");
     CLI11_PARSE(app, argc, argv);
     options.scale = scale * static_cast<double>(options.executors) / 1'100;
     options.duration = std::chrono::seconds(seconds);
     options.burstUntil = std::chrono::seconds(8);
+    for (const auto it : lossesMs)
+        options.leaderLosses.emplace_back(it);
     teasel::JobsLoad load(options);
     load.run();
     for (size_t n = 0; n < options.kinds.size(); ++n) {
@@ -36,6 +44,10 @@
                "s of processor time\n",
         load.starts(), load.adviceCalls(), load.adviceSeconds(), load.counters().preemptions, load.openJobs(),
         load.drained().count(), load.leaderSeconds());
+    if (options.costs.factor > 0)
+        fmt::print("leader's thread: busy for {} ms, longest batch {} ms\n",
+            std::chrono::duration_cast<teasel::Milliseconds>(load.leaderBusy()).count(),
+            std::chrono::duration_cast<teasel::Milliseconds>(load.longestBatch()).count());
     std::vector<double> firstStartMs;
     for (const auto& it : load.firstStarts())
         firstStartMs.push_back(std::chrono::duration<double, std::milli>(it).count());
--- a/tests/jobs_load.h
+++ b/tests/jobs_load.h
@@ -43,6 +43,11 @@
         , m_random(m_options.seed)
         , m_state(Milliseconds(600'000))
         , m_leader(m_options.leader, m_state)
+        , m_thread(
+              m_options.costs, m_clock, m_leader,
+              [this](Duration delay, std::function<void()> action) { schedule(delay, std::move(action)); },
+              [this](Instant now) { endBatch(now); },
+              [this](std::vector<JobAction> actions) { perform(std::move(actions)); })
         , m_reports(m_options.kinds.size())
         , m_teamReports(m_options.teams.size())
     {
@@ -67,6 +72,8 @@
         m_began = m_clock.now();
         for (size_t n = 0; n < m_options.kinds.size(); ++n)
             scheduleNextJob(n);
+        for (const auto at : m_options.leaderLosses)
+            schedule(at, [this] { loseLeader(); });
         m_end = m_began + m_options.duration;
         advanceTo(m_end);
         const auto last = m_end + drain;
@@ -89,6 +96,9 @@
     // From the submission of each job to its first start, in the order of the starts.
     const std::vector<Duration>& firstStarts() const { return m_firstStarts; }
     const JobLeaderCounters& counters() const { return m_leader.counters(); }
+    // Of the leader's thread, if its work takes time.
+    Duration leaderBusy() const { return m_thread.busy(); }
+    Duration longestBatch() const { return m_thread.longestBatch(); }
     // Processor time of the leader; not deterministic.
     double leaderSeconds() const { return m_leaderSeconds; }
     // Starts in each second of the load.
@@ -102,6 +112,7 @@
     static constexpr Milliseconds tick { 10 };
     static constexpr Milliseconds hop { 2 }; // one way between two processes
     static constexpr Milliseconds commit { 12 };
+    static constexpr Milliseconds electionTime { 650 }; // from the loss of a leader to the next one
 
     struct Run {
         uint32_t run = 0;
@@ -183,12 +194,17 @@
                 m_events.pop();
                 m_clock.advance(std::max(Duration(0), event.at - m_clock.now()));
                 event.action();
-                finishBatch();
+                if (!m_thread.takesTime())
+                    finishBatch();
             }
             m_clock.advance(std::max(Duration(0), next - m_clock.now()));
             if (m_clock.now() < m_nextTick)
                 continue;
             m_nextTick += tick;
+            if (m_thread.takesTime()) {
+                m_thread.runIfIdle();
+                continue;
+            }
             measure([this] { m_leader.onTick(m_clock.now(), m_clock.wallNow()); });
             finishBatch();
         }
@@ -204,10 +220,67 @@
     void finishBatch()
     {
         measure([this] { m_leader.finishBatch(m_clock.now(), m_clock.wallNow()); });
-        for (auto actions = m_leader.takeActions(); !actions.empty(); actions = m_leader.takeActions()) {
-            for (auto& it : actions)
-                std::visit([this](auto& action) { perform(action); }, it);
-        }
+        for (auto actions = m_leader.takeActions(); !actions.empty(); actions = m_leader.takeActions())
+            perform(std::move(actions));
+    }
+
+    // Hands an event to the leader, which handles it at once or when its thread gets to it.
+    template <class Task> void toLeader(Task task)
+    {
+        if (m_thread.takesTime())
+            m_thread.post(std::move(task));
+        else
+            measure([&] { task(m_clock.now()); });
+    }
+
+    WallTime wallAt(Instant now) const
+    {
+        return m_clock.wallNow() + std::chrono::duration_cast<Milliseconds>(now - m_clock.now());
+    }
+
+    void endBatch(Instant now)
+    {
+        m_leader.onTick(now, wallAt(now));
+        m_leader.finishBatch(now, wallAt(now));
+    }
+
+    void perform(std::vector<JobAction> actions)
+    {
+        for (auto& it : actions)
+            std::visit([this](auto& action) { perform(action); }, it);
+    }
+
+    // The process of the leader ends; another one leads after an election. What was proposed is committed.
+    void loseLeader()
+    {
+        ++m_losses;
+        m_thread.reset();
+        m_leader.onLostLeadership();
+        m_leader.takeActions();
+        while (!m_commits.empty())
+            applyCommit();
+        schedule(electionTime, [this] {
+            m_leader.onBecameLeader(++m_term, m_clock.now(), m_clock.wallNow());
+            for (const auto& [handle, job] : std::exchange(m_calls, {})) {
+                if (m_open.contains(job))
+                    send(job);
+            }
+            std::vector<uint64_t> ended; // without a line of the lost leader
+            for (const auto& [id, it] : m_open) {
+                if (const auto* job = m_state.find(id); job != nullptr && job->hasEnded())
+                    ended.push_back(id);
+            }
+            for (const auto it : ended)
+                onJobEnded(it);
+        });
+    }
+
+    uint64_t applyCommit()
+    {
+        auto [ticket, command] = std::move(m_commits.front());
+        m_commits.pop_front();
+        m_state.apply(0, command);
+        return ticket;
     }
 
     // ---- Callers -----------------------------------------------------------
@@ -312,10 +385,8 @@
         m_calls[handle] = id;
         const auto path = "/" + m_options.kinds[job.kind].name + "/" + jobIdText(id);
         const auto key = "key-" + m_options.teams[job.team].name;
-        measure([&] {
-            m_leader.onCall(
-                handle, SubmitJob { "farm.example", path, key, job.request }, m_clock.now(), m_clock.wallNow());
-        });
+        toLeader([this, handle, call = SubmitJob { "farm.example", path, key, job.request }](
+                     Instant now) mutable { m_leader.onCall(handle, std::move(call), now, wallAt(now)); });
     }
 
     void count(std::vector<uint64_t>& perSecond, Instant at) const
@@ -352,7 +423,12 @@
     {
         if (line.event != "job_ended")
             return;
-        const auto found = m_open.find(std::stoull(line.fields.front().second, nullptr, 16));
+        onJobEnded(std::stoull(line.fields.front().second, nullptr, 16));
+    }
+
+    void onJobEnded(uint64_t id)
+    {
+        const auto found = m_open.find(id);
         if (found == m_open.end())
             return;
         const auto& job = found->second;
@@ -373,9 +449,11 @@
         auto serialized = action.command.SerializeAsString();
         ++m_logRecords;
         m_logBytes += serialized.size();
-        schedule(commit, [this, ticket = action.ticket, command = std::move(serialized)] {
-            m_state.apply(0, command);
-            measure([&] { m_leader.onCommitted(ticket, m_clock.now()); });
+        m_commits.emplace_back(action.ticket, std::move(serialized));
+        schedule(commit, [this, losses = m_losses] {
+            if (losses != m_losses) // applied when the leader was lost
+                return;
+            toLeader([this](Instant now) { m_leader.onCommitted(applyCommit(), now); });
         });
     }
 
@@ -396,7 +474,7 @@
                 granted.emplace_back(it, "ticket");
         }
         schedule(freeAt - m_clock.now() + hop + hop, [this, number = action.number, granted = std::move(granted)] {
-            measure([&] { m_leader.onAdvice(number, true, granted, m_clock.now()); });
+            toLeader([this, number, granted](Instant now) { m_leader.onAdvice(number, true, granted, now); });
         });
     }
 
@@ -423,7 +501,8 @@
         it.record.mutable_capacity()->set_milli_cpus(32'000);
         it.record.mutable_capacity()->set_memory_mib(65'536);
         it.sequence = ++executor.sequence;
-        measure([&] { m_leader.onCall(++m_lastHandle, std::move(it), m_clock.now(), m_clock.wallNow()); });
+        toLeader([this, handle = ++m_lastHandle, it = std::move(it)](
+                     Instant now) mutable { m_leader.onCall(handle, std::move(it), now, wallAt(now)); });
         schedule(std::chrono::milliseconds(1'500), [this, number] { announce(number); });
     }
 
@@ -439,7 +518,8 @@
         result.clockMs = clockMs();
         result.bornMs = 1;
         schedule(hop, [this, number, result = std::move(result)]() mutable {
-            measure([&] { m_leader.onOrderResult(number, std::move(result), m_clock.now()); });
+            toLeader([this, number, result = std::move(result)](
+                         Instant now) mutable { m_leader.onOrderResult(number, std::move(result), now); });
         });
     }
 
@@ -532,6 +612,7 @@
     ManualClock m_clock;
     JobState m_state;
     JobLeader m_leader;
+    LeaderThread m_thread;
     std::vector<LoadReport> m_reports;
     std::vector<LoadReport> m_teamReports;
     std::deque<Executor> m_executors; // references to elements stay valid
@@ -543,7 +624,10 @@
     Instant m_end {};
     Instant m_nextTick {};
     Milliseconds m_drained { 0 };
-    absl::flat_hash_map<uint64_t, uint64_t> m_calls; // job by handle
+    uint64_t m_term = 1;
+    uint64_t m_losses = 0;
+    std::deque<std::pair<uint64_t, std::string>> m_commits; // tickets and commands that are not applied
+    absl::btree_map<uint64_t, uint64_t> m_calls; // job by handle
     absl::btree_map<uint64_t, OpenJob> m_open;
     absl::btree_map<StepKey, std::pair<uint32_t, std::vector<std::pair<Executor*, TaskKey>>>> m_gangs;
     absl::flat_hash_map<std::string, Instant> m_adviceFreeAt;
--- a/tests/jobs_load_options.h
+++ b/tests/jobs_load_options.h
@@ -3,6 +3,7 @@
 
 #include "core/clock.h"
 #include "jobs/job_leader_options.h"
+#include "tests/jobs_load_thread.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -74,6 +75,8 @@
     Milliseconds hotUntil { 0 };
     unsigned retries = 0; // of a refused caller, at the time that the refusal names
     std::vector<double> speeds { 1.0 }; // of the executors, in turn; a task takes its run time divided by this
+    LeaderCosts costs;
+    std::vector<Milliseconds> leaderLosses; // after the begin of the load
     double taskSpread = 0; // sigma of the log-normal factor by which the tasks of a step differ
     JobLeaderOptions leader = defaultLeaderOptions();
 
--- /dev/null
+++ b/tests/jobs_slow_leader_test.cpp
@@ -0,0 +1,69 @@
+#include "tests/jobs_load.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+
+using namespace teasel;
+
+namespace {
+
+constexpr std::array<double, 4> factors { 1, 1.5, 2, 3 }; // on the processor time of the leader
+constexpr size_t twice = 2; // index of the factor 2
+constexpr size_t urgentKind = 2; // "weigh"
+
+// The shares of the work of each kind that ended in time.
+std::array<double, 3> sharesInTime(JobsLoadOptions options, double factor)
+{
+    options.costs.factor = factor;
+    JobsLoad load(options);
+    load.run();
+    CHECK(load.openJobs() == 0);
+    std::array<double, 3> out {};
+    for (size_t n = 0; n < out.size(); ++n)
+        out[n] = load.reports()[n].inTimeWork / load.reports()[n].work;
+    return out;
+}
+
+// `floor`: the least share of the urgent kind that its callers accept.
+void checkUrgentKind(const JobsLoadOptions& options, double floor)
+{
+    constexpr double smallDifference = 0.05;
+    constexpr double largestFall = 0.5; // from one factor to the next
+    double before = 1;
+    for (size_t n = 0; n < factors.size(); ++n) {
+        const auto shares = sharesInTime(options, factors[n]);
+        const double urgent = shares[urgentKind];
+        CAPTURE(factors[n]);
+        CAPTURE(shares[0]);
+        CAPTURE(shares[1]);
+        CAPTURE(urgent);
+        CHECK(urgent >= std::max(shares[0], shares[1]) - smallDifference);
+        CHECK(urgent >= before * (1 - largestFall));
+        if (n <= twice)
+            CHECK(urgent >= 2 * floor);
+        before = urgent;
+    }
+}
+
+} // namespace
+
+TEST_CASE("urgent jobs suffer last when the leader's processor is slow")
+{
+    constexpr double floor = 0.46;
+    JobsLoadOptions options;
+    options.duration = std::chrono::seconds(8);
+    checkUrgentKind(options, floor);
+}
+
+TEST_CASE("urgent jobs suffer last when a slow leader is lost and a burst follows")
+{
+    constexpr double floor = 0.35;
+    JobsLoadOptions options;
+    options.duration = std::chrono::seconds(10);
+    options.burst = 2;
+    options.burstUntil = std::chrono::seconds(8);
+    options.leaderLosses = { Milliseconds(1'500) };
+    checkUrgentKind(options, floor);
+}
