Job plane: the leader's work for each order, run and query is less

Cause: found with perf on a leader at -Og with 1,100 executors: a query for pending jobs examined all runs (4.2% of the process), each round looked up the step of every run on every executor for runs to preempt (7.3%), each order evaluated the leader's lease anew (2.1%). Change: jobs without a known start are counted for all queues at most every 100 ms (callers allow three seconds); a run knows whether it may be preempted; the lease is evaluated once for the actions of one time. Behaviour is the same otherwise.

--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -64,6 +64,10 @@
             run.team = job->request.team();
             run.queue = job->request.queue();
         }
+        if (job != nullptr && !job->hasEnded()) {
+            const auto& step = job->request.steps(static_cast<int>(key.step.step));
+            run.mayBePreempted = step.checkpoints() && !step.gang() && !step.lasting();
+        }
         run.mustStop = job == nullptr || job->hasEnded();
         reserve(executor, key, std::move(run));
     }
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -113,6 +113,7 @@
     m_proposals.clear();
     m_pendingOrders.clear();
     m_latencies.clear();
+    m_unknownStartsCountedAt = {};
     m_firstStartAt = {};
     std::erase_if(m_actions, [](const auto& it) {
         return std::holds_alternative<SendOrder>(it) || std::holds_alternative<ProposeJobs>(it)
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -310,7 +310,8 @@
     Instant inheritedStartExpiry(const TaskKey&) const;
     void pollForExpiredStarts(LiveExecutor&);
     // Jobs of the queue that have not begun as far as is known: they have only runs whose start was not answered.
-    uint64_t jobsWithoutKnownStart(const std::string& queue) const;
+    uint64_t jobsWithoutKnownStart(const std::string& queue);
+    void countUnknownStarts();
     // A run that was waiting for the expiry of its start is listed: it has begun.
     void resumeRun(LiveExecutor&, LiveRun&);
     void processEndList(LiveExecutor&, const OrderResult&);
@@ -448,6 +449,8 @@
         uint32_t run = 0;
     };
     std::vector<Confirmation> m_newConfirmations; // not recorded yet
+    absl::flat_hash_map<std::string, uint64_t> m_jobsWithoutKnownStart; // by queue, as counted last
+    Instant m_unknownStartsCountedAt {};
     Instant m_nextConfirmationRecordAt {};
     // The longest lease, of orders to the same incarnation, that an earlier leader may have asked for.
     Milliseconds m_inheritedLease { 0 };
--- a/jobs/job_run_ends.cpp
+++ b/jobs/job_run_ends.cpp
@@ -9,6 +9,8 @@
 
     constexpr Milliseconds listingDelay { 60 }; // between the end of a run and its listing
     constexpr uint64_t maxEndsBetweenListings = 100'000;
+    // Callers ask many times a second, and the count examines all runs.
+    constexpr Milliseconds unknownStartsMaxAge { 100 };
 
     std::string millis(Duration it) { return std::to_string(std::chrono::duration_cast<Milliseconds>(it).count()); }
 
@@ -148,20 +150,30 @@
     return m_leadingSince + delay;
 }
 
-uint64_t JobLeader::jobsWithoutKnownStart(const std::string& queue) const
+uint64_t JobLeader::jobsWithoutKnownStart(const std::string& queue)
 {
+    if (m_now >= m_unknownStartsCountedAt + unknownStartsMaxAge)
+        countUnknownStarts();
+    const auto found = m_jobsWithoutKnownStart.find(queue);
+    return found == m_jobsWithoutKnownStart.end() ? 0 : found->second;
+}
+
+void JobLeader::countUnknownStarts()
+{
+    m_unknownStartsCountedAt = m_now;
+    m_jobsWithoutKnownStart.clear();
     absl::flat_hash_map<uint64_t, uint32_t> waitingRuns; // by job
     for (const auto& [number, executor] : m_executors) {
         for (const auto& [key, run] : executor.runs) {
-            const bool isUnknown = run.stage == RunStage::AwaitingStartExpiry || run.stage == RunStage::UnknownOutcome;
-            if (isUnknown && run.queue == queue)
+            if (run.stage == RunStage::AwaitingStartExpiry || run.stage == RunStage::UnknownOutcome)
                 ++waitingRuns[key.step.job];
         }
     }
-    return static_cast<uint64_t>(std::count_if(waitingRuns.begin(), waitingRuns.end(), [this](const auto& it) {
-        const auto* job = m_state.find(it.first);
-        return job != nullptr && job->phase == JobPhase::Running && !job->hasBegun && job->assignedTasks() == it.second;
-    }));
+    for (const auto& [id, runs] : waitingRuns) {
+        const auto* job = m_state.find(id);
+        if (job != nullptr && job->phase == JobPhase::Running && !job->hasBegun && job->assignedTasks() == runs)
+            ++m_jobsWithoutKnownStart[job->request.queue()];
+    }
 }
 
 void JobLeader::pollForExpiredStarts(LiveExecutor& executor)
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -227,10 +227,11 @@
 {
     std::vector<PreemptibleRun> out;
     for (const auto& [key, run] : executor.runs) {
-        if (run.stage != RunStage::Running || run.mustStop || m_now - run.startedAt < minRunBeforePreemption)
+        if (!run.mayBePreempted || run.stage != RunStage::Running || run.mustStop
+            || m_now - run.startedAt < minRunBeforePreemption)
             continue;
         const auto step = m_readySteps.find(key.step);
-        if (step == m_readySteps.end() || !step->second.checkpoints || step->second.gang || step->second.lasting)
+        if (step == m_readySteps.end())
             continue;
         const double ranMs = std::chrono::duration<double, std::milli>(m_now - run.startedAt).count();
         if (step->second.taskMs * executor.slowness - ranMs > minRemainingMs)
@@ -283,6 +284,7 @@
     fillRef(start.task, *assignment.mutable_task());
     assignment.set_run(run.run);
     assignment.set_executor(start.executor);
+    run.mayBePreempted = step.checkpoints && !step.gang && !step.lasting;
     m_batch.continuations.emplace_back(LaunchRunWhenCommitted { start.executor, start.task, run.run });
     reserve(executor, start.task, std::move(run));
 }
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -48,6 +48,7 @@
     bool isConfirmed = false;
     bool isMoved = false; // its start was sent to an earlier incarnation
     bool isFromStart = true; // started from the beginning, not from a checkpoint
+    bool mayBePreempted = false; // can be stopped at any time and resume from its checkpoint
     std::string checkpoint; // latest checkpoint that a listing showed
     uint32_t percent = 0; // progress of the work, as listed
 
--- a/node/core_calls.cpp
+++ b/node/core_calls.cpp
@@ -131,7 +131,7 @@
     auto pending = std::move(found->second);
     m_pendingCalls.erase(found);
     // Any answer but a refusal is only valid while this replica's state is the latest.
-    if (!m_log->holdsLease(now) && !platform::isRefusal(action.answer)) {
+    if (!holdsLease(now) && !platform::isRefusal(action.answer)) {
         schema::RoutedAnswer answer;
         answer.set_number(pending.number);
         sendRoutedAnswer(pending.from, std::move(answer));
--- a/node/core_orders.cpp
+++ b/node/core_orders.cpp
@@ -19,10 +19,18 @@
     return found->second[executor % found->second.size()];
 }
 
+bool CoreNode::holdsLease(Instant now)
+{
+    // All actions of a batch are executed with one time.
+    if (m_leaseCheck.first != now || !m_leaseCheck.second)
+        m_leaseCheck = { now, m_log->holdsLease(now) };
+    return m_leaseCheck.second;
+}
+
 void CoreNode::execute(SendOrder& action, Instant now)
 {
     // After a pause, another leader may have taken over and decided otherwise.
-    if (!m_log->holdsLease(now)) {
+    if (!holdsLease(now)) {
         m_leader.onOrderResult(action.number, { OrderOutcome::NotSent }, now);
         return;
     }
