Core instances: what is ready is sent before the next round of planning

Cause: a proposal was sent by a task behind everything that had arrived during the batch; answers and starts that a commit allows waited for the round of planning in the same batch. Ruled out: the disks (4 ms a sync) and the links (0.5 ms): the same stages take 20 ms in calm. Change: after each batch the actions are executed and the proposals flushed, then a round is planned, then again.

--- a/consensus/replicated_log.cpp
+++ b/consensus/replicated_log.cpp
@@ -78,6 +78,12 @@
     return true;
 }
 
+void ReplicatedLog::flushProposals()
+{
+    if (m_isFlushScheduled)
+        flush();
+}
+
 Result<uint64_t> ReplicatedLog::changeVoters(const VoterChange& change, Instant now)
 {
     auto index = m_replica->changeVoters(change, now);
--- a/consensus/replicated_log.h
+++ b/consensus/replicated_log.h
@@ -83,6 +83,10 @@
     // when the proposal was rejected.
     bool propose(std::string command, uint64_t ticket, Instant now);
 
+    // Sends and persists what was proposed since the last flush. Otherwise that happens with the next task of the
+    // control thread, after those that are posted already.
+    void flushProposals();
+
     Result<uint64_t> changeVoters(const VoterChange&, Instant now);
 
     // Transfers the leadership to another voter, for a graceful stop.
--- a/node/core_node.cpp
+++ b/node/core_node.cpp
@@ -386,14 +386,15 @@
     m_relay.onTick(now);
     if (m_leader.isLeading()) {
         m_leader.onTick(now, m_context.clock.wallNow());
-        finishLeaderBatch(now);
+        // What is ready does not wait for the planning of further starts.
+        sendActions(now);
+        finishLeaderBatch(m_context.clock.now());
         if (now >= m_nextVoterPlan)
             planVoters(now);
         if (now >= m_nextInstanceUpdate)
             updateInstances(now);
     }
-    executeActions(now);
-    flushOrders();
+    sendActions(m_context.clock.now());
     if (now >= m_nextMetricsUpdate)
         updateMetrics(now);
 }
@@ -418,6 +419,13 @@
 
 void CoreNode::execute(ProposeJobs& action, Instant now)
 {
+void CoreNode::sendActions(Instant now)
+{
+    executeActions(now);
+    flushOrders();
+    m_log->flushProposals();
+}
+
     auto command = action.command.SerializeAsString();
     const auto bytes = command.size();
     if (m_log->propose(std::move(command), action.ticket, now))
--- a/node/core_node.h
+++ b/node/core_node.h
@@ -81,6 +81,8 @@
     // Ends a batch of events at the leader and measures the planning.
     void finishLeaderBatch(Instant now);
     void executeActions(Instant now);
+    // Executes the leader's actions, and sends the orders and proposals among them.
+    void sendActions(Instant now);
     void execute(ProposeJobs&, Instant now);
     void execute(AnswerCall&, Instant now);
     void execute(SendOrder&, Instant now);
