Job plane: rounds of planning and starts that can wait are limited by the time that they take

Cause: the leader took no notice of its own time. A round could examine 60,000 pairs and more (advice was not limited at all) and was assumed to cost 50 ns a pair; at -Og a pair takes 0.6 us and planning half of the control thread, whose batches take 40 to 78 ms. An urgent start passes four such batches, so that the most urgent queue misses its objective first. Work that can wait added events without limit. Ruled out: takeovers (1.1 s without starts, once a day), gangs before urgent steps (the assignment takes 2 to 10 ms in the median), capacity. Change: PlanningPace learns the cost of a pair from the measured time of rounds and limits a round to 5 ms, the pause after it to twice its time at least, and advice to half of the visits. While an event takes more than 50 ms at the leader, starts besides the most urgent queues are limited to a rate that falls and rises again (AIMD), and advice is asked for the most urgent ones only.

--- a/jobs/candidate_executor.h
+++ b/jobs/candidate_executor.h
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -75,6 +76,8 @@
     std::function<uint32_t(const StepKey&, uint32_t executor)> tasksOn;
     // How many more tasks with this need fit under the team's cap.
     std::function<int64_t(std::string_view team, const ResourceVector& need)> tasksLeftInCap;
+    // How many tasks may start in this round besides those of the most urgent queues and lasting ones.
+    int64_t relaxedStarts = std::numeric_limits<int64_t>::max();
     // Runs on the executor that may be preempted.
     std::function<std::vector<PreemptibleRun>(uint32_t executor)> preemptibleRuns;
 };
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -18,6 +18,7 @@
 #include "jobs/job_state.h"
 #include "jobs/live_executor.h"
 #include "jobs/load_summary.h"
+#include "jobs/planning_pace.h"
 #include "jobs/ready_step.h"
 #include "jobs/run_evidence.h"
 #include "jobs/run_index.h"
@@ -91,6 +92,12 @@
     // Ends a batch of events: proposes the changes collected and plans starts.
     void finishBatch(Instant now, WallTime wall);
 
+    // The last call of finishBatch(), which planned a round, took this long. Called after it if the host has a clock.
+    void onRoundMeasured(Duration took) { m_pace.onRoundMeasured(took); }
+
+    // How long an event takes now, from its arrival at the host until what follows from it has been sent.
+    void onLag(Duration lag, Instant now) { m_pace.onLag(lag, now); }
+
     std::vector<JobAction> takeActions() { return std::exchange(m_actions, {}); }
 
     const JobLeaderCounters& counters() const { return m_counters; }
@@ -442,6 +449,8 @@
     };
     // Delayed answers to queries about running jobs, by job.
     absl::btree_map<uint64_t, std::vector<StateQuery>> m_stateQueries;
+    absl::flat_hash_map<std::string, uint64_t> m_jobsWithoutKnownStart; // by queue, as counted last
+    Instant m_unknownStartsCountedAt {};
     absl::btree_set<uint64_t> m_scheduledJobs; // jobs with occurrences that have not begun
     struct Confirmation {
         uint32_t executor = 0;
@@ -449,8 +458,6 @@
         uint32_t run = 0;
     };
     std::vector<Confirmation> m_newConfirmations; // not recorded yet
-    absl::flat_hash_map<std::string, uint64_t> m_jobsWithoutKnownStart; // by queue, as counted last
-    Instant m_unknownStartsCountedAt {};
     Instant m_nextConfirmationRecordAt {};
     // The longest lease, of orders to the same incarnation, that an earlier leader may have asked for.
     Milliseconds m_inheritedLease { 0 };
@@ -478,6 +485,8 @@
 
     std::vector<CandidateExecutor> m_candidates; // of the current round of planning
     size_t m_resumeAt = 0; // step at which the last round stopped; 0: it examined all
+    size_t m_adviceResumeAt = 0; // the same for advice
+    PlanningPace m_pace;
 
     Batch m_batch; // the newest changes
     std::deque<Batch> m_fullBatches; // earlier ones that are not proposed yet
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -16,11 +16,6 @@
     constexpr unsigned sequenceBits = 32; // low bits of a call's number; the fence is above them
     constexpr int64_t unboundedTasks = 1'000'000;
     constexpr Milliseconds capacityLogInterval { 1'000 };
-    constexpr Milliseconds planInterval { 10 }; // starts that become possible within this time are planned together
-    // Pause between rounds, in microseconds per examined pair of step and executor: ten times the assumed cost of
-    // 50 ns, so that planning takes about a tenth of a core however much is waiting.
-    constexpr double pausePerVisitUs = 0.5;
-    constexpr uint64_t maxVisitsPerRound = 60'000; // about 5 ms of processor time
     // A run is not preempted earlier; several times the cost of a restore.
     constexpr Milliseconds minRunBeforePreemption { 600 };
     // A run that would end sooner is not preempted: the stop and its listing take half of this.
@@ -79,8 +74,15 @@
 {
     auto& capacity = planner.capacity();
     absl::flat_hash_map<std::string_view, ResourceVector> claimedByTeam;
-    for (const auto* it : steps) {
-        if (capacity.isEmpty())
+    // A round examines the most urgent steps and, with the second half of its visits, goes on where the last one
+    // stopped.
+    const auto mostUrgentUntil = planner.visits() + m_pace.maxVisits() / 4;
+    const auto until = planner.visits() + m_pace.maxVisits() / 2;
+    const auto resumeAt = std::exchange(m_adviceResumeAt, 0);
+    const bool mayStartRelaxed = m_pace.relaxedStartsLeft(m_now) > 0;
+    for (size_t n = 0; n < steps.size(); ++n) {
+        const auto* it = steps[n];
+        if (capacity.isEmpty() || (!mayStartRelaxed && !isMostUrgent(*it, m_now)))
             break;
         // The steps of a team share its cap.
         auto& claimed = claimedByTeam[it->team];
@@ -90,8 +92,12 @@
             continue;
         if (!capacity.hasRoomFor(*it))
             continue;
-        if (it->needsTicket)
-            requestAdvice(*it, planner);
+        if (it->needsTicket && m_adviceResumeAt == 0 && (planner.visits() < mostUrgentUntil || n >= resumeAt)) {
+            if (planner.visits() < until)
+                requestAdvice(*it, planner);
+            else
+                m_adviceResumeAt = n;
+        }
         capacity.claim(*it, tasks);
         claimed += it->need * tasks;
     }
@@ -197,17 +203,19 @@
                                                             : std::vector<const ReadyStep*>();
     sortByUrgency(steps, m_now, contended);
     requestAdviceFor(steps, advicePlanner);
-    const auto constraints = startConstraints();
+    auto constraints = startConstraints();
+    constraints.relaxedStarts = m_pace.relaxedStartsLeft(m_now);
     StartPlanner planner(m_candidates, constraints, m_options.planner);
     // A round that reached its limit is continued by the next one, which spends half of its visits on the most urgent
     // steps again.
     const std::span<const ReadyStep* const> all(steps);
     const bool isContinued = m_resumeAt > 0;
-    auto plan = planner.plan(all, m_now, isContinued ? maxVisitsPerRound / 2 : maxVisitsPerRound);
+    const auto maxVisits = m_pace.maxVisits();
+    auto plan = planner.plan(all, m_now, isContinued ? maxVisits / 2 : maxVisits);
     const auto from = std::min(all.size(), std::max(m_resumeAt, plan.examinedSteps));
     m_resumeAt = plan.examinedSteps;
     if (isContinued) {
-        const auto rest = planner.plan(all.subspan(from), m_now, maxVisitsPerRound / 2);
+        const auto rest = planner.plan(all.subspan(from), m_now, maxVisits / 2);
         m_resumeAt = from + rest.examinedSteps;
         plan.append(rest);
     }
@@ -216,7 +224,8 @@
     logCapacityUse(planner);
     const auto visits = plan.visits + advicePlanner.visits();
     m_counters.planningVisits += visits;
-    m_nextPlanAt = m_now + planInterval + Duration(static_cast<int64_t>(static_cast<double>(visits) * pausePerVisitUs));
+    m_nextPlanAt = m_now + m_pace.onRound(visits);
+    m_pace.onRelaxedStarts(plan.relaxedStarts, m_now);
     for (const auto& it : plan.starts)
         assign(it);
     for (const auto& it : plan.stops)
@@ -275,6 +284,7 @@
     run.need = step.need;
     run.team = step.team;
     run.queue = step.queue;
+    run.mayBePreempted = step.checkpoints && !step.gang && !step.lasting;
     run.assignedAt = run.startedAt = m_now;
     step.waiting.erase(start.task.index);
     m_latencies.onAssigned(start.task.step.job, step.queue, m_now);
@@ -284,7 +294,6 @@
     fillRef(start.task, *assignment.mutable_task());
     assignment.set_run(run.run);
     assignment.set_executor(start.executor);
-    run.mayBePreempted = step.checkpoints && !step.gang && !step.lasting;
     m_batch.continuations.emplace_back(LaunchRunWhenCommitted { start.executor, start.task, run.run });
     reserve(executor, start.task, std::move(run));
 }
--- a/jobs/start_planner.cpp
+++ b/jobs/start_planner.cpp
@@ -38,6 +38,8 @@
 
 } // namespace
 
+bool isMostUrgent(const ReadyStep& it, Instant now) { return rankOf(it, now) <= Rank::MostUrgentQueue; }
+
 int64_t tasksLeftBeside(const ResourceVector& planned, const ResourceVector& need, int64_t left)
 {
     for (size_t n = 0; n < ResourceVector::kinds; ++n) {
@@ -66,6 +68,7 @@
     starts.insert(starts.end(), other.starts.begin(), other.starts.end());
     stops.insert(stops.end(), other.stops.begin(), other.stops.end());
     visits += other.visits;
+    relaxedStarts += other.relaxedStarts;
     examinedSteps += other.examinedSteps;
 }
 
@@ -183,6 +186,29 @@
     auto wanted = std::min<int64_t>(allowed, static_cast<int64_t>(step.waiting.size()));
     if (wanted <= 0 || (step.gang && wanted < static_cast<int64_t>(step.count)))
         return;
+    wanted = startsAllowed(step, wanted, now);
+    if (wanted <= 0)
+        return;
+    const bool isRelaxed = !isMostUrgent(step, now);
+    const auto startsBefore = out.starts.size();
+    planTasks(step, wanted, now, out);
+    if (!isRelaxed)
+        return;
+    const auto planned = static_cast<int64_t>(out.starts.size() - startsBefore);
+    m_relaxedStarts += planned;
+    out.relaxedStarts += planned;
+}
+
+int64_t StartPlanner::startsAllowed(const ReadyStep& step, int64_t wanted, Instant now) const
+{
+    if (isMostUrgent(step, now))
+        return wanted;
+    const auto left = m_constraints.relaxedStarts - m_relaxedStarts;
+    return step.gang && left > 0 ? wanted : std::min(wanted, left);
+}
+
+void StartPlanner::planTasks(const ReadyStep& step, int64_t wanted, Instant now, StartPlan& out)
+{
     auto placements = placementsFor(step, now, out.visits);
     restrictToOneRack(step, static_cast<size_t>(wanted), placements);
     int64_t fits = 0;
--- a/jobs/start_planner.h
+++ b/jobs/start_planner.h
@@ -32,6 +32,7 @@
     std::vector<PlannedStop> stops;
     uint64_t visits = 0; // examined pairs of step and executor: the cost of the round
     size_t examinedSteps = 0;
+    int64_t relaxedStarts = 0; // besides those of the most urgent queues and lasting ones
 
     void append(const StartPlan&);
 };
@@ -44,6 +45,9 @@
 // How many more tasks with this need fit in a cap that has room for `left`, beside what is planned for other steps.
 int64_t tasksLeftBeside(const ResourceVector& planned, const ResourceVector& need, int64_t left);
 
+// Whether the step goes before all that can wait: lasting tasks, and the most urgent queues while they can be in time.
+bool isMostUrgent(const ReadyStep&, Instant now);
+
 // Sorts steps into the order in which they are served. Of the steps in `contended`, borrowed work comes after owed work
 // of the same urgency.
 void sortByUrgency(std::vector<const ReadyStep*>&, Instant now, std::span<const ReadyStep* const> contended = {});
@@ -70,8 +74,11 @@
     std::vector<size_t> candidatesOf(const std::optional<std::vector<uint32_t>>& executors) const;
     std::vector<Placement> placementsFor(const ReadyStep&, Instant now, uint64_t& visits) const;
     void planStep(const ReadyStep&, Instant now, StartPlan& out);
+    void planTasks(const ReadyStep&, int64_t wanted, Instant now, StartPlan& out);
     int64_t planSuspects(const ReadyStep&, int64_t wanted, std::vector<Placement>&, StartPlan& out);
     void start(const ReadyStep&, uint32_t index, Placement&, StartPlan& out);
+    // How many tasks of the step may start as far as the limit for work that can wait allows; all of a gang or none.
+    int64_t startsAllowed(const ReadyStep&, int64_t wanted, Instant now) const;
     void restrictToOneRack(const ReadyStep&, size_t wanted, std::vector<Placement>&) const;
     void reserveCapacity(const ReadyStep&, int64_t wanted, Instant now, StartPlan& out);
     double scoreOf(const ReadyStep&, const CandidateExecutor&, Instant now) const;
@@ -83,6 +90,7 @@
     ResourceVector m_largestFree; // of each resource, at the start of the round
     CapacityReserver m_capacityReserver;
     absl::flat_hash_map<std::string, ResourceVector> m_plannedPerTeam;
+    int64_t m_relaxedStarts = 0; // planned in this round
 };
 
 } // namespace teasel
--- a/node/control_loop.cpp
+++ b/node/control_loop.cpp
@@ -72,8 +72,8 @@
         const auto oldestAt = m_oldestAt;
         lock.unlock();
         const auto began = m_clock.now();
-        if (!batch.empty())
-            m_report.longestWait = std::max(m_report.longestWait, began - oldestAt);
+        m_batchOldestAt = batch.empty() ? began : oldestAt;
+        m_report.longestWait = std::max(m_report.longestWait, began - m_batchOldestAt);
         for (auto& it : batch)
             it();
         const auto tasks = batch.size();
--- a/node/control_loop.h
+++ b/node/control_loop.h
@@ -47,6 +47,9 @@
     // Number of tasks that post() rejected.
     uint64_t dropped() const { return m_dropped; }
 
+    // How long the oldest task of the batch in progress has waited and taken so far. Called on the control thread only.
+    Duration batchAge() const { return m_clock.now() - m_batchOldestAt; }
+
     // Called on the control thread only. The batch in progress counts in the next report.
     ControlLoopReport takeReport() { return std::exchange(m_report, {}); }
 
@@ -63,6 +66,7 @@
     std::vector<Task> m_queue; // guarded by m_mutex
     Instant m_oldestAt {}; // when the first task of the queue was posted; guarded by m_mutex
     bool m_stopping = false; // guarded by m_mutex
+    Instant m_batchOldestAt {}; // when the first task of the batch in progress was posted
     ControlLoopReport m_report;
     std::atomic<uint64_t> m_dropped = 0;
     std::thread m_thread;
--- a/node/core_node.cpp
+++ b/node/core_node.cpp
@@ -395,6 +395,7 @@
             updateInstances(now);
     }
     sendActions(m_context.clock.now());
+    m_leader.onLag(m_loop.batchAge(), now);
     if (now >= m_nextMetricsUpdate)
         updateMetrics(now);
 }
@@ -402,10 +403,12 @@
 void CoreNode::finishLeaderBatch(Instant now)
 {
     const auto rounds = m_leader.counters().planningRounds;
-    const auto began = m_context.clock.now();
     m_leader.finishBatch(now, m_context.clock.wallNow());
-    if (m_leader.counters().planningRounds != rounds)
-        m_lagReporter.onRound(m_context.clock.now() - began);
+    if (m_leader.counters().planningRounds != rounds) {
+        const auto took = m_context.clock.now() - now;
+        m_leader.onRoundMeasured(took);
+        m_lagReporter.onRound(took);
+    }
     m_leader.setDetailLogged(m_context.log.keepsDetail());
 }
 
@@ -417,8 +420,6 @@
     }
 }
 
-void CoreNode::execute(ProposeJobs& action, Instant now)
-{
 void CoreNode::sendActions(Instant now)
 {
     executeActions(now);
@@ -426,6 +427,8 @@
     m_log->flushProposals();
 }
 
+void CoreNode::execute(ProposeJobs& action, Instant now)
+{
     auto command = action.command.SerializeAsString();
     const auto bytes = command.size();
     if (m_log->propose(std::move(command), action.ticket, now))
--- a/node/core_node.h
+++ b/node/core_node.h
@@ -86,9 +86,9 @@
     void execute(ProposeJobs&, Instant now);
     void execute(AnswerCall&, Instant now);
     void execute(SendOrder&, Instant now);
+    bool holdsLease(Instant now);
     // The core instance that sends the orders for this executor of `dataCentre`; empty for this instance.
     const std::string& orderSenderFor(const std::string& dataCentre, uint64_t executor) const;
-    bool holdsLease(Instant now);
     void sendOrder(SendOrder, std::function<void(OrderResult)> done);
     void flushOrders();
     void onOrderBatch(const std::string& from, const schema::OrderBatch&, Instant now);
@@ -121,9 +121,9 @@
     WorkerThread m_decoder; // after the servers and the loop that its jobs use
     absl::btree_map<uint64_t, PendingCall> m_pendingCalls; // by handle
     uint64_t m_lastHandle = 0;
+    std::pair<Instant, bool> m_leaseCheck; // when holdsLease() was evaluated last, and its result
     // Final refusals of submissions, by call. A resent call gets the same answer.
     absl::btree_map<CallId, schema::RoutedAnswer> m_refusals;
-    std::pair<Instant, bool> m_leaseCheck; // when holdsLease() was evaluated last, and its result
     std::deque<CallId> m_refusalOrder; // keys of m_refusals, oldest first
     absl::btree_map<std::string, Instance> m_instances; // registered with this leader, by address
     absl::btree_map<std::string, schema::OrderBatch> m_orderBatches; // orders not sent yet, by core instance
