--- a/node/state_node.cpp
+++ b/node/state_node.cpp
@@ -212,6 +212,7 @@
     m_log.onTick(now);
     m_service.onTick(now);
     executeActions(now);
+    m_log.flushProposals();
     if (now >= m_nextMetricsUpdate)
         updateMetrics(now);
 }
--- a/tests/jobs_load.h
+++ b/tests/jobs_load.h
@@ -6,6 +6,7 @@
 #include "core/clock.h"
 #include "core/random.h"
 #include "jobs/job_leader.h"
+#include "jobs_load_fleet.h"
 #include "jobs_load_options.h"
 
 #include <absl/container/btree_map.h>
@@ -61,7 +62,7 @@
         m_leader.setAdviceInstances(instances);
         m_leader.onBecameLeader(1, m_clock.now(), m_clock.wallNow());
         for (size_t n = 0; n < m_options.executors; ++n) {
-            m_executors.push_back({ fmt::format("x{}", n), m_options.speeds[n % m_options.speeds.size()] });
+            m_fleet.add(m_options.speeds[n % m_options.speeds.size()]);
             schedule(std::chrono::milliseconds(n % 1'500), [this, n] { announce(n); });
         }
     }
@@ -115,20 +116,6 @@
     static constexpr Milliseconds commit { 12 };
     static constexpr Milliseconds electionTime { 650 }; // from the loss of a leader to the next one
 
-    struct Run {
-        uint32_t run = 0;
-        bool isWorking = false;
-        Instant startedAt {};
-    };
-    struct Executor {
-        std::string id;
-        double speed = 1;
-        uint64_t sequence = 0;
-        absl::btree_map<TaskKey, Run> runs {};
-        std::deque<EndedTask> ended {};
-        uint64_t lastEnd = 0;
-        uint64_t waitingRenewal = 0; // number of the renewal that waits for an end; 0: none
-    };
     struct OpenJob {
         size_t kind = 0;
         size_t team = 0;
@@ -485,18 +472,16 @@
 
     // ---- Executors -----------------------------------------------------------
 
+    LoadFleet::Host fleetHost()
+    {
+        return { [this](Duration delay, std::function<void()> action) { schedule(delay, std::move(action)); },
+            [this](uint64_t number, OrderResult result) { sendResult(number, std::move(result)); },
+            [this](const TaskKey& task) { return onTaskStarted(task); }, [this] { return drawSpread(); } };
+    }
+
     void announce(size_t number)
     {
-        auto& executor = m_executors[number];
-        ExecutorAnnouncement it;
-        it.record.set_id(executor.id);
-        it.record.set_born_ms(1);
-        it.record.set_address(executor.id);
-        it.record.set_service("filling");
-        it.record.mutable_capacity()->set_milli_cpus(32'000);
-        it.record.mutable_capacity()->set_memory_mib(65'536);
-        it.sequence = ++executor.sequence;
-        toLeader([this, handle = ++m_lastHandle, it = std::move(it)](
+        toLeader([this, handle = ++m_lastHandle, it = m_fleet.announcementOf(number)](
                      Instant now) mutable { m_leader.onCall(handle, std::move(it), now, wallAt(now)); });
         schedule(std::chrono::milliseconds(1'500), [this, number] { announce(number); });
     }
@@ -520,86 +505,19 @@
 
     void perform(SendOrder& action)
     {
-        schedule(hop, [this, order = std::move(action)] {
-            const auto number = std::stoull(order.executorId.substr(1));
-            std::visit([&](const auto& it) { execute(m_executors[number], order.number, it); }, order.order);
-        });
+        schedule(hop, [this, order = std::move(action)] { m_fleet.carryOut(order); });
     }
 
-    void execute(Executor& executor, uint64_t number, const StartRun& start)
+    std::optional<LoadFleet::Work> onTaskStarted(const TaskKey& task)
     {
         ++m_starts;
         count(m_startsPerSecond, std::max(m_began, m_clock.now()));
-        executor.runs[start.task] = { start.run, false, m_clock.now() };
-        sendResult(number, {});
-        const auto job = m_open.find(start.task.step.job);
+        const auto job = m_open.find(task.step.job);
         if (job == m_open.end())
-            return;
+            return std::nullopt;
         if (!std::exchange(job->second.hasStarted, true))
             m_firstStarts.push_back(m_clock.now() - job->second.submittedAt);
-        if (!job->second.isGang)
-            return startWork(executor, start.task, start.run, job->second.taskMs);
-        auto& gang = m_gangs[start.task.step];
-        if (gang.first != start.run)
-            gang = { start.run, {} };
-        gang.second.emplace_back(&executor, start.task);
-        if (gang.second.size() < job->second.tasks)
-            return;
-        for (const auto& [member, task] : gang.second)
-            startWork(*member, task, start.run, job->second.taskMs);
-    }
-
-    void startWork(Executor& executor, const TaskKey& task, uint32_t run, double taskMs)
-    {
-        const double tookMs = taskMs * drawSpread() / executor.speed;
-        schedule(Duration(static_cast<int64_t>(tookMs * 1'000)), [this, &executor, task, run] {
-            const auto it = executor.runs.find(task);
-            if (it != executor.runs.end() && it->second.run == run)
-                end(executor, task, schema::RUN_OUTCOME_DONE);
-        });
-    }
-
-    void end(Executor& executor, const TaskKey& task, schema::RunOutcome outcome)
-    {
-        const auto run = executor.runs.at(task).run;
-        executor.runs.erase(task);
-        executor.ended.push_back({ ++executor.lastEnd, task, run, outcome, {} });
-        if (const auto number = std::exchange(executor.waitingRenewal, 0); number != 0)
-            sendResult(number, listing(executor));
-    }
-
-    void execute(Executor& executor, uint64_t number, const StopRun& stop)
-    {
-        sendResult(number, {});
-        const auto it = executor.runs.find(stop.task);
-        if (it != executor.runs.end() && it->second.run <= stop.run)
-            end(executor, stop.task, schema::RUN_OUTCOME_STOPPED);
-    }
-
-    void execute(Executor& executor, uint64_t number, const RenewLease& renewal)
-    {
-        while (!executor.ended.empty() && executor.ended.front().number <= renewal.acknowledgedEnds)
-            executor.ended.pop_front();
-        if (!executor.ended.empty() || renewal.wait == Milliseconds(0))
-            return sendResult(number, listing(executor));
-        executor.waitingRenewal = number;
-        schedule(renewal.wait, [this, &executor, number] {
-            if (executor.waitingRenewal != number)
-                return;
-            executor.waitingRenewal = 0;
-            sendResult(number, listing(executor));
-        });
-    }
-
-    static void execute(Executor&, uint64_t, const ThrottleRun&) { }
-
-    static OrderResult listing(const Executor& executor)
-    {
-        OrderResult out;
-        for (const auto& [task, run] : executor.runs)
-            out.running.push_back({ task, run.run, {}, 100, -1 });
-        out.ended.assign(executor.ended.begin(), executor.ended.end());
-        return out;
+        return LoadFleet::Work { job->second.taskMs, job->second.isGang, job->second.tasks };
     }
 
     JobsLoadOptions m_options;
@@ -610,7 +528,7 @@
     LeaderThread m_thread;
     std::vector<LoadReport> m_reports;
     std::vector<LoadReport> m_teamReports;
-    std::deque<Executor> m_executors; // references to elements stay valid
+    LoadFleet m_fleet { fleetHost() };
     std::priority_queue<Event> m_events;
     uint64_t m_lastEvent = 0;
     uint64_t m_lastJob = 0;
@@ -624,7 +542,6 @@
     std::deque<std::pair<uint64_t, std::string>> m_commits; // tickets and commands that are not applied
     absl::btree_map<uint64_t, uint64_t> m_calls; // job by handle
     absl::btree_map<uint64_t, OpenJob> m_open;
-    absl::btree_map<StepKey, std::pair<uint32_t, std::vector<std::pair<Executor*, TaskKey>>>> m_gangs;
     absl::flat_hash_map<std::string, Instant> m_adviceFreeAt;
     uint64_t m_starts = 0;
     uint64_t m_logRecords = 0;
--- a/tests/jobs_planner_test.cpp
+++ b/tests/jobs_planner_test.cpp
@@ -407,3 +407,23 @@
     REQUIRE(starts.size() == 1);
     CHECK(starts.front().task.step.job == 2);
 }
+
+// Guards against work that can wait and that adds to the work of a leader that already lags.
+TEST_CASE("a limit on starts holds for work that can wait, not for the most urgent queue; a gang starts whole or not")
+{
+    PlannerFixture it;
+    for (uint32_t n = 1; n <= 4; ++n)
+        it.addExecutor(n, 8'000);
+    auto urgent = it.step(1, 6, 500, Milliseconds(100));
+    urgent.priority = 0;
+    const auto relaxed = it.step(2, 6, 500, Milliseconds(5'000));
+    auto gang = it.step(3, 6, 500, Milliseconds(500));
+    gang.gang = true;
+    it.constraints.relaxedStarts = 0;
+    CHECK(it.plan({ &urgent, &relaxed, &gang }).size() == 6);
+    it.constraints.relaxedStarts = 2;
+    CHECK(it.plan({ &relaxed }).size() == 2);
+    CHECK(it.plan({ &gang, &relaxed }).size() == 6);
+    urgent.latestStart = it.now - Milliseconds(1);
+    CHECK(it.plan({ &urgent }).size() == 2);
+}
