Job plane: keys of tasks compare without tuples; departures are checked before the runs of an executor

The most frequent comparison at a leader with 1,100 executors (3% of the process at -Og), and a pass over all runs at each check of each executor that only departing ones need. Behaviour is the same. jobs_slow_leader passes.

--- a/jobs/job_checks.cpp
+++ b/jobs/job_checks.cpp
@@ -61,9 +61,11 @@
         if (m_now >= (executor.hasAcceptedFence ? executor.clock.expiresAt() : earliestExpiry))
             expireLease(executor);
     }
-    const bool hasOpenRuns = std::any_of(
-        executor.runs.begin(), executor.runs.end(), [](const auto& it) { return it.second.stage != RunStage::Ending; });
-    if (executor.hasLeft() && !hasOpenRuns && m_now - executor.leftAt >= departureDelay) {
+    const auto hasOpenRuns = [&] {
+        return std::any_of(executor.runs.begin(), executor.runs.end(),
+            [](const auto& it) { return it.second.stage != RunStage::Ending; });
+    };
+    if (executor.hasLeft() && m_now - executor.leftAt >= departureDelay && !hasOpenRuns()) {
         rememberGone(executor.number);
         removeIncarnation(executor.number, "left", RunEvidence::IncarnationEnded);
         return;
--- a/jobs/task_key.h
+++ b/jobs/task_key.h
@@ -5,7 +5,6 @@
 
 #include <cstdint>
 #include <string>
-#include <tuple>
 
 #include <fmt/format.h>
 
@@ -20,7 +19,9 @@
     bool operator==(const StepKey&) const = default;
     bool operator<(const StepKey& other) const
     {
-        return std::tie(job, occurrence, step) < std::tie(other.job, other.occurrence, other.step);
+        if (job != other.job)
+            return job < other.job;
+        return occurrence != other.occurrence ? occurrence < other.occurrence : step < other.step;
     }
 };
 
@@ -29,7 +30,10 @@
     uint32_t index = 0;
 
     bool operator==(const TaskKey&) const = default;
-    bool operator<(const TaskKey& other) const { return std::tie(step, index) < std::tie(other.step, other.index); }
+    bool operator<(const TaskKey& other) const
+    {
+        return step == other.step ? index < other.index : step < other.step;
+    }
 };
 
 // The text form of a job id: 16 hexadecimal digits.
