--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -108,6 +108,7 @@
     size_t runsToEvacuate() const;
     // When this leader sent its first start; Instant() before.
     Instant firstStartAt() const { return m_firstStartAt; }
+    const PlanningPace& pace() const { return m_pace; }
     // How long jobs and runs spent in each stage, by queue, since the last call.
     auto takeStageLatencies() { return m_latencies.take(); }
 
--- a/jobs/planning_pace.h
+++ b/jobs/planning_pace.h
@@ -27,8 +27,9 @@
     int64_t relaxedStartsLeft(Instant now) const;
     void onRelaxedStarts(int64_t starts, Instant now);
 
-    // Whether the starts of work that can wait are limited.
+    // Whether the starts of work that can wait are limited, and to how many in a second.
     bool isLagging() const { return m_startsPerSecond < maxStartsPerSecond; }
+    double startsPerSecond() const { return m_startsPerSecond; }
 
 private:
     static constexpr double initialVisitUs = 0.08;
--- a/node/lag_reporter.cpp
+++ b/node/lag_reporter.cpp
@@ -55,7 +55,9 @@
         { { "batches", loop.batches }, { "tasks", loop.tasks }, { "busy_ms", millis(loop.busy) },
             { "longest_batch_ms", millis(loop.longestBatch) }, { "longest_wait_ms", millis(loop.longestWait) },
             { "rounds", rounds }, { "rounds_ms", millis(roundTime) }, { "longest_round_ms", millis(longestRound) },
-            { "visits", visits }, { "starts", starts } });
+            { "visits", visits }, { "starts", starts },
+            { "relaxed_starts_limit",
+                leader.pace().isLagging() ? fmt::format("{:.0f}", leader.pace().startsPerSecond()) : "none" } });
     reportTakeover(leader);
     reportStages(leader);
 }
