Lag of the leader: fewer series, ends that are not ordinary are essential lines; names and comments from a reread

The number of series by queue is limited over time, not only in an interval. run_ended is a line of detail only for ends that the executor has listed.

--- a/jobs/job_run_ends.cpp
+++ b/jobs/job_run_ends.cpp
@@ -260,13 +260,17 @@
     if (checkpoint.empty() && outcome != schema::RUN_OUTCOME_DONE)
         checkpoint = run.checkpoint;
     ++m_counters.ends;
-    logDetail("run_ended", [&] {
+    const auto makeFields = [&] {
         const auto* state = executorState(executor.number);
         return LogFields { { "task", taskText(key) }, { "run", std::to_string(run.run) },
             { "executor", state == nullptr ? "" : state->record.id() }, { "outcome", schema::RunOutcome_Name(outcome) },
             { "evidence", std::string(toText(evidence)) }, { "start_answered", run.isStartAnswered ? "true" : "false" },
             { "ran_ms", millis(m_now - run.startedAt) } };
-    });
+    };
+    if (evidence == RunEvidence::EndListed)
+        logDetail("run_ended", makeFields);
+    else
+        log("run_ended", makeFields());
     const bool isCensored = outcome == schema::RUN_OUTCOME_STOPPED || outcome == schema::RUN_OUTCOME_LAPSED
         || outcome == schema::RUN_OUTCOME_LOST;
     if (isCensored && run.stage == RunStage::Running)
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -74,8 +74,8 @@
 {
     auto& capacity = planner.capacity();
     absl::flat_hash_map<std::string_view, ResourceVector> claimedByTeam;
-    // A round examines the most urgent steps and, with the second half of its visits, goes on where the last one
-    // stopped.
+    // Half of a round's visits are for advice: half of these for the most urgent steps, the others go on where the last
+    // round stopped.
     const auto mostUrgentUntil = planner.visits() + m_pace.maxVisits() / 4;
     const auto until = planner.visits() + m_pace.maxVisits() / 2;
     const auto resumeAt = std::exchange(m_adviceResumeAt, 0);
--- a/jobs/start_planner.cpp
+++ b/jobs/start_planner.cpp
@@ -186,27 +186,19 @@
     auto wanted = std::min<int64_t>(allowed, static_cast<int64_t>(step.waiting.size()));
     if (wanted <= 0 || (step.gang && wanted < static_cast<int64_t>(step.count)))
         return;
-    wanted = startsAllowed(step, wanted, now);
-    if (wanted <= 0)
+    if (isMostUrgent(step, now))
+        return planTasks(step, wanted, now, out);
+    // A gang starts whole, also where that exceeds the limit.
+    const auto left = m_constraints.relaxedStarts - m_relaxedStarts;
+    if (left <= 0)
         return;
-    const bool isRelaxed = !isMostUrgent(step, now);
     const auto startsBefore = out.starts.size();
-    planTasks(step, wanted, now, out);
-    if (!isRelaxed)
-        return;
+    planTasks(step, step.gang ? wanted : std::min(wanted, left), now, out);
     const auto planned = static_cast<int64_t>(out.starts.size() - startsBefore);
     m_relaxedStarts += planned;
     out.relaxedStarts += planned;
 }
 
-int64_t StartPlanner::startsAllowed(const ReadyStep& step, int64_t wanted, Instant now) const
-{
-    if (isMostUrgent(step, now))
-        return wanted;
-    const auto left = m_constraints.relaxedStarts - m_relaxedStarts;
-    return step.gang && left > 0 ? wanted : std::min(wanted, left);
-}
-
 void StartPlanner::planTasks(const ReadyStep& step, int64_t wanted, Instant now, StartPlan& out)
 {
     auto placements = placementsFor(step, now, out.visits);
--- a/jobs/start_planner.h
+++ b/jobs/start_planner.h
@@ -77,8 +77,6 @@
     void planTasks(const ReadyStep&, int64_t wanted, Instant now, StartPlan& out);
     int64_t planSuspects(const ReadyStep&, int64_t wanted, std::vector<Placement>&, StartPlan& out);
     void start(const ReadyStep&, uint32_t index, Placement&, StartPlan& out);
-    // How many tasks of the step may start as far as the limit for work that can wait allows; all of a gang or none.
-    int64_t startsAllowed(const ReadyStep&, int64_t wanted, Instant now) const;
     void restrictToOneRack(const ReadyStep&, size_t wanted, std::vector<Placement>&) const;
     void reserveCapacity(const ReadyStep&, int64_t wanted, Instant now, StartPlan& out);
     double scoreOf(const ReadyStep&, const CandidateExecutor&, Instant now) const;
--- a/node/lag_reporter.cpp
+++ b/node/lag_reporter.cpp
@@ -75,10 +75,18 @@
             { "without_starts_ms", millis(withoutStarts) } });
 }
 
+std::string_view LagReporter::labelOf(const std::string& queue)
+{
+    if (m_labels.size() < StageLatencies::maxQueues)
+        m_labels.insert(queue);
+    return m_labels.contains(queue) ? std::string_view(queue) : StageLatencies::otherQueues;
+}
+
 void LagReporter::reportStages(JobLeader& leader)
 {
     for (const auto& [queue, stages] : leader.takeStageLatencies()) {
         LogFields fields { { "queue", queue } };
+        const auto label = labelOf(queue);
         for (size_t n = 0; n < stages.size(); ++n) {
             const auto& it = stages[n];
             if (it.count() == 0)
@@ -86,7 +94,7 @@
             const auto stage = nameOf(static_cast<JobStage>(n));
             fields.emplace_back(stage, textOf(it));
             const auto buckets = it.buckets();
-            m_context.metrics.jobStage(queue, stage, LatencyHistogram::boundsMs)
+            m_context.metrics.jobStage(label, stage, LatencyHistogram::boundsMs)
                 .ObserveMultiple(std::vector<double>(buckets.begin(), buckets.end()), it.totalSeconds());
         }
         m_context.log.infoWithFields("queue_latency", fields);
--- a/node/lag_reporter.h
+++ b/node/lag_reporter.h
@@ -6,6 +6,11 @@
 #include "node/control_loop.h"
 #include "node/process_context.h"
 
+#include <absl/container/btree_set.h>
+
+#include <string>
+#include <string_view>
+
 namespace teasel {
 
 class LagReporter {
@@ -25,8 +30,11 @@
 private:
     void reportTakeover(const JobLeader&);
     void reportStages(JobLeader&);
+    // The label of a queue's series: the number of series is limited.
+    std::string_view labelOf(const std::string& queue);
 
     ProcessContext m_context;
+    absl::btree_set<std::string> m_labels; // of queues
     Instant m_leadingSince {};
     Instant m_predecessorSeenAt {};
     bool m_isTakeoverReported = true;
