--- a/jobs/task_key.h
+++ b/jobs/task_key.h
@@ -30,10 +30,7 @@
     uint32_t index = 0;
 
     bool operator==(const TaskKey&) const = default;
-    bool operator<(const TaskKey& other) const
-    {
-        return step == other.step ? index < other.index : step < other.step;
-    }
+    bool operator<(const TaskKey& other) const { return step == other.step ? index < other.index : step < other.step; }
 };
 
 // The text form of a job id: 16 hexadecimal digits.
