Stand-in caller: reports which connections broke, where and how

The count alone does not tell a reset from a time-out. HttpOutcome names libcurl's reason; the caller's report lists request, server, time and duration, and the process tests print them.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -264,6 +264,8 @@
                 continue;
             Transfer* it = nullptr;
             curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &it);
+            if (message->data.result != CURLE_OK)
+                it->outcome.error = curl_easy_strerror(message->data.result);
             finish(it->id, callEndOf(message->data.result, *it));
         }
     }
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -42,6 +42,7 @@
     std::string attempt; // the Teasel-Attempt header of the response
     std::string body;
     Duration duration { 0 };
+    std::string error; // of the connection, in libcurl's words; empty if there was none
 };
 
 struct HttpClientOptions {
--- a/standins/caller_main.cpp
+++ b/standins/caller_main.cpp
@@ -93,8 +93,8 @@
                 ++record.sends;
                 const auto& requestClass = m_plan.classes[record.classIndex];
                 const auto& account = m_plan.accounts[record.accountIndex];
-                call.url = fmt::format("http://{}/v1/requests/{}",
-                    m_plan.servers[m_nextServer++ % m_plan.servers.size()], requestClass.name);
+                record.lastServer = m_plan.servers[m_nextServer++ % m_plan.servers.size()];
+                call.url = fmt::format("http://{}/v1/requests/{}", record.lastServer, requestClass.name);
                 call.headers = { { "Teasel-Request-Id", record.id },
                     { "Teasel-Deadline-Ms", std::to_string(requestClass.deadlineMs) } };
                 if (!account.key.empty())
@@ -126,7 +126,10 @@
                 if (outcome.result == HttpCallResult::Answered) {
                     classifyAnswer(record, outcome);
                 } else {
-                    record.brokenConnections += outcome.result == HttpCallResult::ConnectFailed ? 0 : 1;
+                    if (outcome.result != HttpCallResult::ConnectFailed) {
+                        m_brokenConnections.push_back(
+                            { record.id, record.lastServer, outcome.error, m_clock.wallNow(), outcome.duration });
+                    }
                     retry = record.sends < maxSends && !m_retriesDisabled;
                 }
                 if (!retry)
@@ -224,16 +227,24 @@
             return static_cast<double>(latenciesUs[index]) / 1'000.0;
         }
 
+        nlohmann::json brokenConnections() const
+        {
+            auto out = nlohmann::json::array();
+            for (const auto& it : m_brokenConnections)
+                out.push_back({ { "request_id", it.requestId }, { "server", it.server }, { "error", it.error },
+                    { "broken_at_ms", it.brokenAt.time_since_epoch().count() },
+                    { "duration_ms", std::chrono::duration<double, std::milli>(it.duration).count() } });
+            return out;
+        }
+
         void report(const std::string& path, const LoadViolations& violations)
         {
             const std::lock_guard lock(m_mutex);
             std::map<std::pair<size_t, size_t>, LoadRow> rows;
             std::map<std::string, uint64_t> refusalKinds;
-            uint64_t brokenConnections = 0;
             for (const auto& it : m_records) {
                 auto& row = rows[{ it.accountIndex, it.classIndex }];
                 ++row.sent;
-                brokenConnections += it.brokenConnections;
                 row.answered += it.outcome == LoadOutcome::Answered ? 1 : 0;
                 row.refused += it.outcome == LoadOutcome::DidNotRun ? 1 : 0;
                 row.mayHaveRun += it.outcome == LoadOutcome::MayHaveRun ? 1 : 0;
@@ -243,12 +254,12 @@
                 if (!it.refusalKind.empty())
                     ++refusalKinds[it.refusalKind];
             }
-            nlohmann::json out
-                = { { "cuts", brokenConnections }, { "kinds", refusalKinds }, { "sent", m_records.size() },
-                      { "breaches",
-                          { { "doubled", violations.duplicateRuns }, { "crossed", violations.wrongAnswers },
-                              { "false_refusals", violations.falseRefusals }, { "over_slots", violations.overSlots },
-                              { "lost", violations.answeredWithoutRun } } } };
+            nlohmann::json out = { { "cuts", m_brokenConnections.size() }, { "cut_details", brokenConnections() },
+                { "kinds", refusalKinds }, { "sent", m_records.size() },
+                { "breaches",
+                    { { "doubled", violations.duplicateRuns }, { "crossed", violations.wrongAnswers },
+                        { "false_refusals", violations.falseRefusals }, { "over_slots", violations.overSlots },
+                        { "lost", violations.answeredWithoutRun } } } };
             for (auto& [key, row] : rows) {
                 out["rows"].push_back({ { "team", m_plan.accounts[key.first].name },
                     { "class", m_plan.classes[key.second].name }, { "sent", row.sent }, { "answered", row.answered },
@@ -266,6 +277,7 @@
         SystemClock m_clock;
         std::mutex m_mutex;
         std::vector<LoadRecord> m_records; // guarded by m_mutex
+        std::vector<BrokenConnection> m_brokenConnections; // guarded by m_mutex
         size_t m_pendingCount = 0; // guarded by m_mutex
         bool m_retriesDisabled = false; // guarded by m_mutex
         std::atomic<size_t> m_nextServer = 0;
--- a/standins/load_report.h
+++ b/standins/load_report.h
@@ -27,10 +27,19 @@
     LoadOutcome outcome = LoadOutcome::Unknown;
     std::string refusalKind; // error kind of the refusal, or `status_N` without one
     Duration latency { 0 };
-    unsigned brokenConnections = 0; // connections that broke before the answer was complete
+    std::string lastServer; // host:port
     unsigned sends = 0;
 };
 
+// A connection that broke before the answer was complete.
+struct BrokenConnection {
+    std::string requestId;
+    std::string server; // host:port
+    std::string error;
+    WallTime brokenAt {};
+    Duration duration { 0 }; // of the call
+};
+
 // Counts per account and class.
 struct LoadRow {
     uint64_t sent = 0;
--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -85,6 +85,8 @@
         checks.check("load: every request was answered", unknown == 0, unknown)
         checks.check("load: some requests were answered", answered > 0, answered)
         print(f"sent {report['sent']}, answered {answered}, cuts {report['cuts']}, refusals {report['kinds']}")
+        for it in report["cut_details"]:
+            print(f"cut: {it}")
         return report
 
 
