HTTP server: a stop resets no connection on which a request may have been sent

Cause: three kinds of connections were left out of a stop though to their callers they were open. (1) Those in the listener's queue: closing the listener resets them. (2) Those on which a request had arrived but was not read: stop() waited for the answers to what was read. (3) All of them when MHD_quiesce_daemon() meets a thread that has taken the listener out of its epoll set itself: SIGABRT. Why it works: ConnectionAcceptor owns the listener and hands over what is in its queue; answers end their connections from the beginning of a stop; the receiving side of idle connections is shut down, so that the server's thread decides whether anything is left to answer.

--- a/net/caller_load.cpp
+++ b/net/caller_load.cpp
@@ -5,7 +5,7 @@
 CallerLoad::Id CallerLoad::open(int fd)
 {
     const auto id = ++m_lastId;
-    auto& it = m_connections[id] = { fd, Phase::Idle, ++m_sequence, 0, false };
+    auto& it = m_connections[id] = { fd, Phase::Idle, ++m_sequence };
     ++m_openCount;
     list(id, it);
     if (m_openCount > m_maxConnections)
@@ -30,6 +30,7 @@
     auto& it = m_connections.at(id);
     unlist(id, it);
     it.phase = phase;
+    it.hadRequest = it.hadRequest || phase != Phase::Idle;
     it.since = ++m_sequence;
     list(id, it);
 }
@@ -64,6 +65,16 @@
     list(id, it);
 }
 
+std::vector<int> CallerLoad::idleAfterRequest() const
+{
+    std::vector<int> out;
+    for (const auto& [id, it] : m_connections) {
+        if (it.phase == Phase::Idle && it.hadRequest)
+            out.push_back(it.fd);
+    }
+    return out;
+}
+
 void CallerLoad::list(Id id, const Connection& it)
 {
     if (it.isClosing || it.phase == Phase::Waiting)
--- a/net/caller_load.h
+++ b/net/caller_load.h
@@ -42,6 +42,10 @@
     bool reserve(Id, size_t bytes);
     void release(Id);
 
+    // Returns the descriptors of the connections on which requests were answered and no further one has begun. Each is
+    // valid until close().
+    std::vector<int> idleAfterRequest() const;
+
     size_t connections() const { return m_connections.size(); }
     size_t bytes() const { return m_bytes; }
 
@@ -55,6 +59,7 @@
         uint64_t since = 0; // sequence number of the change to this phase
         size_t bytes = 0;
         bool isClosing = false;
+        bool hadRequest = false;
     };
     using ByAge = absl::btree_set<std::pair<uint64_t, Id>>;
 
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -1,13 +1,9 @@
 #include "net/http_server.h"
 
-#include "net/address.h"
-
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <cctype>
-#include <cerrno>
-#include <cstring>
 
 #include <microhttpd.h>
 #include <poll.h>
@@ -20,10 +16,10 @@
 
     constexpr std::chrono::milliseconds disconnectCheckInterval { 100 };
     constexpr short disconnectEvents = POLLRDHUP | POLLHUP | POLLERR;
-    // Of each thread, accepted while it has not noticed yet that others are to be closed.
-    constexpr unsigned closingConnections = 64;
-    // On stop, for callers that read their answers slowly or not at all.
-    constexpr std::chrono::milliseconds sendTimeout { 300 };
+    constexpr size_t closingConnections = 64; // accepted while others, which are to be closed, are still open
+    // On stop, for callers that read their answers slowly, or have connected and send nothing.
+    constexpr std::chrono::milliseconds closeTimeout { 300 };
+    constexpr std::chrono::milliseconds closeInterval { 10 };
 
     std::string lowerCase(std::string_view text)
     {
@@ -91,6 +87,8 @@
     : m_options(std::move(options))
     , m_handler(std::move(handler))
     , m_callerDisconnected(std::move(callerDisconnected))
+    , m_acceptor([this] { return roomForConnections(); },
+          [this](int fd, const sockaddr* peer, socklen_t n) { addConnection(fd, peer, n); })
     , m_load(m_options.maxConnections, std::max(m_options.maxBufferedBytes, 2 * m_options.maxBodyBytes))
 {
 }
@@ -99,34 +97,43 @@
 
 Result<void> HttpServer::start()
 {
-    BOOST_LEAF_AUTO(address, SocketAddress::parse(m_options.address));
-    unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
-    if (address.family() == AF_INET6)
-        flags |= MHD_USE_IPv6;
-    // The daemon divides its limit among its threads and stops accepting there. CallerLoad closes old connections
-    // before that.
-    const auto daemonLimit = m_options.threads * (m_options.maxConnections + closingConnections);
-    m_daemon = MHD_start_daemon(flags, address.port(), nullptr, nullptr, &HttpServer::onRequest, this,
-        MHD_OPTION_SOCK_ADDR, address.raw(), MHD_OPTION_THREAD_POOL_SIZE, m_options.threads,
+    // MHD_quiesce_daemon() ends the process if one of the daemon's threads notices it first, and at the daemon's limit
+    // on connections those that are added block its threads. So it gets no listener, and a limit that is not reached.
+    const auto daemonLimit = static_cast<unsigned>(m_options.threads * (connectionLimit() + 1));
+    m_daemon = MHD_start_daemon(
+        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC | MHD_USE_NO_LISTEN_SOCKET, 0, nullptr,
+        nullptr, &HttpServer::onRequest, this, MHD_OPTION_THREAD_POOL_SIZE, m_options.threads,
         MHD_OPTION_CONNECTION_LIMIT, daemonLimit, MHD_OPTION_CONNECTION_MEMORY_LIMIT, m_options.maxHeaderBytes,
-        MHD_OPTION_CONNECTION_TIMEOUT, m_options.idleSeconds, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
-        MHD_OPTION_LISTEN_BACKLOG_SIZE, 1'024U, MHD_OPTION_NOTIFY_COMPLETED, &HttpServer::onCompleted, this,
-        MHD_OPTION_NOTIFY_CONNECTION, &HttpServer::onConnection, this, MHD_OPTION_END);
+        MHD_OPTION_CONNECTION_TIMEOUT, m_options.idleSeconds, MHD_OPTION_NOTIFY_COMPLETED, &HttpServer::onCompleted,
+        this, MHD_OPTION_NOTIFY_CONNECTION, &HttpServer::onConnection, this, MHD_OPTION_END);
     if (m_daemon == nullptr)
-        return fail(
-            ErrorKind::BadRequest, fmt::format("can't listen on {}: {}", m_options.address, std::strerror(errno)));
+        return fail(ErrorKind::BadRequest, fmt::format("can't start the threads for {}", m_options.address));
+    BOOST_LEAF_CHECK(m_acceptor.start(m_options.address));
     if (m_callerDisconnected)
         m_watcher = std::thread([this] { watchForDisconnects(); });
     return {};
 }
 
-void HttpServer::stopListening()
+size_t HttpServer::connectionLimit() const { return m_options.maxConnections + closingConnections; }
+
+size_t HttpServer::roomForConnections() const
 {
-    if (m_daemon == nullptr)
+    const std::lock_guard lock(m_mutex);
+    const auto open = m_load.connections() + m_handedOver.size();
+    return connectionLimit() - std::min(connectionLimit(), open);
+}
+
+void HttpServer::addConnection(int fd, const sockaddr* peer, socklen_t n)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_handedOver.insert(fd);
+    }
+    if (MHD_add_connection(m_daemon, fd, peer, n) == MHD_YES)
         return;
-    const auto fd = MHD_quiesce_daemon(m_daemon);
-    if (fd >= 0)
-        close(fd);
+    // The daemon has closed it.
+    const std::lock_guard lock(m_mutex);
+    m_handedOver.erase(fd);
 }
 
 void HttpServer::refuseNewRequests()
@@ -143,6 +150,7 @@
     {
         const std::lock_guard lock(m_mutex);
         m_stopping = m_refusing = true;
+        m_closesAfterAnswers = true;
         for (const auto& [handle, exchange] : m_suspended)
             unanswered.push_back(handle);
     }
@@ -151,18 +159,25 @@
         m_watcher.join();
     for (const auto handle : unanswered)
         answer(handle,
-            { 504, "application/json", { { "Retry-After", "1" }, { "Connection", "close" } },
+            { 504, "application/json", { { "Retry-After", "1" } },
                 R"({"kind":"shutting_down","run":"may_have_run"})" });
-    waitForAnswersSent();
+    m_acceptor.stop();
+    closeConnections();
     // A request that is read from here on is refused and answered in the same pass of the server's thread.
     MHD_stop_daemon(m_daemon);
     m_daemon = nullptr;
 }
 
-void HttpServer::waitForAnswersSent()
+void HttpServer::closeConnections()
 {
+    const auto until = std::chrono::steady_clock::now() + closeTimeout;
     std::unique_lock lock(m_mutex);
-    m_answersSent.wait_for(lock, sendTimeout, [this] { return m_unsentAnswers == 0; });
+    while (m_load.connections() + m_handedOver.size() > 0 && std::chrono::steady_clock::now() < until) {
+        // The server's thread still reads and answers what has arrived, and closes the connection at its end.
+        for (const auto fd : m_load.idleAfterRequest())
+            ::shutdown(fd, SHUT_RD);
+        m_connectionClosed.wait_for(lock, closeInterval);
+    }
 }
 
 bool HttpServer::hasCallerLeft(uint64_t handle) const
@@ -224,7 +239,6 @@
     }
     if (!std::exchange(exchange.isComplete, true)) {
         const std::lock_guard lock(m_mutex);
-        ++m_unsentAnswers;
         m_load.setPhase(exchange.id, CallerLoad::Phase::Sending);
     }
     if (exchange.tooLarge)
@@ -315,6 +329,8 @@
     MHD_add_response_header(out, "Content-Type", response.contentType.c_str());
     for (const auto& [name, value] : response.headers)
         MHD_add_response_header(out, name.c_str(), value.c_str());
+    if (m_closesAfterAnswers && findHeader(response.headers, "Connection").empty())
+        MHD_add_response_header(out, "Connection", "close");
     const auto queued = MHD_queue_response(connection, response.status, out);
     MHD_destroy_response(out);
     return queued;
@@ -341,8 +357,6 @@
     const std::lock_guard lock(server.m_mutex);
     server.m_load.release(exchange->id);
     server.m_load.setPhase(exchange->id, CallerLoad::Phase::Idle);
-    if (exchange->isComplete && --server.m_unsentAnswers == 0)
-        server.m_answersSent.notify_all();
 }
 
 void HttpServer::onConnection(
@@ -353,9 +367,11 @@
     if (notification == MHD_CONNECTION_NOTIFY_CLOSED) {
         if (const auto closed = server.m_connectionIds.extract(connection))
             server.m_load.close(closed.mapped());
+        server.m_connectionClosed.notify_all();
         return;
     }
     const auto* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    server.m_handedOver.erase(info->connect_fd);
     server.m_connectionIds[connection] = server.m_load.open(info->connect_fd);
     server.closeForRoom();
 }
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -5,8 +5,10 @@
 
 #include "core/result.h"
 #include "net/caller_load.h"
+#include "net/connection_acceptor.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <atomic>
 #include <condition_variable>
@@ -73,14 +75,17 @@
     // Starts listening and the server's threads. Fails with BadRequest if the address can't be used.
     Result<void> start();
 
-    // Stops accepting connections; existing connections stay open.
-    void stopListening();
+    // From now on each answer ends its connection, so that callers send their next requests elsewhere.
+    void closeAfterAnswers() { m_closesAfterAnswers = true; }
+
+    // Stops accepting connections; existing connections stay open, also those that were still in the queue.
+    void stopListening() { m_acceptor.stop(); }
 
     // From now on requests are answered at once with 503 and are not passed to the handler.
     void refuseNewRequests();
 
     // Answers the waiting requests with 504, since they may have run, and new ones with 503. Stops the server once all
-    // answers have been sent, or after a short time limit.
+    // connections have ended, or after a short time limit.
     void stop();
 
     // Answers a request. Ignored if the request has already been answered. Thread-safe.
@@ -111,21 +116,26 @@
     MHD_Result replyTooLarge(MHD_Connection*) const;
     MHD_Result replyOverloaded(MHD_Connection*) const;
     void watchForDisconnects();
-    void waitForAnswersSent();
+    size_t connectionLimit() const; // with those that are to be closed
+    size_t roomForConnections() const;
+    void addConnection(int fd, const sockaddr* peer, socklen_t);
+    void closeConnections();
 
     HttpServerOptions m_options;
     Handler m_handler;
     CallerDisconnected m_callerDisconnected;
     MHD_Daemon* m_daemon = nullptr;
+    ConnectionAcceptor m_acceptor; // stopped before the daemon
     std::atomic<uint64_t> m_nextHandle = 1;
     std::atomic<uint64_t> m_closedForRoom = 0;
+    std::atomic<bool> m_closesAfterAnswers = false;
 
     mutable std::mutex m_mutex;
     CallerLoad m_load; // guarded by m_mutex
     absl::flat_hash_map<MHD_Connection*, CallerLoad::Id> m_connectionIds; // guarded by m_mutex
     std::condition_variable m_watcherWakeup;
-    std::condition_variable m_answersSent;
-    size_t m_unsentAnswers = 0; // to requests that were read completely; guarded by m_mutex
+    absl::flat_hash_set<int> m_handedOver; // accepted, but the daemon has not begun with them; guarded by m_mutex
+    std::condition_variable m_connectionClosed;
     bool m_refusing = false; // guarded by m_mutex
     absl::flat_hash_map<uint64_t, Exchange*> m_suspended; // guarded by m_mutex
     bool m_stopping = false; // guarded by m_mutex
--- a/node/core_node.cpp
+++ b/node/core_node.cpp
@@ -188,6 +188,7 @@
     const auto begin = m_context.clock.now();
     const auto grace = Milliseconds(static_cast<int64_t>(m_settings.stop_grace_ms()));
     const auto answerBy = begin + std::min(stopTime, grace / 2);
+    m_controlServer.closeAfterAnswers();
     m_loop.postAlways([this, answerBy] {
         m_relay.setStopping();
         m_relay.answerAllBy(answerBy);
--- a/node/entry_node.cpp
+++ b/node/entry_node.cpp
@@ -190,6 +190,7 @@
         return;
     m_isStopped = true;
     m_isDraining = true;
+    m_httpServer.closeAfterAnswers();
     m_loop.postAlways([this] {
         const auto now = m_context.clock.now();
         m_authority.resign(now);
--- a/node/front_node.cpp
+++ b/node/front_node.cpp
@@ -96,6 +96,7 @@
     const auto begin = m_context.clock.now();
     const auto grace = Milliseconds(static_cast<int64_t>(m_settings.stop_grace_ms()));
     const auto answerBy = begin + std::max(grace / 2, grace - closingTime);
+    m_callerServer.closeAfterAnswers();
     m_loop.postAlways([this, answerBy] { m_relay.answerAllBy(answerBy); });
     std::this_thread::sleep_for(std::min<Duration>(balancerDrainDelay, answerBy - begin));
     m_callerServer.stopListening();
--- a/tests/net_http_server_test.cpp
+++ b/tests/net_http_server_test.cpp
@@ -136,6 +136,74 @@
     }
 }
 
+// Guards against channels that are reset although their callers had connected before the stop.
+TEST_CASE("a request on a connection that a stopping server has not accepted yet gets an answer")
+{
+    constexpr uint16_t port = 18'955;
+    constexpr size_t queued = 40;
+    std::atomic<bool> isBlocked = false;
+    std::atomic<bool> mayGoOn = false;
+    HttpServer server({ "127.0.0.1:18955", 1, 128 },
+        [&](const HttpRequest&) {
+            isBlocked = true;
+            isBlocked.notify_all();
+            mayGoOn.wait(false);
+        },
+        {});
+    start(server);
+    Caller first(port);
+    isBlocked.wait(false);
+    std::vector<std::unique_ptr<Caller>> callers;
+    while (callers.size() < queued)
+        callers.push_back(std::make_unique<Caller>(port));
+    server.stopListening();
+    server.refuseNewRequests();
+    mayGoOn = true;
+    mayGoOn.notify_all();
+    server.stop();
+    size_t refused = 0;
+    for (auto& it : callers)
+        refused += it->receive(std::chrono::seconds(1)).starts_with("HTTP/1.1 503 ") ? 1 : 0;
+    CHECK(refused == queued);
+}
+
+TEST_CASE("a server that stops answers a request that was sent on an open connection")
+{
+    constexpr uint16_t port = 18'956;
+    constexpr int rounds = 200;
+    constexpr size_t callersPerRound = 20;
+    size_t answered = 0;
+    for (int round = 0; round < rounds; ++round) {
+        HttpServer server(
+            { "127.0.0.1:18956", 2, 128 }, [&](const HttpRequest& it) { server.answer(it.handle, {}); }, {});
+        start(server);
+        std::vector<std::unique_ptr<Caller>> callers;
+        while (callers.size() < callersPerRound)
+            callers.push_back(std::make_unique<Caller>(port));
+        for (auto& it : callers)
+            REQUIRE(it->receive(std::chrono::seconds(5)).starts_with("HTTP/1.1 200 "));
+        for (auto& it : callers)
+            it->send();
+        server.stop();
+        for (auto& it : callers)
+            answered += it->receive(std::chrono::seconds(1)).starts_with("HTTP/1.1 ") ? 1 : 0;
+    }
+    CHECK(answered == rounds * callersPerRound);
+}
+
+TEST_CASE("answers end their connections while a server is about to stop")
+{
+    constexpr uint16_t port = 18'957;
+    HttpServer server({ "127.0.0.1:18957", 1, 128 }, [&](const HttpRequest& it) { server.answer(it.handle, {}); }, {});
+    start(server);
+    Caller it(port);
+    CHECK(it.receive(std::chrono::seconds(5)).find("Connection: close") == std::string::npos);
+    server.closeAfterAnswers();
+    it.send();
+    CHECK(it.receive(std::chrono::seconds(5)).find("Connection: close") != std::string::npos);
+    CHECK(it.receive(std::chrono::seconds(5)).empty());
+}
+
 TEST_CASE("a server that refuses new requests still answers those that it has passed on")
 {
     constexpr uint16_t port = 18'952;
