--- a/tests/jobs_load.h
+++ b/tests/jobs_load.h
@@ -4,8 +4,8 @@
 #pragma once
 
 #include "core/clock.h"
-#include "core/random.h"
 #include "jobs/job_leader.h"
+#include "jobs_load_draws.h"
 #include "jobs_load_fleet.h"
 #include "jobs_load_options.h"
 
@@ -15,7 +15,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
 #include <ctime>
 #include <deque>
 #include <functional>
@@ -41,7 +40,7 @@
 public:
     explicit JobsLoad(JobsLoadOptions options)
         : m_options(std::move(options))
-        , m_random(m_options.seed)
+        , m_draws(m_options)
         , m_state(Milliseconds(600'000))
         , m_leader(m_options.leader, m_state)
         , m_thread(
@@ -54,7 +53,7 @@
         , m_teamReports(m_options.teams.size())
     {
         schema::JobCommand command;
-        *command.add_changes()->mutable_configuration() = configuration();
+        *command.add_changes()->mutable_configuration() = configurationOf(m_options);
         m_state.apply(0, command.SerializeAsString());
         std::vector<std::string> instances;
         for (size_t n = 0; n < m_options.adviceInstances; ++n)
@@ -136,38 +135,6 @@
         bool operator<(const Event& other) const { return at != other.at ? at > other.at : order > other.order; }
     };
 
-    schema::JobConfiguration configuration() const
-    {
-        constexpr uint64_t ticketValidMs = 2'500;
-        schema::JobConfiguration out;
-        out.set_version(1);
-        for (const auto& it : m_options.kinds) {
-            auto& queue = *out.add_queues();
-            queue.set_name(it.name);
-            queue.set_host("farm.example");
-            queue.set_path_prefix("/" + it.name + "/");
-            queue.set_service("filling");
-            queue.set_timeout_ms(3'000);
-            queue.set_target_latency_ms(it.targetLatencyMs);
-            queue.set_priority(it.priority);
-            queue.set_max_attempts(2);
-            queue.set_slack_factor(it.slackFactor);
-            if (it.adviceMs > 0) {
-                queue.mutable_advice()->set_base_ms(it.adviceMs);
-                queue.mutable_advice()->set_per_executor_ms(it.adviceMsPerExecutor);
-                queue.mutable_advice()->set_ticket_valid_ms(ticketValidMs);
-            }
-        }
-        out.add_services()->set_name("filling");
-        for (const auto& it : m_options.teams) {
-            auto& team = *out.add_teams();
-            team.set_name(it.name);
-            team.add_keys("key-" + it.name);
-            team.set_weight(it.weight);
-        }
-        return out;
-    }
-
     void schedule(Duration delay, std::function<void()> action)
     {
         m_events.push({ m_clock.now() + delay, ++m_lastEvent, std::move(action) });
@@ -267,61 +234,9 @@
 
     // ---- Callers -----------------------------------------------------------
 
-    double teamRate(const LoadTeam& it) const
-    {
-        const auto sinceBegin = m_clock.now() - m_began;
-        const bool isHot = sinceBegin >= m_options.hotFrom && sinceBegin < m_options.hotUntil;
-        return it.share * (isHot ? it.hotFactor : 1);
-    }
-
-    // Load of all teams relative to their usual load.
-    double teamLoad() const
-    {
-        double usual = 0;
-        double load = 0;
-        for (const auto& it : m_options.teams) {
-            usual += it.share;
-            load += teamRate(it);
-        }
-        return load / usual;
-    }
-
-    size_t drawTeam()
-    {
-        // The load of a single team must not depend on this draw.
-        if (m_options.teams.size() == 1)
-            return 0;
-        double total = 0;
-        for (const auto& it : m_options.teams)
-            total += teamRate(it);
-        double left = m_random.unit() * total;
-        for (size_t n = 0; n + 1 < m_options.teams.size(); ++n) {
-            left -= teamRate(m_options.teams[n]);
-            if (left < 0)
-                return n;
-        }
-        return m_options.teams.size() - 1;
-    }
-
-    // A log-normal factor with mean 1.
-    double drawSpread()
-    {
-        if (m_options.taskSpread == 0)
-            return 1;
-        constexpr double twoPi = 6.283185307179586;
-        const double normal = std::sqrt(-2 * std::log(1 - m_random.unit())) * std::cos(twoPi * m_random.unit());
-        return std::exp(m_options.taskSpread * normal - m_options.taskSpread * m_options.taskSpread / 2);
-    }
-
-    double drawSize(double mean) { return std::min(3 * mean, -mean * std::log(1 - m_random.unit()) * 0.75 + mean / 4); }
-
     void scheduleNextJob(size_t kind)
     {
-        const auto sinceBegin = m_clock.now() - m_began;
-        const bool isBurst = sinceBegin >= m_options.burstFrom && sinceBegin < m_options.burstUntil;
-        const double rate
-            = m_options.kinds[kind].jobsPerSecond * m_options.scale * (isBurst ? m_options.burst : 1) * teamLoad();
-        const auto delay = Duration(static_cast<int64_t>(-std::log(1 - m_random.unit()) / rate * 1e6));
+        const auto delay = m_draws.untilNextJob(kind, m_clock.now() - m_began);
         schedule(delay, [this, kind] {
             if (m_clock.now() >= m_end)
                 return;
@@ -333,22 +248,13 @@
     void submit(size_t kind)
     {
         const auto& it = m_options.kinds[kind];
-        schema::JobRequest request;
-        request.set_id(++m_lastJob);
-        request.set_payload("lot");
-        auto& step = *request.add_steps();
-        step.set_count(static_cast<uint32_t>(std::max(1.0, std::round(drawSize(it.tasks)))));
-        step.set_gang(m_random.chance(it.gangShare));
-        step.set_checkpoints(it.checkpoints);
-        const double taskMs = std::max(50.0, drawSize(it.taskMs));
-        step.set_estimate_ms(static_cast<uint64_t>(taskMs * (0.7 + 0.6 * m_random.unit())));
-        step.mutable_need()->set_milli_cpus(static_cast<uint64_t>(std::max(500.0, drawSize(it.milliCpus))));
-        step.mutable_need()->set_memory_mib(static_cast<uint64_t>(std::max(500.0, drawSize(it.memoryMib))));
+        const auto [request, taskMs] = m_draws.job(it, ++m_lastJob);
+        const auto& step = request.steps(0);
         const double objectiveMs = it.slackFactor * (taskMs + it.adviceMs + 30 * it.adviceMsPerExecutor)
             + static_cast<double>(it.targetLatencyMs);
         const double work
             = step.count() * static_cast<double>(step.need().milli_cpus()) / 1'000 * taskMs / 1'000; // core-seconds
-        OpenJob job { kind, drawTeam(), m_options.retries, request, m_clock.now(),
+        OpenJob job { kind, m_draws.team(m_clock.now() - m_began), m_options.retries, request, m_clock.now(),
             m_clock.now() + Duration(static_cast<int64_t>(objectiveMs * 1'000)), work, taskMs, step.gang(),
             step.count() };
         for (auto* report : { &m_reports[kind], &m_teamReports[job.team] }) {
@@ -476,7 +382,7 @@
     {
         return { [this](Duration delay, std::function<void()> action) { schedule(delay, std::move(action)); },
             [this](uint64_t number, OrderResult result) { sendResult(number, std::move(result)); },
-            [this](const TaskKey& task) { return onTaskStarted(task); }, [this] { return drawSpread(); } };
+            [this](const TaskKey& task) { return onTaskStarted(task); }, [this] { return m_draws.taskFactor(); } };
     }
 
     void announce(size_t number)
@@ -521,7 +427,7 @@
     }
 
     JobsLoadOptions m_options;
-    Random m_random;
+    LoadDraws m_draws;
     ManualClock m_clock;
     JobState m_state;
     JobLeader m_leader;
