--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -172,11 +172,12 @@
 {
     const auto until = std::chrono::steady_clock::now() + closeTimeout;
     std::unique_lock lock(m_mutex);
-    while (m_load.connections() + m_handedOver.size() > 0 && std::chrono::steady_clock::now() < until) {
+    const auto hasClosedAll = [this] { return m_load.connections() + m_handedOver.size() == 0; };
+    while (!hasClosedAll() && std::chrono::steady_clock::now() < until) {
         // The server's thread still reads and answers what has arrived, and closes the connection at its end.
         for (const auto fd : m_load.idleAfterRequest())
             ::shutdown(fd, SHUT_RD);
-        m_connectionClosed.wait_for(lock, closeInterval);
+        m_connectionClosed.wait_for(lock, closeInterval, hasClosedAll);
     }
 }
 
