--- a/tests/net_http_server_test.cpp
+++ b/tests/net_http_server_test.cpp
@@ -139,11 +139,11 @@
 // Guards against channels that are reset although their callers had connected before the stop.
 TEST_CASE("a request on a connection that a stopping server has not accepted yet gets an answer")
 {
-    constexpr uint16_t port = 18'955;
+    constexpr uint16_t port = 18'958;
     constexpr size_t queued = 40;
     std::atomic<bool> isBlocked = false;
     std::atomic<bool> mayGoOn = false;
-    HttpServer server({ "127.0.0.1:18955", 1, 128 },
+    HttpServer server({ "127.0.0.1:18958", 1, 128 },
         [&](const HttpRequest&) {
             isBlocked = true;
             isBlocked.notify_all();
@@ -169,13 +169,13 @@
 
 TEST_CASE("a server that stops answers a request that was sent on an open connection")
 {
-    constexpr uint16_t port = 18'956;
+    constexpr uint16_t port = 18'959;
     constexpr int rounds = 200;
     constexpr size_t callersPerRound = 20;
     size_t answered = 0;
     for (int round = 0; round < rounds; ++round) {
         HttpServer server(
-            { "127.0.0.1:18956", 2, 128 }, [&](const HttpRequest& it) { server.answer(it.handle, {}); }, {});
+            { "127.0.0.1:18959", 2, 128 }, [&](const HttpRequest& it) { server.answer(it.handle, {}); }, {});
         start(server);
         std::vector<std::unique_ptr<Caller>> callers;
         while (callers.size() < callersPerRound)
@@ -193,8 +193,8 @@
 
 TEST_CASE("answers end their connections while a server is about to stop")
 {
-    constexpr uint16_t port = 18'957;
-    HttpServer server({ "127.0.0.1:18957", 1, 128 }, [&](const HttpRequest& it) { server.answer(it.handle, {}); }, {});
+    constexpr uint16_t port = 18'960;
+    HttpServer server({ "127.0.0.1:18960", 1, 128 }, [&](const HttpRequest& it) { server.answer(it.handle, {}); }, {});
     start(server);
     Caller it(port);
     CHECK(it.receive(std::chrono::seconds(5)).find("Connection: close") == std::string::npos);
