--- a/jobs/job_confirmations.cpp
+++ b/jobs/job_confirmations.cpp
@@ -18,8 +18,6 @@
     constexpr Milliseconds maxTransit { 100 };
     constexpr Milliseconds clockResolution { 1 };
 
-    std::string millis(Duration it) { return std::to_string(std::chrono::duration_cast<Milliseconds>(it).count()); }
-
 } // namespace
 
 void JobLeader::confirmRun(const LiveExecutor& executor, const TaskKey& key, LiveRun& run)
@@ -108,7 +106,7 @@
                 log("unanswered_start_listed",
                     { { "task", taskText(it.task) }, { "run", std::to_string(it.run) },
                         { "executor", executorState(executor.number)->record.id() },
-                        { "start_age_ms", millis(m_now - run.assignedAt) } });
+                        { "start_age_ms", millisText(m_now - run.assignedAt) } });
                 run.startedAt = run.unknownSince;
             }
             if (isResumed)
--- a/jobs/job_events.h
+++ b/jobs/job_events.h
@@ -221,6 +221,12 @@
 
 using LogFields = std::vector<std::pair<std::string_view, std::string>>;
 
+// A duration in whole milliseconds, as the value of a field.
+inline std::string millisText(Duration it)
+{
+    return std::to_string(std::chrono::duration_cast<Milliseconds>(it).count());
+}
+
 // A log line about a decision on a request or a change in what the leader knows.
 struct JobLogLine {
     std::string_view event;
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -19,8 +19,6 @@
     constexpr unsigned fenceCounterBits = 32; // low bits of a fence; the leader's term is above them
     constexpr Milliseconds listingDelay { 60 }; // between the end of a run and its listing
 
-    std::string millis(Duration it) { return std::to_string(std::chrono::duration_cast<Milliseconds>(it).count()); }
-
 } // namespace
 
 LiveExecutor* JobLeader::findExecutor(uint32_t number)
@@ -365,7 +363,7 @@
         { { "task", taskText(order.task) }, { "run", std::to_string(order.run) },
             { "executor", state == nullptr ? "" : state->record.id() },
             { "end", std::to_string(static_cast<int>(result.outcome)) },
-            { "after_ms", millis(m_now - order.sentAt) } });
+            { "after_ms", millisText(m_now - order.sentAt) } });
     // A refusal as old also comes if the start was received twice and its run has ended. One by an unhealthy executor,
     // or for a fence, ticket or lease, says nothing about another copy of the start that arrived earlier.
     run.isRefused = result.outcome == OrderOutcome::Refused || result.outcome == OrderOutcome::StaleFence
@@ -421,7 +419,7 @@
                 { "running", std::to_string(result.running.size()) }, { "ended", std::to_string(result.ended.size()) },
                 { "assigned", std::to_string(executor.runs.size()) } });
     else if (silence > m_options.suspectAfter)
-        log("executor_regained", { { "executor", state->record.id() }, { "silent_ms", millis(silence) } });
+        log("executor_regained", { { "executor", state->record.id() }, { "silent_ms", millisText(silence) } });
     executor.answeredOrderSentAt = std::max(executor.answeredOrderSentAt, order.sentAt);
     executor.acknowledgedEnds = std::max(executor.acknowledgedEnds, order.acknowledgedEnds);
     if (!order.isTimedOut) { // A late answer does not show that the executor is reachable now.
--- a/jobs/job_run_ends.cpp
+++ b/jobs/job_run_ends.cpp
@@ -12,8 +12,6 @@
     // Callers ask many times a second, and the count examines all runs.
     constexpr Milliseconds unknownStartsMaxAge { 100 };
 
-    std::string millis(Duration it) { return std::to_string(std::chrono::duration_cast<Milliseconds>(it).count()); }
-
 } // namespace
 
 void JobLeader::processEndList(LiveExecutor& executor, const OrderResult& result)
@@ -124,7 +122,7 @@
     log("run_awaits_start_expiry",
         { { "task", taskText(key) }, { "run", std::to_string(run.run) },
             { "executor", executorState(executor.number)->record.id() }, { "evidence", std::string(toText(evidence)) },
-            { "expires_in_ms", millis(run.startExpiresAt - m_now) } });
+            { "expires_in_ms", millisText(run.startExpiresAt - m_now) } });
     run.stage = RunStage::AwaitingStartExpiry;
     executor.committed -= run.need;
     if (run.mustStop)
@@ -227,7 +225,7 @@
         const auto* state = executorState(executor.number);
         log("executor_lapsed",
             { { "executor", state == nullptr ? "" : state->record.id() },
-                { "silent_ms", millis(m_now - std::max(executor.lastAnswerAt, executor.addedAt)) },
+                { "silent_ms", millisText(m_now - std::max(executor.lastAnswerAt, executor.addedAt)) },
                 { "runs", std::to_string(open) } });
         // It may have crashed and come back elsewhere, which would not be noticed.
         for (const auto& it : runsInCrash(executor))
@@ -265,7 +263,7 @@
         return LogFields { { "task", taskText(key) }, { "run", std::to_string(run.run) },
             { "executor", state == nullptr ? "" : state->record.id() }, { "outcome", schema::RunOutcome_Name(outcome) },
             { "evidence", std::string(toText(evidence)) }, { "start_answered", run.isStartAnswered ? "true" : "false" },
-            { "ran_ms", millis(m_now - run.startedAt) } };
+            { "ran_ms", millisText(m_now - run.startedAt) } };
     };
     if (evidence == RunEvidence::EndListed)
         logDetail("run_ended", makeFields);
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -21,8 +21,6 @@
     // A run that would end sooner is not preempted: the stop and its listing take half of this.
     constexpr double minRemainingMs = 700;
 
-    std::string millis(Duration it) { return std::to_string(std::chrono::duration_cast<Milliseconds>(it).count()); }
-
 } // namespace
 
 void JobLeader::collectCandidates()
@@ -261,7 +259,7 @@
         { { "task", taskText(stop.task) }, { "run", std::to_string(run->second.run) },
             { "executor", executorState(stop.executor) == nullptr ? "" : executorState(stop.executor)->record.id() },
             { "for_step", stepText(stop.forStep) },
-            { "slack_ms", step == m_readySteps.end() ? "" : millis(step->second.latestStart - m_now) } });
+            { "slack_ms", step == m_readySteps.end() ? "" : millisText(step->second.latestStart - m_now) } });
     requestStop(executor, stop.task, run->second);
 }
 
@@ -344,8 +342,8 @@
     m_latencies.onLaunched(it.task.step.job, step->second.queue, m_now);
     logDetail("run_started", [&] {
         return LogFields { { "task", taskText(it.task) }, { "run", std::to_string(it.run) },
-            { "executor", state->record.id() }, { "waited_ms", millis(m_now - step->second.readySince) },
-            { "slack_ms", millis(step->second.latestStart - m_now) } };
+            { "executor", state->record.id() }, { "waited_ms", millisText(m_now - step->second.readySince) },
+            { "slack_ms", millisText(step->second.latestStart - m_now) } };
     });
     if (step->second.gang && !m_assemblingGangs.contains(it.task.step))
         m_assemblingGangs[it.task.step]
