Job plane: a copy of an accepted call is not judged again

Cause: a front resends a call without an answer to the next leader, and to the same one after 0.7 s. The first leader may have replicated the submission; the copy was judged by the configuration in force by then, before the look whether the job is stored. Cancellations likewise. Found beside it: a front took answers of earlier leaders (one that was frozen with a refusal on its way), and a leader repeated its refusals in later terms, though another one may have accepted the call. Ruled out: a leader that judges calls before entries of earlier terms are applied (it serves after the barrier of its term, by reading). Conclusion: the origin of a call (instance, incarnation, number) is stored with its effect and tells a copy from a new call; a stored id alone earns nothing, so that a removed key still fails.

--- a/jobs/job_calls.cpp
+++ b/jobs/job_calls.cpp
@@ -105,8 +105,32 @@
     });
 }
 
+std::optional<JobLeader::Submission> JobLeader::acceptedSubmission(uint64_t id) const
+{
+    if (const auto* job = m_state.find(id))
+        return Submission { job->request.team(), job->request.submitted_by() };
+    if (const auto pending = m_pendingSubmissions.find(id); pending != m_pendingSubmissions.end())
+        return pending->second;
+    return std::nullopt;
+}
+
+void JobLeader::answerAccepted(uint64_t handle, uint64_t id)
+{
+    if (m_pendingSubmissions.contains(id))
+        m_resubmissions[id].push_back(handle);
+    else
+        answer(handle, { CallStatus::Accepted, {} });
+}
+
 void JobLeader::handleCall(uint64_t handle, SubmitJob& call)
 {
+    // A copy of a call that was accepted is not judged again, since its key or queue may have been removed meanwhile.
+    const auto* submitted = std::get_if<schema::JobRequest>(&call.request);
+    const auto earlier = submitted == nullptr ? std::nullopt : acceptedSubmission(submitted->id());
+    if (earlier && isSameCall(earlier->origin, call.origin)) {
+        log("submission_resent", { { "job", jobIdText(submitted->id()) }, { "from", call.origin.instance() } });
+        return answerAccepted(handle, submitted->id());
+    }
     std::string team;
     auto authorized = authorizeCall(call.host, call.path, call.key, &team);
     if (auto* refusal = std::get_if<CallAnswer>(&authorized))
@@ -116,12 +140,8 @@
         return answer(handle, { CallStatus::BadRequest, error->message });
     auto& request = std::get<schema::JobRequest>(call.request);
     const auto id = request.id();
-    if (m_state.find(id) != nullptr) // A repeated submission: the job is already stored.
-        return answer(handle, { CallStatus::Accepted, {} });
-    if (m_pendingSubmissions.contains(id)) {
-        m_resubmissions[id].push_back(handle);
-        return;
-    }
+    if (earlier) // The caller has repeated its submission.
+        return answerAccepted(handle, id);
     if (m_state.wasCancelledUnseen(id) || m_pendingCancellations.contains(id)) {
         log("job_refused", { { "job", jobIdText(id) }, { "reason", "cancelled before it arrived" } });
         return answer(handle, { CallStatus::Refused, "the job was cancelled before it arrived; it never runs" });
@@ -167,7 +187,8 @@
     summary.add({ latestStart, demand.initialNeed });
     m_forecastAdmission.recordAccepted(demand, request.queue(), verdict.isBorrowed, m_now);
     request.set_borrowed(verdict.isBorrowed);
-    m_pendingSubmissions.insert(id);
+    *request.mutable_submitted_by() = call.origin;
+    m_pendingSubmissions[id] = { team, call.origin };
     *change().mutable_accepted() = std::move(request);
     m_batch.continuations.emplace_back(JobAcceptedWhenCommitted { id });
     m_batch.continuations.emplace_back(AnswerWhenCommitted { handle, { CallStatus::Accepted, {} } });
@@ -222,8 +243,21 @@
         answerStateQueries(job, false);
 }
 
+bool JobLeader::hasCancelled(const CancelJob& call) const
+{
+    if (const auto pending = m_pendingCancellers.find(call.job); pending != m_pendingCancellers.end())
+        return isSameCall(pending->second, call.origin);
+    const auto* job = m_state.find(call.job);
+    return job != nullptr && isSameCall(job->cancelledBy, call.origin);
+}
+
 void JobLeader::handleCall(uint64_t handle, CancelJob& call)
 {
+    if (hasCancelled(call)) { // Like a copy of an accepted submission, it is not judged again.
+        log("cancellation_resent", { { "job", jobIdText(call.job) }, { "from", call.origin.instance() } });
+        m_batch.continuations.emplace_back(AnswerWhenCommitted { handle, {} });
+        return;
+    }
     auto authorized = authorizeCall(call.host, call.path, call.key, nullptr);
     if (auto* refusal = std::get_if<CallAnswer>(&authorized))
         return answer(handle, std::move(*refusal));
@@ -233,7 +267,10 @@
     if (job != nullptr && job->hasEnded())
         return answer(handle, {});
     log("job_cancelled", { { "job", jobIdText(call.job) } });
-    change().set_cancelled(call.job);
+    auto& cancellation = change();
+    cancellation.set_cancelled(call.job);
+    *cancellation.mutable_cancelled_by() = call.origin;
+    m_pendingCancellers.try_emplace(call.job, call.origin);
     m_batch.continuations.emplace_back(JobEndedWhenCommitted { call.job });
     m_batch.continuations.emplace_back(AnswerWhenCommitted { handle, {} });
 }
--- a/jobs/job_events.h
+++ b/jobs/job_events.h
@@ -25,6 +25,7 @@
     std::string key;
     // Only id, payload, steps and occurrences are set; or the parse error.
     std::variant<schema::JobRequest, Error> request;
+    schema::CallOrigin origin {};
 };
 
 struct QueryJob {
@@ -39,6 +40,7 @@
     std::string path;
     std::string key;
     uint64_t job = 0;
+    schema::CallOrigin origin {};
 };
 
 struct QueryQueue {
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -91,6 +91,7 @@
     m_assemblingGangs.clear();
     m_teamUsage.clear();
     m_pendingSubmissions.clear();
+    m_pendingCancellers.clear();
     m_resubmissions.clear();
     m_pendingCancellations.clear();
     m_lateEnds.clear();
@@ -244,7 +245,11 @@
     m_resubmissions.erase(resubmissions);
 }
 
-void JobLeader::execute(JobEndedWhenCommitted& it) { onJobEnded(it.job); }
+void JobLeader::execute(JobEndedWhenCommitted& it)
+{
+    m_pendingCancellers.erase(it.job);
+    onJobEnded(it.job);
+}
 
 void JobLeader::execute(CrashWhenCommitted& it)
 {
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -182,6 +182,12 @@
         bool isTimedOut = false; // its timeout has passed; a late result is processed like that of a poll
     };
 
+    // Who has submitted a job.
+    struct Submission {
+        std::string team;
+        schema::CallOrigin origin;
+    };
+
     // Calls (job_calls.cpp; those of executors: job_announcements.cpp).
     void handleCall(uint64_t handle, SubmitJob&);
     void handleCall(uint64_t handle, QueryJob&);
@@ -198,6 +204,12 @@
     std::variant<std::string, CallAnswer> teamForKey(const schema::JobQueue&, std::string_view key) const;
     std::variant<const schema::JobQueue*, CallAnswer> authorizeCall(
         std::string_view host, std::string_view path, std::string_view key, std::string* team) const;
+    // The accepted submission of a job, also before it is committed; nullopt if there is none.
+    std::optional<Submission> acceptedSubmission(uint64_t job) const;
+    // Answers a call for a job that has been accepted, once the job is committed.
+    void answerAccepted(uint64_t handle, uint64_t job);
+    // Whether this very call has cancelled the job.
+    bool hasCancelled(const CancelJob&) const;
     std::optional<CallAnswer> checkRequest(const schema::JobRequest&) const;
     bool isFeasible(const schema::JobRequest&, const schema::JobQueue&) const;
     void answer(uint64_t handle, CallAnswer);
@@ -421,7 +433,8 @@
     // Gangs whose members are starting, with the deadline by which all must run.
     absl::btree_map<StepKey, Instant> m_assemblingGangs;
     absl::flat_hash_map<std::string, ResourceVector> m_teamUsage;
-    absl::btree_set<uint64_t> m_pendingSubmissions; // jobs accepted by a proposal that is not committed yet
+    absl::btree_map<uint64_t, Submission> m_pendingSubmissions; // accepted by a proposal that is not committed yet
+    absl::btree_map<uint64_t, schema::CallOrigin> m_pendingCancellers; // of known jobs; the same
     absl::btree_set<uint64_t> m_pendingCancellations; // of unknown jobs, by a proposal that is not committed yet
     // Handles of repeated submissions of these jobs, by job.
     absl::btree_map<uint64_t, std::vector<uint64_t>> m_resubmissions;
--- a/jobs/job_state.cpp
+++ b/jobs/job_state.cpp
@@ -7,6 +7,12 @@
 
 namespace teasel {
 
+bool isSameCall(const schema::CallOrigin& a, const schema::CallOrigin& b)
+{
+    return !a.instance().empty() && a.instance() == b.instance() && a.incarnation() == b.incarnation()
+        && a.number() == b.number();
+}
+
 ResourceVector needOf(const schema::JobStep& step)
 {
     auto need = toVector(step.need());
@@ -35,7 +41,7 @@
     case schema::JobChange::kAccepted:
         return applyAccepted(change.accepted());
     case schema::JobChange::kCancelled:
-        return applyCancelled(change.cancelled());
+        return applyCancelled(change.cancelled(), change.cancelled_by());
     case schema::JobChange::kAssigned:
         return applyAssigned(change.assigned());
     case schema::JobChange::kEnded:
@@ -102,13 +108,15 @@
         openOccurrence(it->second, 0);
 }
 
-void JobState::applyCancelled(uint64_t job)
+void JobState::applyCancelled(uint64_t job, const schema::CallOrigin& origin)
 {
     const auto it = m_jobs.find(job);
     if (it == m_jobs.end())
-        recordCancelledUnseen(job, m_wallMs);
-    else if (!it->second.hasEnded())
-        endJob(it->second, JobPhase::Cancelled);
+        return recordCancelledUnseen(job, m_wallMs);
+    if (it->second.hasEnded())
+        return;
+    it->second.cancelledBy = origin;
+    endJob(it->second, JobPhase::Cancelled);
 }
 
 void JobState::recordCancelledUnseen(uint64_t job, uint64_t atMs)
--- a/jobs/job_state.h
+++ b/jobs/job_state.h
@@ -61,6 +61,7 @@
     JobPhase phase = JobPhase::Queued;
     bool hasBegun = false; // a run has certainly taken place
     uint64_t endedAtMs = 0;
+    schema::CallOrigin cancelledBy;
     uint32_t occurrencesDone = 0;
     // Occurrences that have begun and not ended, and those that have ended before an earlier one, so that they do not
     // begin again.
@@ -100,6 +101,9 @@
 constexpr uint32_t maxCrashesAtStart = 3;
 constexpr uint32_t maxCrashes = 4; // at any time of its runs; does not apply to lasting tasks
 
+// Whether both are copies of one call. False if the origin is unknown.
+bool isSameCall(const schema::CallOrigin&, const schema::CallOrigin&);
+
 // The part of an executor's capacity that one task of a step uses.
 ResourceVector needOf(const schema::JobStep&);
 
@@ -155,7 +159,7 @@
     void applyConfiguration(const schema::JobConfiguration&);
     void forgetRemovedQueues();
     void applyAccepted(const schema::JobRequest&);
-    void applyCancelled(uint64_t job);
+    void applyCancelled(uint64_t job, const schema::CallOrigin&);
     void applyAssigned(const schema::TaskAssignment&);
     void applyConfirmed(const schema::ConfirmedRuns&);
     void applyLateEnd(const TaskKey&);
--- a/jobs/job_state_snapshot.cpp
+++ b/jobs/job_state_snapshot.cpp
@@ -46,6 +46,8 @@
         out.set_ended_at_ms(job.endedAtMs);
         out.set_occurrences_done(job.occurrencesDone);
         out.set_has_begun(job.hasBegun);
+        if (job.phase == JobPhase::Cancelled)
+            *out.mutable_cancelled_by() = job.cancelledBy;
         for (const auto& [number, occurrence] : job.open) {
             auto& open = *out.add_open();
             open.set_occurrence(number);
@@ -62,6 +64,7 @@
         job.endedAtMs = image.ended_at_ms();
         job.occurrencesDone = image.occurrences_done();
         job.hasBegun = image.has_begun();
+        job.cancelledBy = image.cancelled_by();
         for (const auto& open : image.open()) {
             auto& occurrence = job.open[open.occurrence()];
             for (const auto& it : open.steps()) {
--- a/node/core_calls.cpp
+++ b/node/core_calls.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-    constexpr size_t maxRefusals = 20'000;
     constexpr Milliseconds announcementTimeout { 900 }; // an executor waits one second for the answer
     constexpr Milliseconds operatorTimeout { 2'500 };
     constexpr unsigned tooLargeStatus = 413;
@@ -28,48 +27,52 @@
 
 } // namespace
 
-void CoreNode::sendRoutedAnswer(const std::string& to, schema::RoutedAnswer answer)
+void CoreNode::answerRoutedCall(const schema::CallOrigin& call, uint64_t term, schema::RoutedAnswer answer)
 {
+    answer.set_number(call.number());
+    answer.set_term(term);
     schema::Envelope out;
     *out.mutable_routed_answer() = std::move(answer);
-    sendEnvelope(to, std::move(out));
+    sendEnvelope(call.instance(), std::move(out));
+}
+
+void CoreNode::returnRoutedCall(const schema::CallOrigin& call)
+{
+    schema::RoutedAnswer answer; // status 0
+    answer.set_leader(std::string(m_log->leaderHint()));
+    answerRoutedCall(call, m_log->replica().term(), std::move(answer));
 }
 
 void CoreNode::onRoutedCall(const schema::Envelope& envelope, Instant now)
 {
     const auto& call = envelope.routed_call();
-    if (!m_leader.isLeading() || !m_log->holdsLease(now) || call.term() != m_log->replica().term()) {
-        schema::RoutedAnswer answer;
-        answer.set_number(call.number());
-        answer.set_leader(std::string(m_log->leaderHint()));
-        sendRoutedAnswer(envelope.from(), std::move(answer));
-        return;
-    }
+    schema::CallOrigin origin;
+    origin.set_instance(envelope.from());
+    origin.set_incarnation(envelope.incarnation());
+    origin.set_number(call.number());
+    if (!m_leader.isLeading() || !m_log->holdsLease(now) || call.term() != m_log->replica().term())
+        return returnRoutedCall(origin);
     // The caller may have left, have cancelled the job elsewhere, and count on it that the call has no effect any more.
     if (call.surface() == schema::RoutedCall::CALLERS && call.method() == "POST" && mayBeExpired(call, now)) {
         m_context.log.info("call_expired",
             { { "path", call.path() }, { "from", envelope.from() }, { "time_left_ms", call.time_left_ms() } });
-        schema::RoutedAnswer answer;
-        answer.set_number(call.number());
-        sendRoutedAnswer(envelope.from(), std::move(answer));
-        return;
-    }
-    const CallId callId { envelope.from(), envelope.incarnation(), call.number() };
-    if (const auto it = m_refusals.find(callId); it != m_refusals.end()) {
-        sendRoutedAnswer(envelope.from(), it->second);
-        return;
+        return answerRoutedCall(origin, call.term(), {});
     }
+    if (const auto* rejection = m_rejectedCalls.find(origin))
+        return answerRoutedCall(origin, call.term(), *rejection);
     auto decoded = platform::decodeCall(call);
     if (auto* answer = std::get_if<schema::RoutedAnswer>(&decoded)) {
         m_context.log.info(
             "call_invalid", { { "path", call.path() }, { "status", answer->status() }, { "reason", answer->body() } });
-        answer->set_number(call.number());
-        sendRoutedAnswer(envelope.from(), std::move(*answer));
-        return;
+        return answerRoutedCall(origin, call.term(), std::move(*answer));
     }
     const auto handle = ++m_lastHandle;
     auto& jobCall = std::get<JobCall>(decoded);
-    PendingCall pending { JobCall(GetConfiguration {}), envelope.from(), envelope.incarnation(), call.number(), now };
+    if (auto* submission = std::get_if<SubmitJob>(&jobCall))
+        submission->origin = origin;
+    if (auto* cancellation = std::get_if<CancelJob>(&jobCall))
+        cancellation->origin = origin;
+    PendingCall pending { JobCall(GetConfiguration {}), std::move(origin), call.term() };
     // Encoding the answer needs only the type of the call; its contents move to the job leader.
     pending.call = std::visit([](const auto& it) { return JobCall(std::decay_t<decltype(it)> {}); }, jobCall);
     m_pendingCalls.emplace(handle, std::move(pending));
@@ -131,24 +134,13 @@
     auto pending = std::move(found->second);
     m_pendingCalls.erase(found);
     // Any answer but a refusal is only valid while this replica's state is the latest.
-    if (!holdsLease(now) && !platform::isRefusal(action.answer)) {
-        schema::RoutedAnswer answer;
-        answer.set_number(pending.number);
-        sendRoutedAnswer(pending.from, std::move(answer));
-        return;
-    }
+    const bool isRefusal = platform::isRefusal(action.answer);
+    if (!holdsLease(now) && !isRefusal)
+        return returnRoutedCall(pending.origin);
     auto answer = platform::encodeAnswer(pending.call, action.answer);
-    answer.set_number(pending.number);
-    if (platform::isRefusal(action.answer) && std::holds_alternative<SubmitJob>(pending.call)) {
-        const CallId callId { pending.from, pending.incarnation, pending.number };
-        m_refusals[callId] = answer;
-        m_refusalOrder.push_back(callId);
-        if (m_refusalOrder.size() > maxRefusals) {
-            m_refusals.erase(m_refusalOrder.front());
-            m_refusalOrder.pop_front();
-        }
-    }
-    sendRoutedAnswer(pending.from, std::move(answer));
+    if (isRefusal && std::holds_alternative<SubmitJob>(pending.call))
+        m_rejectedCalls.add(pending.origin, answer);
+    answerRoutedCall(pending.origin, pending.term, std::move(answer));
 }
 
 } // namespace teasel
--- a/node/core_node.cpp
+++ b/node/core_node.cpp
@@ -35,6 +35,7 @@
     constexpr unsigned connectionsPerExecutor = 6;
     // Up to this many executors, the leader also sends orders itself.
     constexpr size_t maxExecutorsForSendingLeader = 120;
+    constexpr size_t maxRejectedCalls = 20'000;
     // Log records kept before a snapshot, so that replicas that were away for seconds catch up from the log.
     constexpr uint64_t keepLogRecords = 2'000;
     constexpr size_t maxControlBodyBytes = 4 << 20; // of a configuration
@@ -137,6 +138,7 @@
           [this](const std::string& leader, uint64_t term) {
               m_context.log.info("leader_found", { { "leader", leader }, { "term", term } });
           })
+    , m_rejectedCalls(maxRejectedCalls)
 {
 }
 
@@ -219,17 +221,14 @@
         return;
     }
     m_leader.onLostLeadership();
-    // Status 0 tells the forwarding instances to resend these calls to the next leader.
-    for (const auto& [handle, it] : m_pendingCalls) {
-        schema::RoutedAnswer answer;
-        answer.set_number(it.number);
-        sendRoutedAnswer(it.from, std::move(answer));
-    }
+    for (const auto& [handle, it] : m_pendingCalls)
+        returnRoutedCall(it.origin);
     m_pendingCalls.clear();
 }
 
 void CoreNode::startLeading(Instant now)
 {
+    m_rejectedCalls.onBecameLeader();
     m_instances.clear();
     m_orderSenders.clear();
     m_orderBatches.clear();
--- a/node/core_node.h
+++ b/node/core_node.h
@@ -16,16 +16,15 @@
 #include "node/leader_relay.h"
 #include "node/log_metrics.h"
 #include "node/process_context.h"
+#include "node/rejected_calls.h"
 #include "settings.pb.h"
 #include "storage/posix_disk.h"
 
 #include <absl/container/btree_map.h>
 
 #include <atomic>
-#include <deque>
 #include <optional>
 #include <string>
-#include <tuple>
 
 namespace teasel {
 
@@ -52,12 +51,9 @@
     // A call that the job leader has not answered yet, and the instance that the answer goes to.
     struct PendingCall {
         JobCall call;
-        std::string from; // instance that forwarded the call
-        uint64_t incarnation = 0; // of the forwarding instance
-        uint64_t number = 0; // of the call at the forwarding instance
-        Instant receivedAt {};
+        schema::CallOrigin origin;
+        uint64_t term = 0; // in which this leader received it
     };
-    using CallId = std::tuple<std::string, uint64_t, uint64_t>; // instance, incarnation, number
     struct Instance {
         Instant lastContactAt {};
         bool isCore = false;
@@ -99,7 +95,9 @@
     void onAdvice(const schema::AdviceResult&, Instant now);
     // Also delivers messages to this instance itself.
     void sendEnvelope(std::string_view to, schema::Envelope);
-    void sendRoutedAnswer(const std::string& to, schema::RoutedAnswer);
+    void answerRoutedCall(const schema::CallOrigin&, uint64_t term, schema::RoutedAnswer);
+    // Tells the sender to resend the call to the leader.
+    void returnRoutedCall(const schema::CallOrigin&);
     schema::CoreView makeView(Instant now) const;
 
     schema::CoreSettings m_settings;
@@ -122,9 +120,7 @@
     absl::btree_map<uint64_t, PendingCall> m_pendingCalls; // by handle
     uint64_t m_lastHandle = 0;
     std::pair<Instant, bool> m_leaseCheck; // when holdsLease() was evaluated last, and its result
-    // Final refusals of submissions, by call. A resent call gets the same answer.
-    absl::btree_map<CallId, schema::RoutedAnswer> m_refusals;
-    std::deque<CallId> m_refusalOrder; // keys of m_refusals, oldest first
+    RejectedCalls m_rejectedCalls;
     absl::btree_map<std::string, Instance> m_instances; // registered with this leader, by address
     absl::btree_map<std::string, schema::OrderBatch> m_orderBatches; // orders not sent yet, by core instance
     // Results not sent yet, by leader and term.
--- a/node/leader_relay.cpp
+++ b/node/leader_relay.cpp
@@ -98,10 +98,17 @@
     done(std::move(answer));
 }
 
+bool LeaderRelay::isFromAddressee(const schema::RoutedAnswer& answer) const
+{
+    const auto found = m_pendingCalls.find(answer.number());
+    return found != m_pendingCalls.end() && (answer.term() == 0 || answer.term() == found->second.call.term());
+}
+
 void LeaderRelay::onAnswer(const schema::RoutedAnswer& answer, Instant now)
 {
     if (answer.status() != 0) {
-        complete(answer.number(), answer);
+        if (isFromAddressee(answer))
+            complete(answer.number(), answer);
         return;
     }
     // Status 0: the instance does not lead, or leads in another term.
--- a/node/leader_relay.h
+++ b/node/leader_relay.h
@@ -84,6 +84,9 @@
     };
 
     void forwardCall(PendingCall&, Instant now);
+    // Whether the answer is that of the leader to which the call was sent last. What an earlier leader has rejected,
+    // this one may accept.
+    bool isFromAddressee(const schema::RoutedAnswer&) const;
     void complete(uint64_t number, schema::RoutedAnswer);
     void sendRegistration(Instant now);
 
--- a/tests/node_leader_relay_test.cpp
+++ b/tests/node_leader_relay_test.cpp
@@ -115,3 +115,40 @@
     CHECK(host.forwarded[1].time_left_ms() == 920);
     CHECK(host.forwarded[1].view_sent_at_ms() == 7'002);
 }
+
+// Guards against a rejection that a frozen leader sends when it wakes, of a call that the next leader has accepted
+// (REFUSED).
+TEST_CASE("an answer of an earlier leader does not count once the call was sent to the next one")
+{
+    RelayHost host;
+    host.see(1, begin);
+    host.call(3'000, begin);
+    host.see(2, begin + Milliseconds(500));
+    REQUIRE(host.forwarded.size() == 2);
+    schema::RoutedAnswer answer;
+    answer.set_number(host.forwarded[0].number());
+    for (const uint32_t status : { 401, 404, 429, 503 }) {
+        answer.set_status(status);
+        answer.set_term(1);
+        host.relay.onAnswer(answer, begin + Milliseconds(600));
+    }
+    CHECK(host.answers.empty());
+    answer.set_status(200);
+    answer.set_term(2);
+    host.relay.onAnswer(answer, begin + Milliseconds(700));
+    REQUIRE(host.answers.size() == 1);
+    CHECK(host.answers[0].status() == 200);
+}
+
+TEST_CASE("an answer that names no term counts")
+{
+    RelayHost host;
+    host.see(1, begin);
+    host.call(3'000, begin);
+    schema::RoutedAnswer answer;
+    answer.set_number(host.forwarded[0].number());
+    answer.set_status(429);
+    host.relay.onAnswer(answer, begin + Milliseconds(100));
+    REQUIRE(host.answers.size() == 1);
+    CHECK(host.answers[0].status() == 429);
+}
--- a/tests/process/job_plane_stops_test.py
+++ b/tests/process/job_plane_stops_test.py
@@ -17,8 +17,8 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "tools"))
 from checks import Checks  # noqa: E402
-from fleet import LOOPBACK_RANGE, Process, lock_loopback_range  # noqa: E402
-from job_plane import CALLERS_PORT, CONFIGURATION, CONTROL_PORT, METRICS_PORT, PEER_PORT, READY_PORT  # noqa: E402
+from fleet import LOOPBACK_RANGE, lock_loopback_range  # noqa: E402
+from job_plane import CALLERS_PORT, CONFIGURATION, CONTROL_PORT, start_instances  # noqa: E402
 
 CORES = [f"127.{1 + LOOPBACK_RANGE}.0.{n + 1}" for n in range(3)]
 FRONTS = [f"127.{1 + LOOPBACK_RANGE}.1.{n + 1}" for n in range(3)]
@@ -31,22 +31,6 @@
 JOB = json.dumps({"spec": "lot", "steps": [{"count": 1, "cpu": 100, "memMb": 100, "estimateMs": 500}]})
 
 
-def common_settings(name, host, folder, first_start):
-    seeds = json.dumps([f"{it}:{CONTROL_PORT}" for it in CORES])
-    text = f"""instance:
-  id: {name}
-  data_centre: dc1
-  peer_address: {host}:{PEER_PORT}
-metrics_address: {host}:{METRICS_PORT}
-seeds: {seeds}
-stop_grace_s: {GRACE_S}
-"""
-    if host in FRONTS:
-        return text + f"callers_address: {host}:{CALLERS_PORT}\nready_address: {host}:{READY_PORT}\n"
-    return text + f"control_address: {host}:{CONTROL_PORT}\ndata_folder: {folder}/{name}\n" \
-                  f"first_start: {str(first_start).lower()}\ntolerated_losses: 1\njobs:\n  advice_address: \"\"\n"
-
-
 class Client(threading.Thread):
     """Sends calls over one channel after the other; each is used until its instance closes it."""
 
@@ -195,16 +179,7 @@
     lock = lock_loopback_range()
     checks = Checks()
     with tempfile.TemporaryDirectory(prefix="teasel-") as folder:
-        processes = {}
-        for kind, hosts in (("core", CORES), ("front", FRONTS)):
-            for n, host in enumerate(hosts):
-                name = f"{kind}-{n + 1}"
-                settings = os.path.join(folder, f"{name}.yaml")
-                with open(settings, "w", encoding="utf-8") as out:
-                    out.write(common_settings(name, host, folder, True))
-                command = [os.path.join(options.build, f"teasel-{kind}"), settings]
-                processes[name] = Process(name, command, os.path.join(folder, f"{name}.log"))
-                processes[name].start()
+        processes = start_instances(options.build, folder, CORES, FRONTS, GRACE_S)
         try:
             scenario(checks, processes, options)
         finally:
