Job plane: a task that is larger than its team's cap starts

Cause: what is left of a cap was divided by the need of a task and rounded down, to 0 for each task that is larger than the rest; a gang that is larger than the cap was accepted and waited. Planning, advice and the estimates of load used this. Ruled out: admission by forecast (it clips a job's need to the cap), shares/ (counts submissions), both by reading. Conclusion: TeamCap has the arithmetic in one place. A gang that could not start even if its team ran nothing is refused at once.

--- a/jobs/candidate_executor.h
+++ b/jobs/candidate_executor.h
@@ -74,8 +74,8 @@
     std::function<std::optional<std::vector<uint32_t>>(const ReadyStep&)> allowedLater;
     // Number of tasks of the step on the executor.
     std::function<uint32_t(const StepKey&, uint32_t executor)> tasksOn;
-    // How many more tasks with this need fit under the team's cap.
-    std::function<int64_t(std::string_view team, const ResourceVector& need)> tasksLeftInCap;
+    // How many waiting tasks of the step its team's cap lets start, beside the starts `planned` for this team.
+    std::function<int64_t(const ReadyStep&, const ResourceVector& planned)> tasksThatMayStart;
     // How many tasks may start in this round besides those of the most urgent queues and lasting ones.
     int64_t relaxedStarts = std::numeric_limits<int64_t>::max();
     // Runs on the executor that may be preempted.
--- a/jobs/job_admission.cpp
+++ b/jobs/job_admission.cpp
@@ -45,7 +45,7 @@
     for (const auto& [key, it] : m_readySteps) {
         if (it.lateFrom < m_now || it.lasting || it.waiting.empty())
             continue;
-        const auto tasks = std::min<int64_t>(static_cast<int64_t>(it.waiting.size()), tasksLeftInCap(it.team, it.need));
+        const auto tasks = tasksThatFitInCap(it);
         const auto need = it.need * static_cast<int64_t>(it.waiting.size());
         m_waitingOfTeam[it.team] += need;
         if (it.priority == 0)
@@ -74,8 +74,7 @@
     if (team == nullptr || !team->has_cap())
         return 0;
     const auto cap = toVector(team->cap());
-    const auto found = m_teamUsage.find(demand.team);
-    const auto usage = found == m_teamUsage.end() ? ResourceVector() : found->second;
+    const auto usage = usageOf(demand.team);
     // The most urgent work goes first.
     const auto& waitingWork = demand.isMostUrgent ? m_urgentOfTeam : m_waitingOfTeam;
     const auto waiting = waitingWork.find(demand.team);
--- a/jobs/job_calls.cpp
+++ b/jobs/job_calls.cpp
@@ -10,6 +10,8 @@
     constexpr Milliseconds retryWhenUnavailable { 1'000 };
     const std::string backlogReason = "too many changes wait to be committed; the call had no effect";
 
+    const std::string gangBeyondCapReason = "the team's cap never lets a gang of this size start; the job never runs";
+
     CallAnswer makeRefusal(CallStatus status, std::string reason) { return { status, std::move(reason) }; }
 
     std::string millis(double it) { return std::to_string(static_cast<int64_t>(it)); }
@@ -105,6 +107,14 @@
     });
 }
 
+bool JobLeader::hasGangBeyondCap(const schema::JobRequest& request, std::string_view team) const
+{
+    const auto cap = capOf(team);
+    return std::any_of(request.steps().begin(), request.steps().end(), [&](const auto& step) {
+        return step.gang() && cap.gangTasksThatMayStart(needOf(step), step.count(), {}) == 0;
+    });
+}
+
 std::optional<JobLeader::Submission> JobLeader::acceptedSubmission(uint64_t id) const
 {
     if (const auto* job = m_state.find(id))
@@ -157,6 +167,10 @@
             { { "job", jobIdText(id) }, { "reason", "no executor with the required label is large enough" } });
         return answer(handle, { CallStatus::BadRequest, "no executor with the required label is large enough" });
     }
+    if (hasGangBeyondCap(request, team)) {
+        log("job_refused", { { "job", jobIdText(id) }, { "team", team }, { "reason", gangBeyondCapReason } });
+        return answer(handle, makeRefusal(CallStatus::Refused, gangBeyondCapReason));
+    }
     request.set_queue(JobState::queueKey(queue));
     request.set_team(team);
     request.set_accepted_at_ms(static_cast<uint64_t>(m_wall.time_since_epoch().count()));
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -26,6 +26,7 @@
 #include "jobs/run_times.h"
 #include "jobs/stage_latencies.h"
 #include "jobs/start_planner.h"
+#include "jobs/team_cap.h"
 #include "runtimes/run_time_model.h"
 
 #include <absl/container/btree_map.h>
@@ -212,6 +213,8 @@
     bool hasCancelled(const CancelJob&) const;
     std::optional<CallAnswer> checkRequest(const schema::JobRequest&) const;
     bool isFeasible(const schema::JobRequest&, const schema::JobQueue&) const;
+    // Whether the team's cap never lets a gang of the job start.
+    bool hasGangBeyondCap(const schema::JobRequest&, std::string_view team) const;
     void answer(uint64_t handle, CallAnswer);
     void answerStateQueries(uint64_t job, bool all);
     void answerTimedOutStateQueries();
@@ -384,7 +387,13 @@
     void requestAdviceFor(std::span<const ReadyStep* const>, AdvicePlanner&);
     void requestAdvice(const ReadyStep&, AdvicePlanner&);
     void sendAdviceCall(const ReadyStep&, const schema::AdvicePolicy&, std::span<const uint32_t> executors);
-    int64_t tasksLeftInCap(std::string_view team, const ResourceVector& need) const;
+    TeamCap capOf(std::string_view team) const;
+    // What the team's runs use; those that are being stopped or may have begun count.
+    ResourceVector usageOf(std::string_view team) const;
+    // How many waiting tasks of the step its team's cap lets start, beside the starts `planned` for this team.
+    int64_t tasksThatMayStart(const ReadyStep&, const ResourceVector& planned) const;
+    // How many of them the cap has room for, for estimates of load.
+    int64_t tasksThatFitInCap(const ReadyStep&) const;
     void reserve(LiveExecutor&, const TaskKey&, LiveRun);
     void releaseRun(LiveExecutor&, absl::btree_map<TaskKey, LiveRun>::iterator);
 
--- a/jobs/job_leader_options.h
+++ b/jobs/job_leader_options.h
@@ -22,6 +22,8 @@
     Milliseconds lease { 8'000 };
     Milliseconds stopTime { 200 }; // upper bound for an executor to stop a task; from the platform's contract
     Milliseconds gangTimeout { 3'000 }; // how long a gang member waits for the others; from the platform's contract
+    // Share of its cap by which a gang may exceed it, besides one task; from the platform's contract.
+    double capOvershootShare = 0;
     StartPlannerOptions planner;
     Milliseconds endedJobRetention { 150'000 }; // how long the outcome of an ended job can be queried
 
--- a/jobs/job_load.cpp
+++ b/jobs/job_load.cpp
@@ -80,9 +80,7 @@
     std::vector<LoadSummary::Demand> demands;
     for (const auto* it : steps) {
         // A team at its cap uses no further capacity.
-        const auto tasks
-            = std::min<int64_t>(static_cast<int64_t>(it->waiting.size()), tasksLeftInCap(it->team, it->need));
-        auto need = it->need * tasks;
+        auto need = it->need * tasksThatFitInCap(*it);
         if (isRestricted(*it)) {
             auto& left = restricted[constraintKeyOf(*it)].left;
             need = smallestOf(need, left);
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -14,7 +14,6 @@
     constexpr size_t adviceExecutorsPerCall = 34; // a third of the maximum, where several calls are possible
     constexpr size_t instancesPerParallelCall = 8; // so that one step does not occupy all instances
     constexpr unsigned sequenceBits = 32; // low bits of a call's number; the fence is above them
-    constexpr int64_t unboundedTasks = 1'000'000;
     constexpr Milliseconds capacityLogInterval { 1'000 };
     // A run is not preempted earlier; several times the cost of a restore.
     constexpr Milliseconds minRunBeforePreemption { 600 };
@@ -51,21 +50,33 @@
     }
 }
 
-int64_t JobLeader::tasksLeftInCap(std::string_view team, const ResourceVector& need) const
+TeamCap JobLeader::capOf(std::string_view team) const
 {
     const auto* found = m_state.configurationIndex().findTeam(team);
     if (found == nullptr || !found->has_cap())
-        return unboundedTasks;
-    const auto cap = toVector(found->cap());
-    const auto use = m_teamUsage.find(std::string(team));
-    int64_t left = unboundedTasks;
-    for (size_t n = 0; n < ResourceVector::kinds; ++n) {
-        if (cap.amounts[n] <= 0 || need.amounts[n] <= 0)
-            continue;
-        const auto used = use == m_teamUsage.end() ? 0 : use->second.amounts[n];
-        left = std::min(left, std::max<int64_t>(0, cap.amounts[n] - used) / need.amounts[n]);
-    }
-    return left;
+        return {};
+    return { toVector(found->cap()), m_options.capOvershootShare };
+}
+
+ResourceVector JobLeader::usageOf(std::string_view team) const
+{
+    const auto found = m_teamUsage.find(std::string(team));
+    return found == m_teamUsage.end() ? ResourceVector() : found->second;
+}
+
+int64_t JobLeader::tasksThatMayStart(const ReadyStep& step, const ResourceVector& planned) const
+{
+    const auto used = usageOf(step.team) + planned;
+    const auto waiting = static_cast<int64_t>(step.waiting.size());
+    const auto cap = capOf(step.team);
+    return step.gang ? cap.gangTasksThatMayStart(step.need, waiting, used)
+                     : cap.tasksThatMayStart(step.need, waiting, used);
+}
+
+int64_t JobLeader::tasksThatFitInCap(const ReadyStep& step) const
+{
+    return std::min(
+        static_cast<int64_t>(step.waiting.size()), capOf(step.team).tasksThatFit(step.need, usageOf(step.team)));
 }
 
 void JobLeader::requestAdviceFor(std::span<const ReadyStep* const> steps, AdvicePlanner& planner)
@@ -84,9 +95,8 @@
             break;
         // The steps of a team share its cap.
         auto& claimed = claimedByTeam[it->team];
-        const auto tasks = std::min<int64_t>(static_cast<int64_t>(it->waiting.size()),
-            tasksLeftBeside(claimed, it->need, tasksLeftInCap(it->team, it->need)));
-        if (tasks <= 0 || (it->gang && tasks < static_cast<int64_t>(it->waiting.size())))
+        const auto tasks = tasksThatMayStart(*it, claimed);
+        if (tasks <= 0)
             continue;
         if (!capacity.hasRoomFor(*it))
             continue;
@@ -121,8 +131,8 @@
         return step.needsTicket ? Allowed(m_advice.grantedExecutors(step.key)) : std::nullopt;
     };
     out.tasksOn = [this](const StepKey& step, uint32_t number) { return tasksOn(step, number); };
-    out.tasksLeftInCap
-        = [this](std::string_view team, const ResourceVector& need) { return tasksLeftInCap(team, need); };
+    out.tasksThatMayStart
+        = [this](const ReadyStep& step, const ResourceVector& planned) { return tasksThatMayStart(step, planned); };
     out.preemptibleRuns = [this](uint32_t number) { return preemptibleRuns(m_executors.at(number)); };
     return out;
 }
--- a/jobs/start_planner.cpp
+++ b/jobs/start_planner.cpp
@@ -40,15 +40,6 @@
 
 bool isMostUrgent(const ReadyStep& it, Instant now) { return rankOf(it, now) <= Rank::MostUrgentQueue; }
 
-int64_t tasksLeftBeside(const ResourceVector& planned, const ResourceVector& need, int64_t left)
-{
-    for (size_t n = 0; n < ResourceVector::kinds; ++n) {
-        if (need.amounts[n] > 0 && planned.amounts[n] > 0)
-            left -= (planned.amounts[n] + need.amounts[n] - 1) / need.amounts[n];
-    }
-    return left;
-}
-
 void sortByUrgency(std::vector<const ReadyStep*>& steps, Instant now, std::span<const ReadyStep* const> contended)
 {
     const absl::flat_hash_set<const ReadyStep*> isContended(contended.begin(), contended.end());
@@ -181,9 +172,7 @@
 
 void StartPlanner::planStep(const ReadyStep& step, Instant now, StartPlan& out)
 {
-    const auto allowed
-        = tasksLeftBeside(m_plannedPerTeam[step.team], step.need, m_constraints.tasksLeftInCap(step.team, step.need));
-    auto wanted = std::min<int64_t>(allowed, static_cast<int64_t>(step.waiting.size()));
+    const auto wanted = m_constraints.tasksThatMayStart(step, m_plannedPerTeam[step.team]);
     if (wanted <= 0 || (step.gang && wanted < static_cast<int64_t>(step.count)))
         return;
     if (isMostUrgent(step, now))
--- a/jobs/start_planner.h
+++ b/jobs/start_planner.h
@@ -42,9 +42,6 @@
     CapacityReserverOptions capacityReserver;
 };
 
-// How many more tasks with this need fit in a cap that has room for `left`, beside what is planned for other steps.
-int64_t tasksLeftBeside(const ResourceVector& planned, const ResourceVector& need, int64_t left);
-
 // Whether the step goes before all that can wait: lasting tasks, and the most urgent queues while they can be in time.
 bool isMostUrgent(const ReadyStep&, Instant now);
 
--- a/node/core_node.cpp
+++ b/node/core_node.cpp
@@ -74,6 +74,7 @@
         out.stopTime = Milliseconds(static_cast<int64_t>(settings.stop_ms()));
         out.gangTimeout = Milliseconds(static_cast<int64_t>(settings.gang_wait_ms()));
         out.planner.remoteFactor = settings.remote_factor();
+        out.capOvershootShare = settings.cap_overshoot();
         out.planner.capacityReserver.restoreTime = Milliseconds(static_cast<int64_t>(settings.restore_ms()));
         if (settings.has_evacuation_ms())
             out.evacuationTime = Milliseconds(static_cast<int64_t>(settings.evacuation_ms()));
--- a/settings/job_settings.cpp
+++ b/settings/job_settings.cpp
@@ -126,6 +126,9 @@
     if (jobs.remote_factor() < 1)
         return checks.invalidValue(
             "jobs.remote_factor", "a factor of at least 1", fmt::format("{}", jobs.remote_factor()));
+    if (!(jobs.cap_overshoot() >= 0 && jobs.cap_overshoot() <= 1))
+        return checks.invalidValue(
+            "jobs.cap_overshoot", "a share from 0 to 1", fmt::format("{}", jobs.cap_overshoot()));
     return checks.range("jobs.keep_ended_ms", jobs.keep_ended_ms(), 1'000, maxValue);
 }
 
