Job plane: a submission with the id of another team's job is refused

A caller whose submission had the id of another team's job was answered 200, though its job is not stored and never runs, and learned from it that there is such a job.

Cause: a repeated submission was recognised by its id alone, after the check that the key belongs to some team. Ruled out: the owner's repeated submissions with another key of the same team, and open queues, where callers need no key. Before: jobs_resent_calls without the check: the new case fails. After: it passes. Queries and cancellations still look at the id alone: an open question, docs/QUESTIONS.md. Conclusion: the team of the accepted submission is compared before a repetition is confirmed.

--- a/jobs/job_calls.cpp
+++ b/jobs/job_calls.cpp
@@ -150,6 +150,11 @@
         return answer(handle, { CallStatus::BadRequest, error->message });
     auto& request = std::get<schema::JobRequest>(call.request);
     const auto id = request.id();
+    if (earlier && earlier->team != team && !queue.open()) {
+        // The answer must not tell that there is such a job.
+        log("job_refused", { { "job", jobIdText(id) }, { "team", team }, { "reason", "its id is another team's" } });
+        return answer(handle, makeRefusal(CallStatus::Refused, "the job has not been accepted; it never runs"));
+    }
     if (earlier) // The caller has repeated its submission.
         return answerAccepted(handle, id);
     if (m_state.wasCancelledUnseen(id) || m_pendingCancellations.contains(id)) {
--- a/tests/jobs_resent_calls_test.cpp
+++ b/tests/jobs_resent_calls_test.cpp
@@ -112,6 +112,30 @@
     CHECK(statusOf(it, repetition) == CallStatus::Unauthenticated);
 }
 
+// Guards against a caller that is told that its job is stored, while the job with this id is another team's.
+TEST_CASE("a submission with the id of another team's job is refused, unless its queue is open")
+{
+    for (const bool isOpen : { false, true }) {
+        JobsFixture it;
+        auto next = it.state.configuration();
+        next.set_version(2);
+        next.mutable_queues(0)->set_open(isOpen);
+        auto& other = *next.add_teams();
+        other.set_name("farm");
+        other.add_keys("other-key");
+        it.leader.onCall(++it.lastHandle, PutConfiguration { next }, it.clock.now(), it.clock.wallNow());
+        it.commitAndCollect();
+        const auto expected = isOpen ? CallStatus::Accepted : CallStatus::Refused;
+        const auto first = submit(it, callFrom("front-1", 1));
+        const auto beforeCommit = submit(it, callFrom("front-1", 2), "other-key");
+        CHECK(statusOf(it, first) == CallStatus::Accepted);
+        CHECK(statusOf(it, beforeCommit) == expected);
+        CHECK(statusOf(it, submit(it, callFrom("front-1", 3), "other-key")) == expected);
+        CHECK(statusOf(it, submit(it, callFrom("front-1", 4))) == CallStatus::Accepted);
+        CHECK(it.state.find(job)->request.team() == "orchard");
+    }
+}
+
 TEST_CASE("the origin of a submission and of a cancellation survives a snapshot")
 {
     JobsFixture it;
