--- a/tests/process/resent_submissions_test.py
+++ b/tests/process/resent_submissions_test.py
@@ -28,6 +28,7 @@
 DEADLINE_S = 3
 LASTING_KEY = "key-south-0000000000"
 MAX_KILL_DELAY_S = 0.005
+MAX_ROUNDS = 40
 REJECTIONS = (400, 401, 403, 404, 429, 503)
 
 JOB = {"spec": "lot", "steps": [{"count": 1, "cpu": 100, "memMb": 100, "estimateMs": 500}]}
@@ -136,18 +137,21 @@
     draw = random.Random(options.seed)
     put_configuration(-1)
     statuses = {}
-    for n in range(options.rounds):
+    rounds, resent = 0, 0
+    # In some runs no call of the first rounds is replicated and unanswered at the moment of the kill.
+    while rounds < options.rounds or (resent == 0 and rounds < MAX_ROUNDS):
         time.sleep(1.2)  # the metrics name the leader once a second
-        lose_leader_while_key_is_removed(n, draw, processes, statuses)
+        lose_leader_while_key_is_removed(rounds, draw, processes, statuses)
+        rounds += 1
+        resent = sum(log_of(it).count("event=submission_resent") for name, it in processes.items() if name.startswith("core"))
     time.sleep(1)
     answered = {it: list(statuses.values()).count(it) for it in sorted(set(statuses.values()))}
-    print(f"seed {options.seed}: {options.rounds} rounds, answers {answered}")
+    print(f"seed {options.seed}: {rounds} rounds, answers {answered}, {resent} resent")
     known = {job: call(FRONTS[0], CALLERS_PORT, "GET", f"/weigh/{job}", key=LASTING_KEY)[0] for job in statuses}
     runs = [job for job, status in statuses.items() if status in REJECTIONS and known[job] != 410]
     checks.check("no rejected submission is known", not runs, f"{len(runs)}: {[(it, statuses[it]) for it in runs[:3]]}")
     lost = [job for job, status in statuses.items() if status == 200 and known[job] != 200]
     checks.check("each accepted submission is known", not lost, f"{len(lost)}: {lost[:3]}")
-    resent = sum(log_of(it).count("event=submission_resent") for name, it in processes.items() if name.startswith("core"))
     checks.check("the next leader has confirmed submissions of the killed one", resent > 0, answered)
 
 
