Job plane: logs say why a job failed, on what evidence a crash counts, and when a lease was extended

Ruled out: nothing; no decision changes. Before: job_ended names the phase only; run_crashed has no evidence; ends `lapsed` of executors that answer are detail lines. After: job_failed (reason, task, counts); run_crashed names its evidence; executor_lapsed and run_ended name lease_extended_ms.

--- a/jobs/job_announcements.cpp
+++ b/jobs/job_announcements.cpp
@@ -208,13 +208,13 @@
         const auto* previous = executorState(it);
         if (it == successor || previous == nullptr)
             continue;
-        if (!m_executors.at(it).isReplaced)
-            recordCrash(m_executors.at(it));
-        rememberGone(it);
         // Orders name an id, so those in flight to an incarnation with another id are refused.
         const bool isSameId = previous->record.id() == record.id();
-        removeIncarnation(it, "another incarnation has answered",
-            isSameId ? RunEvidence::IncarnationEnded : RunEvidence::AddressTaken, isSameId ? successor : 0);
+        const auto evidence = isSameId ? RunEvidence::IncarnationEnded : RunEvidence::AddressTaken;
+        if (!m_executors.at(it).isReplaced)
+            recordCrash(m_executors.at(it), evidence);
+        rememberGone(it);
+        removeIncarnation(it, "another incarnation has answered", evidence, isSameId ? successor : 0);
     }
 }
 
--- a/jobs/job_checks.cpp
+++ b/jobs/job_checks.cpp
@@ -175,7 +175,7 @@
             { "runs", std::to_string(executor.runs.size()) } });
     rememberGone(executor.number);
     raiseFence(state->record, ++m_lastExecutor);
-    recordCrash(executor);
+    recordCrash(executor, RunEvidence::IncarnationEnded);
     endRunsInProgress(executor, RunEvidence::IncarnationEnded);
     absl::erase_if(m_pendingOrders, [&](const auto& it) { return it.second.executor == executor.number; });
 }
--- a/jobs/job_crashes.cpp
+++ b/jobs/job_crashes.cpp
@@ -44,7 +44,7 @@
     return out;
 }
 
-void JobLeader::recordCrash(const LiveExecutor& executor)
+void JobLeader::recordCrash(const LiveExecutor& executor, RunEvidence evidence)
 {
     if (executor.isDraining) // It may have left as announced.
         return;
@@ -53,25 +53,25 @@
     const bool isExplained
         = std::any_of(runs.begin(), runs.end(), [&](const auto& it) { return it.isAtStart && isSuspect(it.task); });
     for (const auto& it : runs)
-        recordCrash(executor, it.task, it.run, it.isAtStart && (!isExplained || isSuspect(it.task)));
+        recordCrash(executor, { it.task, it.run, it.isAtStart && (!isExplained || isSuspect(it.task)) }, evidence);
 }
 
-void JobLeader::recordCrash(const LiveExecutor& executor, const TaskKey& key, uint32_t run, bool isAtStart)
+void JobLeader::recordCrash(const LiveExecutor& executor, const CrashedRun& it, RunEvidence evidence)
 {
-    const auto* task = m_state.find(key);
+    const auto* task = m_state.find(it.task);
     if (task == nullptr || task->done)
         return;
     const auto* state = executorState(executor.number);
     log("run_crashed",
-        { { "task", taskText(key) }, { "run", std::to_string(run) },
-            { "executor", state == nullptr ? "" : state->record.id() }, { "at_start", isAtStart ? "true" : "false" },
-            { "crashes", std::to_string(task->crashes + 1) },
-            { "crashes_at_start", std::to_string(task->crashesAtStart + (isAtStart ? 1 : 0)) } });
+        { { "task", taskText(it.task) }, { "run", std::to_string(it.run) },
+            { "executor", state == nullptr ? "" : state->record.id() }, { "evidence", std::string(toText(evidence)) },
+            { "at_start", it.isAtStart ? "true" : "false" }, { "crashes", std::to_string(task->crashes + 1) },
+            { "crashes_at_start", std::to_string(task->crashesAtStart + (it.isAtStart ? 1 : 0)) } });
     auto& crash = *change().mutable_crashed();
-    fillRef(key, *crash.mutable_task());
-    crash.set_run(run);
-    crash.set_at_start(isAtStart);
-    m_batch.continuations.emplace_back(CrashWhenCommitted { key.step.job });
+    fillRef(it.task, *crash.mutable_task());
+    crash.set_run(it.run);
+    crash.set_at_start(it.isAtStart);
+    m_batch.continuations.emplace_back(CrashWhenCommitted { it.task.step.job });
 }
 
 } // namespace teasel
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -242,6 +242,7 @@
     if (order.isRegular && !executor.hasUnansweredStart() && !executor.hasUnconfirmedRun()) {
         renewal.leaseUntilMs = executor.clock.executorNow(m_now) + static_cast<uint64_t>(lease().count());
         executor.clock.recordLeaseSent(renewal.leaseUntilMs);
+        executor.leaseExtendedAt = m_now;
     }
     // An executor that accepts no further connection receives stops over the connection used for renewals, so
     // renewals must not wait there.
@@ -308,7 +309,7 @@
     if (result.outcome == OrderOutcome::OtherIncarnation && order.sentAt <= executor->movedAt) // at its earlier address
         result = {};
     if (result.outcome == OrderOutcome::OtherIncarnation) { // It has another id and refuses all orders for this one.
-        recordCrash(*executor);
+        recordCrash(*executor, RunEvidence::AddressTaken);
         rememberGone(order.executor);
         removeIncarnation(order.executor, "another_incarnation_answered", RunEvidence::AddressTaken);
         return;
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -271,8 +271,8 @@
     // An incarnation that has ended is registered again only if it answers.
     void rememberGone(uint32_t number);
     // Records that an executor crashed under its runs, and which of these may be the cause.
-    void recordCrash(const LiveExecutor&);
-    void recordCrash(const LiveExecutor&, const TaskKey&, uint32_t run, bool isAtStart);
+    void recordCrash(const LiveExecutor&, RunEvidence);
+    void recordCrash(const LiveExecutor&, const CrashedRun&, RunEvidence);
     std::vector<CrashedRun> runsInCrash(const LiveExecutor&) const;
     bool isSuspect(const TaskKey&) const;
     // A fence higher than that of previous leaders, and than that of all orders that this leader has sent.
--- a/jobs/job_run_ends.cpp
+++ b/jobs/job_run_ends.cpp
@@ -226,10 +226,11 @@
         log("executor_lapsed",
             { { "executor", state == nullptr ? "" : state->record.id() },
                 { "silent_ms", millisText(m_now - std::max(executor.lastAnswerAt, executor.addedAt)) },
+                { "lease_extended_ms", millisText(m_now - std::max(executor.leaseExtendedAt, executor.addedAt)) },
                 { "runs", std::to_string(open) } });
         // It may have crashed and come back elsewhere, which would not be noticed.
         for (const auto& it : runsInCrash(executor))
-            recordCrash(executor, it.task, it.run, false);
+            recordCrash(executor, { it.task, it.run, false }, RunEvidence::LeaseExpired);
     }
     std::vector<TaskKey> keys;
     for (const auto& [key, run] : executor.runs) {
@@ -263,9 +264,11 @@
         return LogFields { { "task", taskText(key) }, { "run", std::to_string(run.run) },
             { "executor", state == nullptr ? "" : state->record.id() }, { "outcome", schema::RunOutcome_Name(outcome) },
             { "evidence", std::string(toText(evidence)) }, { "start_answered", run.isStartAnswered ? "true" : "false" },
-            { "ran_ms", millisText(m_now - run.startedAt) } };
+            { "ran_ms", millisText(m_now - run.startedAt) },
+            { "lease_extended_ms", millisText(m_now - std::max(executor.leaseExtendedAt, executor.addedAt)) } };
     };
-    if (evidence == RunEvidence::EndListed)
+    // A lease that expired on an executor that answers was not renewed in time.
+    if (evidence == RunEvidence::EndListed && outcome != schema::RUN_OUTCOME_LAPSED)
         logDetail("run_ended", makeFields);
     else
         log("run_ended", makeFields());
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -340,6 +340,7 @@
     start.ticket = std::string(ticket);
     start.leaseUntilMs = executor->clock.executorNow(m_now) + static_cast<uint64_t>(lease().count());
     executor->clock.recordLeaseSent(start.leaseUntilMs);
+    executor->leaseExtendedAt = m_now;
     run.stage = RunStage::Starting;
     run.startedAt = run.startSentAt = m_now;
     run.startExpiresAt = m_now + m_options.maxStartDelay;
--- a/jobs/job_state.cpp
+++ b/jobs/job_state.cpp
@@ -283,8 +283,10 @@
         failures = ++step.gangFailures;
     }
     const auto* queue = queueOf(job.request.queue());
-    if (queue != nullptr && failures >= std::max(1U, queue->max_attempts()))
-        endJob(job, JobPhase::Failed);
+    if (queue == nullptr || failures < std::max(1U, queue->max_attempts()))
+        return;
+    job.failure = { key, "attempts", failures, task.crashes, task.crashesAtStart };
+    endJob(job, JobPhase::Failed);
 }
 
 void JobState::applyCrashed(const schema::RunCrash& crash)
@@ -299,8 +301,10 @@
     ++task->crashes;
     task->crashesAtStart += crash.at_start() ? 1 : 0;
     const bool isLasting = job->second.request.steps(static_cast<int>(key.step.step)).lasting();
-    if (task->crashesAtStart >= maxCrashesAtStart || (!isLasting && task->crashes >= maxCrashes))
-        endJob(job->second, JobPhase::Failed);
+    if (task->crashesAtStart < maxCrashesAtStart && (isLasting || task->crashes < maxCrashes))
+        return;
+    job->second.failure = { key, "crashes", task->failures, task->crashes, task->crashesAtStart };
+    endJob(job->second, JobPhase::Failed);
 }
 
 void JobState::endJob(JobRecord& job, JobPhase phase)
--- a/jobs/job_state.h
+++ b/jobs/job_state.h
@@ -14,6 +14,7 @@
 
 #include <deque>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -56,12 +57,22 @@
     bool isDone() const { return doneSteps == steps.size(); }
 };
 
+// What made a job fail.
+struct JobFailure {
+    TaskKey task;
+    std::string_view reason;
+    uint32_t failures = 0; // of the task, or of the gang
+    uint32_t crashes = 0;
+    uint32_t crashesAtStart = 0;
+};
+
 struct JobRecord {
     schema::JobRequest request; // steps and payload are cleared when the job ends
     JobPhase phase = JobPhase::Queued;
     bool hasBegun = false; // a run has certainly taken place
     uint64_t endedAtMs = 0;
     schema::CallOrigin cancelledBy;
+    std::optional<JobFailure> failure; // for the log; not in snapshots
     uint32_t occurrencesDone = 0;
     // Occurrences that have begun and not ended, and those that have ended before an earlier one, so that they do not
     // begin again.
--- a/jobs/job_steps.cpp
+++ b/jobs/job_steps.cpp
@@ -214,6 +214,12 @@
             requestStop(*findExecutor(it.executor), it.task, *run);
     }
     const auto* job = m_state.find(id);
+    if (hadReadySteps && job != nullptr && job->failure)
+        log("job_failed",
+            { { "job", jobIdText(id) }, { "reason", std::string(job->failure->reason) },
+                { "task", taskText(job->failure->task) }, { "failures", std::to_string(job->failure->failures) },
+                { "crashes", std::to_string(job->failure->crashes) },
+                { "crashes_at_start", std::to_string(job->failure->crashesAtStart) } });
     if (hadReadySteps && job != nullptr)
         log("job_ended",
             { { "job", jobIdText(id) }, { "phase", std::to_string(static_cast<int>(job->phase)) },
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -109,6 +109,7 @@
     Instant lastHeardAt {}; // last answer to any order that was in time
     Instant answeredOrderSentAt {}; // when the newest renewal or poll was sent that it has answered
     LeaseClock clock;
+    Instant leaseExtendedAt {}; // when the last order was sent that extends its lease
     uint64_t shownClockMs = 0; // its clock in the last list of runs with its start time
     Instant shownClockAt {}; // when that list arrived; Instant() before
     ResourceVector capacity; // as announced last; also before it is committed
