--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -44,6 +44,8 @@
     if (m_options.usesLearnedSpeeds)
         executor.slowness = 1 / m_runTimeModel.speedOf(state.record.id()).factor;
     executor.addedAt = m_now;
+    if (m_state.isLost(state.record.id(), state.record.born_ms()))
+        executor.lostAt = m_now;
     executor.lastAnnouncedAt = m_now;
     executor.nextRenewalAt = m_now;
     for (const auto& [key, held] : state.assignments) {
@@ -421,6 +423,7 @@
                 { "assigned", std::to_string(executor.runs.size()) } });
     else if (silence > m_options.suspectAfter)
         log("executor_regained", { { "executor", state->record.id() }, { "silent_ms", millisText(silence) } });
+    refuteLoss(executor, order);
     executor.answeredOrderSentAt = std::max(executor.answeredOrderSentAt, order.sentAt);
     executor.acknowledgedEnds = std::max(executor.acknowledgedEnds, order.acknowledgedEnds);
     if (!order.isTimedOut) { // A late answer does not show that the executor is reachable now.
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -94,6 +94,7 @@
     m_pendingCancellers.clear();
     m_resubmissions.clear();
     m_pendingCancellations.clear();
+    m_heldTasks.clear();
     m_lateEnds.clear();
     m_newConfirmations.clear();
     for (const auto& [job, queries] : m_stateQueries) {
@@ -258,11 +259,14 @@
         onJobEnded(it.job);
 }
 
+void JobLeader::execute(LossRefutedWhenCommitted&) { reviewHeldTasks(); }
+
 void JobLeader::execute(ExecutorWhenCommitted& it)
 {
     const auto* state = executorState(it.number);
     if (state == nullptr) {
         dropExecutor(it.number);
+        reviewHeldTasks();
         return;
     }
     m_pendingRegistrations.erase(state->record.id());
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -134,6 +134,7 @@
     struct CrashWhenCommitted {
         uint64_t job = 0;
     };
+    struct LossRefutedWhenCommitted { };
     struct ExecutorWhenCommitted {
         uint32_t number = 0;
         // As announced with the registration.
@@ -150,10 +151,10 @@
         std::string dataCentre;
         bool isActive = false;
     };
-    using Continuation
-        = std::variant<ConfigurationWhenCommitted, AnswerWhenCommitted, LaunchRunWhenCommitted, RunEndedWhenCommitted,
-            LateEndWhenCommitted, AcknowledgeEndsWhenCommitted, JobAcceptedWhenCommitted, JobEndedWhenCommitted,
-            UnseenJobCancelledWhenCommitted, CrashWhenCommitted, ExecutorWhenCommitted, EvacuationWhenCommitted>;
+    using Continuation = std::variant<ConfigurationWhenCommitted, AnswerWhenCommitted, LaunchRunWhenCommitted,
+        RunEndedWhenCommitted, LateEndWhenCommitted, AcknowledgeEndsWhenCommitted, JobAcceptedWhenCommitted,
+        JobEndedWhenCommitted, UnseenJobCancelledWhenCommitted, CrashWhenCommitted, LossRefutedWhenCommitted,
+        ExecutorWhenCommitted, EvacuationWhenCommitted>;
 
     // Changes that are proposed as one record, and what follows once they are committed.
     struct Batch {
@@ -273,6 +274,16 @@
     // Records that an executor crashed under its runs, and which of these may be the cause.
     void recordCrash(const LiveExecutor&, RunEvidence);
     void recordCrash(const LiveExecutor&, const CrashedRun&, RunEvidence);
+    // Records that the lease of an executor expired, and under which runs that may have crashed it.
+    void recordLapse(LiveExecutor&);
+    // Records runs that may have crashed the executor; returns whether there are any.
+    bool recordLosses(const LiveExecutor&, std::span<const CrashedRun>, RunEvidence);
+    // The executor has answered after its loss.
+    void refuteLoss(LiveExecutor&, const PendingOrder&);
+    // The task waits until enough of its lost executors have answered.
+    void holdStart(const TaskKey&);
+    // Lets held tasks start, or drops those that were given up, as their lost executors are explained.
+    void reviewHeldTasks();
     std::vector<CrashedRun> runsInCrash(const LiveExecutor&) const;
     bool isSuspect(const TaskKey&) const;
     // A fence higher than that of previous leaders, and than that of all orders that this leader has sent.
@@ -407,6 +418,7 @@
     void execute(JobEndedWhenCommitted&);
     void execute(UnseenJobCancelledWhenCommitted&);
     void execute(CrashWhenCommitted&);
+    void execute(LossRefutedWhenCommitted&);
     void execute(ExecutorWhenCommitted&);
     void execute(ConfigurationWhenCommitted&);
     void execute(EvacuationWhenCommitted&);
@@ -466,6 +478,7 @@
     // The longest lease, of orders to the same incarnation, that an earlier leader may have asked for.
     Milliseconds m_inheritedLease { 0 };
     bool m_isLeaseProposed = false;
+    absl::btree_set<TaskKey> m_heldTasks; // that wait for lost executors
     absl::btree_set<TaskKey> m_lateEnds; // tasks whose late end is counted by a proposal that is not committed yet
     ExecutorClaims m_claims;
     // Start times (born_ms) of executors whose registration is not committed, by executor id.
--- a/jobs/job_run_ends.cpp
+++ b/jobs/job_run_ends.cpp
@@ -228,9 +228,7 @@
                 { "silent_ms", millisText(m_now - std::max(executor.lastAnswerAt, executor.addedAt)) },
                 { "lease_extended_ms", millisText(m_now - std::max(executor.leaseExtendedAt, executor.addedAt)) },
                 { "runs", std::to_string(open) } });
-        // It may have crashed and come back elsewhere, which would not be noticed.
-        for (const auto& it : runsInCrash(executor))
-            recordCrash(executor, { it.task, it.run, false }, RunEvidence::LeaseExpired);
+        recordLapse(executor);
     }
     std::vector<TaskKey> keys;
     for (const auto& [key, run] : executor.runs) {
--- a/jobs/job_state.cpp
+++ b/jobs/job_state.cpp
@@ -30,6 +30,7 @@
     for (const auto& it : parsed.changes())
         applyChange(it);
     removeExpiredJobs();
+    forgetOldLosses();
     return {};
 }
 
@@ -51,8 +52,11 @@
     case schema::JobChange::kCrashed:
         return applyCrashed(change.crashed());
     case schema::JobChange::kExecutorRemoved:
-        m_executors.erase(change.executor_removed());
-        return;
+        return applyExecutorRemoved(change.executor_removed());
+    case schema::JobChange::kExecutorLost:
+        return applyExecutorLost(change.executor_lost());
+    case schema::JobChange::kExecutorReturned:
+        return applyExecutorReturned(change.executor_returned());
     case schema::JobChange::kEvacuation:
         return applyEvacuation(change.evacuation());
     case schema::JobChange::kRunTimes:
@@ -285,28 +289,10 @@
     const auto* queue = queueOf(job.request.queue());
     if (queue == nullptr || failures < std::max(1U, queue->max_attempts()))
         return;
-    job.failure = { key, "attempts", failures, task.crashes, task.crashesAtStart };
+    job.failure = { key, "attempts", failures, task.crashes, task.crashesAtStart, task.finalLosses };
     endJob(job, JobPhase::Failed);
 }
 
-void JobState::applyCrashed(const schema::RunCrash& crash)
-{
-    const auto key = toKey(crash.task());
-    const auto job = m_jobs.find(key.step.job);
-    auto* task = mutableTask(key);
-    if (job == m_jobs.end() || job->second.hasEnded() || task == nullptr || task->done
-        || crash.run() <= task->lastCrashedRun)
-        return;
-    task->lastCrashedRun = crash.run();
-    ++task->crashes;
-    task->crashesAtStart += crash.at_start() ? 1 : 0;
-    const bool isLasting = job->second.request.steps(static_cast<int>(key.step.step)).lasting();
-    if (task->crashesAtStart < maxCrashesAtStart && (isLasting || task->crashes < maxCrashes))
-        return;
-    job->second.failure = { key, "crashes", task->failures, task->crashes, task->crashesAtStart };
-    endJob(job->second, JobPhase::Failed);
-}
-
 void JobState::endJob(JobRecord& job, JobPhase phase)
 {
     leaveQueue(job);
@@ -316,6 +302,7 @@
     job.request.clear_payload();
     job.request.clear_steps();
     m_ended.emplace_back(m_wallMs, job.request.id());
+    forgetLossesOf(job.request.id());
 }
 
 // Must be called before a job's phase changes.
--- a/jobs/job_state.h
+++ b/jobs/job_state.h
@@ -11,6 +11,7 @@
 #include "placement/resource_vector.h"
 
 #include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
 
 #include <deque>
 #include <functional>
@@ -36,6 +37,10 @@
     uint32_t crashes = 0; // executors that crashed under it
     uint32_t lastCrashedRun = 0; // each leader that sees a run whose executor crashed reports it
     uint32_t crashesAtStart = 0; // those that crashed shortly after its start, so that it may be the cause
+    // Executors whose lease expired under it and that it may have crashed: they have not answered since, and nothing
+    // shows that they outlived its start.
+    uint32_t losses = 0;
+    uint32_t finalLosses = 0; // those of them that are not registered any more
     bool done = false;
     std::string checkpoint;
 };
@@ -64,6 +69,7 @@
     uint32_t failures = 0; // of the task, or of the gang
     uint32_t crashes = 0;
     uint32_t crashesAtStart = 0;
+    uint32_t finalLosses = 0;
 };
 
 struct JobRecord {
@@ -102,6 +108,13 @@
     absl::btree_map<TaskKey, AssignmentState> assignments;
 };
 
+// An incarnation of an executor whose lease expired under runs that may have crashed it.
+struct ExecutorLossRecord {
+    uint64_t lostAtMs = 0; // Unix time
+    bool isRemoved = false; // not registered any more
+    absl::btree_set<std::pair<TaskKey, uint32_t>> runs; // task and run
+};
+
 // The last order of an operator on the evacuation of a data centre.
 struct EvacuationRecord {
     bool isActive = false;
@@ -110,7 +123,9 @@
 
 // A task is given up, and its job fails, after this many crashes.
 constexpr uint32_t maxCrashesAtStart = 3;
-constexpr uint32_t maxCrashes = 4; // at any time of its runs; does not apply to lasting tasks
+// At any time of its runs, but for lasting tasks. Final losses count as well; with losses that are not final the task
+// waits until these are explained.
+constexpr uint32_t maxCrashes = 4;
 
 // Whether both are copies of one call. False if the origin is unknown.
 bool isSameCall(const schema::CallOrigin&, const schema::CallOrigin&);
@@ -144,6 +159,10 @@
     const absl::btree_map<uint64_t, JobRecord>& jobs() const { return m_jobs; }
     const JobRecord* find(uint64_t job) const;
     const TaskRecord* find(const TaskKey&) const;
+    // Whether the task must not be started before a lost executor has answered or is removed.
+    bool isStartHeld(const TaskKey&) const;
+    // Whether a loss of this incarnation is recorded and neither refuted nor forgotten.
+    bool isLost(const std::string& executor, uint64_t bornMs) const { return m_losses.contains({ executor, bornMs }); }
     // Whether the job was cancelled while it was not known. Kept as long as the outcome of an ended job, so that a
     // submission that was delayed on its way does not run.
     bool wasCancelledUnseen(uint64_t job) const { return m_cancelledUnseen.contains(job); }
@@ -175,7 +194,16 @@
     void applyConfirmed(const schema::ConfirmedRuns&);
     void applyLateEnd(const TaskKey&);
     void applyEnded(const schema::RunEnd&);
+    // Crashes and losses of executors (job_state_losses.cpp).
     void applyCrashed(const schema::RunCrash&);
+    void applyExecutorLost(const schema::ExecutorLoss&);
+    void applyExecutorReturned(uint32_t number);
+    void applyExecutorRemoved(uint32_t number);
+    void addLosses(const schema::ExecutorLoss&);
+    bool isLostRun(const TaskKey&, uint32_t run) const;
+    void giveUpIfDeadly(const TaskKey&);
+    void forgetLossesOf(uint64_t job);
+    void forgetOldLosses();
     void applyExecutor(const schema::ExecutorRecord&);
     void applyEvacuation(const schema::Evacuation&);
     void markDone(JobRecord&, const TaskKey&);
@@ -203,6 +231,9 @@
     absl::btree_map<uint64_t, JobRecord> m_jobs;
     absl::btree_map<std::string, uint64_t, std::less<>> m_queuedJobs; // jobs in phase Queued, by queue key
     absl::btree_map<uint32_t, ExecutorState> m_executors;
+    // By id and start time of the incarnation.
+    using IncarnationKey = std::pair<std::string, uint64_t>;
+    absl::btree_map<IncarnationKey, ExecutorLossRecord> m_losses;
     absl::btree_map<std::string, EvacuationRecord, std::less<>> m_evacuations;
     std::deque<std::pair<uint64_t, uint64_t>> m_ended; // end time in ms and job, in order of time
     absl::btree_map<uint64_t, uint64_t> m_cancelledUnseen; // time of the cancellation in ms, by job
--- a/jobs/job_state_snapshot.cpp
+++ b/jobs/job_state_snapshot.cpp
@@ -31,8 +31,10 @@
         step.lastFailedRun = image.last_failed_run();
         step.gangFailures = image.gang_failures();
         for (const auto& it : image.tasks()) {
-            step.tasks.push_back({ it.run(), it.executor(), it.failures(), it.crashes(), it.last_crashed_run(),
-                it.crashes_at_start(), it.done(), it.checkpoint() });
+            // Images of earlier versions have only crashes at the start apart from expired leases.
+            const auto crashes = std::max(it.crashes(), it.crashes_at_start());
+            step.tasks.push_back({ it.run(), it.executor(), it.failures(), crashes, it.last_crashed_run(),
+                it.crashes_at_start(), 0, 0, it.done(), it.checkpoint() });
             step.doneTasks += it.done() ? 1 : 0;
             step.assignedTasks += it.executor() != 0 ? 1 : 0;
         }
@@ -99,6 +101,18 @@
             assignment.set_confirmed(held.isConfirmed);
         }
     }
+    for (const auto& [incarnation, it] : m_losses) {
+        auto& loss = *image.add_losses();
+        loss.set_executor(incarnation.first);
+        loss.set_born_ms(incarnation.second);
+        loss.set_removed(it.isRemoved);
+        loss.set_lost_at_ms(it.lostAtMs);
+        for (const auto& [key, run] : it.runs) {
+            auto& lost = *loss.add_runs();
+            fillRef(key, *lost.mutable_task());
+            lost.set_run(run);
+        }
+    }
     for (const auto& [dataCentre, it] : m_evacuations) {
         auto& evacuation = *image.add_evacuations();
         evacuation.set_data_centre(dataCentre);
@@ -158,6 +172,9 @@
         record.clear_largest_capacity();
         it.record = record;
     }
+    m_losses.clear();
+    for (const auto& it : image.losses())
+        addLosses(it);
     m_evacuations.clear();
     for (const auto& it : image.evacuations())
         applyEvacuation(it);
--- a/jobs/job_steps.cpp
+++ b/jobs/job_steps.cpp
@@ -127,8 +127,13 @@
             continue;
         }
         const auto& task = open->second.steps[key.step].tasks[n];
-        if (!task.done && task.executor == 0)
-            step.waiting.insert(n);
+        const TaskKey taskKey { key, n };
+        if (!task.done && task.executor == 0) {
+            if (m_state.isStartHeld(taskKey))
+                holdStart(taskKey);
+            else
+                step.waiting.insert(n);
+        }
         if (task.crashesAtStart > 0)
             step.suspects.insert(n);
     }
@@ -184,6 +189,10 @@
         return;
     }
     if (task->executor == 0) {
+        if (m_state.isStartHeld(key)) {
+            step->second.waiting.erase(key.index);
+            return holdStart(key);
+        }
         step->second.waiting.insert(key.index);
         if (task->crashesAtStart > 0)
             step->second.suspects.insert(key.index);
@@ -202,6 +211,7 @@
     answerStateQueries(id, true);
     m_advice.forgetJob(id);
     const StepKey first { id, 0, 0 };
+    absl::erase_if(m_heldTasks, [&](const auto& it) { return it.step.job == id; });
     const auto belongs = [&](const auto& it) { return it->first.job == id; };
     const bool hadReadySteps
         = m_readySteps.lower_bound(first) != m_readySteps.end() && belongs(m_readySteps.lower_bound(first));
@@ -219,7 +229,8 @@
             { { "job", jobIdText(id) }, { "reason", std::string(job->failure->reason) },
                 { "task", taskText(job->failure->task) }, { "failures", std::to_string(job->failure->failures) },
                 { "crashes", std::to_string(job->failure->crashes) },
-                { "crashes_at_start", std::to_string(job->failure->crashesAtStart) } });
+                { "crashes_at_start", std::to_string(job->failure->crashesAtStart) },
+                { "final_losses", std::to_string(job->failure->finalLosses) } });
     if (hadReadySteps && job != nullptr)
         log("job_ended",
             { { "job", jobIdText(id) }, { "phase", std::to_string(static_cast<int>(job->phase)) },
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -79,11 +79,13 @@
     bool mayStillStart() const { return mayStartInLaterIncarnation() || (stage == RunStage::Running && !isConfirmed); }
 };
 
-// A run during which its executor crashed.
+// A run during which its executor crashed or was lost.
 struct CrashedRun {
     TaskKey task;
     uint32_t run = 0;
+    bool isShown = false; // the executor has shown it in progress
     bool isAtStart = false; // it had just started
+    bool mayBeCause = false; // nothing shows that the executor outlived its start
 };
 
 struct LiveExecutor {
@@ -137,6 +139,8 @@
     // incarnation.
     absl::btree_map<uint64_t, OrderInFlight> ordersInFlight;
     uint64_t processedEnds = 0; // ends up to this number have been processed
+    // Its lease expired under runs that may have crashed it, at this time; Instant() if it has answered since.
+    Instant lostAt {};
     uint64_t leaseExpiries = 0; // number of times its lease expired
 
     // Capacity that its runs are expected to release; updated periodically.
--- a/tests/jobs_lapsed_leases_test.cpp
+++ b/tests/jobs_lapsed_leases_test.cpp
@@ -58,6 +58,7 @@
         Instant lostAt = Instant::max();
         Instant backAt {};
         bool isAnnounced = false;
+        uint64_t announcements = 0;
         std::vector<RunningTask> running {};
         std::vector<EndedTask> ended {};
     };
@@ -74,10 +75,11 @@
         }
         if (executor.backAt != Instant()) {
             executor.backAt = Instant();
+            executor.isAnnounced = false;
             endRuns(executor);
         }
         if (!std::exchange(executor.isAnnounced, true))
-            it.announce(executor.id, executor.born);
+            it.announce(executor.id, executor.born, ++executor.announcements);
         while (const auto start = it.takeOrder<StartRun>(executor.id)) {
             const auto& run = std::get<StartRun>(start->order);
             executor.running.push_back({ run.task, run.run, {}, 10, -1 });
@@ -98,7 +100,6 @@
     {
         if (m_plan.kind == LossPlan::Kind::Crash) {
             ++executor.born;
-            executor.isAnnounced = false;
             executor.ended.clear();
         }
         for (const auto& it : executor.running) {
@@ -146,11 +147,14 @@
 TEST_CASE("a job whose executors are cut off one after the other is not given up")
 {
     for (const auto lostAfter : { Milliseconds(0), Milliseconds(400), longAfterStart }) {
-        CAPTURE(lostAfter.count());
-        Case it({ LossPlan::Kind::CutOff, lostAfter, Milliseconds(8'000), cuts });
-        CHECK(it.fleet.passUntilStarts(it.it, cuts + 1, Milliseconds(120'000)));
-        it.fleet.pass(it.it, Milliseconds(5'000));
-        CHECK(it.phase() == JobPhase::Running);
+        for (const auto silence : { Milliseconds(8'000), Milliseconds(15'000), Milliseconds(28'000) }) {
+            CAPTURE(lostAfter.count());
+            CAPTURE(silence.count());
+            Case it({ LossPlan::Kind::CutOff, lostAfter, silence, cuts });
+            CHECK(it.fleet.passUntilStarts(it.it, cuts + 1, Milliseconds(240'000)));
+            it.fleet.pass(it.it, Milliseconds(5'000));
+            CHECK(it.phase() == JobPhase::Running);
+        }
     }
 }
 
@@ -203,3 +207,64 @@
         CHECK(it.fleet.starts() <= maxDeadlyStarts);
     }
 }
+
+// Guards against LOST: an answer from before the crash clears a task that crashes its executors.
+TEST_CASE("an answer to an order that was sent before the lease expired does not refute a loss")
+{
+    for (const bool isLate : { true, false }) {
+        CAPTURE(isLate);
+        JobsFixture it;
+        it.announce("x1");
+        it.answerRenewals({});
+        it.submit(JobsFixture::request(job, 1));
+        it.pass(Milliseconds(20));
+        const auto start = it.takeOrder<StartRun>("x1");
+        REQUIRE(start);
+        it.answer(*start, { OrderOutcome::Done });
+        it.pass(Milliseconds(6'000));
+        const auto isLost = [&] { return it.state.isLost("x1", 1); };
+        std::optional<SendOrder> order;
+        while (auto next = it.takeOrder<RenewLease>("x1"))
+            order = std::move(next);
+        REQUIRE(order);
+        for (int n = 0; n < 100 && !isLost(); ++n)
+            it.pass(Milliseconds(20));
+        REQUIRE(isLost());
+        CHECK(it.state.find(task)->losses == 1);
+        if (!isLate) {
+            it.pass(Milliseconds(2'000));
+            while (auto next = it.takeOrder<RenewLease>("x1"))
+                order = std::move(next);
+        }
+        it.answer(*order, { OrderOutcome::Done, 0, 1, {}, { { 1, task, 1, schema::RUN_OUTCOME_LAPSED, {} } }, true });
+        CHECK(isLost() == isLate);
+        CHECK(it.state.find(task)->losses == (isLate ? 1 : 0));
+    }
+}
+
+TEST_CASE("crashes that earlier versions recorded for expired leases do not count")
+{
+    JobsFixture it;
+    it.announce("x1");
+    it.answerRenewals({});
+    it.submit(JobsFixture::request(job, 1));
+    it.pass(Milliseconds(20));
+    for (uint32_t run = 1; run <= maxCrashes; ++run) {
+        schema::JobCommand command;
+        auto& crash = *command.add_changes()->mutable_crashed();
+        fillRef(task, *crash.mutable_task());
+        crash.set_run(run);
+        it.state.apply(0, command.SerializeAsString());
+    }
+    CHECK(it.state.find(job)->phase == JobPhase::Running);
+    CHECK(it.state.find(task)->crashes == 0);
+
+    schema::JobPlaneImage image;
+    REQUIRE(image.ParseFromString(it.state.snapshot()));
+    auto& old = *image.mutable_jobs(0)->mutable_open(0)->mutable_steps(0)->mutable_tasks(0);
+    constexpr int crashesAndLapses = 6; // the field of earlier versions
+    old.GetReflection()->MutableUnknownFields(&old)->AddVarint(crashesAndLapses, 3);
+    old.set_crashes_at_start(1);
+    REQUIRE(it.state.restore(image.SerializeAsString()));
+    CHECK(it.state.find(task)->crashes == 1);
+}
