--- a/tests/jobs_world.h
+++ b/tests/jobs_world.h
@@ -337,7 +337,8 @@
             m_fleet.crash(executor);
             executor.silentUntil = m_clock.now() + std::chrono::milliseconds(m_random.below(3'000));
         } else if (m_random.chance(m_options.silencesPerSecond / stepsPerSecond)) {
-            executor.silentUntil = m_clock.now() + std::chrono::milliseconds(1'000 + m_random.below(8'000));
+            const auto spread = static_cast<uint64_t>((longestSilence - m_options.shortestSilence).count());
+            executor.silentUntil = m_clock.now() + m_options.shortestSilence + Milliseconds(m_random.below(spread));
         }
         if (m_random.chance(m_options.leaderChangesPerSecond / stepsPerSecond))
             startLeader();
--- a/tests/jobs_world_fleet.h
+++ b/tests/jobs_world_fleet.h
@@ -228,7 +228,10 @@
         extendLease(executor, start.leaseUntilMs);
         const auto& caller = m_callers[start.task.step.job];
         const auto& spec = caller.request.steps(static_cast<int>(start.task.step.step));
-        WorldRun run { start.run, start.payload, 100.0 + static_cast<double>(m_random.below(1'500)),
+        constexpr uint64_t shortestMs = 100;
+        const auto longestMs = static_cast<uint64_t>(m_options.longestRun.count());
+        WorldRun run { start.run, start.payload,
+            static_cast<double>(shortestMs + m_random.below(longestMs - shortestMs)),
             m_random.chance(m_options.failures), needOf(spec) };
         if (caller.deadly && caller.deadly->step == start.task.step.step)
             prepareCrash(run, spec.gang(), caller.deadly->index == start.task.index);
--- a/tests/jobs_world_types.h
+++ b/tests/jobs_world_types.h
@@ -20,6 +20,8 @@
     Id = 2, // valid in each life under that id
 };
 
+constexpr Milliseconds longestSilence { 9'000 };
+
 struct JobsWorldOptions {
     uint64_t seed = 1;
     bool trace = false; // print the leader's log
@@ -31,7 +33,8 @@
     double lostAnswers = 0.02;
     double repeatedOrders = 0.01; // share of orders that arrive twice; the first answer is lost
     double executorCrashesPerSecond = 0.05;
-    double silencesPerSecond = 0.05; // an executor is cut off for seconds
+    double silencesPerSecond = 0.05; // an executor is cut off for up to longestSilence
+    Milliseconds shortestSilence { 1'000 };
     double leaderChangesPerSecond = 0.1;
     double cancels = 0.05;
     double failures = 0.02; // share of runs that fail
@@ -40,6 +43,7 @@
     uint64_t teamCap = 40'000; // in thousandths of a core; 0: no cap
     Milliseconds faultDuration { 20'000 };
     Milliseconds drainDuration { 60'000 };
+    Milliseconds longestRun { 1'600 };
 
     // Hazards. With a value of 0 they use no random number, so a seed plays the same with and without them.
     double deadlyJobs = 0; // share of jobs with a task that crashes each executor that starts it
