Job plane: a loss of an executor is settled by evidence, and alike on all replicas

Cause: a loss was counted by its run alone, was settled only by an answer or by the removal, and only runs that may be the cause were kept. Ruled out: the same fault in countFailure (jobs_attempts). All open runs of a lapse are kept. An answer of the same incarnation, or an announcement whose clock is past the lease, refutes a loss; a later incarnation under the id confirms it, also after the removal; a departure that was announced drops it. Crashes of earlier versions decide as they did there and add nothing to those of this version. These faults are in one commit since they share the state that replaces the former one.

--- a/jobs/job_announcements.cpp
+++ b/jobs/job_announcements.cpp
@@ -76,6 +76,9 @@
         executor.leftAt = Instant();
     }
     executor.lastAnnouncedAt = m_now;
+    // An announcement that was delayed shows an earlier reading of its clock.
+    if (executor.lostAt != Instant() && executor.clock.isKnown() && call.clockMs > executor.clock.leaseUntilMs())
+        refuteLoss(executor, "it announces itself after its lease");
     executor.coldUntil = coldUntil;
     if (record.draining())
         executor.drainedBy = m_now + Milliseconds(static_cast<int64_t>(call.drainRemainingMs));
--- a/jobs/job_crashes.cpp
+++ b/jobs/job_crashes.cpp
@@ -16,19 +16,19 @@
 {
     std::vector<CrashedRun> out;
     for (const auto& [key, run] : executor.runs) {
-        const bool isUnsent = run.stage == RunStage::Committing || run.stage == RunStage::Ending;
-        if (isUnsent || ((run.isMoved || run.isRefused) && !run.isConfirmed))
+        if (!run.isOpen() || ((run.isMoved || run.isRefused) && !run.isConfirmed))
             continue;
         // The crash came after the executor's last answer.
-        const bool isNew = executor.lastAnswerAt - run.startedAt < m_options.crashAtStartWindow;
-        const bool isRunning = run.stage == RunStage::Running;
-        const bool isShown = isRunning || (run.stage == RunStage::Inherited && run.isConfirmed);
-        out.push_back({ key, run.run, isShown, isNew && isRunning, isNew || !isRunning });
+        const bool isNew = !run.hasWorkedBefore && executor.lastAnswerAt - run.startedAt < m_options.crashAtStartWindow;
+        const bool isRunning = run.stage == RunStage::Running && run.isConfirmed;
+        const bool isInherited = run.stage == RunStage::Inherited && run.isConfirmed;
+        const bool mayBeCause = isNew || (!isRunning && !run.hasWorkedBefore);
+        out.push_back({ key, run.run, isRunning || isInherited, isNew && isRunning, mayBeCause });
     }
     return out;
 }
 
-void JobLeader::recordCrash(const LiveExecutor& executor, RunEvidence evidence)
+void JobLeader::recordCrash(LiveExecutor& executor, RunEvidence evidence)
 {
     if (executor.isDraining || executor.hasLeft()) // It may have left as announced.
         return;
@@ -43,7 +43,29 @@
     }
     // Nothing shows whether the other starts had reached it.
     std::erase_if(runs, [](const auto& it) { return it.isShown; });
-    recordLosses(executor, runs, evidence);
+    const bool hasLosses = recordLosses(executor, runs, evidence);
+    const auto* state = executorState(executor.number);
+    if (state == nullptr || (!hasLosses && executor.lostAt == Instant()))
+        return;
+    executor.lostAt = Instant();
+    confirmLoss(state->record.id(), state->record.born_ms());
+}
+
+void JobLeader::confirmLoss(const std::string& executor, uint64_t bornMs)
+{
+    log("executor_loss_confirmed", { { "executor", executor }, { "born", std::to_string(bornMs) } });
+    auto& crashed = *change().mutable_executor_crashed();
+    crashed.set_executor(executor);
+    crashed.set_born_ms(bornMs);
+    m_batch.continuations.emplace_back(LossesChangedWhenCommitted {});
+}
+
+void JobLeader::confirmEarlierLosses(const schema::ExecutorRecord& record)
+{
+    for (const auto bornMs : m_state.lostIncarnations(record.id())) {
+        if (bornMs < record.born_ms())
+            confirmLoss(record.id(), bornMs);
+    }
 }
 
 void JobLeader::recordCrash(const LiveExecutor& executor, const CrashedRun& it, RunEvidence evidence)
@@ -69,9 +91,7 @@
 {
     if (executor.isDraining || executor.hasLeft()) // It may have left as announced.
         return;
-    auto runs = runsInCrash(executor);
-    std::erase_if(runs, [](const auto& it) { return !it.mayBeCause; });
-    if (recordLosses(executor, runs, RunEvidence::LeaseExpired))
+    if (recordLosses(executor, runsInCrash(executor), RunEvidence::LeaseExpired))
         executor.lostAt = m_now;
 }
 
@@ -85,30 +105,32 @@
         const auto* task = m_state.find(it.task);
         if (task == nullptr || task->done)
             continue;
-        log("run_lost_at_start",
+        log("run_lost",
             { { "task", taskText(it.task) }, { "run", std::to_string(it.run) }, { "executor", state->record.id() },
-                { "evidence", std::string(toText(evidence)) }, { "losses", std::to_string(task->losses + 1) } });
+                { "evidence", std::string(toText(evidence)) }, { "may_be_cause", it.mayBeCause ? "true" : "false" },
+                { "losses", std::to_string(task->losses + (it.mayBeCause ? 1 : 0)) } });
         auto& run = *lost.add_runs();
         fillRef(it.task, *run.mutable_task());
         run.set_run(it.run);
+        run.set_may_be_cause(it.mayBeCause);
+        m_lostTasks.insert(it.task);
     }
     if (lost.runs().empty())
         return false;
     lost.set_executor(state->record.id());
     lost.set_born_ms(state->record.born_ms());
     *change().mutable_executor_lost() = std::move(lost);
+    m_batch.continuations.emplace_back(LossesChangedWhenCommitted {});
     return true;
 }
 
-void JobLeader::refuteLoss(LiveExecutor& executor, const PendingOrder& order)
+void JobLeader::refuteLoss(LiveExecutor& executor, std::string_view reason)
 {
-    // It may have answered an earlier order before it crashed.
-    if (executor.lostAt == Instant() || order.sentAt < executor.lostAt)
-        return;
     executor.lostAt = Instant();
-    log("executor_loss_refuted", { { "executor", executorState(executor.number)->record.id() } });
+    log("executor_loss_refuted",
+        { { "executor", executorState(executor.number)->record.id() }, { "reason", std::string(reason) } });
     change().set_executor_returned(executor.number);
-    m_batch.continuations.emplace_back(LossRefutedWhenCommitted {});
+    m_batch.continuations.emplace_back(LossesChangedWhenCommitted {});
 }
 
 void JobLeader::holdStart(const TaskKey& key)
@@ -117,14 +139,22 @@
         log("start_held", { { "task", taskText(key) }, { "reason", "its executors were lost and may have crashed" } });
 }
 
-void JobLeader::reviewHeldTasks()
+void JobLeader::reviewLostTasks()
 {
-    for (const auto& it : std::exchange(m_heldTasks, {})) {
+    if (!std::exchange(m_mustReviewLostTasks, false))
+        return;
+    const auto tasks = m_lostTasks; // The end of a job removes its tasks.
+    for (const auto& it : tasks) {
         const auto* job = m_state.find(it.step.job);
-        if (job != nullptr && job->hasEnded())
+        if (job != nullptr && job->hasEnded()) {
             onJobEnded(it.step.job);
-        else if (job != nullptr)
+            continue;
+        }
+        const auto* task = m_state.find(it);
+        if (task != nullptr && !m_state.isStartHeld(it) && m_heldTasks.erase(it) > 0)
             updateWaitingTask(it);
+        if (task == nullptr || task->done)
+            m_lostTasks.erase(it);
     }
 }
 
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -13,6 +13,9 @@
     constexpr Milliseconds resultGrace { 500 };
     // Longest time for which an executor delays an order that it has received, by the platform's contract.
     constexpr Milliseconds maxExecutorDelay { 12'000 };
+    // Between two confirmations that show that the executor outlived the start of the first run, whichever leaders'
+    // clocks they were recorded by.
+    constexpr Milliseconds confirmationSkew { 6'000 };
     constexpr Milliseconds startAnswerWait { 100 }; // of a renewal that is to acknowledge ends
     constexpr uint64_t maxUnacknowledgedEnds = 250; // half of what executors list at once, by the platform's contract
     constexpr unsigned unansweredStopsBeforeBlocked = 3; // consecutive stops without an answer
@@ -57,6 +60,8 @@
         const auto* moved = findRun(key, held.run);
         run.isMoved = moved != nullptr;
         run.isConfirmed = held.isConfirmed;
+        run.hasWorkedBefore
+            = held.isConfirmed && state.lastConfirmedAtMs > held.confirmedAtMs + confirmationSkew.count();
         run.startExpiresAt = moved != nullptr ? moved->startExpiresAt : inheritedStartExpiry(key);
         run.isFromStart = false;
         const auto* job = m_state.find(key.step.job);
@@ -416,14 +421,17 @@
     }
     const auto* state = executorState(executor.number);
     const auto silence = m_now - executor.lastAnswerAt;
-    if (!std::exchange(executor.hasAcceptedFence, true))
+    if (!std::exchange(executor.hasAcceptedFence, true)) {
+        confirmEarlierLosses(state->record);
         log("executor_taken_over",
             { { "executor", state->record.id() }, { "fence", std::to_string(executor.fence) },
                 { "running", std::to_string(result.running.size()) }, { "ended", std::to_string(result.ended.size()) },
                 { "assigned", std::to_string(executor.runs.size()) } });
-    else if (silence > m_options.suspectAfter)
+    } else if (silence > m_options.suspectAfter)
         log("executor_regained", { { "executor", state->record.id() }, { "silent_ms", millisText(silence) } });
-    refuteLoss(executor, order);
+    // It may have answered an earlier order before it crashed.
+    if (executor.lostAt != Instant() && order.sentAt >= executor.lostAt)
+        refuteLoss(executor, "it answers");
     executor.answeredOrderSentAt = std::max(executor.answeredOrderSentAt, order.sentAt);
     executor.acknowledgedEnds = std::max(executor.acknowledgedEnds, order.acknowledgedEnds);
     if (!order.isTimedOut) { // A late answer does not show that the executor is reachable now.
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -44,6 +44,8 @@
     restoreRunTimes();
     for (const auto& [number, it] : m_state.executors())
         addExecutor(it);
+    for (const auto& [run, it] : m_state.lostRuns())
+        m_lostTasks.insert(run.first);
     for (const auto& [id, job] : m_state.jobs())
         openSteps(id);
     // The previous leader may have ended before it stopped the remaining members of a broken gang.
@@ -94,7 +96,9 @@
     m_pendingCancellers.clear();
     m_resubmissions.clear();
     m_pendingCancellations.clear();
+    m_lostTasks.clear();
     m_heldTasks.clear();
+    m_mustReviewLostTasks = false;
     m_lateEnds.clear();
     m_newConfirmations.clear();
     for (const auto& [job, queries] : m_stateQueries) {
@@ -144,6 +148,7 @@
     checkClaims();
     checkGangs();
     checkEvacuations();
+    reviewLostTasks();
     recordLease();
     recordConfirmations();
     recordLearnedRunTimes();
@@ -259,14 +264,14 @@
         onJobEnded(it.job);
 }
 
-void JobLeader::execute(LossRefutedWhenCommitted&) { reviewHeldTasks(); }
+void JobLeader::execute(LossesChangedWhenCommitted&) { m_mustReviewLostTasks = true; }
 
 void JobLeader::execute(ExecutorWhenCommitted& it)
 {
     const auto* state = executorState(it.number);
     if (state == nullptr) {
         dropExecutor(it.number);
-        reviewHeldTasks();
+        m_mustReviewLostTasks = true;
         return;
     }
     m_pendingRegistrations.erase(state->record.id());
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -134,7 +134,7 @@
     struct CrashWhenCommitted {
         uint64_t job = 0;
     };
-    struct LossRefutedWhenCommitted { };
+    struct LossesChangedWhenCommitted { };
     struct ExecutorWhenCommitted {
         uint32_t number = 0;
         // As announced with the registration.
@@ -153,7 +153,7 @@
     };
     using Continuation = std::variant<ConfigurationWhenCommitted, AnswerWhenCommitted, LaunchRunWhenCommitted,
         RunEndedWhenCommitted, LateEndWhenCommitted, AcknowledgeEndsWhenCommitted, JobAcceptedWhenCommitted,
-        JobEndedWhenCommitted, UnseenJobCancelledWhenCommitted, CrashWhenCommitted, LossRefutedWhenCommitted,
+        JobEndedWhenCommitted, UnseenJobCancelledWhenCommitted, CrashWhenCommitted, LossesChangedWhenCommitted,
         ExecutorWhenCommitted, EvacuationWhenCommitted>;
 
     // Changes that are proposed as one record, and what follows once they are committed.
@@ -272,18 +272,21 @@
     // An incarnation that has ended is registered again only if it answers.
     void rememberGone(uint32_t number);
     // Records that an executor crashed under its runs, and which of these may be the cause.
-    void recordCrash(const LiveExecutor&, RunEvidence);
+    void recordCrash(LiveExecutor&, RunEvidence);
     void recordCrash(const LiveExecutor&, const CrashedRun&, RunEvidence);
-    // Records that the lease of an executor expired, and under which runs that may have crashed it.
+    // Records that the lease of an executor expired, and under which runs.
     void recordLapse(LiveExecutor&);
     // Records runs that may have crashed the executor; returns whether there are any.
     bool recordLosses(const LiveExecutor&, std::span<const CrashedRun>, RunEvidence);
-    // The executor has answered after its loss.
-    void refuteLoss(LiveExecutor&, const PendingOrder&);
-    // The task waits until enough of its lost executors have answered.
+    // A later incarnation has answered.
+    void confirmLoss(const std::string& executor, uint64_t bornMs);
+    void confirmEarlierLosses(const schema::ExecutorRecord&);
+    // The executor has outlived its lease.
+    void refuteLoss(LiveExecutor&, std::string_view reason);
+    // The task waits until its losses are refuted or final.
     void holdStart(const TaskKey&);
-    // Lets held tasks start, or drops those that were given up, as their lost executors are explained.
-    void reviewHeldTasks();
+    // Drops jobs that were given up, and lets held tasks start, once losses are resolved.
+    void reviewLostTasks();
     std::vector<CrashedRun> runsInCrash(const LiveExecutor&) const;
     bool isSuspect(const TaskKey&) const;
     // A fence higher than that of previous leaders, and than that of all orders that this leader has sent.
@@ -418,7 +421,7 @@
     void execute(JobEndedWhenCommitted&);
     void execute(UnseenJobCancelledWhenCommitted&);
     void execute(CrashWhenCommitted&);
-    void execute(LossRefutedWhenCommitted&);
+    void execute(LossesChangedWhenCommitted&);
     void execute(ExecutorWhenCommitted&);
     void execute(ConfigurationWhenCommitted&);
     void execute(EvacuationWhenCommitted&);
@@ -478,7 +481,9 @@
     // The longest lease, of orders to the same incarnation, that an earlier leader may have asked for.
     Milliseconds m_inheritedLease { 0 };
     bool m_isLeaseProposed = false;
-    absl::btree_set<TaskKey> m_heldTasks; // that wait for lost executors
+    absl::btree_set<TaskKey> m_lostTasks; // that have runs among the lost ones of the state, or will have
+    absl::btree_set<TaskKey> m_heldTasks; // those of them that wait for the resolution of their losses
+    bool m_mustReviewLostTasks = false;
     absl::btree_set<TaskKey> m_lateEnds; // tasks whose late end is counted by a proposal that is not committed yet
     ExecutorClaims m_claims;
     // Start times (born_ms) of executors whose registration is not committed, by executor id.
--- a/jobs/job_state.cpp
+++ b/jobs/job_state.cpp
@@ -30,7 +30,6 @@
     for (const auto& it : parsed.changes())
         applyChange(it);
     removeExpiredJobs();
-    forgetOldLosses();
     return {};
 }
 
@@ -57,6 +56,8 @@
         return applyExecutorLost(change.executor_lost());
     case schema::JobChange::kExecutorReturned:
         return applyExecutorReturned(change.executor_returned());
+    case schema::JobChange::kExecutorCrashed:
+        return applyExecutorCrashed(change.executor_crashed());
     case schema::JobChange::kEvacuation:
         return applyEvacuation(change.evacuation());
     case schema::JobChange::kRunTimes:
@@ -161,8 +162,16 @@
         if (executor == m_executors.end())
             continue;
         const auto assignment = executor->second.assignments.find(toKey(it.task()));
-        if (assignment != executor->second.assignments.end() && assignment->second.run == it.run())
-            assignment->second.isConfirmed = true;
+        if (assignment == executor->second.assignments.end() || assignment->second.run != it.run())
+            continue;
+        if (!std::exchange(assignment->second.isConfirmed, true))
+            assignment->second.confirmedAtMs = executor->second.lastConfirmedAtMs = m_wallMs;
+        // Its start had not reached an earlier incarnation.
+        const RunKey run { toKey(it.task()), it.run() };
+        const auto lost = m_lostRuns.find(run);
+        const auto& record = executor->second.record;
+        if (lost != m_lostRuns.end() && lost->second.incarnation != IncarnationKey { record.id(), record.born_ms() })
+            dropLostRun(run);
     }
 }
 
@@ -302,7 +311,7 @@
     job.request.clear_payload();
     job.request.clear_steps();
     m_ended.emplace_back(m_wallMs, job.request.id());
-    forgetLossesOf(job.request.id());
+    dropLossesOf(job.request.id());
 }
 
 // Must be called before a job's phase changes.
--- a/jobs/job_state.h
+++ b/jobs/job_state.h
@@ -37,10 +37,10 @@
     uint32_t crashes = 0; // executors that crashed under it
     uint32_t lastCrashedRun = 0; // each leader that sees a run whose executor crashed reports it
     uint32_t crashesAtStart = 0; // those that crashed shortly after its start, so that it may be the cause
-    // Executors whose lease expired under it and that it may have crashed: they have not answered since, and nothing
-    // shows that they outlived its start.
+    // Lost executors that it may have crashed: nothing shows that they outlived its start.
     uint32_t losses = 0;
-    uint32_t finalLosses = 0; // those of them that are not registered any more
+    uint32_t finalLosses = 0; // those of them that have ended or are not registered any more
+    uint32_t unprovenCrashes = 0; // as counted by earlier versions: crashes and expired leases
     bool done = false;
     std::string checkpoint;
 };
@@ -99,6 +99,7 @@
     uint32_t run = 0;
     ResourceVector need; // kept here because an ended job no longer has its steps
     bool isConfirmed = false; // a leader has recorded that the incarnation has begun the run
+    uint64_t confirmedAtMs = 0; // when it did so; Unix time
 };
 
 struct ExecutorState {
@@ -106,13 +107,24 @@
     ResourceVector capacity;
     ResourceVector largestCapacity; // that the incarnation announced; it may have shrunk and grow again
     absl::btree_map<TaskKey, AssignmentState> assignments;
+    uint64_t lastConfirmedAtMs = 0; // when a run was confirmed last
 };
 
-// An incarnation of an executor whose lease expired under runs that may have crashed it.
+// By id and start time.
+using IncarnationKey = std::pair<std::string, uint64_t>;
+// Task and run number.
+using RunKey = std::pair<TaskKey, uint32_t>;
+
+// An incarnation of an executor that may have crashed under these runs.
 struct ExecutorLossRecord {
     uint64_t lostAtMs = 0; // Unix time
-    bool isRemoved = false; // not registered any more
-    absl::btree_set<std::pair<TaskKey, uint32_t>> runs; // task and run
+    bool isFinal = false; // it has ended or is not registered any more
+    absl::btree_set<RunKey> runs;
+};
+
+struct LostRunRecord {
+    IncarnationKey incarnation;
+    bool mayBeCause = false; // nothing shows that the executor outlived the start of the run
 };
 
 // The last order of an operator on the evacuation of a data centre.
@@ -123,9 +135,7 @@
 
 // A task is given up, and its job fails, after this many crashes.
 constexpr uint32_t maxCrashesAtStart = 3;
-// At any time of its runs, but for lasting tasks. Final losses count as well; with losses that are not final the task
-// waits until these are explained.
-constexpr uint32_t maxCrashes = 4;
+constexpr uint32_t maxCrashes = 4; // at any time of its runs, but for lasting tasks; final losses count as well
 
 // Whether both are copies of one call. False if the origin is unknown.
 bool isSameCall(const schema::CallOrigin&, const schema::CallOrigin&);
@@ -159,10 +169,13 @@
     const absl::btree_map<uint64_t, JobRecord>& jobs() const { return m_jobs; }
     const JobRecord* find(uint64_t job) const;
     const TaskRecord* find(const TaskKey&) const;
-    // Whether the task must not be started before a lost executor has answered or is removed.
+    // Whether the task must not be started before its losses are refuted or final.
     bool isStartHeld(const TaskKey&) const;
     // Whether a loss of this incarnation is recorded and neither refuted nor forgotten.
     bool isLost(const std::string& executor, uint64_t bornMs) const { return m_losses.contains({ executor, bornMs }); }
+    // The start times of the executor's incarnations that have losses.
+    std::vector<uint64_t> lostIncarnations(const std::string& executor) const;
+    const absl::btree_map<RunKey, LostRunRecord>& lostRuns() const { return m_lostRuns; }
     // Whether the job was cancelled while it was not known. Kept as long as the outcome of an ended job, so that a
     // submission that was delayed on its way does not run.
     bool wasCancelledUnseen(uint64_t job) const { return m_cancelledUnseen.contains(job); }
@@ -198,12 +211,17 @@
     void applyCrashed(const schema::RunCrash&);
     void applyExecutorLost(const schema::ExecutorLoss&);
     void applyExecutorReturned(uint32_t number);
+    void applyExecutorCrashed(const schema::ExecutorLoss&);
     void applyExecutorRemoved(uint32_t number);
-    void addLosses(const schema::ExecutorLoss&);
-    bool isLostRun(const TaskKey&, uint32_t run) const;
+    // `hasSuccessor`: another incarnation has answered. Otherwise it is not known whether this one has crashed.
+    void endIncarnation(const IncarnationKey&, bool hasSuccessor);
+    void addLoss(const schema::ExecutorLoss&, uint64_t lostAtMs, bool isFinal);
+    // Forgets that the run may have crashed an executor.
+    void dropLostRun(const RunKey&);
+    void dropLoss(const IncarnationKey&);
+    void dropLossesOf(uint64_t job);
+    void dropOldLosses();
     void giveUpIfDeadly(const TaskKey&);
-    void forgetLossesOf(uint64_t job);
-    void forgetOldLosses();
     void applyExecutor(const schema::ExecutorRecord&);
     void applyEvacuation(const schema::Evacuation&);
     void markDone(JobRecord&, const TaskKey&);
@@ -231,9 +249,8 @@
     absl::btree_map<uint64_t, JobRecord> m_jobs;
     absl::btree_map<std::string, uint64_t, std::less<>> m_queuedJobs; // jobs in phase Queued, by queue key
     absl::btree_map<uint32_t, ExecutorState> m_executors;
-    // By id and start time of the incarnation.
-    using IncarnationKey = std::pair<std::string, uint64_t>;
     absl::btree_map<IncarnationKey, ExecutorLossRecord> m_losses;
+    absl::btree_map<RunKey, LostRunRecord> m_lostRuns; // those of m_losses
     absl::btree_map<std::string, EvacuationRecord, std::less<>> m_evacuations;
     std::deque<std::pair<uint64_t, uint64_t>> m_ended; // end time in ms and job, in order of time
     absl::btree_map<uint64_t, uint64_t> m_cancelledUnseen; // time of the cancellation in ms, by job
--- a/jobs/job_state_losses.cpp
+++ b/jobs/job_state_losses.cpp
@@ -1,7 +1,6 @@
 // JobState: crashes and losses of executors, and the tasks that may cause them.
 #include "jobs/job_state.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace teasel {
@@ -15,19 +14,13 @@
         return job.request.steps(static_cast<int>(key.step.step)).lasting();
     }
 
-    // Lasting tasks lose many executors in their time, so that only crashes at their start may be their fault.
-    uint32_t suspiciousCrashes(const TaskRecord& task, bool isLasting)
-    {
-        return isLasting ? task.crashesAtStart : task.crashes;
-    }
-
 } // namespace
 
 bool JobState::isStartHeld(const TaskKey& key) const
 {
     const auto* task = find(key);
-    return task != nullptr && task->losses > 0
-        && suspiciousCrashes(*task, isLastingTask(m_jobs.at(key.step.job), key)) + task->losses >= maxCrashes;
+    return task != nullptr && task->losses > task->finalLosses && task->crashes + task->losses >= maxCrashes
+        && !isLastingTask(m_jobs.at(key.step.job), key);
 }
 
 void JobState::giveUpIfDeadly(const TaskKey& key)
@@ -36,10 +29,10 @@
     const auto* task = mutableTask(key);
     if (job == m_jobs.end() || job->second.hasEnded() || task == nullptr || task->done)
         return;
-    const bool isLasting = isLastingTask(job->second, key);
-    const bool isDeadly = task->crashesAtStart >= maxCrashesAtStart
-        || suspiciousCrashes(*task, isLasting) + task->finalLosses >= maxCrashes;
-    if (!isDeadly)
+    // Lasting tasks lose many executors in their time, so that only crashes at their start may be their fault.
+    const bool hasTooManyCrashes = !isLastingTask(job->second, key)
+        && (task->crashes + task->finalLosses >= maxCrashes || task->unprovenCrashes >= maxCrashes);
+    if (task->crashesAtStart < maxCrashesAtStart && !hasTooManyCrashes)
         return;
     job->second.failure = { key, "crashes", task->failures, task->crashes, task->crashesAtStart, task->finalLosses };
     endJob(job->second, JobPhase::Failed);
@@ -51,112 +44,143 @@
     const auto job = m_jobs.find(key.step.job);
     auto* task = mutableTask(key);
     if (job == m_jobs.end() || job->second.hasEnded() || task == nullptr || task->done
-        || crash.run() <= task->lastCrashedRun || !(crash.proven() || crash.at_start()))
+        || crash.run() <= task->lastCrashedRun)
         return;
     task->lastCrashedRun = crash.run();
-    ++task->crashes;
+    task->unprovenCrashes += crash.proven() ? 0 : 1;
+    task->crashes += crash.proven() || crash.at_start() ? 1 : 0;
     task->crashesAtStart += crash.at_start() ? 1 : 0;
-    for (auto& [incarnation, loss] : m_losses) {
-        if (loss.runs.erase({ key, crash.run() }) == 0)
-            continue;
-        --task->losses;
-        task->finalLosses -= loss.isRemoved ? 1 : 0;
-    }
+    dropLostRun({ key, crash.run() });
     giveUpIfDeadly(key);
 }
 
 void JobState::applyExecutorLost(const schema::ExecutorLoss& lost)
 {
-    auto loss = lost;
-    loss.set_lost_at_ms(m_wallMs);
-    loss.set_removed(false);
-    addLosses(loss);
+    dropOldLosses();
+    addLoss(lost, m_wallMs, false);
 }
 
-void JobState::addLosses(const schema::ExecutorLoss& lost)
+void JobState::addLoss(const schema::ExecutorLoss& lost, uint64_t lostAtMs, bool isFinal)
 {
-    auto& loss = m_losses[{ lost.executor(), lost.born_ms() }];
-    loss.lostAtMs = lost.lost_at_ms();
-    loss.isRemoved = loss.isRemoved || lost.removed();
+    const IncarnationKey incarnation { lost.executor(), lost.born_ms() };
     for (const auto& it : lost.runs()) {
-        const auto key = toKey(it.task());
-        auto* task = mutableTask(key);
-        // A start that was sent once is counted once, whichever incarnation it may have reached.
-        if (task == nullptr || task->done || it.run() <= task->lastCrashedRun || isLostRun(key, it.run()))
+        const RunKey run { toKey(it.task()), it.run() };
+        auto* task = mutableTask(run.first);
+        // A start that was sent once counts once, whichever incarnation it may have reached.
+        if (task == nullptr || !m_lostRuns.emplace(run, LostRunRecord { incarnation, it.may_be_cause() }).second)
             continue;
-        loss.runs.emplace(key, it.run());
-        ++task->losses;
-        task->finalLosses += loss.isRemoved ? 1 : 0;
+        const auto [loss, isNew] = m_losses.try_emplace(incarnation);
+        if (isNew)
+            loss->second = { lostAtMs, isFinal, {} };
+        loss->second.runs.insert(run);
+        task->losses += it.may_be_cause() ? 1 : 0;
+        task->finalLosses += it.may_be_cause() && loss->second.isFinal ? 1 : 0;
     }
-    if (loss.runs.empty())
-        m_losses.erase({ lost.executor(), lost.born_ms() });
 }
 
-bool JobState::isLostRun(const TaskKey& key, uint32_t run) const
+void JobState::dropLostRun(const RunKey& run)
 {
-    return std::any_of(m_losses.begin(), m_losses.end(), [&](const auto& it) {
-        return it.second.runs.contains({ key, run });
-    });
+    const auto lost = m_lostRuns.find(run);
+    if (lost == m_lostRuns.end())
+        return;
+    const auto loss = m_losses.find(lost->second.incarnation);
+    auto* task = mutableTask(run.first);
+    if (task != nullptr && lost->second.mayBeCause) {
+        --task->losses;
+        task->finalLosses -= loss->second.isFinal ? 1 : 0;
+    }
+    m_lostRuns.erase(lost);
+    loss->second.runs.erase(run);
+    if (loss->second.runs.empty())
+        m_losses.erase(loss);
 }
 
-void JobState::applyExecutorReturned(uint32_t number)
+void JobState::dropLoss(const IncarnationKey& incarnation)
 {
-    const auto executor = m_executors.find(number);
-    if (executor == m_executors.end())
-        return;
-    const auto found = m_losses.find({ executor->second.record.id(), executor->second.record.born_ms() });
-    if (found == m_losses.end())
+    const auto loss = m_losses.find(incarnation);
+    if (loss == m_losses.end())
         return;
-    for (const auto& [key, run] : found->second.runs) {
-        if (auto* task = mutableTask(key)) {
-            --task->losses;
-            task->finalLosses -= found->second.isRemoved ? 1 : 0;
-        }
+    const auto runs = loss->second.runs; // The last one takes the record with it.
+    for (const auto& it : runs)
+        dropLostRun(it);
+}
+
+void JobState::dropLossesOf(uint64_t job)
+{
+    const RunKey first { { { job, 0, 0 }, 0 }, 0 };
+    for (auto it = m_lostRuns.lower_bound(first); it != m_lostRuns.end() && it->first.first.step.job == job;
+         it = m_lostRuns.lower_bound(first))
+        dropLostRun(RunKey(it->first));
+}
+
+void JobState::dropOldLosses()
+{
+    const auto kept = static_cast<uint64_t>(lossRetention.count());
+    std::vector<IncarnationKey> old;
+    for (const auto& [incarnation, loss] : m_losses) {
+        if (loss.lostAtMs + kept < m_wallMs)
+            old.push_back(incarnation);
     }
-    m_losses.erase(found);
+    for (const auto& it : old)
+        dropLoss(it);
 }
 
-void JobState::applyExecutorRemoved(uint32_t number)
+void JobState::applyExecutorReturned(uint32_t number)
 {
     const auto executor = m_executors.find(number);
-    if (executor == m_executors.end())
-        return;
-    const auto found = m_losses.find({ executor->second.record.id(), executor->second.record.born_ms() });
-    m_executors.erase(executor);
-    if (found == m_losses.end() || std::exchange(found->second.isRemoved, true))
+    if (executor != m_executors.end())
+        dropLoss({ executor->second.record.id(), executor->second.record.born_ms() });
+}
+
+void JobState::endIncarnation(const IncarnationKey& incarnation, bool hasSuccessor)
+{
+    const auto loss = m_losses.find(incarnation);
+    if (loss == m_losses.end())
         return;
-    const auto runs = found->second.runs; // The end of a job changes the losses.
-    for (const auto& [key, run] : runs) {
-        auto* task = mutableTask(key);
+    const bool isNews = !std::exchange(loss->second.isFinal, true);
+    // The end of a job changes the losses, and all counts must be right before the first one.
+    const auto runs = loss->second.runs;
+    for (const auto& it : runs) {
+        auto* task = mutableTask(it.first);
         if (task == nullptr)
             continue;
-        ++task->finalLosses;
-        giveUpIfDeadly(key);
+        const bool mayBeCause = m_lostRuns.at(it).mayBeCause;
+        task->finalLosses += isNews && mayBeCause ? 1 : 0;
+        if (!hasSuccessor || (mayBeCause && !isLastingTask(m_jobs.at(it.first.step.job), it.first)))
+            continue;
+        dropLostRun(it);
+        ++task->crashes;
+        task->crashesAtStart += mayBeCause ? 1 : 0;
     }
+    for (const auto& it : runs)
+        giveUpIfDeadly(it.first);
 }
 
-void JobState::forgetLossesOf(uint64_t job)
+void JobState::applyExecutorCrashed(const schema::ExecutorLoss& crashed)
 {
-    absl::erase_if(m_losses, [&](auto& it) {
-        absl::erase_if(it.second.runs, [&](const auto& run) { return run.first.step.job == job; });
-        return it.second.runs.empty();
-    });
+    endIncarnation({ crashed.executor(), crashed.born_ms() }, true);
 }
 
-void JobState::forgetOldLosses()
+void JobState::applyExecutorRemoved(uint32_t number)
 {
-    const auto kept = static_cast<uint64_t>(lossRetention.count());
-    absl::erase_if(m_losses, [&](const auto& it) {
-        if (it.second.lostAtMs + kept >= m_wallMs)
-            return false;
-        for (const auto& [key, run] : it.second.runs) {
-            if (auto* task = mutableTask(key)) {
-                --task->losses;
-                task->finalLosses -= it.second.isRemoved ? 1 : 0;
-            }
-        }
-        return true;
-    });
+    const auto executor = m_executors.find(number);
+    if (executor == m_executors.end())
+        return;
+    const auto& record = executor->second.record;
+    const IncarnationKey incarnation { record.id(), record.born_ms() };
+    if (record.draining()) // It may have left as announced.
+        dropLoss(incarnation);
+    else
+        endIncarnation(incarnation, false);
+    m_executors.erase(executor);
+}
+
+std::vector<uint64_t> JobState::lostIncarnations(const std::string& executor) const
+{
+    std::vector<uint64_t> out;
+    for (auto it = m_losses.lower_bound({ executor, 0 }); it != m_losses.end() && it->first.first == executor; ++it)
+        out.push_back(it->first.second);
+    return out;
 }
 
 } // namespace teasel
--- a/jobs/job_state_snapshot.cpp
+++ b/jobs/job_state_snapshot.cpp
@@ -22,6 +22,7 @@
             task.set_crashes(it.crashes);
             task.set_crashes_at_start(it.crashesAtStart);
             task.set_last_crashed_run(it.lastCrashedRun);
+            task.set_unproven_crashes(it.unprovenCrashes);
         }
     }
 
@@ -34,7 +35,7 @@
             // Images of earlier versions have only crashes at the start apart from expired leases.
             const auto crashes = std::max(it.crashes(), it.crashes_at_start());
             step.tasks.push_back({ it.run(), it.executor(), it.failures(), crashes, it.last_crashed_run(),
-                it.crashes_at_start(), 0, 0, it.done(), it.checkpoint() });
+                it.crashes_at_start(), 0, 0, it.unproven_crashes(), it.done(), it.checkpoint() });
             step.doneTasks += it.done() ? 1 : 0;
             step.assignedTasks += it.executor() != 0 ? 1 : 0;
         }
@@ -93,24 +94,27 @@
         auto& record = *image.add_executors();
         record = it.record;
         *record.mutable_largest_capacity() = toMessage(it.largestCapacity);
+        record.set_last_confirmed_at_ms(it.lastConfirmedAtMs);
         for (const auto& [key, held] : it.assignments) {
             auto& assignment = *record.add_assignments();
             fillRef(key, *assignment.mutable_task());
             assignment.set_run(held.run);
             *assignment.mutable_need() = toMessage(held.need);
             assignment.set_confirmed(held.isConfirmed);
+            assignment.set_confirmed_at_ms(held.confirmedAtMs);
         }
     }
     for (const auto& [incarnation, it] : m_losses) {
         auto& loss = *image.add_losses();
         loss.set_executor(incarnation.first);
         loss.set_born_ms(incarnation.second);
-        loss.set_removed(it.isRemoved);
+        loss.set_final(it.isFinal);
         loss.set_lost_at_ms(it.lostAtMs);
-        for (const auto& [key, run] : it.runs) {
+        for (const auto& run : it.runs) {
             auto& lost = *loss.add_runs();
-            fillRef(key, *lost.mutable_task());
-            lost.set_run(run);
+            fillRef(run.first, *lost.mutable_task());
+            lost.set_run(run.second);
+            lost.set_may_be_cause(m_lostRuns.at(run).mayBeCause);
         }
     }
     for (const auto& [dataCentre, it] : m_evacuations) {
@@ -164,17 +168,20 @@
     for (auto record : image.executors()) {
         auto& it = m_executors[record.number()];
         for (const auto& assignment : record.assignments())
-            it.assignments[toKey(assignment.task())]
-                = { assignment.run(), toVector(assignment.need()), assignment.confirmed() };
+            it.assignments[toKey(assignment.task())] = { assignment.run(), toVector(assignment.need()),
+                assignment.confirmed(), assignment.confirmed_at_ms() };
         it.capacity = toVector(record.capacity());
         it.largestCapacity = largestOf(it.capacity, toVector(record.largest_capacity()));
         record.clear_assignments();
         record.clear_largest_capacity();
+        it.lastConfirmedAtMs = record.last_confirmed_at_ms();
+        record.clear_last_confirmed_at_ms();
         it.record = record;
     }
     m_losses.clear();
+    m_lostRuns.clear();
     for (const auto& it : image.losses())
-        addLosses(it);
+        addLoss(it, it.lost_at_ms(), it.final());
     m_evacuations.clear();
     for (const auto& it : image.evacuations())
         applyEvacuation(it);
--- a/jobs/job_steps.cpp
+++ b/jobs/job_steps.cpp
@@ -211,7 +211,8 @@
     answerStateQueries(id, true);
     m_advice.forgetJob(id);
     const StepKey first { id, 0, 0 };
-    absl::erase_if(m_heldTasks, [&](const auto& it) { return it.step.job == id; });
+    for (auto* tasks : { &m_lostTasks, &m_heldTasks })
+        tasks->erase(tasks->lower_bound({ { id, 0, 0 }, 0 }), tasks->lower_bound({ { id + 1, 0, 0 }, 0 }));
     const auto belongs = [&](const auto& it) { return it->first.job == id; };
     const bool hadReadySteps
         = m_readySteps.lower_bound(first) != m_readySteps.end() && belongs(m_readySteps.lower_bound(first));
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -46,6 +46,7 @@
     bool isListed = false; // a listing has shown it to this leader
     // Its executor has shown to this leader or an earlier one that this incarnation has begun it: its start is used up.
     bool isConfirmed = false;
+    bool hasWorkedBefore = false; // its executor outlived its start under an earlier leader
     bool isMoved = false; // its start was sent to an earlier incarnation
     bool isFromStart = true; // started from the beginning, not from a checkpoint
     bool mayBePreempted = false; // can be stopped at any time and resume from its checkpoint
