--- a/tests/process/job_plane.py
+++ b/tests/process/job_plane.py
@@ -19,7 +19,7 @@
 }
 
 
-def settings_of(kind, name, host, cores, folder, grace_s):
+def settings_of(kind, name, host, cores, folder, grace_s, job_settings=None):
     """The settings of a core or front instance that starts for the first time."""
     text = f"""instance:
   id: {name}
@@ -32,10 +32,11 @@
     if kind == "front":
         return text + f"callers_address: {host}:{CALLERS_PORT}\nready_address: {host}:{READY_PORT}\n"
     return text + f"control_address: {host}:{CONTROL_PORT}\ndata_folder: {folder}/{name}\n" \
-                  "first_start: true\ntolerated_losses: 1\njobs:\n  advice_address: \"\"\n"
+                  "first_start: true\ntolerated_losses: 1\njobs:\n  advice_address: \"\"\n" \
+        + "".join(f"  {key}: {value}\n" for key, value in (job_settings or {}).items())
 
 
-def start_instances(build, folder, cores, fronts, grace_s):
+def start_instances(build, folder, cores, fronts, grace_s, job_settings=None):
     """Starts core-1, front-1 and so on at these addresses; returns the processes by name."""
     processes = {}
     for kind, hosts in (("core", cores), ("front", fronts)):
@@ -43,7 +44,7 @@
             name = f"{kind}-{n + 1}"
             settings = os.path.join(folder, f"{name}.yaml")
             with open(settings, "w", encoding="utf-8") as out:
-                out.write(settings_of(kind, name, host, cores, folder, grace_s))
+                out.write(settings_of(kind, name, host, cores, folder, grace_s, job_settings))
             command = [os.path.join(build, f"teasel-{kind}"), settings]
             processes[name] = Process(name, command, os.path.join(folder, f"{name}.log"))
             processes[name].start()
