--- a/jobs/job_confirmations.cpp
+++ b/jobs/job_confirmations.cpp
@@ -20,8 +20,11 @@
 
 } // namespace
 
-void JobLeader::confirmRun(const LiveExecutor& executor, const TaskKey& key, LiveRun& run)
+void JobLeader::confirmRun(const LiveExecutor& executor, const TaskKey& key, LiveRun& run, Instant shownAt)
 {
+    run.isShown = true;
+    if (run.mayHaveCopies && shownAt < run.startExpiresAt) // Another copy of its start may still be carried out.
+        return;
     if (!std::exchange(run.isConfirmed, true))
         m_newConfirmations.push_back({ executor.number, key, run.run });
 }
@@ -94,7 +97,7 @@
             run.checkpoint = it.checkpoint;
         run.percent = it.percent;
         run.isListed = true;
-        confirmRun(executor, it.task, run);
+        confirmRun(executor, it.task, run, order.sentAt);
         run.lastShownAt = m_now;
         // Send a stop again that was acknowledged but had no effect.
         if (run.isStopAnswered()
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -58,6 +58,7 @@
         run.isMoved = moved != nullptr;
         run.isConfirmed = held.isConfirmed;
         run.startExpiresAt = moved != nullptr ? moved->startExpiresAt : inheritedStartExpiry(key);
+        run.mayHaveCopies = moved != nullptr ? moved->mayHaveCopies : mayHaveBeenRepeated(key);
         run.isFromStart = false;
         const auto* job = m_state.find(key.step.job);
         if (job != nullptr) {
@@ -355,10 +356,12 @@
     run.isStartAnswered = result.outcome != OrderOutcome::UnknownOutcome;
     if (result.outcome == OrderOutcome::Done) {
         run.stage = RunStage::Running;
-        run.startedAt = run.lastShownAt = run.startExpiresAt = m_now;
-        m_latencies.record(run.queue, JobStage::Answered, m_now - run.startSentAt);
+        run.startedAt = run.lastShownAt = m_now;
+        if (!run.mayHaveCopies)
+            run.startExpiresAt = m_now;
+        m_latencies.record(run.queue, JobStage::Answered, m_now - order.sentAt);
         if (isFromRegisteredIncarnation(executor, order, result))
-            confirmRun(executor, order.task, run);
+            confirmRun(executor, order.task, run, order.sentAt);
         return;
     }
     const auto* state = executorState(executor.number);
@@ -379,15 +382,18 @@
         run.stage = RunStage::UnknownOutcome;
         run.unknownSince = m_now;
         executor.pollAt = m_now;
-        if (m_now < order.timeoutAt) // The start waits in no queue of ours any more.
+        if (m_now < order.timeoutAt && !run.mayHaveCopies) // The start waits in no queue of ours any more.
             run.startExpiresAt = std::min(run.startExpiresAt, m_now + maxExecutorDelay);
         if (result.outcome == OrderOutcome::UnknownOutcome)
             executor.unansweredSentAt = std::max(executor.unansweredSentAt, order.sentAt);
         return;
     }
     ++m_counters.startsRefused;
+    if (result.outcome == OrderOutcome::NotSent && run.repeats > 0)
+        return undoRepeat(executor, order.task, run);
     const bool isSent = result.outcome != OrderOutcome::NotSent;
-    endRun(executor, order.task, isSent ? RunEvidence::Refused : RunEvidence::NotSent, schema::RUN_OUTCOME_NEVER_RAN);
+    endRunIfCertain(executor, order.task, isSent ? RunEvidence::Refused : RunEvidence::NotSent, order.sentAt,
+        schema::RUN_OUTCOME_NEVER_RAN);
 }
 
 void JobLeader::onStopResult(LiveExecutor& executor, const PendingOrder& order, const OrderResult& result)
@@ -435,7 +441,7 @@
     }
     if (!order.isPoll)
         executor.nextRenewalAt = m_now + (order.isRegular ? m_options.renewalInterval : Milliseconds(0));
-    processEndList(executor, result);
+    processEndList(executor, order, result);
     processRunningList(executor, order, result);
     resolveAbsentRuns(executor, order, result);
     launchWaitingStarts(executor);
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -329,7 +329,7 @@
     void countUnknownStarts();
     // A run that was waiting for the expiry of its start is listed: it has begun.
     void resumeRun(LiveExecutor&, LiveRun&);
-    void processEndList(LiveExecutor&, const OrderResult&);
+    void processEndList(LiveExecutor&, const PendingOrder&, const OrderResult&);
     // Counts a task as done whose run had been given up, and stops the run that has taken its place.
     void processLateEnd(const LiveExecutor&, const EndedTask&);
     // Whether the task has ended by an end that is not committed yet; the members of a gang end together.
@@ -341,8 +341,9 @@
 
     // Runs in progress and their confirmations (job_confirmations.cpp).
     void processRunningList(LiveExecutor&, const PendingOrder&, const OrderResult&);
-    // The executor has shown that its incarnation has begun the run.
-    void confirmRun(const LiveExecutor&, const TaskKey&, LiveRun&);
+    // The executor has shown, in the answer to an order that was sent at that time, that its incarnation has begun the
+    // run.
+    void confirmRun(const LiveExecutor&, const TaskKey&, LiveRun&, Instant shownAt);
     // Whether the clock in an answer goes on from the last one that the registered incarnation has shown. Each
     // incarnation has a clock of its own; answers to starts do not have its start time.
     bool isFromRegisteredIncarnation(const LiveExecutor&, const PendingOrder&, const OrderResult&) const;
@@ -388,6 +389,13 @@
     void assign(const PlannedStart&);
     void preempt(const PlannedStop&);
     void launch(const LaunchRunWhenCommitted&);
+    void sendStart(LiveExecutor&, const TaskKey&, LiveRun&, std::string_view ticket);
+    // Whether the start of a run that the listing lacks may be sent to the same executor again.
+    bool mayRepeatStart(const LiveExecutor&, const TaskKey&, const LiveRun&, const PendingOrder& listing) const;
+    // Whether an earlier leader may have sent a start of this task again.
+    bool mayHaveBeenRepeated(const TaskKey&) const;
+    void repeatStart(LiveExecutor&, const TaskKey&);
+    void undoRepeat(LiveExecutor&, const TaskKey&, LiveRun&); // it was not sent
     // Whether a start without a ticket may be sent now.
     bool hasFreshContact(const LiveExecutor&) const;
     // Lets a committed start wait until the executor answers.
--- a/jobs/job_run_ends.cpp
+++ b/jobs/job_run_ends.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-void JobLeader::processEndList(LiveExecutor& executor, const OrderResult& result)
+void JobLeader::processEndList(LiveExecutor& executor, const PendingOrder& order, const OrderResult& result)
 {
     uint64_t newest = executor.processedEnds;
     for (const auto& it : result.ended) {
@@ -33,7 +33,12 @@
             recordRunTime(executor, it.task, run->second);
         else if (it.outcome == schema::RUN_OUTCOME_FAILED)
             recordFailure(executor, it.task);
-        endRun(executor, it.task, RunEvidence::EndListed, it.outcome, it.checkpoint);
+        if (!it.checkpoint.empty())
+            run->second.checkpoint = it.checkpoint;
+        if (it.outcome == schema::RUN_OUTCOME_DONE)
+            endRun(executor, it.task, RunEvidence::EndListed, it.outcome, it.checkpoint);
+        else
+            endRunIfCertain(executor, it.task, RunEvidence::EndListed, order.sentAt, it.outcome);
     }
     if (newest == executor.processedEnds)
         return;
@@ -88,6 +93,11 @@
 {
     if (run.stage == RunStage::Committing) // Its start was not sent.
         return true;
+    if (run.mayHaveCopies && !run.isConfirmed && evidence != RunEvidence::AddressTaken) {
+        const bool isOfThisIncarnation
+            = evidence != RunEvidence::LeaseExpired && evidence != RunEvidence::IncarnationEnded;
+        return shownAt >= (isOfThisIncarnation ? run.startExpiresAt : lateLeaseExpiry(executor, run));
+    }
     switch (evidence) {
     case RunEvidence::NotSent:
     case RunEvidence::Refused:
@@ -192,9 +202,14 @@
         running.emplace(it.task, it.run);
     std::vector<std::pair<TaskKey, RunEvidence>> neverRan;
     std::vector<TaskKey> lost;
+    std::vector<TaskKey> repeated;
     for (auto& [key, run] : executor.runs) {
         if (running.contains({ key, run.run }) || run.stage == RunStage::Ending || run.stage == RunStage::Committing)
             continue;
+        if (mayRepeatStart(executor, key, run, order)) {
+            repeated.push_back(key);
+            continue;
+        }
         // After an acknowledged stop the executor rejects the run, and a run in progress has had time to end.
         const bool isStopped
             = run.isStopAnswered() && order.sentAt > run.stopAnsweredAt + m_options.stopTime + listingDelay;
@@ -212,7 +227,9 @@
     for (const auto& [key, evidence] : neverRan)
         endRunIfCertain(executor, key, evidence, order.sentAt, schema::RUN_OUTCOME_NEVER_RAN);
     for (const auto& it : lost)
-        endRun(executor, it, RunEvidence::AbsentWhileRunning, schema::RUN_OUTCOME_LOST);
+        endRunIfCertain(executor, it, RunEvidence::AbsentWhileRunning, order.sentAt, schema::RUN_OUTCOME_LOST);
+    for (const auto& it : repeated)
+        repeatStart(executor, it);
 }
 
 void JobLeader::expireLease(LiveExecutor& executor)
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -332,22 +332,10 @@
     }
     if (ticket.empty() && !hasFreshContact(*executor))
         return awaitContact(*executor, it.task, it.run);
-    StartRun start;
-    start.task = it.task;
-    start.run = it.run;
-    start.payload = job->request.payload();
-    start.checkpoint = task->checkpoint;
-    start.ticket = std::string(ticket);
-    start.leaseUntilMs = executor->clock.executorNow(m_now) + static_cast<uint64_t>(lease().count());
-    executor->clock.recordLeaseSent(start.leaseUntilMs);
-    executor->leaseExtendedAt = m_now;
-    run.stage = RunStage::Starting;
-    run.startedAt = run.startSentAt = m_now;
+    run.startSentAt = m_now;
     run.startExpiresAt = m_now + m_options.maxStartDelay;
     if (step->second.needsTicket)
         run.startExpiresAt = std::min(run.startExpiresAt, m_advice.ticketExpiry(it.task.step, it.executor));
-    run.isFromStart = start.checkpoint.empty();
-    ++m_counters.starts;
     if (m_firstStartAt == Instant())
         m_firstStartAt = m_now;
     m_latencies.onLaunched(it.task.step.job, step->second.queue, m_now);
@@ -359,12 +347,30 @@
     if (step->second.gang && !m_assemblingGangs.contains(it.task.step))
         m_assemblingGangs[it.task.step]
             = m_now + std::chrono::duration_cast<Duration>(m_options.gangTimeout * gangAssemblyShare);
+    sendStart(*executor, it.task, run, ticket);
+}
+
+void JobLeader::sendStart(LiveExecutor& executor, const TaskKey& key, LiveRun& run, std::string_view ticket)
+{
+    StartRun start;
+    start.task = key;
+    start.run = run.run;
+    start.payload = m_state.find(key.step.job)->request.payload();
+    start.checkpoint = m_state.find(key)->checkpoint;
+    start.ticket = std::string(ticket);
+    start.leaseUntilMs = executor.clock.executorNow(m_now) + static_cast<uint64_t>(lease().count());
+    executor.clock.recordLeaseSent(start.leaseUntilMs);
+    executor.leaseExtendedAt = m_now;
+    run.stage = RunStage::Starting;
+    run.startedAt = m_now;
+    run.isFromStart = start.checkpoint.empty();
+    ++m_counters.starts;
     PendingOrder order;
     order.kind = PendingOrder::Kind::Start;
     order.expiresAt = run.startExpiresAt;
-    order.task = it.task;
-    order.run = it.run;
-    sendOrder(*executor, order, std::move(start), m_options.orderTimeout);
+    order.task = key;
+    order.run = run.run;
+    sendOrder(executor, order, std::move(start), m_options.orderTimeout);
 }
 
 bool JobLeader::hasFreshContact(const LiveExecutor& executor) const
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -47,6 +47,11 @@
     // Its executor has shown to this leader or an earlier one that this incarnation has begun it: its start is used up.
     bool isConfirmed = false;
     bool isMoved = false; // its start was sent to an earlier incarnation
+    // Whether its start may have been sent more than once, by this leader or earlier ones. One incarnation carries out
+    // one copy at most; the others may be carried out by a later one until startExpiresAt.
+    bool mayHaveCopies = false;
+    unsigned repeats = 0; // how often this leader has sent its start again
+    bool isShown = false; // its executor has shown to this leader that this incarnation has begun it
     bool isFromStart = true; // started from the beginning, not from a checkpoint
     bool mayBePreempted = false; // can be stopped at any time and resume from its checkpoint
     std::string checkpoint; // latest checkpoint that a listing showed
@@ -70,7 +75,7 @@
     // Whether its start got no answer and may still be executed.
     bool mayStartInLaterIncarnation() const
     {
-        return stage == RunStage::Starting || (stage == RunStage::UnknownOutcome && !isRefused)
+        return stage == RunStage::Starting || (stage == RunStage::UnknownOutcome && (!isRefused || mayHaveCopies))
             || (stage == RunStage::Inherited && !isConfirmed) || stage == RunStage::AwaitingStartExpiry;
     }
 
@@ -173,8 +178,9 @@
     // Whether an unknown incarnation has answered a start.
     bool hasUnconfirmedRun() const
     {
-        return std::any_of(runs.begin(), runs.end(),
-            [](const auto& it) { return it.second.stage == RunStage::Running && !it.second.isConfirmed; });
+        return std::any_of(runs.begin(), runs.end(), [](const auto& it) {
+            return it.second.stage == RunStage::Running && !it.second.isShown && !it.second.isConfirmed;
+        });
     }
 
     // Whether it has answered since its last unanswered start.
