--- a/jobs/job_checks.cpp
+++ b/jobs/job_checks.cpp
@@ -1,4 +1,4 @@
-// JobLeader: periodic checks of executors and gangs, and what run times and failures show about an executor.
+// JobLeader: periodic checks of executors and gangs.
 #include "jobs/job_leader.h"
 
 #include <algorithm>
@@ -21,7 +21,6 @@
     constexpr double freedSoonMs = 1'500;
     // Lower bound for estimates: shorter tasks do not predict how soon capacity comes free.
     constexpr double minTaskMs = 100;
-    constexpr unsigned maxQuarantineDoublings = 2;
 
 } // namespace
 
@@ -225,22 +224,4 @@
     m_batch.continuations.emplace_back(ExecutorWhenCommitted { number, {} });
 }
 
-void JobLeader::recordFailure(LiveExecutor& executor, const TaskKey& key)
-{
-    if (executor.lastFailedJob != key.step.job || executor.failuresInRow == 0)
-        ++executor.failuresInRow;
-    executor.lastFailedJob = key.step.job;
-    if (executor.failuresInRow < m_options.quarantineFailures)
-        return;
-    const auto time = m_options.quarantineTime * (1U << std::min(executor.quarantineCount, maxQuarantineDoublings));
-    ++executor.quarantineCount;
-    // After the quarantine, one more failure starts the next.
-    executor.failuresInRow = m_options.quarantineFailures - 1;
-    executor.quarantinedUntil = m_now + time;
-    const auto* state = executorState(executor.number);
-    log("executor_quarantined",
-        { { "executor", state == nullptr ? "" : state->record.id() }, { "for_ms", std::to_string(time.count()) },
-            { "failures_in_row", std::to_string(m_options.quarantineFailures) } });
-}
-
 } // namespace teasel
--- a/jobs/job_executors.cpp
+++ b/jobs/job_executors.cpp
@@ -89,6 +89,7 @@
         }
     }
     m_directory.remove(number);
+    m_failures.forgetExecutor(number);
     m_executors.erase(it);
 }
 
@@ -132,12 +133,14 @@
     m_mustPlan = true;
 }
 
-bool JobLeader::isUsable(const LiveExecutor& it) const
+bool JobLeader::isInService(const LiveExecutor& it) const
 {
     return it.hasAcceptedFence && !it.isDraining && !it.hasLeft() && m_now - it.lastAnswerAt <= m_options.suspectAfter
-        && it.quarantinedUntil <= m_now && it.isAnswering();
+        && it.isAnswering();
 }
 
+bool JobLeader::isUsable(const LiveExecutor& it) const { return isInService(it) && it.quarantinedUntil <= m_now; }
+
 std::string_view JobLeader::regionOf(const ExecutorState& executor) const
 {
     const auto it = m_options.regions.find(executor.record.zone());
@@ -373,7 +376,7 @@
         || result.outcome == OrderOutcome::InvalidTicket || result.outcome == OrderOutcome::LeaseExpired;
     m_counters.startsRefused += run.isRefused ? 1 : 0;
     if (result.outcome == OrderOutcome::Refused)
-        recordFailure(executor, order.task);
+        recordFailure(executor, order.task, run);
     if (run.isRefused || result.outcome == OrderOutcome::UnknownOutcome || result.outcome == OrderOutcome::StaleRun) {
         m_counters.unknownStartOutcomes += run.isRefused ? 0 : 1;
         run.stage = RunStage::UnknownOutcome;
--- a/jobs/job_leader.cpp
+++ b/jobs/job_leader.cpp
@@ -19,6 +19,8 @@
 JobLeader::JobLeader(JobLeaderOptions options, const JobState& state)
     : m_options(std::move(options))
     , m_state(state)
+    , m_failures([this](const auto& it) { return hasSucceeded(it); },
+          [this](const auto& step, const auto& failing) { return soundTasks(step, failing); })
 {
     m_options.lease = std::min(m_options.lease, m_options.maxLease);
 }
@@ -82,6 +84,7 @@
     m_executors.clear();
     m_directory.clear();
     m_runIndex.clear();
+    m_failures.clear();
     m_loadSummaries.clear();
     m_forecastAdmission.clear();
     m_forecastBuiltAt = {};
@@ -141,6 +144,7 @@
         if (auto* it = findExecutor(number))
             checkExecutor(*it);
     }
+    limitQuarantines();
     checkClaims();
     checkGangs();
     checkEvacuations();
--- a/jobs/job_leader.h
+++ b/jobs/job_leader.h
@@ -12,6 +12,7 @@
 #include "jobs/evacuation_planner.h"
 #include "jobs/executor_claims.h"
 #include "jobs/executor_directory.h"
+#include "jobs/failure_comparison.h"
 #include "jobs/forecast_admission.h"
 #include "jobs/job_events.h"
 #include "jobs/job_leader_counters.h"
@@ -310,6 +311,8 @@
     void checkGangs();
     void stopRunsBeforeDeparture(LiveExecutor&);
     void forecastReleases(LiveExecutor&);
+    // Whether it answers and takes starts, unless it is in quarantine.
+    bool isInService(const LiveExecutor&) const;
     bool isUsable(const LiveExecutor&) const;
     std::string_view regionOf(const ExecutorState&) const;
 
@@ -360,7 +363,15 @@
     void learnRunTime(const LiveExecutor&, const TaskKey&, const LiveRun&, bool isComplete);
     void restoreRunTimes();
     void recordLearnedRunTimes();
-    void recordFailure(LiveExecutor&, const TaskKey&);
+
+    // Quarantine (job_quarantine.cpp).
+    // How many tasks of the step are done or in progress on executors other than the given ones.
+    size_t soundTasks(const StepKey&, const FailureComparison::Executors& failing) const;
+    bool hasSucceeded(const TaskKey&) const;
+    void recordFailure(LiveExecutor&, const TaskKey&, const LiveRun&);
+    void endQuarantine(LiveExecutor&, std::string_view reason);
+    // Ends quarantines where too few of the executors that may run a waiting task are left.
+    void limitQuarantines();
 
     // Evacuation of data centres (job_evacuation.cpp).
     bool isEvacuated(const LiveExecutor&) const;
@@ -486,6 +497,7 @@
     absl::btree_set<std::pair<std::string, uint64_t>> m_goneIncarnations; // id and start time (born_ms)
     std::deque<std::pair<std::string, uint64_t>> m_goneInOrder; // of m_goneIncarnations, oldest first
     AdviceTracker m_advice;
+    FailureComparison m_failures;
     RunTimes m_runTimes;
     RunTimeModel m_runTimeModel;
     bool m_hasNewRunTimes = false;
--- a/jobs/job_run_ends.cpp
+++ b/jobs/job_run_ends.cpp
@@ -32,7 +32,7 @@
         if (it.outcome == schema::RUN_OUTCOME_DONE)
             recordRunTime(executor, it.task, run->second);
         else if (it.outcome == schema::RUN_OUTCOME_FAILED)
-            recordFailure(executor, it.task);
+            recordFailure(executor, it.task, run->second);
         endRun(executor, it.task, RunEvidence::EndListed, it.outcome, it.checkpoint);
     }
     if (newest == executor.processedEnds)
--- a/jobs/job_run_times.cpp
+++ b/jobs/job_run_times.cpp
@@ -77,7 +77,7 @@
 
 void JobLeader::recordRunTime(LiveExecutor& executor, const TaskKey& key, const LiveRun& run)
 {
-    executor.failuresInRow = 0;
+    m_failures.recordSuccess(executor.number);
     executor.quarantineCount = 0;
     const auto* job = m_state.find(key.step.job);
     if (!run.isFromStart || job == nullptr || job->hasEnded())
--- a/jobs/job_starts.cpp
+++ b/jobs/job_starts.cpp
@@ -45,7 +45,7 @@
         candidate.labels = &state->second.record.labels();
         candidate.slowness = it.slowness;
         candidate.hasSuspect = it.suspectUntil > m_now;
-        candidate.isDegraded = it.failuresInRow > 0 || it.coldUntil > m_now;
+        candidate.isDegraded = m_failures.hasFailed(number) || it.coldUntil > m_now;
         candidate.freedPerSecond = it.freedPerSecond;
     }
 }
--- a/jobs/live_executor.h
+++ b/jobs/live_executor.h
@@ -154,9 +154,7 @@
 
     Instant suspectUntil {}; // until then a suspect task that was started here is under observation
 
-    unsigned failuresInRow = 0;
-    uint64_t lastFailedJob = 0;
-    unsigned quarantineCount = 0;
+    unsigned quarantineCount = 0; // since a run succeeded
     Instant quarantinedUntil {};
     ResourceVector used() const { return committed + strays; }
 
