--- a/jobs/job_run_ends.cpp
+++ b/jobs/job_run_ends.cpp
@@ -32,7 +32,7 @@
         if (it.outcome == schema::RUN_OUTCOME_DONE)
             recordRunTime(executor, it.task, run->second);
         else if (it.outcome == schema::RUN_OUTCOME_FAILED)
-            recordFailure(executor, it.task);
+            recordFailure(executor, it.task, run->second);
         if (!it.checkpoint.empty())
             run->second.checkpoint = it.checkpoint;
         if (it.outcome == schema::RUN_OUTCOME_DONE)
