Job plane: a job with the largest id does not hang the leader when it ends

Cause: erased the job's lost tasks up to the id plus one, which is 0 for the largest id, so that the range ended before it began. Found by reading the diff. Before: the new case of jobs_losses does not end within 20 s. After: 10 of 10 cases pass. Conclusion: the range ends at the first task of another job.

--- a/jobs/job_steps.cpp
+++ b/jobs/job_steps.cpp
@@ -211,8 +211,10 @@
     answerStateQueries(id, true);
     m_advice.forgetJob(id);
     const StepKey first { id, 0, 0 };
-    for (auto* tasks : { &m_lostTasks, &m_heldTasks })
-        tasks->erase(tasks->lower_bound({ { id, 0, 0 }, 0 }), tasks->lower_bound({ { id + 1, 0, 0 }, 0 }));
+    for (auto* tasks : { &m_lostTasks, &m_heldTasks }) {
+        const auto begin = tasks->lower_bound({ first, 0 });
+        tasks->erase(begin, std::find_if(begin, tasks->end(), [&](const auto& it) { return it.step.job != id; }));
+    }
     const auto belongs = [&](const auto& it) { return it->first.job == id; };
     const bool hadReadySteps
         = m_readySteps.lower_bound(first) != m_readySteps.end() && belongs(m_readySteps.lower_bound(first));
--- a/tests/jobs_losses_test.cpp
+++ b/tests/jobs_losses_test.cpp
@@ -4,6 +4,7 @@
 #include "core/random.h"
 
 #include <array>
+#include <limits>
 
 using namespace teasel;
 
@@ -220,6 +221,28 @@
     }
 }
 
+// Guards against a crash of the leader: callers choose the ids.
+TEST_CASE("a job with the largest id ends while tasks of other jobs have lost their executor")
+{
+    constexpr auto largest = std::numeric_limits<uint64_t>::max();
+    JobsFixture it;
+    it.announce("x1");
+    it.answerRenewals({});
+    for (const uint64_t id : { uint64_t(66), largest })
+        it.submit(JobsFixture::request(id, 1));
+    it.pass(Milliseconds(20));
+    while (const auto start = it.takeOrder<StartRun>("x1"))
+        it.answer(*start, { OrderOutcome::Done });
+    it.pass(Milliseconds(8'000));
+    REQUIRE(it.state.lostRuns().size() == 2);
+    CancelJob cancel { "farm.example", "/blend/" + jobIdText(largest), "key", largest };
+    it.leader.onCall(++it.lastHandle, std::move(cancel), it.clock.now(), it.clock.wallNow());
+    it.commitAndCollect();
+    it.pass(Milliseconds(100));
+    CHECK(it.state.find(largest)->phase == JobPhase::Cancelled);
+    CHECK(it.state.lostRuns().size() == 1);
+}
+
 // Guards against replicas that diverge after a snapshot.
 TEST_CASE("a replica that restores snapshots counts losses like one that applies all changes")
 {
